Lay out the package, the documents and the checks

Cause: nothing existed; the later work needs one data model, one encoding and one verdict to build on. Conclusion: a frame only; no call flows yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# `make demo` runs the main job, `make test` the tests; each sets itself up.
+VENV ?= .venv
+PYTHON ?= python3
+RUN = $(VENV)/bin/python -m
+WORKERS ?= auto
+
+.PHONY: demo test lint format golden thrift docs dist
+
+$(VENV)/.ready: requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	touch $@
+
+demo: $(VENV)/.ready
+	$(RUN) sequoiaspoke demo
+
+test: $(VENV)/.ready
+	$(RUN) pytest -n $(WORKERS)
+
+lint: $(VENV)/.ready
+	$(RUN) ruff format --check .
+	$(RUN) ruff check .
+
+format: $(VENV)/.ready
+	$(RUN) ruff format .
+	$(RUN) ruff check --fix .
--- /dev/null
+++ b/sequoiaspoke/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration distribution for a service mesh."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/sequoiaspoke/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of the command line."""
--- /dev/null
+++ b/sequoiaspoke/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output."""
--- /dev/null
+++ b/sequoiaspoke/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which calls a target lets in."""
--- /dev/null
+++ b/sequoiaspoke/core/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Calls that run at most once."""
--- /dev/null
+++ b/sequoiaspoke/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs and zones are there."""
--- /dev/null
+++ b/sequoiaspoke/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Where calls go and when they are tried again."""
--- /dev/null
+++ b/sequoiaspoke/core/rules/__init__.py
@@ -0,0 +1,1 @@
+"""Rules: parsing, matching and validation."""
--- /dev/null
+++ b/sequoiaspoke/core/snapshot/__init__.py
@@ -0,0 +1,1 @@
+"""Versions of the configuration, held whole."""
--- /dev/null
+++ b/sequoiaspoke/core/snapshot/codec.py
@@ -0,0 +1,166 @@
+"""Documents to and from bytes: canonical JSON, digests and compression."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import zlib
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import cattrs
+from cattrs.gen import make_dict_structure_fn
+from cattrs.strategies import configure_tagged_union
+
+from sequoiaspoke.core.rules import model as rules_model
+from sequoiaspoke.core.snapshot import model as snapshot_model
+from sequoiaspoke.core.snapshot.model import Head, VmList
+from sequoiaspoke.errors import DocumentError
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.rules.model import Rule, Service
+
+T = TypeVar("T")
+
+DOCUMENT_LIMIT = 1_000_000  # bytes; the platform holds values up to a megabyte
+PART_LIMIT = 8_000_000  # bytes once inflated, so that a bomb cannot fill the memory
+DIGEST_BYTES = 16
+STRICT_CLASSES = (
+    rules_model.Condition,
+    rules_model.WeightedService,
+    rules_model.RouteTo,
+    rules_model.Redirect,
+    rules_model.Refuse,
+    rules_model.CallPolicy,
+    rules_model.Rule,
+    rules_model.Endpoint,
+    rules_model.Service,
+    snapshot_model.Head,
+    snapshot_model.Vm,
+    snapshot_model.VmList,
+)
+
+
+def make_converter() -> cattrs.Converter:
+    """Build the converter; unknown keys are errors."""
+    converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=False)
+    for exact_type in (int, str, bool):
+        converter.register_structure_hook(exact_type, _exactly(exact_type))
+    converter.register_structure_hook(float, _number)
+    configure_tagged_union(rules_model.Action, converter, tag_name="action")
+    for cls in STRICT_CLASSES:
+        if cls in (rules_model.RouteTo, rules_model.Redirect, rules_model.Refuse):
+            continue
+        converter.register_structure_hook(cls, make_dict_structure_fn(cls, converter))
+    return converter
+
+
+def _exactly(exact_type: type) -> Any:
+    # Without this a version "7" or 7.9 would be rounded to 7 in silence, and
+    # two nodes with different libraries could hold different versions.
+    def structure(value: Any, _: type) -> Any:
+        if type(value) is not exact_type:
+            raise TypeError(f"{value!r} is not of type {exact_type.__name__}")
+        return value
+
+    return structure
+
+
+def _number(value: Any, _: type) -> float:
+    if type(value) not in (int, float):
+        raise TypeError(f"{value!r} is not a number")
+    return float(value)
+
+
+CONVERTER = make_converter()
+
+
+def encode_json(value: Any) -> bytes:
+    """Encode data classes as canonical JSON."""
+    plain = CONVERTER.unstructure(value)
+    return json.dumps(plain, sort_keys=True, separators=(",", ":")).encode()
+
+
+def decode_json(data: bytes, cls: type[T]) -> T:
+    """Decode JSON into a data class.
+
+    Raises
+    ------
+    DocumentError
+        The bytes are no JSON of that class.
+    """
+    try:
+        return CONVERTER.structure(json.loads(data), cls)
+    except (ValueError, TypeError, KeyError, RecursionError, AttributeError) as error:
+        raise DocumentError(f"no {cls}: {error}") from error
+    except Exception as error:  # the library's own errors share no base class
+        raise DocumentError(f"no {cls}: {error}") from error
+
+
+def digest_of(content: bytes) -> str:
+    """Return the digest that names a part's uncompressed content."""
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def pack(content: bytes) -> bytes:
+    """Compress a part's content for the platform and for peers."""
+    return zlib.compress(content, 6)
+
+
+def unpack(packed: bytes, digest: str) -> bytes:
+    """Inflate a part and check it against its digest.
+
+    Raises
+    ------
+    DocumentError
+        The bytes are corrupt, too large, or another part's.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        content = inflater.decompress(packed, PART_LIMIT)
+    except zlib.error as error:
+        raise DocumentError(f"part {digest} does not inflate: {error}") from error
+    if not inflater.eof:
+        raise DocumentError(f"part {digest} is cut short or too large")
+    if digest_of(content) != digest:
+        raise DocumentError(f"part {digest} has other content than its digest says")
+    return content
+
+
+def encode_head(head: Head) -> bytes:
+    """Encode a head document."""
+    return encode_json(head)
+
+
+def decode_head(data: bytes) -> Head:
+    """Decode a head document."""
+    return decode_json(data, Head)
+
+
+def root_digest(head: Head) -> str:
+    """Return one digest over a whole head."""
+    return digest_of(encode_head(head))
+
+
+def encode_rules(rules: tuple[Rule, ...]) -> bytes:
+    """Encode the rules part."""
+    return encode_json(rules)
+
+
+def decode_rules(content: bytes) -> tuple[Rule, ...]:
+    """Decode the rules part."""
+    return decode_json(content, tuple[rules_model.Rule, ...])
+
+
+def encode_service(service: Service) -> bytes:
+    """Encode a service part."""
+    return encode_json(service)
+
+
+def decode_service(content: bytes) -> Service:
+    """Decode a service part."""
+    return decode_json(content, rules_model.Service)
+
+
+def decode_vms(data: bytes) -> VmList:
+    """Decode the platform's VM list."""
+    return decode_json(data, VmList)
--- /dev/null
+++ b/sequoiaspoke/core/snapshot/model.py
@@ -0,0 +1,67 @@
+"""A version of the configuration: its head, its parts and the whole."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.rules.model import Rule, Service
+
+RULES_PART = "rules"
+SERVICE_PREFIX = "service/"
+
+
+def service_part(service: str) -> str:
+    """Return the name of the part that holds a service."""
+    return SERVICE_PREFIX + service
+
+
+@dataclass(frozen=True)
+class Head:
+    """A version number and the digest of each of its parts."""
+
+    version: int
+    parts: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """One whole version; calls in flight keep the one they began with."""
+
+    head: Head
+    rules: tuple[Rule, ...]
+    services: dict[str, Service]
+
+    @property
+    def version(self) -> int:
+        """Return the version number."""
+        return self.head.version
+
+
+class VmState(Enum):
+    """What the platform says of a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True)
+class Vm:
+    """One VM of the platform's list, with the ports of its node."""
+
+    name: str
+    zone: str
+    address: str
+    peer_port: int
+    mesh_port: int
+    state: VmState = VmState.LIVE
+
+
+@dataclass(frozen=True)
+class VmList:
+    """The platform's list of VMs, which lags behind the truth."""
+
+    revision: int = 0
+    vms: tuple[Vm, ...] = ()
--- /dev/null
+++ b/sequoiaspoke/core/spread/__init__.py
@@ -0,0 +1,1 @@
+"""How versions reach every node."""
--- /dev/null
+++ b/sequoiaspoke/errors.py
@@ -0,0 +1,230 @@
+"""Every failure of the program, as a type with a stable code."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import ClassVar
+
+
+class Ran(Enum):
+    """Whether a call reached the code behind its upstream."""
+
+    NOT_RUN = "not-run"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    RAN = "ran"
+
+
+class SequoiaspokeError(Exception):
+    """Base of every error the program raises on purpose."""
+
+    code: ClassVar[str] = "internal"
+    exit_code: ClassVar[int] = 1
+
+
+@dataclass(frozen=True)
+class Problem:
+    """One thing wrong in an input, and where."""
+
+    message: str
+    file: str = ""
+    line: int = 0
+    section: str = ""
+    key: str = ""
+    warning: bool = False
+
+    def __str__(self) -> str:
+        place = f"{self.file}:{self.line}" if self.line else self.file
+        names = ".".join(part for part in (self.section, self.key) if part)
+        kind = "warning" if self.warning else "error"
+        return ": ".join(part for part in (place, kind, names, self.message) if part)
+
+
+class ProblemsError(SequoiaspokeError):
+    """Base of errors that report every problem of an input at once."""
+
+    def __init__(self, problems: tuple[Problem, ...]) -> None:
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+class SettingsError(ProblemsError):
+    """A settings file cannot be used."""
+
+    code = "settings-invalid"
+    exit_code = 2
+
+
+class DeclarationsError(ProblemsError):
+    """The declarations of rules and services cannot be used."""
+
+    code = "declarations-invalid"
+    exit_code = 3
+
+
+class DocumentError(SequoiaspokeError):
+    """A published document cannot be decoded or fails its digest."""
+
+    code = "document-invalid"
+    exit_code = 4
+
+
+class VersionRefusedError(ProblemsError):
+    """A published version is refused whole; the one in force stays."""
+
+    code = "version-refused"
+    exit_code = 4
+
+
+class AddressInUseError(SequoiaspokeError):
+    """A listening address of the settings cannot be bound."""
+
+    code = "address-in-use"
+    exit_code = 5
+
+
+class NotConvergedError(SequoiaspokeError):
+    """Some nodes did not reach the awaited version in time."""
+
+    code = "not-converged"
+    exit_code = 6
+
+
+class CallError(SequoiaspokeError):
+    """A call got no answer from its upstream; says whether it ran.
+
+    Parameters
+    ----------
+    detail : str
+        What happened, for the log and the answer's body.
+    retry_after : float or None
+        Seconds after which another try is worth it.
+    """
+
+    code = "call-failed"
+    status: ClassVar[int] = 502
+    ran: ClassVar[Ran] = Ran.OUTCOME_UNKNOWN
+
+    def __init__(self, detail: str = "", retry_after: float | None = None) -> None:
+        super().__init__(detail or self.code)
+        self.detail = detail
+        self.retry_after = retry_after
+
+
+class NotRunError(CallError):
+    """Base of failures in which the call was certainly not run."""
+
+    code = "not-run"
+    status = 503
+    ran = Ran.NOT_RUN
+
+
+class OutcomeUnknownError(CallError):
+    """Base of failures in which the call may have run."""
+
+    code = "outcome-unknown"
+    status = 502
+    ran = Ran.OUTCOME_UNKNOWN
+
+
+class NoRuleError(NotRunError):
+    """No rule in force matches the request."""
+
+    code = "no-rule"
+    status = 404
+
+
+class RefusedByRuleError(NotRunError):
+    """A rule in force refuses the request."""
+
+    code = "refused-by-rule"
+    status = 403
+
+
+class NotReadyError(NotRunError):
+    """The node holds no accepted version yet."""
+
+    code = "not-ready"
+
+
+class NoTargetError(NotRunError):
+    """No target of the service may take the call now."""
+
+    code = "no-target"
+
+
+class OverloadedError(NotRunError):
+    """The target's limit and queue are full."""
+
+    code = "overloaded"
+
+
+class DrainingError(NotRunError):
+    """The target or its node is leaving and takes no new work."""
+
+    code = "draining"
+
+
+class DeadlineNotRunError(NotRunError):
+    """The deadline passed before the call was handed over."""
+
+    code = "deadline-before-run"
+    status = 504
+
+
+class DeadlineUnknownError(OutcomeUnknownError):
+    """The deadline passed after the call was handed over."""
+
+    code = "deadline-after-hand-over"
+    status = 504
+
+
+class UpstreamShedError(NotRunError):
+    """The upstream itself answered that it did not run the call."""
+
+    code = "upstream-shed"
+
+
+class ConnectError(NotRunError):
+    """No connection could be opened, so nothing was sent."""
+
+    code = "connect-failed"
+
+
+class ConnectionLostError(OutcomeUnknownError):
+    """The connection broke after the first byte of the call went out."""
+
+    code = "connection-lost"
+
+
+class TruncatedAnswerError(OutcomeUnknownError):
+    """The answer ended before its announced length or last chunk."""
+
+    code = "answer-truncated"
+
+
+class BadRequestError(NotRunError):
+    """The request breaks HTTP or a limit of the node."""
+
+    code = "bad-request"
+    status = 400
+
+
+class RequestTooLargeError(NotRunError):
+    """The request's head or body is larger than the node accepts."""
+
+    code = "request-too-large"
+    status = 413
+
+
+class TooDeepError(NotRunError):
+    """The call passed through more nodes than the depth limit allows."""
+
+    code = "too-deep"
+    status = 508
+
+
+class WrongHomeError(NotRunError):
+    """The node is not the home of the target or the key it was asked for."""
+
+    code = "wrong-home"
--- /dev/null
+++ b/sequoiaspoke/node/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, files and timers round the core."""
--- /dev/null
+++ b/sequoiaspoke/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process, read from INI."""
--- /dev/null
+++ b/sequoiaspoke/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and of upstreams."""
--- /dev/null
+++ b/sequoiaspoke/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each package."""
--- /dev/null
+++ b/sequoiaspoke/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between nodes."""
