Gather versions from parts and install them whole or not at all

Cause: a node needs a version in force that never goes back, however heads and parts arrive. Change: a gate on version numbers that keeps the first of two contents under one number, a store of packed parts, a pure build that validates the whole and reuses what did not change, and one facade over them.

--- /dev/null
+++ b/sequoiaspoke/core/snapshot/gate.py
@@ -0,0 +1,135 @@
+"""The version gate: decides whether a head may be considered at all.
+
+Documents cross in transit, a platform may be stale and a peer may have been
+paused, so old heads keep arriving. The gate compares version numbers only;
+whatever is not newer than the version in force is ignored and counted.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.snapshot.codec import root_digest
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.snapshot.model import Head
+
+# Two candidates are enough: the newest head, and the one before it in case a
+# part of the newest never arrives.
+CANDIDATE_LIMIT = 2
+# Refused versions and roots that are remembered, so that none is fetched twice.
+REFUSED_LIMIT = 8
+
+
+class Verdict(Enum):
+    """What the gate says of a head."""
+
+    NEW = "new"
+    PENDING = "pending"
+    CURRENT = "current"
+    OLDER = "older"
+    CONFLICT = "conflict"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True)
+class Known:
+    """A head and the digest over it."""
+
+    head: Head
+    root: str
+
+    @property
+    def version(self) -> int:
+        """Return the version number."""
+        return self.head.version
+
+
+def known(head: Head) -> Known:
+    """Compute the digest over a head."""
+    return Known(head, root_digest(head))
+
+
+class VersionGate:
+    """Remembers the versions in force, being gathered and refused."""
+
+    def __init__(self) -> None:
+        self.current: Known | None = None
+        self.candidates: dict[int, Known] = {}
+        self.refused: dict[int, Known] = {}
+        self.counters: Counter[str] = Counter()
+
+    def version(self) -> int:
+        """Return the version in force, or 0."""
+        return self.current.version if self.current else 0
+
+    def first_root(self, version: int) -> str | None:
+        """Return the digest that was first seen under a version number."""
+        for held in (self.current, *self.candidates.values(), *self.refused.values()):
+            if held and held.version == version:
+                return held.root
+        return None
+
+    def judge(self, version: int, root: str) -> Verdict:
+        """Compare a version with what is held, without changing anything."""
+        first = self.first_root(version)
+        if first is not None and first != root:
+            return Verdict.CONFLICT
+        if version == self.version():
+            return Verdict.CURRENT
+        if version < self.version():
+            return Verdict.OLDER
+        if version in self.refused:
+            return Verdict.REFUSED
+        if version in self.candidates:
+            return Verdict.PENDING
+        return Verdict.NEW
+
+    def offer(self, offered: Known) -> Verdict:
+        """Judge a head, count it, and make it a candidate if it is new."""
+        verdict = self.judge(offered.version, offered.root)
+        self.counters[f"head-{verdict.value}"] += 1
+        if verdict is not Verdict.NEW:
+            return verdict
+        self.candidates[offered.version] = offered
+        if len(self.candidates) > CANDIDATE_LIMIT:
+            lowest = min(self.candidates)
+            del self.candidates[lowest]
+            if lowest == offered.version:
+                return Verdict.OLDER
+        return verdict
+
+    def newest_candidates(self) -> list[Known]:
+        """Return the candidates, the newest first."""
+        return [self.candidates[v] for v in sorted(self.candidates, reverse=True)]
+
+    def install(self, installed: Known) -> None:
+        """Put a candidate in force and forget those it overtakes."""
+        # A version below the one in force must not get here; if it did, calls
+        # would meet rules that were withdrawn. Better no install than that.
+        if installed.version <= self.version():
+            self.counters["install-not-newer"] += 1
+            return
+        self.current = installed
+        self.forget_overtaken()
+
+    def refuse(self, refused: Known) -> None:
+        """Remember a candidate that failed validation."""
+        del self.candidates[refused.version]
+        self.refused[refused.version] = refused
+        while len(self.refused) > REFUSED_LIMIT:
+            del self.refused[min(self.refused)]
+
+    def newest_refused(self) -> Known | None:
+        """Return the newest refused version above the one in force."""
+        if not self.refused or max(self.refused) <= self.version():
+            return None
+        return self.refused[max(self.refused)]
+
+    def forget_overtaken(self) -> None:
+        """Drop the candidates that are not newer than the version in force."""
+        newer = {v: c for v, c in self.candidates.items() if v > self.version()}
+        self.candidates = newer
--- /dev/null
+++ b/sequoiaspoke/core/snapshot/holder.py
@@ -0,0 +1,157 @@
+"""The version in force and what it takes to replace it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.snapshot.gate import Known, Verdict, VersionGate, known
+from sequoiaspoke.core.snapshot.install import build_snapshot
+from sequoiaspoke.core.snapshot.store import PartStore
+from sequoiaspoke.errors import DocumentError, VersionRefusedError
+
+if TYPE_CHECKING:
+    from collections import Counter
+
+    from sequoiaspoke.core.snapshot.model import Head, Snapshot
+
+
+@dataclass(frozen=True)
+class HeadDecision:
+    """What became of an offered head.
+
+    Attributes
+    ----------
+    missing : tuple of str
+        Digests of the parts to fetch before it can be installed.
+    installed : Snapshot or None
+        Set where every part was held already.
+    """
+
+    verdict: Verdict
+    missing: tuple[str, ...] = ()
+    installed: Snapshot | None = None
+
+
+@dataclass(frozen=True)
+class PartDecision:
+    """What became of an offered part; `taken` is False for corrupt bytes."""
+
+    taken: bool
+    installed: Snapshot | None = None
+
+
+@dataclass(frozen=True)
+class RefusedVersion:
+    """A version that failed validation, for the operators' pages."""
+
+    version: int
+    source: str
+    at: float
+    reason: str
+
+
+class SnapshotHolder:
+    """Gathers the parts of newer versions and installs them whole or not at all.
+
+    Callers read `current` once for each call and keep the reference until the
+    call ends.
+    """
+
+    def __init__(self) -> None:
+        self.gate = VersionGate()
+        self.store = PartStore()
+        self.current: Snapshot | None = None
+        self.previous_head: Head | None = None
+        self.last_refused: RefusedVersion | None = None
+        self.installed_at = 0.0
+        self.hold = False
+        self.sources: dict[int, str] = {}
+
+    @property
+    def counters(self) -> Counter[str]:
+        """Return the counters of verdicts, refusals and corrupt parts."""
+        return self.gate.counters
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, or 0."""
+        return self.gate.version()
+
+    def offer_head(self, head: Head, source: str, now: float) -> HeadDecision:
+        """Take a head that the platform or a peer told of."""
+        offered = known(head)
+        verdict = self.gate.offer(offered)
+        if verdict is Verdict.NEW:
+            self.sources[head.version] = source
+            self.sources = {
+                version: name
+                for version, name in self.sources.items()
+                if version in self.gate.candidates
+            }
+        if verdict not in (Verdict.NEW, Verdict.PENDING):
+            return HeadDecision(verdict)
+        installed = self.try_install(now)
+        return HeadDecision(verdict, self.store.missing(head), installed)
+
+    def offer_part(self, digest: str, packed: bytes, now: float) -> PartDecision:
+        """Take a part; installs the newest candidate that it makes whole."""
+        if digest in self.store:
+            self.counters["part-again"] += 1
+            return PartDecision(True)
+        if digest not in self.missing():
+            self.counters["part-unwanted"] += 1
+            return PartDecision(True)
+        try:
+            self.store.add(digest, packed)
+        except DocumentError:
+            self.counters["part-corrupt"] += 1
+            return PartDecision(False)
+        return PartDecision(True, self.try_install(now))
+
+    def missing(self) -> tuple[str, ...]:
+        """Return the digests to fetch, those of the newest candidate first."""
+        digests: dict[str, None] = {}
+        for candidate in self.gate.newest_candidates():
+            digests.update(dict.fromkeys(self.store.missing(candidate.head)))
+        return tuple(digests)
+
+    def try_install(self, now: float) -> Snapshot | None:
+        """Install the newest whole candidate unless installs are on hold."""
+        if self.hold:
+            return None
+        for candidate in self.gate.newest_candidates():
+            if self.store.missing(candidate.head):
+                continue
+            snapshot = self.build(candidate, now)
+            if snapshot:
+                return snapshot
+        return None
+
+    def build(self, candidate: Known, now: float) -> Snapshot | None:
+        """Put a whole candidate in force, or remember why it is refused."""
+        source = self.sources.get(candidate.version, "")
+        try:
+            snapshot = build_snapshot(candidate.head, self.store, self.current)
+        except VersionRefusedError as error:
+            self.gate.refuse(candidate)
+            self.counters["version-refused"] += 1
+            self.last_refused = RefusedVersion(
+                candidate.version, source, now, str(error)
+            )
+            return None
+        self.gate.install(candidate)
+        self.previous_head = self.current.head if self.current else None
+        self.current = snapshot
+        self.installed_at = now
+        self.counters["version-installed"] += 1
+        self.trim()
+        return snapshot
+
+    def trim(self) -> None:
+        """Drop parts that no version in use needs."""
+        held = [*self.gate.candidates.values(), *self.gate.refused.values()]
+        heads = [one.head for one in held if one.version > self.version]
+        heads += [one for one in (self.previous_head,) if one]
+        heads += [self.current.head] if self.current else []
+        self.store.keep_only(heads)
--- /dev/null
+++ b/sequoiaspoke/core/snapshot/install.py
@@ -0,0 +1,108 @@
+"""Build a whole snapshot from a head and its parts, or refuse all of it.
+
+Every node runs this same pure function on the same bytes, so a version is
+taken everywhere or nowhere. Parts whose digest did not change are taken over
+from the snapshot before, which keeps the churn of endpoints cheap: one changed
+service costs the decoding of one service.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.rules.model import RouteTo
+from sequoiaspoke.core.snapshot import codec
+from sequoiaspoke.core.snapshot.model import RULES_PART, SERVICE_PREFIX, Snapshot
+from sequoiaspoke.errors import DocumentError, Problem, VersionRefusedError
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.rules.model import Rule, Service
+    from sequoiaspoke.core.snapshot.model import Head
+    from sequoiaspoke.core.snapshot.store import PartStore
+
+
+def build_snapshot(head: Head, store: PartStore, before: Snapshot | None) -> Snapshot:
+    """Decode and validate every part of a version.
+
+    Raises
+    ------
+    VersionRefusedError
+        Some part is not what it should be, or the whole contradicts itself.
+    """
+    problems: list[Problem] = []
+    rules = _rules(head, store, before, problems)
+    services = _services(head, store, before, problems)
+    if not problems:
+        problems += _check(rules, services)
+    if problems:
+        raise VersionRefusedError(tuple(problems))
+    return Snapshot(head, rules, services)
+
+
+def _rules(
+    head: Head, store: PartStore, before: Snapshot | None, problems: list[Problem]
+) -> tuple[Rule, ...]:
+    digest = head.parts.get(RULES_PART)
+    if digest is None:
+        problems.append(Problem("the head names no rules", section=RULES_PART))
+        return ()
+    if before and before.head.parts[RULES_PART] == digest:
+        return before.rules
+    try:
+        return codec.decode_rules(_content(store, digest))
+    except DocumentError as error:
+        problems.append(Problem(str(error), section=RULES_PART))
+        return ()
+
+
+def _services(
+    head: Head, store: PartStore, before: Snapshot | None, problems: list[Problem]
+) -> dict[str, Service]:
+    services = {}
+    for part, digest in head.parts.items():
+        if part == RULES_PART:
+            continue
+        name = part.removeprefix(SERVICE_PREFIX)
+        if name == part:
+            problems.append(Problem("unknown part", section=part))
+            continue
+        if before and before.head.parts.get(part) == digest:
+            services[name] = before.services[name]
+            continue
+        try:
+            services[name] = _service(name, _content(store, digest))
+        except DocumentError as error:
+            problems.append(Problem(str(error), section=part))
+    return services
+
+
+def _service(name: str, content: bytes) -> Service:
+    service = codec.decode_service(content)
+    if service.name != name:
+        raise DocumentError(f"the part holds service {service.name!r}")
+    return service
+
+
+def _content(store: PartStore, digest: str) -> bytes:
+    packed = store.get(digest)
+    if packed is None:
+        raise DocumentError(f"part {digest} is missing")
+    return codec.unpack(packed, digest)
+
+
+def _check(rules: tuple[Rule, ...], services: dict[str, Service]) -> list[Problem]:
+    problems = []
+    for rule in rules:
+        if not isinstance(rule.then, RouteTo):
+            continue
+        for choice in rule.then.split:
+            service = services.get(choice.service)
+            if service is None:
+                problems.append(_problem(rule, f"no service {choice.service!r}"))
+            elif not service.endpoints:
+                problems.append(_problem(rule, f"{service.name!r} has no endpoints"))
+    return problems
+
+
+def _problem(rule: Rule, message: str) -> Problem:
+    return Problem(message, rule.file, rule.line, RULES_PART, rule.name)
--- /dev/null
+++ b/sequoiaspoke/tests/test_snapshot.py
@@ -0,0 +1,148 @@
+"""Tests of gathering, validating and installing versions."""
+
+from testtools import TestCase
+
+from sequoiaspoke.core.rules.model import Endpoint, RouteTo, Rule, Service
+from sequoiaspoke.core.rules.model import WeightedService as To
+from sequoiaspoke.core.snapshot import codec
+from sequoiaspoke.core.snapshot.gate import Verdict
+from sequoiaspoke.core.snapshot.holder import SnapshotHolder
+from sequoiaspoke.core.snapshot.model import Head
+from sequoiaspoke.core.snapshot.publish import make_publication
+
+
+def service(name, *ports):
+    targets = (
+        Endpoint(f"{name}-{p}", f"vm-{p}", "akaki", "127.0.0.1", p) for p in ports
+    )
+    return Service(name, tuple(targets))
+
+
+def publication(version, fleet=(1,), billing=(2,), route="fleet"):
+    rules = (Rule("all", (), RouteTo((To(route),))),)
+    return make_publication(
+        version, rules, (service("fleet", *fleet), service("billing", *billing))
+    )
+
+
+def take(holder, published, only=None):
+    decision = holder.offer_head(published.head, "test", 1.0)
+    for digest in decision.missing if only is None else only:
+        holder.offer_part(digest, published.parts[digest], 1.0)
+    return decision
+
+
+class GateTests(TestCase):
+    """Heads cross in transit: an older one arrives after a newer one.
+
+    If a node went back, a withdrawn rule would decide calls again and a
+    mourner's order would go to a service that is no longer meant to take it.
+    """
+
+    def test_versions_never_go_back(self):
+        holder = SnapshotHolder()
+        take(holder, publication(2))
+        before = holder.current
+        self.assertEqual(Verdict.OLDER, take(holder, publication(1)).verdict)
+        self.assertEqual(Verdict.CURRENT, take(holder, publication(2)).verdict)
+        self.assertIs(before, holder.current)
+        self.assertEqual(1, holder.counters["head-older"])
+
+    def test_the_first_of_two_contents_under_one_version_is_kept(self):
+        holder = SnapshotHolder()
+        take(holder, publication(2))
+        other = publication(2, fleet=(7,))
+        self.assertEqual(Verdict.CONFLICT, take(holder, other).verdict)
+        self.assertEqual((1,), ports(holder, "fleet"))
+        pending = publication(3, fleet=(8,))
+        holder.offer_head(pending.head, "test", 1.0)
+        conflicting = publication(3, fleet=(9,))
+        self.assertEqual(Verdict.CONFLICT, take(holder, conflicting).verdict)
+        take(holder, pending)
+        self.assertEqual((8,), ports(holder, "fleet"))
+
+    def test_a_late_part_of_an_overtaken_version_changes_nothing(self):
+        holder = SnapshotHolder()
+        old = publication(1)
+        holder.offer_head(old.head, "test", 1.0)
+        take(holder, publication(2, fleet=(5,), billing=(6,)))
+        for digest, packed in old.parts.items():
+            holder.offer_part(digest, packed, 1.0)
+        self.assertEqual(2, holder.version)
+        self.assertEqual((5,), ports(holder, "fleet"))
+
+
+class WholeOrNotTests(TestCase):
+    """Parts get lost or corrupted, or a bad version is published.
+
+    Half a version would route calls by rules whose services are not there; a
+    foreman would get errors for a booking that both versions could take.
+    """
+
+    def test_nothing_is_in_force_until_every_part_is_there(self):
+        holder = SnapshotHolder()
+        published = publication(1)
+        digests = list(published.parts)
+        take(holder, published, digests[:-1])
+        self.assertIsNone(holder.current)
+        self.assertEqual((digests[-1],), holder.missing())
+        corrupt = published.parts[digests[-1]][:-2]
+        self.assertFalse(holder.offer_part(digests[-1], corrupt, 1.0).taken)
+        self.assertIsNone(holder.current)
+        take(holder, published, digests[-1:])
+        self.assertEqual(1, holder.version)
+
+    def test_a_poisoned_version_between_good_ones_is_refused_whole(self):
+        holder = SnapshotHolder()
+        take(holder, publication(1))
+        for bad in (publication(2, route="nowhere"), publication(3, fleet=())):
+            take(holder, bad)
+            self.assertEqual(1, holder.version)
+            self.assertEqual(Verdict.REFUSED, take(holder, bad).verdict)
+        self.assertEqual(3, holder.last_refused.version)
+        self.assertIn("fleet", holder.last_refused.reason)
+        take(holder, publication(4))
+        self.assertEqual(4, holder.version)
+
+    def test_foreign_and_unknown_parts_are_refused(self):
+        published = publication(1)
+        fleet = published.head.parts["service/fleet"]
+        swapped = dict(published.head.parts) | {"service/billing": fleet}
+        no_rules = {"service/fleet": fleet}
+        strange = dict(published.head.parts) | {"other": fleet}
+        for parts in (swapped, no_rules, strange):
+            holder = SnapshotHolder()
+            holder.offer_head(Head(1, parts), "test", 1.0)
+            for digest, packed in published.parts.items():
+                holder.offer_part(digest, packed, 1.0)
+            self.assertIsNone(holder.current)
+            self.assertEqual(1, holder.counters["version-refused"])
+
+
+class ChurnTests(TestCase):
+    """Targets come and go all day; each change moves one part.
+
+    If every change cost the decoding of everything, a fleet that churns would
+    spend its processors on configuration instead of calls.
+    """
+
+    def test_only_the_changed_service_is_fetched_and_decoded(self):
+        holder = SnapshotHolder()
+        take(holder, publication(1))
+        before = holder.current
+        decision = take(holder, publication(2, fleet=(1, 3)))
+        fleet = codec.digest_of(codec.encode_service(service("fleet", 1, 3)))
+        self.assertEqual((fleet,), decision.missing)
+        self.assertIs(before.rules, holder.current.rules)
+        self.assertIs(before.services["billing"], holder.current.services["billing"])
+        self.assertEqual((1, 3), ports(holder, "fleet"))
+
+    def test_the_store_keeps_two_versions_for_peers(self):
+        holder = SnapshotHolder()
+        for version in range(1, 6):
+            take(holder, publication(version, fleet=(version,)))
+        self.assertEqual(4, len(holder.store.parts))
+
+
+def ports(holder, name):
+    return tuple(e.mesh_port for e in holder.current.services[name].endpoints)
