--- /dev/null
+++ b/sequoiaspoke/core/routing/balancer.py
@@ -0,0 +1,309 @@
+"""Choose the target of each attempt.
+
+Many nodes choose for the same targets without talking to each other. Taking the
+least loaded by anyone's report makes them all run to the same one; taking turns
+ignores that one target is slow and piles work up at it. The better of two
+random targets by own calls in flight and aged reports avoids both: the herd is
+split by chance, and a slow target holds its calls longer and so draws fewer.
+
+The own zone goes first, since another one costs 1 ms and may be cut off. Calls
+leave it in proportion to its use between two thresholds: a fixed point would
+swing whole zones of traffic back and forth as the use crosses it.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.routing.ejection import Ejector
+from sequoiaspoke.core.routing.load import AWAY, LoadView
+from sequoiaspoke.core.routing.model import (
+    Choice,
+    ChoiceReason,
+    Outcome,
+    RouteContext,
+    UpstreamState,
+)
+from sequoiaspoke.core.routing.slowstart import SlowStart
+from sequoiaspoke.core.routing.split import hash_of
+from sequoiaspoke.errors import NoTargetError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from sequoiaspoke.core.routing.model import LoadReport
+    from sequoiaspoke.core.routing.settings import RoutingSettings
+    from sequoiaspoke.core.rules.model import Endpoint
+
+FAILURES = frozenset({Outcome.FAILED, Outcome.TIMED_OUT})
+NO_TARGET_RETRY_AFTER = 1.0  # VM lists and probes change the answer within that
+REDRAWS = 8  # tries to draw a target in proportion to its slow start
+
+
+class Balancer(ABC):
+    """Choose targets and learn from how their calls end.
+
+    Attributes
+    ----------
+    chosen : Counter of ChoiceReason
+        Choices so far by reason.
+    """
+
+    def __init__(self, settings: RoutingSettings, zone: str, rng: Random) -> None:
+        self.settings = settings
+        self.zone = zone
+        self.rng = rng
+        self.load = LoadView(settings)
+        self.ejector = Ejector(settings)
+        self.slow_start = SlowStart(settings)
+        self.known: dict[str, frozenset[str]] = {}
+        self.leaving: frozenset[str] = frozenset()
+        self.chosen: Counter[ChoiceReason] = Counter()
+
+    def choose(
+        self,
+        service: str,
+        endpoints: Sequence[Endpoint],
+        context: RouteContext,
+        exclude: frozenset[str],
+        now: float,
+    ) -> Choice:
+        """Return the target of the next attempt.
+
+        Parameters
+        ----------
+        exclude : frozenset of str
+            Targets that earlier attempts of the call went to.
+
+        Raises
+        ------
+        NoTargetError
+            Every target is excluded or leaving.
+        """
+        self.notice(service, endpoints, now)
+        open_ = [each for each in endpoints if not self.is_leaving(each, now)]
+        probe = self.probe(open_, context, exclude, now)
+        if probe:
+            return self.count(probe)
+        names = [each.target for each in open_]
+        usable = self.ejector.usable(names, self.load.away(open_, now))
+        left = [each for each in open_ if each.target not in exclude]
+        best = [each for each in left if each.target in usable] or left
+        if not best:
+            raise NoTargetError(
+                f"service={service} targets={len(endpoints)} excluded={len(exclude)}",
+                NO_TARGET_RETRY_AFTER,
+            )
+        return self.count(self.pick(service, best, context, now))
+
+    @abstractmethod
+    def pick(
+        self,
+        service: str,
+        endpoints: Sequence[Endpoint],
+        context: RouteContext,
+        now: float,
+    ) -> Choice:
+        """Return one of the targets that may take the call."""
+
+    def probe(
+        self,
+        endpoints: Sequence[Endpoint],
+        context: RouteContext,
+        exclude: frozenset[str],
+        now: float,
+    ) -> Choice | None:
+        """Return an ejected target whose recovery this call may test."""
+        if not context.may_probe:
+            return None
+        for each in endpoints:
+            due = each.target not in exclude and self.ejector.probe_due(
+                each.target, now
+            )
+            if due:
+                self.ejector.probe(each.target)
+                return Choice(each, ChoiceReason.PROBE)
+        return None
+
+    def is_leaving(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether a target gets no new work."""
+        if endpoint.vm in self.leaving:
+            return True
+        return self.load.state(endpoint.target, now) is UpstreamState.LEAVING
+
+    def count(self, choice: Choice) -> Choice:
+        """Count a choice by its reason."""
+        self.chosen[choice.reason] += 1
+        return choice
+
+    def notice(self, service: str, endpoints: Sequence[Endpoint], now: float) -> None:
+        """Warm up targets that joined a service already in use here."""
+        names = frozenset(each.target for each in endpoints)
+        before = self.known.get(service)
+        if before == names:
+            return
+        self.known[service] = names
+        if before is None:
+            # This node is new, not the targets: it knows nothing of any.
+            return
+        for name in names - before:
+            self.slow_start.begin(name, now)
+        for name in before - names:
+            self.forget(name)
+
+    def forget(self, target: str) -> None:
+        """Drop what was learnt of a target that is gone."""
+        self.load.forget(target)
+        self.ejector.forget(target)
+        self.slow_start.forget(target)
+
+    def set_leaving(self, vms: frozenset[str]) -> None:
+        """Replace the VMs that the platform's list shows as leaving."""
+        self.leaving = vms
+
+    def started(self, target: str, now: float) -> None:  # noqa: ARG002
+        """Note that an attempt goes out to a target."""
+        self.load.of(target).in_flight += 1
+
+    def finished(
+        self,
+        target: str,
+        outcome: Outcome,
+        latency: float,  # noqa: ARG002
+        now: float,
+    ) -> None:
+        """Note how an attempt ended; once for each `started`."""
+        load = self.load.of(target)
+        load.in_flight = max(0, load.in_flight - 1)
+        if outcome in FAILURES:
+            self.ejector.failed(target, now)
+            return
+        if outcome is Outcome.REFUSED:
+            load.refused_until = now + self.settings.refusal_memory
+        if outcome is Outcome.CANCELLED:
+            self.ejector.undecided(target)
+            return
+        if self.ejector.succeeded(target):
+            self.slow_start.begin(target, now)
+
+    def report(self, target: str, report: LoadReport, now: float) -> None:
+        """Take in what a target's node says of its load."""
+        before = self.load.report(target, report, now)
+        if before in AWAY and report.state is UpstreamState.READY:
+            self.slow_start.begin(target, now)
+
+
+class RoundRobin(Balancer):
+    """Take turns over all targets; the baseline."""
+
+    def __init__(self, settings: RoutingSettings, zone: str, rng: Random) -> None:
+        super().__init__(settings, zone, rng)
+        self.turn: Counter[str] = Counter()
+
+    def pick(
+        self,
+        service: str,
+        endpoints: Sequence[Endpoint],
+        context: RouteContext,  # noqa: ARG002
+        now: float,  # noqa: ARG002
+    ) -> Choice:
+        """Return the next target in turn."""
+        self.turn[service] += 1
+        place = self.turn[service] % len(endpoints)
+        return Choice(endpoints[place], ChoiceReason.IN_TURN)
+
+
+class PowerOfTwo(Balancer):
+    """Take the less loaded of two random targets, own zone first."""
+
+    def pick(
+        self,
+        service: str,
+        endpoints: Sequence[Endpoint],
+        context: RouteContext,
+        now: float,
+    ) -> Choice:
+        """Return the better of two, or the target of the sticky key."""
+        others = self.load.others(endpoints, now)
+        use = {
+            each.target: self.load.use(each, others[each.target], now)
+            for each in endpoints
+        }
+        if context.key:
+            return self.stick(service, endpoints, context.key, use)
+        near = [each for each in endpoints if each.zone == self.zone]
+        far = [each for each in endpoints if each.zone != self.zone]
+        if not near:
+            return Choice(self.better(far, use, now), ChoiceReason.OTHER_ZONE)
+        if far and self.spills(near, far, use):
+            return Choice(self.better(far, use, now), ChoiceReason.SPILLED)
+        return Choice(self.better(near, use, now), ChoiceReason.ZONE)
+
+    def spills(
+        self,
+        near: Sequence[Endpoint],
+        far: Sequence[Endpoint],
+        use: dict[str, float],
+    ) -> bool:
+        """Return whether this call leaves the zone."""
+        here = sum(use[each.target] for each in near) / len(near)
+        there = sum(use[each.target] for each in far) / len(far)
+        if there >= here:
+            return False
+        start, full = self.settings.spill_start, self.settings.spill_full
+        width = max(full - start, 1e-9)
+        return self.rng.random() < (here - start) / width
+
+    def better(
+        self, endpoints: Sequence[Endpoint], use: dict[str, float], now: float
+    ) -> Endpoint:
+        """Return the less used of two targets drawn at random."""
+        first = self.draw(endpoints, now)
+        rest = [each for each in endpoints if each is not first]
+        if not rest:
+            return first
+        second = self.draw(rest, now)
+        return second if use[second.target] < use[first.target] else first
+
+    def draw(self, endpoints: Sequence[Endpoint], now: float) -> Endpoint:
+        """Return a random target, one in slow start less often."""
+        drawn = self.rng.choice(endpoints)
+        for _ in range(REDRAWS):
+            if self.rng.random() < self.slow_start.share(drawn.target, now):
+                return drawn
+            drawn = self.rng.choice(endpoints)
+        return drawn
+
+    def stick(
+        self,
+        service: str,
+        endpoints: Sequence[Endpoint],
+        key: str,
+        use: dict[str, float],
+    ) -> Choice:
+        """Return the key's target, or the next one that is not overloaded.
+
+        A hot key would overload its target while the others idle; the bound
+        moves the excess on, always to the same next target.
+        """
+        order = sorted(
+            endpoints, key=lambda each: hash_of(service, key, each.target), reverse=True
+        )
+        mean = sum(use.values()) / len(use)
+        for place, each in enumerate(order):
+            free_slot = 1 / max(1, each.slots)
+            if use[each.target] <= self.settings.sticky_bound * mean + free_slot:
+                reason = ChoiceReason.STICKY_MOVED if place else ChoiceReason.STICKY
+                return Choice(each, reason)
+        return Choice(order[0], ChoiceReason.STICKY)
+
+
+POLICIES = {"power-of-two": PowerOfTwo, "round-robin": RoundRobin}
+
+
+def make_balancer(settings: RoutingSettings, zone: str, rng: Random) -> Balancer:
+    """Return the balancer that the settings name."""
+    return POLICIES[settings.policy](settings, zone, rng)
--- /dev/null
+++ b/sequoiaspoke/core/routing/load.py
@@ -0,0 +1,108 @@
+"""Estimate how busy each target is from what this node knows.
+
+A node sees its own calls exactly and the rest of a target's load only through
+reports that ride on answers. A report of the state 10 s ago, taken at its word,
+sends all nodes to the target that was idle then, and back. So its excess over
+the mean of the service fades with age until only the own calls in flight
+decide, which are right by themselves. The calls of this node that a report
+contains are taken out of it, else they would count twice.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.routing.model import LoadReport, UpstreamState
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sequoiaspoke.core.routing.settings import RoutingSettings
+    from sequoiaspoke.core.rules.model import Endpoint
+
+AWAY = frozenset({UpstreamState.COLD, UpstreamState.DOWN})
+
+
+@dataclass
+class TargetLoad:
+    """What is known of one target."""
+
+    in_flight: int = 0
+    others: float = 0.0
+    reported_at: float = float("-inf")
+    limit: int = 0
+    state: UpstreamState = UpstreamState.READY
+    refused_until: float = float("-inf")
+
+
+class LoadView:
+    """Keep the load of every target that this node uses."""
+
+    def __init__(self, settings: RoutingSettings) -> None:
+        self.settings = settings
+        self.targets: dict[str, TargetLoad] = {}
+
+    def of(self, target: str) -> TargetLoad:
+        """Return what is known of a target."""
+        load = self.targets.get(target)
+        if load is None:
+            load = self.targets[target] = TargetLoad()
+        return load
+
+    def report(self, target: str, report: LoadReport, now: float) -> UpstreamState:
+        """Take in a report and return the state known before it."""
+        load = self.of(target)
+        before = self.state(target, now)
+        load.others = max(0.0, report.in_flight + report.queued - load.in_flight)
+        load.limit = report.limit
+        load.state = report.state
+        load.reported_at = now
+        return before
+
+    def state(self, target: str, now: float) -> UpstreamState:
+        """Return what a target's node said of it, while that holds."""
+        load = self.of(target)
+        memory = self.settings.state_memory
+        if load.state is UpstreamState.LEAVING:
+            memory = self.settings.leaving_memory
+        if now - load.reported_at > memory:
+            return UpstreamState.READY
+        return load.state
+
+    def freshness(self, target: str, now: float) -> float:
+        """Return how much a report still counts, from 1 down to 0."""
+        age = max(0.0, now - self.of(target).reported_at)
+        return 0.5 ** (age / self.settings.report_half_life)
+
+    def others(self, endpoints: Sequence[Endpoint], now: float) -> dict[str, float]:
+        """Estimate the calls of other nodes at each target."""
+        fresh = {each.target: self.freshness(each.target, now) for each in endpoints}
+        known = sum(fresh.values())
+        told = sum(self.of(name).others * part for name, part in fresh.items())
+        mean = told / known if known > 1e-9 else 0.0
+        return {
+            name: part * self.of(name).others + (1 - part) * mean
+            for name, part in fresh.items()
+        }
+
+    def use(self, endpoint: Endpoint, others: float, now: float) -> float:
+        """Return the calls at a target as a part of what it runs at once."""
+        load = self.of(endpoint.target)
+        slots = max(1, load.limit or endpoint.slots)
+        use = (load.in_flight + others) / slots
+        if now < load.refused_until:
+            return max(1.0, use)
+        return use
+
+    def away(self, endpoints: Sequence[Endpoint], now: float) -> frozenset[str]:
+        """Return the targets whose nodes say that they are down or cold."""
+        return frozenset(
+            each.target for each in endpoints if self.state(each.target, now) in AWAY
+        )
+
+    def forget(self, target: str) -> None:
+        """Drop a target that is gone and has no call in flight."""
+        load = self.targets.get(target)
+        if load and load.in_flight == 0:
+            del self.targets[target]
