--- a/sequoiaspoke/errors.py
+++ b/sequoiaspoke/errors.py
@@ -228,3 +228,16 @@
     """The node is not the home of the target or the key it was asked for."""
 
     code = "wrong-home"
+
+
+class ValueTooLargeError(SequoiaspokeError):
+    """A document is larger than the platform holds."""
+
+    code = "value-too-large"
+
+
+class StandinError(SequoiaspokeError):
+    """A stand-in was asked for something it does not know."""
+
+    code = "standin-refused"
+    exit_code = 2
