--- /dev/null
+++ b/sequoiaspoke/core/rules/diff.py
@@ -0,0 +1,131 @@
+"""What changes from one set of declarations to another."""
+
+from __future__ import annotations
+
+import dataclasses
+import difflib
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from sequoiaspoke.core.rules.grammar import describe_action, describe_conditions
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sequoiaspoke.core.rules.model import Endpoint, Rule, Service
+    from sequoiaspoke.core.rules.parse import Declarations
+
+
+class ChangeKind(Enum):
+    """How something differs."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    MOVED = "moved"
+    CHANGED = "changed"
+
+
+@dataclass(frozen=True)
+class Change:
+    """One difference; the detail is empty where the kind says all."""
+
+    kind: ChangeKind
+    subject: str
+    detail: str = ""
+
+    def __str__(self) -> str:
+        text = f"{self.kind.value} {self.subject}"
+        return f"{text}: {self.detail}" if self.detail else text
+
+
+def compare(old: Declarations, new: Declarations) -> tuple[Change, ...]:
+    """Return every difference: rules in their order, then services."""
+    return (*_rules(old.rules, new.rules), *_services(old.services, new.services))
+
+
+def _rules(old: tuple[Rule, ...], new: tuple[Rule, ...]) -> Iterator[Change]:
+    before = {rule.name: rule for rule in old}
+    after = {rule.name: rule for rule in new}
+    for name in before:
+        if name not in after:
+            yield Change(ChangeKind.REMOVED, f"rule {name}")
+    for name, rule in after.items():
+        if name not in before:
+            yield Change(ChangeKind.ADDED, f"rule {name}", _summary(rule))
+    for name in sorted(_moved(list(before), list(after))):
+        places = f"from {list(before).index(name) + 1} to {list(after).index(name) + 1}"
+        yield Change(ChangeKind.MOVED, f"rule {name}", places)
+    for name, rule in after.items():
+        if name in before:
+            yield from _fields(f"rule {name}", _plain(before[name]), _plain(rule))
+
+
+def _moved(old: list[str], new: list[str]) -> set[str]:
+    # Additions and removals shift the places of all rules behind them; only
+    # rules that changed their order among those that stay count as moved.
+    stay = [name for name in old if name in new]
+    order = [name for name in new if name in old]
+    matcher = difflib.SequenceMatcher(None, stay, order, autojunk=False)
+    kept = {
+        name
+        for block in matcher.get_matching_blocks()
+        for name in stay[block.a : block.a + block.size]
+    }
+    return set(stay) - kept
+
+
+def _summary(rule: Rule) -> str:
+    return f"{describe_conditions(rule.when)} -> {describe_action(rule.then)}"
+
+
+def _plain(rule: Rule) -> dict[str, Any]:
+    policy = rule.policy
+    return {
+        "when": describe_conditions(rule.when),
+        "then": describe_action(rule.then),
+        "timeout": f"{policy.timeout:g}",
+        "attempts": policy.attempts,
+        "idempotent": "yes" if policy.idempotent else "no",
+        "priority": policy.priority.value,
+        "caller": policy.caller_header or "none",
+    }
+
+
+def _services(old: tuple[Service, ...], new: tuple[Service, ...]) -> Iterator[Change]:
+    before = {service.name: service for service in old}
+    after = {service.name: service for service in new}
+    for name in before:
+        if name not in after:
+            yield Change(ChangeKind.REMOVED, f"service {name}")
+    for name, service in after.items():
+        if name not in before:
+            count = f"endpoints: {len(service.endpoints)}"
+            yield Change(ChangeKind.ADDED, f"service {name}", count)
+        else:
+            yield from _endpoints(name, before[name].endpoints, service.endpoints)
+
+
+def _endpoints(
+    service: str, old: tuple[Endpoint, ...], new: tuple[Endpoint, ...]
+) -> Iterator[Change]:
+    before = {endpoint.target: endpoint for endpoint in old}
+    after = {endpoint.target: endpoint for endpoint in new}
+    for target in before:
+        if target not in after:
+            yield Change(ChangeKind.REMOVED, f"target {target} of {service}")
+    for target, endpoint in after.items():
+        subject = f"target {target} of {service}"
+        plain = dataclasses.asdict(endpoint)
+        if target not in before:
+            place = f"{endpoint.zone} {endpoint.address}:{endpoint.mesh_port}"
+            yield Change(ChangeKind.ADDED, subject, place)
+        else:
+            yield from _fields(subject, dataclasses.asdict(before[target]), plain)
+
+
+def _fields(subject: str, old: dict[str, Any], new: dict[str, Any]) -> Iterator[Change]:
+    for key, value in new.items():
+        if old[key] != value:
+            detail = f"{key}: {old[key]} -> {value}"
+            yield Change(ChangeKind.CHANGED, subject, detail)
--- /dev/null
+++ b/sequoiaspoke/core/rules/grammar.py
@@ -0,0 +1,210 @@
+"""The text of conditions and actions, to and from their data.
+
+when = method POST; path prefix /billing/; header x-channel = app, "a, b"
+then = route billing 90, billing-new 10 sticky x-member
+"""
+
+from __future__ import annotations
+
+import re
+from typing import NoReturn
+
+from sequoiaspoke.core.rules.model import (
+    Action,
+    Comparison,
+    Condition,
+    Field,
+    Redirect,
+    Refuse,
+    RouteTo,
+    WeightedService,
+)
+from sequoiaspoke.errors import DeclarationsError, Problem
+
+NUMBER = re.compile(r"[0-9]{1,9}")
+NAMED = re.compile(
+    r"(?P<name>[^\s=\"]+)\s*(?:(?P<exact>=)|\s(?P<word>prefix|present)(?=\s|$))"
+    r"\s*(?P<values>.*)",
+    re.DOTALL,
+)
+NAMED_FIELDS = {"header": Field.HEADER, "query": Field.QUERY}
+LISTED_FIELDS = {"method": Field.METHOD, "host": Field.HOST, "zone": Field.ZONE}
+PATH_COMPARISONS = {
+    each.value: each
+    for each in (Comparison.EXACT, Comparison.PREFIX, Comparison.SEGMENTS)
+}
+SPECIAL = re.compile(r"[\s,;=\"]")
+
+
+def parse_conditions(text: str) -> tuple[Condition, ...]:
+    """Read the conditions of a `when`, separated by semicolons or lines.
+
+    Raises
+    ------
+    DeclarationsError
+        The text is no list of conditions.
+    """
+    parts = (part.strip() for part in split_unquoted(text, ";\n"))
+    return tuple(parse_condition(part) for part in parts if part)
+
+
+def parse_condition(text: str) -> Condition:
+    """Read one condition; see `parse_conditions`."""
+    field, _, rest = text.partition(" ")
+    rest = rest.strip()
+    if field in LISTED_FIELDS:
+        return _listed(LISTED_FIELDS[field], rest, text)
+    if field in NAMED_FIELDS:
+        return _named(NAMED_FIELDS[field], rest, text)
+    if field == "path":
+        word, _, values = rest.partition(" ")
+        if word not in PATH_COMPARISONS:
+            fail(f"found {text!r}; allowed: path exact, path prefix or path segments")
+        return Condition(Field.PATH, PATH_COMPARISONS[word], _values(values, text))
+    allowed = ", ".join(("path", *LISTED_FIELDS, *NAMED_FIELDS))
+    fail(f"found {text!r}; allowed: a condition that begins with one of {allowed}")
+
+
+def _listed(field: Field, rest: str, text: str) -> Condition:
+    values = _values(rest.removeprefix("=").strip(), text)
+    if field is Field.METHOD:
+        values = tuple(value.upper() for value in values)
+    if field is Field.HOST:
+        values = tuple(value.lower() for value in values)
+    return Condition(field, Comparison.EXACT, values)
+
+
+def _named(field: Field, rest: str, text: str) -> Condition:
+    match = NAMED.fullmatch(rest)
+    if match is None:
+        kind = field.value
+        fail(f"found {text!r}; allowed: {kind} NAME = VALUES, prefix VALUES or present")
+    name = match["name"].lower() if field is Field.HEADER else match["name"]
+    if match["word"] == Comparison.PRESENT.value:
+        if match["values"]:
+            fail(f"found {text!r}; allowed: nothing after present")
+        return Condition(field, Comparison.PRESENT, (), name)
+    comparison = Comparison.EXACT if match["exact"] else Comparison.PREFIX
+    return Condition(field, comparison, _values(match["values"], text), name)
+
+
+def _values(rest: str, text: str) -> tuple[str, ...]:
+    values = tuple(unquote(part) for part in split_unquoted(rest, ","))
+    if not rest.strip():
+        fail(f"found {text!r}; allowed: one or more values, separated by commas")
+    return values
+
+
+def parse_action(text: str) -> Action:
+    """Read the action of a `then`.
+
+    Raises
+    ------
+    DeclarationsError
+        The text is no action.
+    """
+    word, _, rest = " ".join(text.split()).partition(" ")
+    if word == "route" and rest:
+        return _route(rest)
+    words = rest.split(" ") if rest else []
+    if word == "redirect" and len(words) == 1:
+        return Redirect(words[0])
+    if word == "redirect" and len(words) == 2:
+        return Redirect(words[1], whole_number(words[0], "status"))
+    if word == "refuse" and not words:
+        return Refuse()
+    if word == "refuse" and len(words) <= 2:
+        return Refuse(whole_number(words[0], "status"), *words[1:])
+    fail(
+        f"found {text!r}; allowed: route SERVICE [WEIGHT], ... [sticky HEADER], "
+        "redirect [STATUS] LOCATION or refuse STATUS [REASON]"
+    )
+
+
+def _route(rest: str) -> RouteTo:
+    services, sticky, header = rest.partition(" sticky ")
+    split = []
+    for part in services.split(","):
+        words = part.split()
+        if not 1 <= len(words) <= 2:
+            fail(f"found {part.strip()!r}; allowed: SERVICE [WEIGHT]")
+        weight = whole_number(words[1], "weight") if len(words) == 2 else 1
+        split.append(WeightedService(words[0], weight))
+    if sticky and len(header.split()) != 1:
+        fail(f"found {header!r}; allowed: the name of one header after sticky")
+    return RouteTo(tuple(split), header.strip().lower())
+
+
+def whole_number(text: str, what: str) -> int:
+    """Read a whole number; see `parse_action`."""
+    if not NUMBER.fullmatch(text):
+        fail(f"found {text!r}; allowed: a whole number as {what}")
+    return int(text)
+
+
+def split_unquoted(text: str, separators: str) -> list[str]:
+    """Split at separators that stand outside double quotes."""
+    parts = [""]
+    quoted = False
+    for char in text:
+        if char == '"':
+            quoted = not quoted
+        if char in separators and not quoted:
+            parts.append("")
+        else:
+            parts[-1] += char
+    if quoted:
+        fail(f"found {text!r}; allowed: double quotes in pairs")
+    return parts
+
+
+def unquote(text: str) -> str:
+    """Take the double quotes off a value."""
+    text = text.strip()
+    if '"' not in text:
+        return text
+    inner = text[1:-1]
+    if len(text) < 2 or text != f'"{inner}"' or '"' in inner:
+        fail(f"found {text!r}; allowed: quotes round a whole value")
+    return inner
+
+
+def fail(message: str) -> NoReturn:
+    """Report text that cannot be read."""
+    raise DeclarationsError((Problem(message),))
+
+
+def describe_condition(condition: Condition) -> str:
+    """Write a condition as `parse_condition` reads it."""
+    field, comparison = condition.field, condition.comparison
+    values = ", ".join(_quoted(value) for value in condition.values)
+    if field is Field.PATH:
+        return f"path {comparison.value} {values}"
+    if field not in NAMED_FIELDS.values():
+        return f"{field.value} {values}"
+    if comparison is Comparison.EXACT:
+        return f"{field.value} {condition.name} = {values}"
+    return f"{field.value} {condition.name} {comparison.value} {values}".strip()
+
+
+def describe_conditions(conditions: tuple[Condition, ...]) -> str:
+    """Write conditions as `parse_conditions` reads them."""
+    return "; ".join(describe_condition(each) for each in conditions) or "always"
+
+
+def describe_action(action: Action) -> str:
+    """Write an action as `parse_action` reads it."""
+    if isinstance(action, Redirect):
+        return f"redirect {action.status} {action.location}"
+    if isinstance(action, Refuse):
+        return f"refuse {action.status} {action.reason}"
+    split = ", ".join(f"{each.service} {each.weight}" for each in action.split)
+    return f"route {split}" + _sticky(action)
+
+
+def _sticky(action: RouteTo) -> str:
+    return f" sticky {action.sticky_header}" if action.sticky_header else ""
+
+
+def _quoted(value: str) -> str:
+    return f'"{value}"' if not value or SPECIAL.search(value) else value
--- /dev/null
+++ b/sequoiaspoke/core/rules/reach.py
@@ -0,0 +1,87 @@
+"""Rules that no request can reach, because an earlier rule takes them all.
+
+Only `check` asks this: it compares every rule with every earlier one, and a
+node must not spend that time between two calls. Nothing unsafe follows from an
+unreachable rule, so it is a warning.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.rules.compare import (
+    accepts,
+    is_under,
+    is_wildcard,
+    literal_stem,
+)
+from sequoiaspoke.core.rules.model import Comparison, Field
+from sequoiaspoke.errors import Problem
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sequoiaspoke.core.rules.model import Condition, Rule
+
+
+def unreachable(rules: tuple[Rule, ...]) -> tuple[Problem, ...]:
+    """Return a warning for each rule that an earlier one covers."""
+    return tuple(_warnings(rules))
+
+
+def _warnings(rules: tuple[Rule, ...]) -> Iterator[Problem]:
+    for position, rule in enumerate(rules):
+        for earlier in rules[:position]:
+            if covers(earlier, rule):
+                yield Problem(
+                    f"can never be reached: rule {earlier.name} takes all its requests",
+                    rule.file,
+                    rule.line,
+                    f"rule {rule.name}",
+                    warning=True,
+                )
+                break
+
+
+def covers(earlier: Rule, later: Rule) -> bool:
+    """Tell whether each request that meets the later rule meets the earlier."""
+    return all(
+        any(implies(given, wanted) for given in later.when) for wanted in earlier.when
+    )
+
+
+def implies(given: Condition, wanted: Condition) -> bool:
+    """Tell whether whatever meets the one condition meets the other."""
+    if (given.field, given.name) != (wanted.field, wanted.name):
+        return False
+    if wanted.comparison is Comparison.PRESENT:
+        return True
+    if given.comparison is Comparison.PRESENT:
+        return False
+    return all(_value_implies(given, value, wanted) for value in given.values)
+
+
+def _value_implies(given: Condition, value: str, wanted: Condition) -> bool:
+    if given.comparison is Comparison.EXACT:
+        return accepts(wanted, value)
+    if given.comparison is Comparison.SEGMENTS:
+        return any(_pattern_implies(value, wanted, each) for each in wanted.values)
+    if wanted.comparison is not Comparison.PREFIX:
+        return False
+    if given.field is Field.PATH:
+        return any(is_under(value.rstrip("/"), each) for each in wanted.values)
+    return value.startswith(wanted.values)
+
+
+def _pattern_implies(pattern: str, wanted: Condition, value: str) -> bool:
+    if wanted.comparison is Comparison.PREFIX:
+        return is_under(literal_stem(pattern), value)
+    if wanted.comparison is not Comparison.SEGMENTS:
+        return pattern == value and not any(map(is_wildcard, pattern.split("/")))
+    segments, others = pattern.split("/"), value.split("/")
+    return len(segments) == len(others) and all(
+        (is_wildcard(segment) or segment != "")
+        if is_wildcard(other)
+        else segment == other
+        for segment, other in zip(segments, others, strict=True)
+    )
--- /dev/null
+++ b/sequoiaspoke/core/rules/validate.py
@@ -0,0 +1,313 @@
+"""Whether rules and services may come into force together.
+
+Every node asks this before it installs a version, and `check` asks it before
+one is published. The answer depends on nothing but the data, so all nodes
+accept a version or all refuse it. Data that decodes but makes no sense yields
+problems, never an exception: a node that failed here instead would stay behind
+its fleet without saying why.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.rules.compare import is_wildcard
+from sequoiaspoke.core.rules.model import (
+    Comparison,
+    Field,
+    Redirect,
+    Refuse,
+    RouteTo,
+)
+from sequoiaspoke.errors import Problem
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from sequoiaspoke.core.rules.model import (
+        Condition,
+        Endpoint,
+        Rule,
+        Service,
+        WeightedService,
+    )
+
+MAX_TIMEOUT = 3600.0  # seconds; a longer call would outlive any planned stop
+MAX_ATTEMPTS = 10
+MAX_WEIGHT = 1_000_000
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 100_000
+MAX_VALUE = 4096  # characters of a condition's value or a location
+MAX_METHODS = 64  # each named method costs the matcher an index of its own
+MAX_PORT = 65535
+REDIRECTS = (301, 302, 303, 307, 308)
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+NAME_ALLOWED = "1 to 64 letters, digits, dots, dashes and underscores"
+TOKEN = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]{1,128}")  # RFC 9110, names, methods
+REASON = re.compile(r"[a-z0-9][a-z0-9-]{0,63}")
+LOCATION = re.compile(r"(https?://[^\s/]+)?(/[^\s]*)?")
+NOT_PRINTED = re.compile(r"[\x00-\x1f\x7f\ud800-\udfff]")
+KEY_HEADER = "idempotency-key"
+COMPARISONS = {
+    Field.METHOD: (Comparison.EXACT,),
+    Field.HOST: (Comparison.EXACT,),
+    Field.ZONE: (Comparison.EXACT,),
+    Field.PATH: (Comparison.EXACT, Comparison.PREFIX, Comparison.SEGMENTS),
+    Field.HEADER: (Comparison.EXACT, Comparison.PREFIX, Comparison.PRESENT),
+    Field.QUERY: (Comparison.EXACT, Comparison.PREFIX, Comparison.PRESENT),
+}
+
+
+def validate(rules: Iterable[Rule], services: Iterable[Service]) -> tuple[Problem, ...]:
+    """Return every error and warning in a version, in the order of its parts.
+
+    A version with an error must not come into force; warnings say what is
+    probably not meant.
+    """
+    rules, services = tuple(rules), tuple(services)
+    sizes = {service.name: len(service.endpoints) for service in services}
+    zones = {each.zone for service in services for each in service.endpoints}
+    problems = list(_duplicates("rule", (rule.name for rule in rules)))
+    problems += _duplicates("service", (service.name for service in services))
+    problems += _methods(rules)
+    for rule in rules:
+        problems += _rule(rule, sizes, zones)
+    for service in services:
+        problems += _service(service)
+    problems += _shared_places(services)
+    return tuple(problems)
+
+
+def errors_of(problems: Iterable[Problem]) -> tuple[Problem, ...]:
+    """Return the problems that keep a version out of force."""
+    return tuple(problem for problem in problems if not problem.warning)
+
+
+def shown(text: str) -> str:
+    """Return text in a form that any log or terminal takes."""
+    return text if NAME.fullmatch(text) else ascii(text[:80])
+
+
+def _duplicates(kind: str, names: Iterable[str]) -> Iterator[Problem]:
+    for name, count in Counter(names).items():
+        if count > 1:
+            yield Problem(
+                f"duplicate name, given {count} times", section=f"{kind} {shown(name)}"
+            )
+        if not NAME.fullmatch(name):
+            message = f"bad name; allowed: {NAME_ALLOWED}"
+            yield Problem(message, section=f"{kind} {shown(name)}")
+
+
+def _methods(rules: tuple[Rule, ...]) -> Iterator[Problem]:
+    methods = {
+        value
+        for rule in rules
+        for condition in rule.when
+        if condition.field is Field.METHOD
+        for value in condition.values
+    }
+    if len(methods) > MAX_METHODS:
+        yield Problem(f"{len(methods)} different methods; allowed: {MAX_METHODS}")
+
+
+def _rule(rule: Rule, sizes: dict[str, int], zones: set[str]) -> list[Problem]:
+    problems = []
+
+    def add(key: str, message: str, warning: bool = False) -> None:
+        section = f"rule {shown(rule.name)}"
+        problem = Problem(message, rule.file, rule.line, section, key, warning)
+        problems.append(problem)
+
+    for condition in rule.when:
+        for message in _condition(condition):
+            add("when", message)
+        if condition.field is Field.ZONE:
+            for zone in sorted(set(condition.values) - zones):
+                add("when", f"no endpoint is in zone {shown(zone)}", warning=True)
+    for message in _action(rule, sizes):
+        add("then", message)
+    for key, message in _policy(rule):
+        add(key, message)
+    if _retries_without_key(rule):
+        message = (
+            "only calls with an Idempotency-Key may be tried again; "
+            "allowed: attempts = 1, or a condition: header idempotency-key present"
+        )
+        add("attempts", message, warning=True)
+    return problems
+
+
+def _condition(condition: Condition) -> Iterator[str]:
+    field = condition.field
+    if condition.comparison not in COMPARISONS[field]:
+        yield f"{field.value} cannot be compared by {condition.comparison.value}"
+        return
+    if field is Field.HEADER:
+        if not TOKEN.fullmatch(condition.name) or condition.name.lower() != (
+            condition.name
+        ):
+            yield f"bad header name {shown(condition.name)}"
+    elif field is Field.QUERY:
+        if not condition.name or NOT_PRINTED.search(condition.name):
+            yield f"bad parameter name {shown(condition.name)}"
+    elif condition.name:
+        yield f"{field.value} takes no name"
+    if (condition.comparison is Comparison.PRESENT) == bool(condition.values):
+        yield f"{field.value} has no value, or one that present does not take"
+    for value in condition.values:
+        yield from _value(condition, value)
+
+
+def _value(condition: Condition, value: str) -> Iterator[str]:
+    if len(value) > MAX_VALUE or NOT_PRINTED.search(value) or '"' in value:
+        yield f"bad value {shown(value)}"
+    elif condition.field is Field.METHOD and not TOKEN.fullmatch(value):
+        yield f"bad method {shown(value)}"
+    elif condition.field is Field.HOST and value != value.lower():
+        yield f"host {shown(value)} is not in lower case"
+    elif condition.field is Field.PATH:
+        yield from _path(condition, value)
+
+
+def _path(condition: Condition, value: str) -> Iterator[str]:
+    if not value.startswith("/") or "?" in value or "#" in value:
+        yield f"path {shown(value)} must begin with / and has no query"
+    if condition.comparison is not Comparison.SEGMENTS:
+        return
+    for segment in value.split("/"):
+        if not is_wildcard(segment) and set(segment) & set("{}*"):
+            yield f"segment {shown(segment)} is neither plain nor one wildcard"
+
+
+def _action(rule: Rule, sizes: dict[str, int]) -> Iterator[str]:
+    action = rule.then
+    if isinstance(action, RouteTo):
+        yield from _route(action, sizes)
+    elif isinstance(action, Redirect):
+        if action.status not in REDIRECTS:
+            yield f"bad redirect status; allowed: {', '.join(map(str, REDIRECTS))}"
+        location = action.location
+        if (
+            not location
+            or not LOCATION.fullmatch(location)
+            or len(location) > (MAX_VALUE)
+        ):
+            yield f"bad location {shown(location)}; allowed: /PATH or an http(s) URL"
+        elif not location.isascii() or NOT_PRINTED.search(location):
+            yield f"bad location {shown(location)}; allowed: ASCII without controls"
+    elif isinstance(action, Refuse):
+        if not 400 <= action.status <= 599:
+            yield "bad refusal status; allowed: 400 to 599"
+        if not REASON.fullmatch(action.reason):
+            yield f"bad reason {shown(action.reason)}; allowed: a-z, 0-9 and dashes"
+
+
+def _route(action: RouteTo, sizes: dict[str, int]) -> Iterator[str]:
+    if sum(part.weight for part in action.split if part.weight > 0) == 0:
+        yield "the weights add up to 0, so no service would get a call"
+    header = action.sticky_header
+    if header and (not TOKEN.fullmatch(header) or header != header.lower()):
+        yield f"bad header name {shown(header)} after sticky"
+    for name, count in Counter(part.service for part in action.split).items():
+        if count > 1:
+            yield f"service {shown(name)} stands {count} times in the split"
+    for part in action.split:
+        yield from _share(part, sizes)
+
+
+def _share(part: WeightedService, sizes: dict[str, int]) -> Iterator[str]:
+    name = shown(part.service)
+    if not 0 <= part.weight <= MAX_WEIGHT:
+        yield f"weight of {name} out of range; allowed: 0 to {MAX_WEIGHT}"
+    if part.service not in sizes:
+        yield f"unknown service {name}"
+    elif sizes[part.service] == 0 and part.weight > 0:
+        yield f"service {name} has no endpoint"
+
+
+def _policy(rule: Rule) -> Iterator[tuple[str, str]]:
+    policy = rule.policy
+    if not 0 < policy.timeout <= MAX_TIMEOUT:  # NaN fails this too
+        message = f"found {policy.timeout:g}; allowed: over 0 to {MAX_TIMEOUT:g} s"
+        yield "timeout", message
+    if not 1 <= policy.attempts <= MAX_ATTEMPTS:
+        yield "attempts", f"allowed: 1 to {MAX_ATTEMPTS}"
+    header = policy.caller_header
+    if header and (not TOKEN.fullmatch(header) or header != header.lower()):
+        yield "caller", f"bad header name {shown(header)}"
+
+
+def _retries_without_key(rule: Rule) -> bool:
+    if not isinstance(rule.then, RouteTo) or rule.policy.idempotent:
+        return False
+    keyed = any(
+        condition.field is Field.HEADER and condition.name == KEY_HEADER
+        for condition in rule.when
+    )
+    return rule.policy.attempts > 1 and not keyed
+
+
+def _service(service: Service) -> Iterator[Problem]:
+    section = f"service {shown(service.name)}"
+    for endpoint in service.endpoints:
+        key = f"target {shown(endpoint.target)}"
+        for message in _endpoint(endpoint):
+            yield Problem(message, section=section, key=key)
+        if endpoint.connections < endpoint.slots:
+            message = "fewer connections than slots: some slots cannot be used"
+            yield Problem(message, section=section, key=key, warning=True)
+
+
+def _endpoint(endpoint: Endpoint) -> Iterator[str]:
+    names = {"target": endpoint.target, "vm": endpoint.vm, "zone": endpoint.zone}
+    for what, name in names.items():
+        if not NAME.fullmatch(name):
+            yield f"bad {what} name {shown(name)}"
+    if not is_ip_number(endpoint.address):
+        yield f"bad address {shown(endpoint.address)}; allowed: an IP number"
+    numbers = (
+        ("mesh_port", endpoint.mesh_port, MAX_PORT),
+        ("slots", endpoint.slots, MAX_SLOTS),
+        ("connections", endpoint.connections, MAX_CONNECTIONS),
+    )
+    for what, number, most in numbers:
+        if not 1 <= number <= most:
+            yield f"{what} out of range; allowed: 1 to {most}"
+
+
+def is_ip_number(text: str) -> bool:
+    """Tell whether a text is an IP number without a scope."""
+    if "%" in text:
+        return False
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _shared_places(services: tuple[Service, ...]) -> Iterator[Problem]:
+    # A node is the home of one target. Were two targets named at one node, or
+    # one target at two, the second would find a node that refuses its calls.
+    seen: dict[tuple[str, str], str] = {}
+    for service in services:
+        for endpoint in service.endpoints:
+            for what in _claims(endpoint):
+                if what not in seen:
+                    seen[what] = service.name
+                    continue
+                kind, name = what
+                yield Problem(
+                    f"duplicate {kind} {shown(name)}, also in {shown(seen[what])}",
+                    section=f"service {shown(service.name)}",
+                    key=f"target {shown(endpoint.target)}",
+                )
+
+
+def _claims(endpoint: Endpoint) -> tuple[tuple[str, str], ...]:
+    place = f"{endpoint.address}-{endpoint.mesh_port % 100_000}"
+    return ("target", endpoint.target), ("vm", endpoint.vm), ("address", place)
