Check, render, explain and diff declarations

Adds the four commands and the declarations of both deployments. Golden files hold the output over both examples, and 'make golden' writes them anew.

--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 format: $(VENV)/.ready
 	$(RUN) ruff format .
 	$(RUN) ruff check --fix .
+
+golden: $(VENV)/.ready
+	GOLDEN=write $(RUN) pytest -n 0 sequoiaspoke/tests
--- a/sequoiaspoke/errors.py
+++ b/sequoiaspoke/errors.py
@@ -62,6 +62,13 @@
     exit_code = 3
 
 
+class RequestTextError(SequoiaspokeError):
+    """A request on the command line cannot be read."""
+
+    code = "request-text-invalid"
+    exit_code = 2
+
+
 class DocumentError(SequoiaspokeError):
     """A published document cannot be decoded or fails its digest."""
 
