Carry calls from caller to upstream through two nodes

Change: HTTP server and client on the library's connection classes with back pressure, entry and home sides, typed refusals that say whether the call ran, hop-by-hop headers, framing checks, the baseline configuration source, the operators' pages, metrics read from plain counters, one-line logs, the node command and the demonstration.

--- /dev/null
+++ b/sequoiaspoke/commands/node.py
@@ -0,0 +1,32 @@
+"""The `node` command: one node as its own process."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from sequoiaspoke.node.app import Node
+from sequoiaspoke.node.logs import configure_logs
+from sequoiaspoke.settings.load import load_settings
+
+
+def node(settings_file: str) -> int:
+    """Run a node until SIGTERM or SIGINT; a stop cuts no call in flight.
+
+    :param settings_file: the node's settings in INI.
+    """
+    settings = load_settings(settings_file)
+    configure_logs(settings.log)
+    asyncio.run(run(Node(settings)))
+    return 0
+
+
+async def run(process: Node) -> None:
+    """Run a node until a signal asks it to stop."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await process.start()
+    await stopping.wait()
+    await process.stop()
--- a/sequoiaspoke/core/rules/model.py
+++ b/sequoiaspoke/core/rules/model.py
@@ -86,7 +86,7 @@
     Attributes
     ----------
     timeout : float
-        Seconds a call may take in all.
+        Seconds until the head of the answer; its body may take longer.
     attempts : int
         Tries in all; 1 means no retry.
     idempotent : bool
--- a/sequoiaspoke/core/snapshot/install.py
+++ b/sequoiaspoke/core/snapshot/install.py
@@ -10,7 +10,8 @@
 
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.rules.model import RouteTo
+from sequoiaspoke.core.rules.matcher import compile_rules
+from sequoiaspoke.core.rules.validate import errors_of, validate
 from sequoiaspoke.core.snapshot import codec
 from sequoiaspoke.core.snapshot.model import RULES_PART, SERVICE_PREFIX, Snapshot
 from sequoiaspoke.errors import DocumentError, Problem, VersionRefusedError
@@ -33,10 +34,12 @@
     rules = _rules(head, store, before, problems)
     services = _services(head, store, before, problems)
     if not problems:
-        problems += _check(rules, services)
+        problems += errors_of(validate(rules, tuple(services.values())))
     if problems:
         raise VersionRefusedError(tuple(problems))
-    return Snapshot(head, rules, services)
+    if before and before.rules is rules:
+        return Snapshot(head, rules, services, before.matcher)
+    return Snapshot(head, rules, services, compile_rules(rules))
 
 
 def _rules(
@@ -88,21 +91,3 @@
     if packed is None:
         raise DocumentError(f"part {digest} is missing")
     return codec.unpack(packed, digest)
-
-
-def _check(rules: tuple[Rule, ...], services: dict[str, Service]) -> list[Problem]:
-    problems = []
-    for rule in rules:
-        if not isinstance(rule.then, RouteTo):
-            continue
-        for choice in rule.then.split:
-            service = services.get(choice.service)
-            if service is None:
-                problems.append(_problem(rule, f"no service {choice.service!r}"))
-            elif not service.endpoints:
-                problems.append(_problem(rule, f"{service.name!r} has no endpoints"))
-    return problems
-
-
-def _problem(rule: Rule, message: str) -> Problem:
-    return Problem(message, rule.file, rule.line, RULES_PART, rule.name)
--- a/sequoiaspoke/core/snapshot/model.py
+++ b/sequoiaspoke/core/snapshot/model.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from sequoiaspoke.core.rules.matcher import Matcher
     from sequoiaspoke.core.rules.model import Rule, Service
 
 RULES_PART = "rules"
@@ -33,6 +34,7 @@
     head: Head
     rules: tuple[Rule, ...]
     services: dict[str, Service]
+    matcher: Matcher
 
     @property
     def version(self) -> int:
--- /dev/null
+++ b/sequoiaspoke/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A whole session on loopback that anyone can watch."""
--- a/sequoiaspoke/errors.py
+++ b/sequoiaspoke/errors.py
@@ -76,6 +76,12 @@
     exit_code = 4
 
 
+class PlatformError(SequoiaspokeError):
+    """The platform answers with a failure."""
+
+    code = "platform-failed"
+
+
 class VersionRefusedError(ProblemsError):
     """A published version is refused whole; the one in force stays."""
 
@@ -237,6 +243,31 @@
     code = "wrong-home"
 
 
+class UnknownServiceError(NotRunError):
+    """The rules of this node route to a service it does not have."""
+
+    code = "unknown-service"
+
+
+class RemoteError(CallError):
+    """A failure that another node reported."""
+
+    code = "remote"
+
+    def __init__(
+        self,
+        code: str,
+        status: int,
+        ran: Ran,
+        detail: str = "",
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(detail or code, retry_after)
+        self.code = code  # type: ignore[misc]
+        self.status = status  # type: ignore[misc]
+        self.ran = ran  # type: ignore[misc]
+
+
 class ValueTooLargeError(SequoiaspokeError):
     """A document is larger than the platform holds."""
 
--- /dev/null
+++ b/sequoiaspoke/node/admin.py
@@ -0,0 +1,109 @@
+"""The operators' pages of a node."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from sequoiaspoke.core.snapshot import codec
+
+if TYPE_CHECKING:
+    from sequoiaspoke.node.app import Node
+
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+NOT_READY_STATUS = 503
+
+
+class Page(RequestHandler):
+    """A page about one node."""
+
+    node: Node
+
+    def initialize(self, node: Node) -> None:
+        """Keep the node that the page is about."""
+        self.node = node
+
+    def write_json(self, value: Any) -> None:
+        """Answer with JSON that a person can read."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(value, indent=2, sort_keys=True) + "\n")
+
+
+class MetricsPage(Page):
+    """Every counter in the collectors' text format."""
+
+    def get(self) -> None:
+        """Answer with the counters."""
+        self.set_header("Content-Type", METRICS_TYPE)
+        self.finish(self.node.metrics.page())
+
+
+class StatusPage(Page):
+    """The node at a glance."""
+
+    def get(self) -> None:
+        """Answer with the node's status."""
+        self.write_json(self.node.status())
+
+
+class ConfigPage(Page):
+    """The version in force, as published."""
+
+    def get(self) -> None:
+        """Answer with the head, the rules and the services."""
+        snapshot = self.node.config.current
+        if snapshot is None:
+            self.set_status(NOT_READY_STATUS)
+            self.write_json({"version": 0})
+            return
+        unstructure = codec.CONVERTER.unstructure
+        self.write_json(
+            {
+                "head": unstructure(snapshot.head),
+                "rules": unstructure(snapshot.rules),
+                "services": unstructure(snapshot.services),
+            }
+        )
+
+
+class ReadyPage(Page):
+    """Whether callers may be sent here."""
+
+    def get(self) -> None:
+        """Answer 200 when the node serves, else 503."""
+        ready = self.node.ready
+        if not ready:
+            self.set_status(NOT_READY_STATUS)
+        self.write_json({"ready": ready})
+
+
+class LivePage(Page):
+    """Whether the process answers at all."""
+
+    def get(self) -> None:
+        """Answer 200."""
+        self.write_json({"live": True})
+
+
+def admin_server(node: Node) -> HTTPServer:
+    """Build the server of the operators' pages."""
+    context = {"node": node}
+    return HTTPServer(
+        Application(
+            [
+                ("/metrics", MetricsPage, context),
+                ("/status", StatusPage, context),
+                ("/config", ConfigPage, context),
+                ("/ready", ReadyPage, context),
+                ("/live", LivePage, context),
+            ],
+            log_function=_no_access_log,
+        )
+    )
+
+
+def _no_access_log(_: RequestHandler) -> None:
+    return None
--- /dev/null
+++ b/sequoiaspoke/node/app.py
@@ -0,0 +1,172 @@
+"""One node: its listeners, its configuration source and its planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger as log
+from tornado.netutil import bind_sockets
+
+from sequoiaspoke import __version__
+from sequoiaspoke.errors import AddressInUseError
+from sequoiaspoke.node.admin import admin_server
+from sequoiaspoke.node.entry import Entry
+from sequoiaspoke.node.home import Home, HomeHandler
+from sequoiaspoke.node.metrics import CallCounters, Metrics
+from sequoiaspoke.node.server import CallServer
+from sequoiaspoke.node.watchall import PlatformWatch
+
+if TYPE_CHECKING:
+    import socket
+
+    from tornado.httpserver import HTTPServer
+
+    from sequoiaspoke.node.config import ConfigSource
+    from sequoiaspoke.settings.schema import Settings
+
+# Seconds in which a leaving node still answers, though it takes no new work:
+# other nodes learn of it from its refusals and choose another target.
+DRAIN_SECONDS = 1.0
+
+
+class Node:
+    """The process in the slot of one upstream VM."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.rng = random.Random()
+        self.counters = CallCounters()
+        self.config: ConfigSource = PlatformWatch(settings, self.rng)
+        self.home = Home(settings, self.counters)
+        self.entry = Entry(settings, self.config, self.home, self.counters, self.rng)
+        self.callers = CallServer(self.entry, settings.limits)
+        self.mesh = CallServer(HomeHandler(settings, self.home), settings.limits)
+        self.metrics = Metrics()
+        self.admin = admin_server(self)
+        self.ports: dict[str, int] = {}
+        self.started_at = time.time()
+        self.draining = False
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return self.config.current is not None and not self.draining
+
+    async def start(self) -> None:
+        """Listen, then follow the configuration.
+
+        Raises
+        ------
+        AddressInUseError
+            A port of the settings is taken.
+        """
+        node = self.settings.node
+        listeners = {
+            "call": (self.callers.server, node.address, node.call_port),
+            "mesh": (self.mesh.server, node.address, node.mesh_port),
+            "admin": (self.admin, node.admin_address, node.admin_port),
+        }
+        for name, (server, address, port) in listeners.items():
+            self.ports[name] = listen(server, address, port)
+        self.publish_metrics()
+        await self.config.start()
+        log.info("node-started", node=node.name, zone=node.zone, **self.ports)
+
+    def publish_metrics(self) -> None:
+        """Put the counters of every part on the metrics page."""
+        self.metrics.calls(self.counters)
+        holder = self.config.holder
+        self.metrics.count(
+            "sequoiaspoke_config", "Configuration events", "event", holder.counters
+        )
+        self.metrics.gauge(
+            "sequoiaspoke_version", "Version in force", lambda: holder.version
+        )
+        self.metrics.gauge(
+            "sequoiaspoke_in_flight", "Calls at the home", lambda: self.home.in_flight
+        )
+
+    async def stop(self) -> None:
+        """Leave without cutting a call in flight.
+
+        New work is refused as not run first, so that other nodes turn away;
+        the listeners close after that, and the calls in flight finish within
+        the grace of the settings.
+        """
+        if self.draining:
+            return
+        self.draining = True
+        self.home.draining = True
+        self.callers.draining = self.mesh.draining = True
+        log.info("node-draining", in_flight=self.in_flight())
+        await asyncio.sleep(min(DRAIN_SECONDS, self.settings.node.grace))
+        self.callers.server.stop()
+        self.mesh.server.stop()
+        try:
+            async with asyncio.timeout(self.settings.node.grace):
+                await self.callers.drained()
+                await self.mesh.drained()
+        except TimeoutError:
+            log.warning("grace-over", in_flight=self.in_flight())
+        await self.config.stop()
+        self.admin.stop()
+        for server in (self.callers.server, self.mesh.server, self.admin):
+            await server.close_all_connections()
+        self.entry.close()
+        self.home.pool.close()
+        self.metrics.close()
+        log.info("node-stopped", node=self.settings.node.name)
+
+    def in_flight(self) -> int:
+        """Return the calls that have not ended yet."""
+        return self.callers.in_flight + self.mesh.in_flight
+
+    def status(self) -> dict[str, Any]:
+        """Return what the status page shows."""
+        source = self.config.status()
+        holder = self.config.holder
+        refused = holder.last_refused
+        return {
+            "program": __version__,
+            "name": self.settings.node.name,
+            "zone": self.settings.node.zone,
+            "service": self.settings.upstream.service,
+            "target": self.settings.upstream.target,
+            "version": holder.version,
+            "installed_at": holder.installed_at,
+            "strategy": source.strategy,
+            "learnt_from": source.learnt_from,
+            "control_bytes_sent": source.control_bytes_sent,
+            "control_bytes_received": source.control_bytes_received,
+            "platform_reads": source.platform_reads,
+            "verified": source.verified,
+            "details": dict(source.details),
+            "started_at": self.started_at,
+            "draining": self.draining,
+            "in_flight": self.in_flight(),
+            "calls": dict(self.counters.calls),
+            "refused": dict(self.counters.refused),
+            "unknown": dict(self.counters.unknown),
+            "retried": dict(self.counters.retried),
+            "last_refused_version": refused.version if refused else None,
+            "last_refused_reason": refused.reason if refused else None,
+        }
+
+
+def listen(server: HTTPServer, address: str, port: int) -> int:
+    """Listen and return the port, which is a free one where 0 was asked.
+
+    Raises
+    ------
+    AddressInUseError
+        The port is taken.
+    """
+    try:
+        sockets: list[socket.socket] = bind_sockets(port, address)
+    except OSError as error:
+        raise AddressInUseError(f"{address}:{port}: {error}") from error
+    server.add_sockets(sockets)
+    return sockets[0].getsockname()[1]
--- /dev/null
+++ b/sequoiaspoke/node/client.py
@@ -0,0 +1,301 @@
+"""Calls to upstreams and to other nodes over pooled connections."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from sequoiaspoke.errors import (
+    CallError,
+    ConnectError,
+    ConnectionLostError,
+    DeadlineNotRunError,
+    DeadlineUnknownError,
+    TruncatedAnswerError,
+)
+from sequoiaspoke.node.pipe import BodyPipe
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Callable
+
+    from sequoiaspoke.node.pipe import ReplayableBody
+    from sequoiaspoke.settings.schema import LimitSettings
+
+NO_BODY_STATUSES = frozenset({204, 304})
+# A pooled connection is used again only well before the other end's keep-alive
+# limit. Otherwise that end may close it just as the next call is sent, and a
+# booking that never ran would have to be answered "outcome unknown".
+REUSE_FRACTION = 0.4
+
+
+@dataclass(frozen=True)
+class Address:
+    """Where a server listens."""
+
+    host: str
+    port: int
+
+
+class Answer(HTTPMessageDelegate):
+    """An answer being read; `head` is awaited first, then the body."""
+
+    def __init__(self, method: str) -> None:
+        self.method = method
+        self.status = 0
+        self.reason = ""
+        self.headers = HTTPHeaders()
+        self.body = BodyPipe()
+        self.complete = False
+        self.reusable = False
+        self.head: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.close_callbacks: list[Callable[[], None]] = []
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Take the answer's head; called by the library."""
+        assert isinstance(start_line, ResponseStartLine)
+        if start_line.code < 200:
+            return
+        self.status, self.reason = start_line.code, start_line.reason
+        self.headers = headers
+        if not self.is_framed():
+            # An answer that ends with its connection looks the same whether it
+            # is whole or was cut: a family would see half a recording as all
+            # of it. So it is a failure from the start.
+            self.fail(TruncatedAnswerError("the answer announces no length"))
+            return
+        wants_close = headers.get("Connection", "").lower() == "close"
+        self.reusable = start_line.version == "HTTP/1.1" and not wants_close
+        if not self.head.done():
+            self.head.set_result(None)
+
+    def is_framed(self) -> bool:
+        """Return whether the end of the body can be told from a cut."""
+        if self.method == "HEAD" or self.status in NO_BODY_STATUSES:
+            return True
+        return "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+
+    def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
+        """Take a piece of the body; called by the library."""
+        return self.body.put(chunk)
+
+    def finish(self) -> None:
+        """Take the end of the body; called by the library."""
+        if self.body.error is None:
+            self.complete = True
+            self.body.end()
+
+    def on_connection_close(self) -> None:
+        """Take a connection that broke; called by the library."""
+        self.fail(TruncatedAnswerError("the connection broke within the answer"))
+
+    def fail(self, error: CallError) -> None:
+        """Give the failure to whoever waits for the head or the body."""
+        self.body.fail(error)
+        if not self.head.done():
+            self.head.set_exception(error)
+            self.head.exception()
+
+    def on_close(self, callback: Callable[[], None]) -> None:
+        """Run a callback once, when the answer is done with."""
+        self.close_callbacks.append(callback)
+
+    def close(self) -> None:
+        """Give back what the answer holds; safe to call again."""
+        callbacks, self.close_callbacks = self.close_callbacks, []
+        for callback in callbacks:
+            callback()
+
+
+class Pool:
+    """Keep-alive connections to one address."""
+
+    def __init__(
+        self,
+        address: Address,
+        limits: LimitSettings,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.address = address
+        self.limits = limits
+        self.tls = tls
+        self.idle: deque[tuple[IOStream, float]] = deque()
+        self.opened = 0
+        self.tcp = TCPClient()
+        self.parameters = HTTP1ConnectionParameters(
+            max_header_size=limits.head_bytes,
+            max_body_size=limits.body_bytes,
+            chunk_size=limits.chunk_bytes,
+        )
+
+    async def acquire(self) -> IOStream:
+        """Return a connection, an idle one if there is any.
+
+        Raises
+        ------
+        ConnectError
+            No connection could be opened in time.
+        """
+        oldest = time.monotonic() - REUSE_FRACTION * self.limits.keepalive
+        while self.idle:
+            stream, since = self.idle.pop()
+            if not stream.closed() and since > oldest:
+                return stream
+            stream.close()
+        try:
+            async with asyncio.timeout(self.limits.connect):
+                stream = await self.tcp.connect(
+                    self.address.host,
+                    self.address.port,
+                    ssl_options=self.tls,
+                    max_buffer_size=4 * self.limits.chunk_bytes
+                    + self.limits.head_bytes,
+                )
+        except (OSError, StreamClosedError, TimeoutError) as error:
+            raise ConnectError(f"{self.address}: {error}") from error
+        self.opened += 1
+        stream.set_nodelay(True)
+        return stream
+
+    def release(self, stream: IOStream) -> None:
+        """Keep a connection for the next call."""
+        if stream.closed():
+            return
+        # A close callback makes the loop watch the idle connection, so that one
+        # the other end has closed is found out before a call is sent on it.
+        stream.set_close_callback(_nothing)
+        self.idle.append((stream, time.monotonic()))
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        while self.idle:
+            self.idle.pop()[0].close()
+        self.tcp.close()
+
+    async def call(
+        self,
+        start_line: RequestStartLine,
+        headers: HTTPHeaders,
+        body: ReplayableBody | None,
+        deadline: float,
+    ) -> Answer:
+        """Send a request and return its answer once the head is there.
+
+        Parameters
+        ----------
+        deadline : float
+            Time of the loop's clock at which the head must have arrived.
+
+        Raises
+        ------
+        NotRunError
+            Nothing was sent.
+        CallError
+            Any failure after that.
+        """
+        try:
+            async with asyncio.timeout_at(deadline):
+                stream = await self.acquire()
+        except TimeoutError as error:
+            raise DeadlineNotRunError(f"connecting to {self.address}") from error
+        exchange = Exchange(self, stream, start_line, headers, body)
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await exchange.run()
+        except TimeoutError as error:
+            raise DeadlineUnknownError(f"waiting for {self.address}") from error
+
+
+class Exchange:
+    """One request and its answer on one connection."""
+
+    def __init__(
+        self,
+        pool: Pool,
+        stream: IOStream,
+        start_line: RequestStartLine,
+        headers: HTTPHeaders,
+        body: ReplayableBody | None,
+    ) -> None:
+        self.pool = pool
+        self.stream = stream
+        self.start_line = start_line
+        self.headers = headers
+        self.body = body
+        self.sent = body is None
+        self.connection = HTTP1Connection(stream, True, pool.parameters)
+        self.answer = Answer(start_line.method)
+        self.answer.on_close(self.close)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> Answer:
+        """Send the request and wait for the head of the answer."""
+        loop = asyncio.get_running_loop()
+        self.connection.write_headers(self.start_line, self.headers)
+        if self.body is None:
+            self.connection.finish()
+        else:
+            self.tasks.append(loop.create_task(self.send(self.body)))
+        self.tasks.append(loop.create_task(self.receive()))
+        try:
+            await self.answer.head
+        except BaseException:
+            self.answer.close()
+            raise
+        return self.answer
+
+    async def send(self, body: ReplayableBody) -> None:
+        """Send the body chunk by chunk as the other end takes it."""
+        try:
+            while chunk := await body.get():
+                await self.connection.write(chunk)
+            self.connection.finish()
+            self.sent = True
+        except (CallError, StreamClosedError, ValueError) as error:
+            if isinstance(error, CallError):
+                self.answer.fail(error)
+            self.stream.close()
+
+    async def receive(self) -> None:
+        """Read the answer; the connection is kept when both sides are done."""
+        try:
+            await self.connection.read_response(self.answer)
+        except StreamClosedError:
+            pass
+        if not self.answer.head.done():
+            self.answer.fail(
+                ConnectionLostError(f"{self.pool.address}: no answer before the close")
+            )
+
+    def close(self) -> None:
+        """Keep the connection if the exchange is whole, else close it."""
+        whole = self.answer.complete and self.sent and self.answer.reusable
+        if whole and self.tasks[-1].done():
+            self.pool.release(self.stream)
+            return
+        if whole:
+            self.tasks[-1].add_done_callback(lambda _: self.pool.release(self.stream))
+            return
+        self.answer.body.abandon()
+        self.stream.close()
+        for task in self.tasks[:-1]:
+            task.cancel()
+
+
+def _nothing() -> None:
+    return None
--- /dev/null
+++ b/sequoiaspoke/node/headers.py
@@ -0,0 +1,66 @@
+"""Header names between nodes, and which headers end at each hop."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+PREFIX = "Sequoiaspoke-"
+DEADLINE = "Sequoiaspoke-Deadline-Ms"
+ATTEMPT = "Sequoiaspoke-Attempt"
+DEPTH = "Sequoiaspoke-Depth"
+VERSION = "Sequoiaspoke-Version"
+SERVICE = "Sequoiaspoke-Service"
+TARGET = "Sequoiaspoke-Target"
+RULE = "Sequoiaspoke-Rule"
+CALLER = "Sequoiaspoke-Caller"
+PRIORITY = "Sequoiaspoke-Priority"
+RAN = "Sequoiaspoke-Ran"
+REASON = "Sequoiaspoke-Reason"
+REPEAT = "Sequoiaspoke-Repeat"
+LOAD = "Sequoiaspoke-Load"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+
+HOP_BY_HOP = frozenset(
+    {
+        "Connection",
+        "Expect",
+        "Keep-Alive",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "Proxy-Connection",
+        "Te",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+    }
+)
+
+
+def end_to_end(headers: HTTPHeaders) -> HTTPHeaders:
+    """Return the headers that travel on; the mesh's own do not."""
+    named = [name.strip().lower() for name in headers.get("Connection", "").split(",")]
+    kept = HTTPHeaders()
+    for name, value in headers.get_all():
+        if name in HOP_BY_HOP or name.startswith(PREFIX) or name.lower() in named:
+            continue
+        kept.add(name, value)
+    return kept
+
+
+def single_values(headers: HTTPHeaders) -> Iterator[tuple[str, str]]:
+    """Yield header names in lower case with their joined values."""
+    for name in headers:
+        yield name.lower(), headers[name]
+
+
+def whole_number(headers: HTTPHeaders, name: str, default: int) -> int:
+    """Return a header's number, or the default where it is none."""
+    text = headers.get(name, "")
+    return (
+        int(text) if text.isascii() and text.isdigit() and len(text) < 16 else default
+    )
--- /dev/null
+++ b/sequoiaspoke/node/home.py
@@ -0,0 +1,177 @@
+"""The home side of a call: the node on the target's VM hands it over."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from sequoiaspoke.errors import (
+    BadRequestError,
+    DrainingError,
+    NotRunError,
+    OverloadedError,
+    Ran,
+    UpstreamShedError,
+    WrongHomeError,
+)
+from sequoiaspoke.node import headers as names
+from sequoiaspoke.node.client import Address, Pool
+from sequoiaspoke.node.pipe import ReplayableBody
+from sequoiaspoke.node.server import CallHandler
+
+if TYPE_CHECKING:
+    from sequoiaspoke.node.client import Answer
+    from sequoiaspoke.node.metrics import CallCounters
+    from sequoiaspoke.node.server import IncomingCall
+    from sequoiaspoke.settings.schema import Settings
+
+FIRST_SERVER_ERROR = 500
+RETRY_AFTER_OVERLOAD = 1.0  # seconds
+
+
+@dataclass(frozen=True)
+class HomeCall:
+    """A call that an entry node sends to the home of its target.
+
+    Attributes
+    ----------
+    deadline : float
+        Time of this node's loop clock at which the answer must have begun.
+    """
+
+    service: str
+    target: str
+    method: str
+    uri: str
+    headers: HTTPHeaders
+    body: ReplayableBody | None
+    deadline: float
+    depth: int = 0
+    attempt: int = 1
+    caller: str = ""
+    priority: str = ""
+
+
+class Home:
+    """Run the calls of this VM's target, as many as it has slots for."""
+
+    def __init__(self, settings: Settings, counters: CallCounters) -> None:
+        self.settings = settings
+        self.counters = counters
+        self.slots = 10
+        self.in_flight = 0
+        self.draining = False
+        upstream = settings.upstream
+        self.pool = Pool(Address(upstream.address, upstream.port), settings.limits)
+
+    async def run(self, call: HomeCall) -> Answer:
+        """Hand a call to the upstream and return its answer.
+
+        Raises
+        ------
+        CallError
+            The call was refused or failed; says whether it ran.
+        """
+        self.check(call)
+        self.in_flight += 1
+        try:
+            answer = await self.hand_over(call)
+        except BaseException:
+            self.in_flight -= 1
+            raise
+        answer.on_close(self.release)
+        return answer
+
+    def check(self, call: HomeCall) -> None:
+        """Refuse what may not run here."""
+        upstream = self.settings.upstream
+        if call.service != upstream.service or call.target != upstream.target:
+            raise WrongHomeError(f"{call.service}/{call.target} is not here")
+        if self.draining:
+            raise DrainingError(f"{call.target} is leaving", RETRY_AFTER_OVERLOAD)
+        if self.in_flight >= self.slots:
+            raise OverloadedError(f"{call.target} is full", RETRY_AFTER_OVERLOAD)
+
+    async def hand_over(self, call: HomeCall) -> Answer:
+        """Send the call to the upstream."""
+        loop = asyncio.get_running_loop()
+        headers = names.end_to_end(call.headers)
+        remaining = call.deadline - loop.time()
+        headers[names.DEADLINE] = str(max(1, int(remaining * 1000)))
+        headers[names.DEPTH] = str(call.depth)
+        headers[names.ATTEMPT] = str(call.attempt)
+        start_line = RequestStartLine(call.method, call.uri, "HTTP/1.1")
+        answer = await self.pool.call(start_line, headers, call.body, call.deadline)
+        shed = answer.headers.get(names.RAN) == Ran.NOT_RUN.value
+        if shed and answer.status >= FIRST_SERVER_ERROR:
+            retry_after = names.whole_number(answer.headers, "Retry-After", 1)
+            await discard(answer)
+            raise UpstreamShedError(f"{call.target} shed the call", retry_after)
+        return answer
+
+    def release(self) -> None:
+        """Free the slot of a call that has ended."""
+        self.in_flight -= 1
+
+
+class HomeHandler(CallHandler):
+    """Calls that other nodes send to this one."""
+
+    def __init__(self, settings: Settings, home: Home) -> None:
+        self.settings = settings
+        self.home = home
+
+    async def handle(self, call: IncomingCall) -> None:
+        """Run a call at this home and relay its answer."""
+        home_call = read_home_call(call)
+        try:
+            answer = await self.home.run(home_call)
+        except NotRunError as error:
+            self.home.counters.refused[error.code] += 1
+            raise
+        try:
+            headers = names.end_to_end(answer.headers)
+            headers[names.RAN] = Ran.RAN.value
+            await call.writer.relay(answer, headers, self.settings.limits.idle)
+        finally:
+            answer.close()
+
+
+def read_home_call(call: IncomingCall) -> HomeCall:
+    """Read what the entry node says of a call.
+
+    Raises
+    ------
+    BadRequestError
+        The mesh's own headers are missing.
+    """
+    headers = call.headers
+    if names.SERVICE not in headers or names.TARGET not in headers:
+        raise BadRequestError("not a call of a node")
+    remaining = names.whole_number(headers, names.DEADLINE, 10_000) / 1000
+    body = ReplayableBody(call.body, 0) if call.body else None
+    return HomeCall(
+        service=headers[names.SERVICE],
+        target=headers[names.TARGET],
+        method=call.method,
+        uri=call.uri,
+        headers=headers,
+        body=body,
+        deadline=asyncio.get_running_loop().time() + remaining,
+        depth=names.whole_number(headers, names.DEPTH, 0),
+        attempt=names.whole_number(headers, names.ATTEMPT, 1),
+        caller=headers.get(names.CALLER, ""),
+        priority=headers.get(names.PRIORITY, ""),
+    )
+
+
+async def discard(answer: Answer) -> None:
+    """Read a short answer to its end, so that its connection can be kept."""
+    try:
+        while await answer.body.get():
+            pass
+    finally:
+        answer.close()
--- /dev/null
+++ b/sequoiaspoke/node/watchall.py
@@ -0,0 +1,157 @@
+"""The baseline source: the node watches the platform itself.
+
+It is the simplest way and the one every other is measured against: the reads
+of the platform grow with the number of nodes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from urllib.parse import urlsplit
+
+from loguru import logger as log
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from sequoiaspoke.core.snapshot import codec
+from sequoiaspoke.core.snapshot.model import VmList
+from sequoiaspoke.core.snapshot.publish import (
+    HEAD_DOCUMENT,
+    PART_PREFIX,
+    VMS_DOCUMENT,
+)
+from sequoiaspoke.errors import CallError, DocumentError, PlatformError
+from sequoiaspoke.node.client import Address, Pool
+from sequoiaspoke.node.config import ConfigSource, SourceStatus
+
+if TYPE_CHECKING:
+    import random
+
+    from sequoiaspoke.settings.schema import Settings
+
+# A watch that ends with an error is asked again after a random part of this;
+# otherwise every node would ask a platform that returns in the same instant.
+RETRY_SECONDS = 1.0
+HEAD_BYTES = 120  # roughly what a request and an answer add to a body
+HTTP_PORT = 80
+OK = 200
+NO_CHANGE = 204
+
+
+@dataclass(frozen=True)
+class Reading:
+    """What the platform answered."""
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+
+
+class PlatformWatch(ConfigSource):
+    """Watch the head and the VM list, and read the parts that are missing."""
+
+    def __init__(self, settings: Settings, rng: random.Random) -> None:
+        super().__init__()
+        self.settings = settings.platform
+        self.rng = rng
+        place = urlsplit(settings.platform.url)
+        self.host = place.netloc
+        address = Address(place.hostname or "", place.port or HTTP_PORT)
+        self.pool = Pool(address, settings.limits)
+        self.tasks: list[asyncio.Task[None]] = []
+        self.newest_vms = VmList()
+        self.reads = 0
+        self.bytes_received = 0
+        self.bytes_sent = 0
+
+    @property
+    def vms(self) -> VmList:
+        """Return the newest known list of VMs."""
+        return self.newest_vms
+
+    async def start(self) -> None:
+        """Begin to watch."""
+        loop = asyncio.get_running_loop()
+        self.tasks = [
+            loop.create_task(self.watch(HEAD_DOCUMENT)),
+            loop.create_task(self.watch(VMS_DOCUMENT)),
+        ]
+
+    async def stop(self) -> None:
+        """End the watches."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.pool.close()
+
+    def status(self) -> SourceStatus:
+        """Return what operators want to see."""
+        return SourceStatus(
+            "watch-all",
+            "platform",
+            self.bytes_sent,
+            self.bytes_received,
+            self.reads,
+        )
+
+    async def watch(self, name: str) -> None:
+        """Follow one document for good."""
+        revision = 0
+        while True:
+            try:
+                path = f"watch/{name}?after={revision}&wait={self.settings.wait:g}"
+                limit = self.settings.wait + self.settings.timeout
+                reading = await self.read(path, limit)
+                if reading.status == NO_CHANGE:
+                    continue
+                await self.take(name, reading.body)
+                revision = int(reading.headers["Revision"])
+            except (CallError, PlatformError, DocumentError, ValueError) as error:
+                log.warning("platform-read-failed", document=name, reason=str(error))
+                await asyncio.sleep(self.rng.uniform(0, RETRY_SECONDS))
+
+    async def take(self, name: str, body: bytes) -> None:
+        """Take a document that has changed."""
+        if name == VMS_DOCUMENT:
+            self.newest_vms = codec.decode_vms(body)
+            return
+        head = codec.decode_head(body)
+        self.holder.offer_head(head, "platform", time.time())
+        for digest in self.holder.missing():
+            part = await self.read(
+                f"documents/{PART_PREFIX}{digest}", self.settings.timeout
+            )
+            self.holder.offer_part(digest, part.body, time.time())
+
+    async def read(self, path: str, timeout: float) -> Reading:
+        """Read from the platform and count the cost.
+
+        Raises
+        ------
+        CallError
+            The platform cannot be reached or breaks off.
+        PlatformError
+            It answers with a failure.
+        """
+        self.reads += 1
+        self.bytes_sent += HEAD_BYTES + len(path)
+        start_line = RequestStartLine("GET", f"/v1/{path}", "HTTP/1.1")
+        deadline = asyncio.get_running_loop().time() + timeout
+        headers = HTTPHeaders({"Host": self.host})
+        answer = await self.pool.call(start_line, headers, None, deadline)
+        try:
+            chunks = []
+            async with asyncio.timeout(self.settings.timeout):
+                while chunk := await answer.body.get():
+                    chunks.append(chunk)
+        except TimeoutError as error:
+            raise PlatformError(f"{path}: no progress") from error
+        finally:
+            answer.close()
+        body = b"".join(chunks)
+        self.bytes_received += HEAD_BYTES + len(body)
+        if answer.status not in (OK, NO_CHANGE):
+            raise PlatformError(f"{path}: status {answer.status}")
+        return Reading(answer.status, answer.headers, body)
