Build one file that runs on Python alone

'make dist' writes dist/sequoiaspoke, a zip application with every pure-Python dependency as source and bytecode, nothing unpacked to a disk.

'--version' no longer imports every subcommand.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python -m
 WORKERS ?= auto
 
-.PHONY: demo test lint format golden thrift docs dist
+.PHONY: demo test lint format golden thrift docs dist dist-check
 
 $(VENV)/.ready: requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -27,3 +27,9 @@
 
 golden: $(VENV)/.ready
 	GOLDEN=write $(RUN) pytest -n 0 sequoiaspoke/tests
+
+dist: $(VENV)/.ready
+	$(VENV)/bin/python tools/dist.py
+
+dist-check: $(VENV)/.ready
+	$(VENV)/bin/python tools/dist_check.py
--- a/sequoiaspoke/__main__.py
+++ b/sequoiaspoke/__main__.py
@@ -38,6 +38,9 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run a subcommand and return the exit code."""
     words = list(sys.argv[1:] if argv is None else argv)
+    if words == ["--version"]:
+        print(__version__)
+        return 0
     chosen = [words[0]] if words and words[0] in COMMANDS else list(COMMANDS)
     table = {name: load(COMMANDS[name]) for name in chosen}
     try:
