--- a/tools/dist.py
+++ b/tools/dist.py
@@ -23,6 +23,11 @@
 ROOT = Path(__file__).parents[1]
 OUT = ROOT / "dist" / "sequoiaspoke"
 PURE = ROOT / "tools" / "pure"
+PROGRAM = (
+    (ROOT, "sequoiaspoke/**/*.py"),
+    (ROOT, "sequoiaspoke/**/*.ini"),
+    (PURE, "*.py"),
+)
 SHEBANG = b"#!/usr/bin/env python3\n"
 FIXED_TIME = (1980, 1, 1, 0, 0, 0)
 FILE_MODE = 0o644 << 16
@@ -73,9 +78,9 @@
 
 
 def program_files() -> dict[str, bytes]:
-    """Return the program's modules and the pure stand-ins of native ones."""
+    """Return the program's files and the pure stand-ins of native modules."""
     contents = {"__main__.py": MAIN.encode()}
-    for base, pattern in ((ROOT, "sequoiaspoke/**/*.py"), (PURE, "*.py")):
+    for base, pattern in PROGRAM:
         for path in base.glob(pattern):
             name = path.relative_to(base).as_posix()
             if not PRUNED.search(name):
--- a/tools/dist_check.py
+++ b/tools/dist_check.py
@@ -18,6 +18,7 @@
     ("--version",),
     ("check", "examples/abay"),
     ("check", "examples/brambilla"),
+    ("demo",),
 )
 
 
