Show many nodes' status and wait for a version

'status' prints one line a node from their status pages, or the pages as JSON, and ends with 7 where a node did not answer. Pages are read within a limit, and what is no node's page is a typed error.

--- a/sequoiaspoke/__main__.py
+++ b/sequoiaspoke/__main__.py
@@ -25,6 +25,8 @@
     "diff": "diff:diff",
     "standin": "standin",
     "demo": "demo:demo",
+    "status": "status:status",
+    "version-of": "versionof:version_of",
 }
 
 
--- /dev/null
+++ b/sequoiaspoke/commands/status.py
@@ -0,0 +1,105 @@
+"""`sequoiaspoke status`: one table over many nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import json as json_library
+import time
+
+from sequoiaspoke.commands.nodestatus import NodeStatus, ask_nodes
+from sequoiaspoke.errors import NodeUnreachableError
+
+HEADINGS = (
+    "node zone target version since learnt-from state in-flight "
+    "calls refused unknown retried details last-refused"
+).split()
+LONGEST = 60  # characters of one cell
+
+
+def status(*addresses: str, json: bool = False, timeout: float = 5.0) -> None:
+    """Show the state of nodes.
+
+    Ends with status 7 where a node did not answer; the table is printed before.
+
+    :param addresses: admin addresses of the nodes, as IP:PORT
+    :param json: print the nodes' whole status pages as JSON
+    :param timeout: seconds to wait for each node
+    """
+    nodes = asyncio.run(ask_nodes(addresses, timeout))
+    print(as_json(nodes) if json else as_table(nodes, time.time()))
+    silent = [node for node in nodes if node.fault]
+    if silent:
+        faults = "; ".join(f"{node.address}: {node.fault}" for node in silent)
+        raise NodeUnreachableError(faults)
+
+
+def as_json(nodes: list[NodeStatus]) -> str:
+    """Return the whole pages by address."""
+    pages = {node.address: node.page or {"fault": node.fault} for node in nodes}
+    return json_library.dumps(pages, indent=2, sort_keys=True)
+
+
+def as_table(nodes: list[NodeStatus], now: float) -> str:
+    """Return one line for each node, columns aligned."""
+    rows = [HEADINGS, *(_cells(node, now) for node in nodes)]
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in rows
+    )
+
+
+def _cells(node: NodeStatus, now: float) -> list[str]:
+    if node.fault:
+        silence = ["-"] * (len(HEADINGS) - 2)
+        return [node.address, *silence, _short(f"no answer: {node.fault}")]
+    cells = [
+        node.text("name"),
+        node.text("zone"),
+        node.text("target"),
+        str(node.version),
+        _age(node.seconds("installed_at"), now),
+        node.text("learnt_from"),
+        _state(node),
+        node.text("in_flight"),
+        *(str(node.total(key)) for key in ("calls", "refused", "unknown", "retried")),
+        _details(node),
+        _last_refused(node),
+    ]
+    return [_short(cell) for cell in cells]
+
+
+def _age(at: float | None, now: float) -> str:
+    return "-" if at is None else f"{max(0.0, now - at):.0f}s"
+
+
+def _state(node: NodeStatus) -> str:
+    if node.page.get("draining"):
+        return "draining"
+    if not node.version:
+        return "not-ready"
+    return "unverified" if node.page.get("verified") is False else "serving"
+
+
+def _details(node: NodeStatus) -> str:
+    details = node.page.get("details")
+    if not isinstance(details, dict):
+        return "-"
+    plain = {
+        key: value
+        for key, value in sorted(details.items())
+        if isinstance(value, (str, int, float))
+    }
+    return " ".join(f"{key}={value}" for key, value in plain.items()) or "-"
+
+
+def _last_refused(node: NodeStatus) -> str:
+    version = node.page.get("last_refused_version")
+    return "-" if version is None else f"{version}: {node.text('last_refused_reason')}"
+
+
+def _short(cell: str) -> str:
+    line = " ".join(cell.split())
+    return line if len(line) <= LONGEST else line[: LONGEST - 3] + "..."
--- /dev/null
+++ b/sequoiaspoke/commands/versionof.py
@@ -0,0 +1,75 @@
+"""`sequoiaspoke version-of`: wait until nodes enforce a version."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.commands.nodestatus import ask_nodes
+from sequoiaspoke.errors import NodeUnreachableError, NotConvergedError
+
+if TYPE_CHECKING:
+    from sequoiaspoke.commands.nodestatus import NodeStatus
+
+PAUSE = 0.2  # seconds between two rounds
+QUESTION_TIMEOUT = 5.0  # seconds for one node's answer
+
+
+def version_of(*addresses: str, wait: int = 0, timeout: float = 30.0) -> None:
+    """Print the version in force at nodes, or wait for one.
+
+    Ends with status 0 once all nodes enforce the awaited version or a newer
+    one, and with status 6 where some do not in time.
+
+    :param addresses: admin addresses of the nodes, as IP:PORT
+    :param wait: the version to wait for
+    :param timeout: seconds to wait in all
+    """
+    started = time.monotonic()
+    nodes = asyncio.run(follow(addresses, wait, timeout))
+    for node in nodes:
+        print(f"node={node.address} version={node.version}")
+    seconds = time.monotonic() - started
+    behind = [node for node in nodes if node.fault or node.version < wait]
+    if not behind:
+        print(f"awaited={wait} nodes={len(nodes)} seconds={seconds:.1f}")
+        return
+    reasons = "; ".join(map(_why_behind, behind))
+    if wait:
+        raise NotConvergedError(f"version {wait} is not in force at {reasons}")
+    raise NodeUnreachableError(reasons)
+
+
+async def follow(
+    addresses: tuple[str, ...], wait: int, timeout: float
+) -> list[NodeStatus]:
+    """Ask until every node enforces the version, at most for the time given."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + timeout
+    newest: dict[str, NodeStatus] = {}
+    waiting = addresses
+    while True:
+        left = max(PAUSE, deadline - loop.time())
+        for node in await ask_nodes(waiting, min(QUESTION_TIMEOUT, left)):
+            newest[node.address] = node
+        # A node that enforces the version is not asked again: versions never
+        # decrease, and a fleet of thousands is asked in rounds.
+        waiting = tuple(
+            address
+            for address in addresses
+            if newest[address].fault or newest[address].version < wait
+        )
+        if not waiting or not wait or loop.time() + PAUSE > deadline:
+            return [newest[address] for address in addresses]
+        await asyncio.sleep(PAUSE)
+
+
+def _why_behind(node: NodeStatus) -> str:
+    if node.fault:
+        return f"{node.address} (no answer: {node.fault})"
+    refused = node.page.get("last_refused_version")
+    if refused is None:
+        return f"{node.address} (version {node.version})"
+    reason = node.text("last_refused_reason")
+    return f"{node.address} (version {node.version}; refused {refused}: {reason})"
--- a/sequoiaspoke/errors.py
+++ b/sequoiaspoke/errors.py
@@ -103,6 +103,13 @@
     exit_code = 6
 
 
+class NodeUnreachableError(SequoiaspokeError):
+    """A node's operators' pages do not answer, or not as a node's do."""
+
+    code = "node-unreachable"
+    exit_code = 7
+
+
 class CallError(SequoiaspokeError):
     """A call got no answer from its upstream; says whether it ran.
 
