--- a/sequoiaspoke/demo/session.py
+++ b/sequoiaspoke/demo/session.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.demo.deployment import Deployment, load_rules
-from sequoiaspoke.demo.traffic import Traffic
+from sequoiaspoke.demo.traffic import ERRANDS, Traffic
 
 if TYPE_CHECKING:
     from sequoiaspoke.demo.deployment import Site
@@ -29,8 +29,9 @@
         What happened, without times and ports; the same in every run.
     """
 
-    def __init__(self, say: Say) -> None:
+    def __init__(self, say: Say, flow_seconds: float = FLOW_SECONDS) -> None:
         self.say = say
+        self.flow_seconds = flow_seconds
         self.events: list[str] = []
         self.deployment = Deployment()
         self.traffic = Traffic(self.deployment, SEED)
@@ -43,13 +44,13 @@
             self.deployment.publish_vms()
             await self.publish("the first rules", "1-first.ini")
             self.traffic.start()
-            await asyncio.sleep(FLOW_SECONDS)
+            await asyncio.sleep(self.flow_seconds)
             await self.publish("edited rules", "2-edited.ini")
-            await asyncio.sleep(FLOW_SECONDS)
+            await asyncio.sleep(self.flow_seconds)
             await self.leave("videoteca-2", "2-edited.ini")
-            await asyncio.sleep(FLOW_SECONDS)
+            await asyncio.sleep(self.flow_seconds)
             await self.publish("reordered rules", "3-reordered.ini")
-            await asyncio.sleep(FLOW_SECONDS)
+            await asyncio.sleep(self.flow_seconds)
             await self.traffic.stop()
             self.event("callers have stopped")
             return self.report()
@@ -74,6 +75,11 @@
             f"version {version} with {what} is in force at every node",
             f" after {max(times) * 1000:.0f} ms",
         )
+        for site in sorted(self.deployment.sites, key=lambda each: each.name):
+            self.events.append(f"  version={version} node={site.name}")
+        for errand in ERRANDS:
+            outcome = await self.traffic.probe(errand)
+            self.events.append(f"  {errand.caller}: {outcome}")
 
     async def leave(self, target: str, file: str) -> None:
         """Let an upstream leave while calls go to it."""
--- a/sequoiaspoke/demo/traffic.py
+++ b/sequoiaspoke/demo/traffic.py
@@ -11,6 +11,7 @@
 
 from tornado.httpclient import HTTPClientError, HTTPRequest
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from uuid6 import uuid7
 
 from sequoiaspoke.errors import Ran
 from sequoiaspoke.node import headers as names
@@ -97,31 +98,20 @@
 
     async def repeat(self, errand: Errand, zone: str) -> None:
         """Call again and again through random nodes of a zone."""
-        number = 0
         while not self.stopping:
-            number += 1
             sites = [
                 site
                 for site in self.deployment.sites
                 if site.zone == zone and site.node.ready
             ]
             site = self.rng.choice(sites)
-            key = f"{errand.caller}-{zone}-{number}" if errand.keyed else ""
+            key = f"{zone}/{uuid7()}" if errand.keyed else ""
             await self.call(errand, site.node.ports["call"], key)
             await asyncio.sleep(self.rng.uniform(0, 2 * PAUSE_SECONDS))
 
     async def call(self, errand: Errand, port: int, key: str) -> None:
         """Make one call and note what came of it."""
-        body = f"order {key}".encode() if errand.keyed else None
-        headers = {names.IDEMPOTENCY_KEY: key} if key else {}
-        request = HTTPRequest(
-            f"http://127.0.0.1:{port}{errand.path}",
-            method=errand.method,
-            headers=headers,
-            body=body,
-            follow_redirects=False,
-            request_timeout=TIMEOUT_SECONDS,
-        )
+        request = make_request(errand, port, key)
         self.tally.sent += 1
         try:
             response = await self.client.fetch(request, raise_error=False)
@@ -132,7 +122,7 @@
         if reason is None and response.code in REDIRECTS:
             self.tally.redirected += 1
         elif reason is None and response.code == OK:
-            self.note_answer(errand, key, response.body, body)
+            self.note_answer(errand, key, response.body, request.body)
         elif response.headers.get(names.RAN) == Ran.NOT_RUN.value:
             self.tally.not_run[reason or str(response.code)] += 1
             self.tally.not_run_keys.add(key)
@@ -141,6 +131,17 @@
         else:
             self.tally.lost += 1
 
+    async def probe(self, errand: Errand) -> str:
+        """Make one call outside the tally and describe its answer."""
+        port = self.deployment.sites[0].node.ports["call"]
+        key = f"{self.deployment.sites[0].zone}/{uuid7()}" if errand.keyed else ""
+        request = make_request(errand, port, key)
+        response = await self.client.fetch(request, raise_error=False)
+        place = response.headers.get("Location", "")
+        ran = response.headers.get(names.RAN, "")
+        words = (errand.method, errand.path, str(response.code), place, ran)
+        return " ".join(word for word in words if word)
+
     def note_answer(
         self, errand: Errand, key: str, answer: bytes, body: bytes | None
     ) -> None:
@@ -167,3 +168,15 @@
         for site in self.deployment.sites:
             runs.update(site.upstream.runs)
         return sum(1 for key in self.tally.answered_keys if key and not runs[key])
+
+
+def make_request(errand: Errand, port: int, key: str) -> HTTPRequest:
+    """Build the request of an errand."""
+    return HTTPRequest(
+        f"http://127.0.0.1:{port}{errand.path}",
+        method=errand.method,
+        headers={names.IDEMPOTENCY_KEY: key} if key else {},
+        body=f"order {key}".encode() if errand.keyed else None,
+        follow_redirects=False,
+        request_timeout=TIMEOUT_SECONDS,
+    )
