--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python -m
 WORKERS ?= auto
 
-.PHONY: demo test lint format golden thrift docs dist dist-check
+.PHONY: demo test lint format golden thrift docs reference dist dist-check
 
 $(VENV)/.ready: requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -33,3 +33,9 @@
 
 dist-check: $(VENV)/.ready
 	$(VENV)/bin/python tools/dist_check.py
+
+docs: reference
+	$(RUN) mkdocs build --strict
+
+reference: $(VENV)/.ready
+	$(VENV)/bin/python tools/reference.py
