--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,11 @@
 test: $(VENV)/.ready
 	$(RUN) pytest -n $(WORKERS)
 
+thrift:
+	rm -rf sequoiaspoke/wire/gen
+	thrift --gen py:slots -out sequoiaspoke/wire sequoiaspoke/wire/sequoiaspoke.thrift
+	rm sequoiaspoke/wire/gen/PeerLink-remote
+
 lint: $(VENV)/.ready
 	$(RUN) ruff format --check .
 	$(RUN) ruff check .
--- /dev/null
+++ b/sequoiaspoke/core/membership/pause.py
@@ -0,0 +1,22 @@
+"""Notices that this process itself stood still.
+
+A paused process wakes up believing that no time has passed: its leases look
+valid and its version looks current while the fleet has moved on. The loop
+looks at the clock often, so a gap between two looks means a pause.
+"""
+
+from __future__ import annotations
+
+
+class PauseDetector:
+    """Finds jumps of the clock; `threshold` is in seconds."""
+
+    def __init__(self, threshold: float) -> None:
+        self.threshold = threshold
+        self.last: float | None = None
+
+    def observe(self, now: float) -> float:
+        """Return the length of the pause that just ended, or 0."""
+        gap = 0.0 if self.last is None else now - self.last
+        self.last = now
+        return gap if gap > self.threshold else 0.0
--- a/sequoiaspoke/core/snapshot/holder.py
+++ b/sequoiaspoke/core/snapshot/holder.py
@@ -62,7 +62,7 @@
         self.gate = VersionGate()
         self.store = PartStore()
         self.current: Snapshot | None = None
-        self.previous_head: Head | None = None
+        self.previous: Known | None = None
         self.last_refused: RefusedVersion | None = None
         self.installed_at = 0.0
         self.hold = False
@@ -140,18 +140,24 @@
                 candidate.version, source, now, str(error)
             )
             return None
+        self.previous = self.gate.current
         self.gate.install(candidate)
-        self.previous_head = self.current.head if self.current else None
         self.current = snapshot
         self.installed_at = now
         self.counters["version-installed"] += 1
         self.trim()
         return snapshot
 
+    def held(self, root: str) -> Known | None:
+        """Return the version in force, before it or refused that has a digest."""
+        for one in (self.gate.current, self.previous, *self.gate.refused.values()):
+            if one and one.root == root:
+                return one
+        return None
+
     def trim(self) -> None:
         """Drop parts that no version in use needs."""
         held = [*self.gate.candidates.values(), *self.gate.refused.values()]
         heads = [one.head for one in held if one.version > self.version]
-        heads += [one for one in (self.previous_head,) if one]
-        heads += [self.current.head] if self.current else []
+        heads += [one.head for one in (self.gate.current, self.previous) if one]
         self.store.keep_only(heads)
--- /dev/null
+++ b/sequoiaspoke/core/spread/budget.py
@@ -0,0 +1,66 @@
+"""Limits on what a node may spend, and waits that spread a crowd.
+
+After a herd of nodes dies, all of them come back together. Without a budget
+and without random waits they read the platform and connect to the same peers
+in one instant, are refused, and come back together again.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+EXPONENT_LIMIT = 16
+
+
+class TokenBucket:
+    """Lets `rate` units a second through, and one second's worth at once."""
+
+    def __init__(self, rate: float, burst: float = 0.0) -> None:
+        self.rate = rate
+        self.burst = burst or max(rate, 1.0)
+        self.tokens = self.burst
+        self.last: float | None = None
+
+    def take(self, now: float, amount: float = 1.0) -> bool:
+        """Spend `amount` if any is left; one large amount may overdraw."""
+        self._refill(now)
+        if self.tokens <= 0:
+            return False
+        self.tokens -= amount
+        return True
+
+    def _refill(self, now: float) -> None:
+        if self.last is not None:
+            grown = self.tokens + (now - self.last) * self.rate
+            self.tokens = min(self.burst, grown)
+        self.last = now
+
+
+class Backoff:
+    """Full jitter: a random wait up to a bound that doubles to a cap."""
+
+    def __init__(self, base: float, cap: float, rng: random.Random) -> None:
+        self.base = base
+        self.cap = cap
+        self.rng = rng
+        self.failures = 0
+        self.until = 0.0
+
+    def fail(self, now: float, at_least: float = 0.0) -> None:
+        """Note a failure and choose when to try again."""
+        exponent = min(self.failures, EXPONENT_LIMIT)
+        bound = min(self.cap, self.base * 2**exponent)
+        self.failures += 1
+        self.until = now + at_least + self.rng.uniform(0, bound)
+
+    def succeed(self) -> None:
+        """Forget the failures."""
+        self.failures = 0
+        self.until = 0.0
+
+    def ready(self, now: float) -> bool:
+        """Return whether the wait is over."""
+        return now >= self.until
--- /dev/null
+++ b/sequoiaspoke/core/spread/core.py
@@ -0,0 +1,353 @@
+"""The spread of versions as one state machine without input or output.
+
+The shell hands in events and the time, and carries out the actions that come
+back. Nothing in here waits, and nothing looks at a clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+from sequoiaspoke.core.membership.pause import PauseDetector
+from sequoiaspoke.core.snapshot import codec
+from sequoiaspoke.core.snapshot.gate import Verdict
+from sequoiaspoke.core.snapshot.publish import HEAD_DOCUMENT, VMS_DOCUMENT
+from sequoiaspoke.core.spread import events, messages
+from sequoiaspoke.core.spread.answers import Answerer, apply_delta
+from sequoiaspoke.core.spread.duty import Duty
+from sequoiaspoke.core.spread.links import LinkTable
+from sequoiaspoke.core.spread.peers import PeerChooser
+from sequoiaspoke.core.spread.platform import PlatformReader
+from sequoiaspoke.core.spread.pull import Puller
+from sequoiaspoke.core.spread.startup import CatchUp
+from sequoiaspoke.core.spread.state import SpreadState
+from sequoiaspoke.core.spread.strategy import STRATEGIES
+from sequoiaspoke.core.spread.verify import Verifier
+from sequoiaspoke.errors import DocumentError
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from sequoiaspoke.core.snapshot.model import Head
+    from sequoiaspoke.core.spread.events import Action, Event
+    from sequoiaspoke.core.spread.links import Link
+    from sequoiaspoke.core.spread.state import Identity
+    from sequoiaspoke.settings.schema import Settings
+
+PLATFORM_SOURCE = "platform"
+
+
+class SpreadCore:
+    """Decides what one node reads, asks, answers, announces and installs."""
+
+    def __init__(
+        self, settings: Settings, identity: Identity, rng: random.Random
+    ) -> None:
+        self.state = SpreadState(settings, identity, rng)
+        self.strategy = STRATEGIES[settings.spread.strategy]()
+        self.links = LinkTable(self.state)
+        self.peers = PeerChooser(self.state, self.links)
+        self.duty = Duty(self.state, self.peers)
+        self.platform = PlatformReader(self.state)
+        self.puller = Puller(self.state, self.links, self.platform)
+        self.catch_up = CatchUp(self.state, self.links, self.platform, self.strategy)
+        self.verifier = Verifier(self.state, self.links, self.platform)
+        self.answerer = Answerer(self.state, self.links, self.strategy)
+        self.pause = PauseDetector(settings.membership.pause)
+        self.told_version = 0
+        self.told_refused = 0
+        self.handlers: dict[type, Callable[[Any, float], None]] = {
+            events.PlatformAnswered: self.on_platform_answered,
+            events.PlatformUnchanged: self.on_platform_unchanged,
+            events.PlatformFailed: self.on_platform_failed,
+            events.LinkUp: self.on_link_up,
+            events.LinkDown: self.on_link_down,
+            events.Received: self.on_received,
+        }
+        self.answers: dict[type, Callable[[Link, Any, Any, float], None]] = {
+            messages.Welcome: self.on_welcome,
+            messages.BeatAnswer: self.on_beat_answer,
+            messages.HeadAnswer: self.on_head_answer,
+            messages.PartsAnswer: self.on_parts_answer,
+            messages.VmsAnswer: self.on_vms_answer,
+        }
+
+    @property
+    def holder(self) -> Any:
+        """Return the holder of the version in force."""
+        return self.state.holder
+
+    @property
+    def verified(self) -> bool:
+        """Return whether the version in force may decide calls."""
+        return self.verifier.verified
+
+    def status(self) -> messages.Status:
+        """Return what the node says of itself."""
+        return self.answerer.status(self.platform.watch_state(), self.duty.spare)
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take one event and return what to do."""
+        self.notice_pause(now)
+        self.handlers[type(event)](event, now)
+        self.puller.schedule(now)
+        return self.state.take_actions()
+
+    def tick(self, now: float) -> list[Action]:
+        """Do what is due; to be called several times a second."""
+        self.notice_pause(now)
+        self.platform.tick(self.strategy.watches(self.duty, now), now)
+        if self.strategy.links:
+            self.tick_links(now)
+        self.puller.tick(now)
+        self.catch_up.tick(now)
+        self.verifier.tick(now)
+        self.holder.try_install(now)
+        self.tell()
+        return self.state.take_actions()
+
+    def notice_pause(self, now: float) -> None:
+        """Doubt everything time-bound if this process stood still."""
+        if not self.pause.observe(now):
+            return
+        self.verifier.wake(now)
+        self.links.give_time(now)
+        self.platform.forget()
+
+    def tick_links(self, now: float) -> None:
+        """Close silent links, send heartbeats, open wanted links."""
+        self.links.close_silent(now)
+        wanted = self.peers.wanted(self.catch_up.more_peers(), now)
+        for name, vm in wanted.items():
+            if not self.links.find(name) and not self.links.connecting(name):
+                self.links.open(vm, now)
+        self.links.close_unwanted(wanted, now)
+        beat = messages.Beat(self.status())
+        for link in self.links.live():
+            if link.outgoing and now >= link.beat_due:
+                link.beat_due = now + self.state.spread.beat
+                self.links.ask(link, beat, now)
+
+    def on_platform_answered(self, event: events.PlatformAnswered, now: float) -> None:
+        """Take a document of the platform."""
+        digest = self.platform.parts.pop(event.read, None)
+        if digest is not None:
+            self.take_part(digest, event.body, PLATFORM_SOURCE, now)
+            return
+        try:
+            self.take_document(event, now)
+        except DocumentError:
+            failed = events.PlatformFailed(event.read, event.document)
+            self.state.count("platform-document-invalid")
+            self.platform.failed(failed, now)
+
+    def take_document(self, event: events.PlatformAnswered, now: float) -> None:
+        """Take the head or the VM list from the platform."""
+        if event.document == HEAD_DOCUMENT:
+            head = codec.decode_head(event.body)
+            if self.platform.answer(event, now):
+                self.learn(head, PLATFORM_SOURCE, now)
+        elif event.document == VMS_DOCUMENT:
+            vms = codec.decode_vms(event.body)
+            taken = self.state.vms.offer(vms)
+            self.platform.answer(event, now)
+            if taken:
+                self.vms_changed(None)
+
+    def on_platform_unchanged(
+        self, event: events.PlatformUnchanged, now: float
+    ) -> None:
+        """Note that a watch ended without news."""
+        del now
+        self.platform.unchanged(event)
+
+    def on_platform_failed(self, event: events.PlatformFailed, now: float) -> None:
+        """Note that a read failed."""
+        digest = self.platform.parts.pop(event.read, None)
+        if digest is not None:
+            self.state.count("platform-failed-part")
+            self.puller.part_failed(digest, now)
+            return
+        self.platform.failed(event, now)
+        self.state.alone = self.platform.vms.absent
+
+    def on_link_up(self, event: events.LinkUp, now: float) -> None:
+        """Say who we are on a link that we opened."""
+        link = self.links.up(event.link, now)
+        if link is None or not link.outgoing:
+            return
+        own = self.state.identity
+        hello = messages.Hello(own.name, own.zone, own.incarnation, self.status())
+        self.links.ask(link, hello, now)
+
+    def on_link_down(self, event: events.LinkDown, now: float) -> None:
+        """Forget a link."""
+        self.links.down(event.link, now)
+
+    def on_received(self, event: events.Received, now: float) -> None:
+        """Take a message from a peer."""
+        link = self.links.links.get(event.link)
+        if link is None:
+            self.state.count("message-on-closed-link")
+            return
+        link.heard = now
+        message = event.message
+        answer = self.answers.get(type(message))
+        if answer:
+            exchange = self.links.settle(link, event.number)
+            if exchange:
+                answer(link, message, exchange, now)
+        elif isinstance(message, messages.Hello):
+            self.on_hello(link, event.number, message, now)
+        elif not link.greeted:
+            self.state.count("message-before-greeting")
+        elif isinstance(message, messages.Announcement):
+            self.on_announcement(link, message, now)
+        elif isinstance(message, messages.Beat):
+            self.take_status(link, message.status, now)
+            answer = messages.BeatAnswer(self.status())
+            self.links.send(link, answer, event.number)
+        else:
+            self.answerer.answer(link, event.number, message, now)
+
+    def on_hello(
+        self, link: Link, number: int, hello: messages.Hello, now: float
+    ) -> None:
+        """Answer a node that opened a link."""
+        own = self.state.identity
+        self.links.greet(link, hello, now)
+        welcome = messages.Welcome(own.name, own.zone, own.incarnation, self.status())
+        self.links.send(link, welcome, number)
+        self.puller.consider(link, now)
+
+    def on_welcome(
+        self, link: Link, message: messages.Welcome, exchange: Any, now: float
+    ) -> None:
+        """Note who answered on a link that we opened."""
+        del exchange
+        self.links.greet(link, message, now)
+        if link.greeted:
+            self.puller.consider(link, now)
+
+    def on_beat_answer(
+        self, link: Link, message: messages.BeatAnswer, exchange: Any, now: float
+    ) -> None:
+        """Take the status of a peer that we asked."""
+        asked_at = exchange.deadline - self.state.spread.exchange
+        self.take_status(link, message.status, now)
+        self.verifier.confirm(link, asked_at)
+
+    def take_status(self, link: Link, status: messages.Status, now: float) -> None:
+        """Compare a peer's status with what is held."""
+        link.status = status
+        gate = self.holder.gate
+        first = gate.first_root(status.version)
+        if first is not None and first != status.root:
+            self.state.count("conflict-seen")
+        self.puller.consider(link, now)
+
+    def on_announcement(
+        self, link: Link, message: messages.Announcement, now: float
+    ) -> None:
+        """Take news that a peer tells at once."""
+        status = link.status
+        if message.version > status.version:
+            status = replace(status, version=message.version, root=message.root)
+        revision = max(status.vms_revision, message.vms_revision)
+        link.status = replace(status, vms_revision=revision)
+        if message.delta and message.version > self.holder.version:
+            self.take_delta(link, message.delta, now)
+        self.puller.consider(link, now)
+
+    def on_head_answer(
+        self, link: Link, message: messages.HeadAnswer, exchange: Any, now: float
+    ) -> None:
+        """Take a head that we asked for."""
+        if message.delta is None:
+            # It was overtaken there in the meantime; the next heartbeat tells.
+            link.status = replace(link.status, version=0, refused_version=0)
+            return
+        taken = self.take_delta(link, message.delta, now)
+        if not taken and exchange.question.base_root:
+            self.puller.ask_whole_head(link, exchange.question, now)
+
+    def take_delta(self, link: Link, delta: messages.HeadDelta, now: float) -> bool:
+        """Rebuild a head from its difference; return whether it fitted."""
+        if self.holder.gate.judge(delta.version, delta.root) is not Verdict.NEW:
+            return True
+        head = apply_delta(delta, self.holder)
+        if head is None:
+            self.state.count("delta-without-base")
+            return False
+        self.learn(head, link.peer, now)
+        return True
+
+    def learn(self, head: Head, source: str, now: float) -> None:
+        """Offer a head to the gate and gather what it needs."""
+        decision = self.holder.offer_head(head, source, now)
+        if decision.verdict is Verdict.NEW and not self.strategy.reuses_parts:
+            self.holder.store.parts.clear()
+        self.tell()
+
+    def on_parts_answer(
+        self, link: Link, message: messages.PartsAnswer, exchange: Any, now: float
+    ) -> None:
+        """Take parts that we asked for; those left out are asked elsewhere."""
+        for part in message.parts:
+            self.take_part(part.digest, part.packed, link.peer, now)
+        if message.busy:
+            self.state.count("peer-busy")
+        given = {part.digest for part in message.parts}
+        for digest in exchange.question.digests:
+            if digest not in given:
+                self.puller.part_left_out(digest, not given, now)
+
+    def take_part(self, digest: str, packed: bytes, source: str, now: float) -> None:
+        """Offer a part to the holder."""
+        if not self.holder.offer_part(digest, packed, now).taken:
+            self.state.count(f"part-corrupt-from-{_kind(source)}")
+            self.puller.part_failed(digest, now)
+        self.tell()
+
+    def on_vms_answer(
+        self, link: Link, message: messages.VmsAnswer, exchange: Any, now: float
+    ) -> None:
+        """Take a VM list that we asked for."""
+        del exchange, now
+        try:
+            taken = self.state.vms.apply(message)
+        except DocumentError:
+            self.state.count("vms-invalid")
+            return
+        if taken:
+            self.vms_changed(link)
+
+    def vms_changed(self, source: Link | None) -> None:
+        """Tell the shell and the peers of a newer VM list."""
+        view = self.state.vms
+        self.state.act(events.VmsChanged(view.revision, tuple(view.vms.values())))
+        news = messages.Announcement(0, vms_revision=view.revision)
+        for link in self.links.live():
+            if link is not source and link.status.vms_revision < view.revision:
+                self.links.send(link, news)
+
+    def tell(self) -> None:
+        """Tell the shell and the peers of what was installed or refused."""
+        gate = self.holder.gate
+        if self.holder.version > self.told_version:
+            self.told_version = self.holder.version
+            source = self.holder.sources.get(self.told_version, "")
+            self.state.act(events.Installed(self.holder.current, source))
+            self.answerer.announce(gate.current, self.holder.previous)
+        refused = gate.newest_refused()
+        if refused and refused.version > self.told_refused:
+            self.told_refused = refused.version
+            last = self.holder.last_refused
+            self.state.act(events.Refused(refused.version, last.source, last.reason))
+            self.answerer.announce(refused, gate.current)
+
+
+def _kind(source: str) -> str:
+    return source if source == PLATFORM_SOURCE else "peer"
--- /dev/null
+++ b/sequoiaspoke/core/spread/peers.py
@@ -0,0 +1,115 @@
+"""Which nodes to hold links to: a few, whatever the size of the fleet.
+
+Three kinds make the graph of links. Each node links to the two live nodes
+before it in its zone's watch order; that chain connects every node of the zone
+and tells each exactly whether it is its turn to watch. Two more, picked by
+hash, shorten the way through the zone. One in another zone joins the zones.
+With a link to everybody, the cost would grow with the square of the fleet.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.membership.vmlist import rank_key
+from sequoiaspoke.core.snapshot.model import VmState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sequoiaspoke.core.snapshot.model import Vm
+    from sequoiaspoke.core.spread.links import Link, LinkTable
+    from sequoiaspoke.core.spread.state import SpreadState
+
+
+@dataclass(frozen=True)
+class Seniors:
+    """The nearest nodes before this one in the watch order.
+
+    Attributes
+    ----------
+    live : tuple of Link
+        Those that answer.
+    untried : int
+        Those of whom nothing is known yet.
+    """
+
+    live: tuple[Link, ...]
+    untried: int
+    wanted: tuple[str, ...]
+
+
+class PeerChooser:
+    """Chooses the peers to link to."""
+
+    def __init__(self, state: SpreadState, links: LinkTable) -> None:
+        self.state = state
+        self.links = links
+        self.revision = -1
+        self.near: list[str] = []
+        self.far: list[str] = []
+
+    def wanted(self, more: int, now: float) -> dict[str, Vm]:
+        """Return the VMs to hold a link to; `more` in each direction."""
+        self._reorder()
+        spread = self.state.spread
+        names = list(self.seniors(now).wanted)
+        chosen = set(names)
+        near = (name for name in self.near if name not in chosen)
+        names += self._pick(near, spread.zone_peers + more, now)
+        names += self._pick(self.far, spread.cross_zone_peers + more, now)
+        vms = self.state.vms.vms
+        return {name: vms[name] for name in names if name in vms}
+
+    def seniors(self, now: float) -> Seniors:
+        """Walk up the watch order until enough nodes answer."""
+        live: list[Link] = []
+        wanted = []
+        untried = 0
+        for name in self.state.vms.seniors():
+            if len(live) + untried >= self.state.spread.watchers:
+                break
+            link = self.links.find(name)
+            if link:
+                live.append(link)
+            elif not self.links.failed(name):
+                untried += 1
+            elif not self._try_again(name, now):
+                continue
+            wanted.append(name)
+        return Seniors(tuple(live), untried, tuple(wanted))
+
+    def _pick(self, order: Iterable[str], count: int, now: float) -> list[str]:
+        picked = []
+        for name in order:
+            if count <= 0:
+                break
+            if self.links.find(name) or not self.links.failed(name):
+                count -= 1
+            elif not self._try_again(name, now):
+                continue
+            picked.append(name)
+        return picked
+
+    def _try_again(self, name: str, now: float) -> bool:
+        return self.links.connecting(name) or self.links.backoff(name).ready(now)
+
+    def _reorder(self) -> None:
+        view = self.state.vms
+        if view.revision == self.revision:
+            return
+        self.revision = view.revision
+        self.near = [vm.name for vm in self._by_hash(view.others(own_zone=True))]
+        # The best of each other zone first, so that two links reach two zones.
+        seen: dict[str, int] = {}
+        places = []
+        for vm in self._by_hash(view.others(own_zone=False)):
+            seen[vm.zone] = seen.get(vm.zone, 0) + 1
+            places.append((seen[vm.zone], len(places), vm.name))
+        self.far = [name for _, _, name in sorted(places)]
+
+    def _by_hash(self, vms: list[Vm]) -> list[Vm]:
+        live = [vm for vm in vms if vm.state is VmState.LIVE]
+        own = self.state.identity.name
+        return sorted(live, key=lambda vm: rank_key(own, vm.name))
--- /dev/null
+++ b/sequoiaspoke/core/spread/platform.py
@@ -0,0 +1,202 @@
+"""Reads and watches of the platform, within this node's budget.
+
+Every node reads twice when it starts, spread over time; only nodes on duty go
+on to watch. Failed reads are repeated after full-jitter waits with a cap, so
+that the platform is not met by a stampede when it comes back.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.snapshot.publish import (
+    HEAD_DOCUMENT,
+    PART_PREFIX,
+    VMS_DOCUMENT,
+)
+from sequoiaspoke.core.spread.budget import Backoff, TokenBucket
+from sequoiaspoke.core.spread.events import CancelRead, PlatformFailed, ReadPlatform
+from sequoiaspoke.core.spread.messages import WatchState
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.spread.events import PlatformAnswered, PlatformUnchanged
+    from sequoiaspoke.core.spread.state import SpreadState
+
+# One refused read is everyday business; a second in a row means an outage.
+FAILING_AFTER = 2
+# Heads a second that a starting fleet may read; half of the platform's rate.
+START_HEADS = 1000.0
+# The shell ends a read itself; this much later the core stops waiting for it.
+SHELL_SLACK = 1.0
+
+
+@dataclass
+class Document:
+    """A document that is read at the start and then watched."""
+
+    name: str
+    wait: float
+    backoff: Backoff
+    revision: int = -1
+    read: int | None = None
+    overdue: float = 0.0
+    due: float = 0.0
+    answered: bool = False
+    absent: bool = False
+
+
+class PlatformReader:
+    """Decides what to read from the platform, and when."""
+
+    def __init__(self, state: SpreadState) -> None:
+        self.state = state
+        spread = state.spread
+        self.head = self._document(HEAD_DOCUMENT, spread.head_wait)
+        self.vms = self._document(VMS_DOCUMENT, spread.vms_wait)
+        self.bucket = TokenBucket(spread.reads)
+        self.on_duty = False
+        self.last_read = 0
+        self.parts: dict[int, str] = {}
+        self.started = False
+
+    def _document(self, name: str, wait: float) -> Document:
+        spread = self.state.spread
+        backoff = Backoff(spread.reconnect, spread.reconnect_cap, self.state.rng)
+        return Document(name, wait, backoff)
+
+    @property
+    def answered(self) -> bool:
+        """Return whether the platform has told its head, or that it has none."""
+        return self.head.answered or self.head.absent
+
+    def start(self, now: float) -> None:
+        """Choose when to read for the first time."""
+        self.started = True
+        jitter = self.state.rng.uniform(0, self.state.spread.start_jitter)
+        self.vms.due = now + jitter
+        self.head.due = now + jitter
+
+    def watch_state(self) -> WatchState:
+        """Return what to tell peers of this node's watch."""
+        if not self.on_duty:
+            return WatchState.NONE
+        failing = self.head.backoff.failures >= FAILING_AFTER
+        return WatchState.FAILING if failing else WatchState.WORKING
+
+    def tick(self, on_duty: bool, now: float) -> None:
+        """Start the reads that are due."""
+        if not self.started:
+            self.start(now)
+        if self.on_duty and not on_duty:
+            self._stop_watching()
+        self.on_duty = on_duty
+        for document in (self.vms, self.head):
+            self._tick_document(document, now)
+
+    def _tick_document(self, document: Document, now: float) -> None:
+        if document.read is not None and now >= document.overdue:
+            self.state.act(CancelRead(document.read))
+            self.failed(PlatformFailed(document.read, document.name), now)
+        if document.read is not None or now < document.due:
+            return
+        if document.answered and not self.on_duty:
+            return
+        # Without the VM list there are no peers yet, so its size, by which
+        # the reads of the head are spread, is not known either.
+        known = self.vms.answered or self.vms.absent
+        if document is self.head and not known and not self.on_duty:
+            return
+        if document.backoff.ready(now) and self.bucket.take(now):
+            self._read(document, now)
+
+    def _read(self, document: Document, now: float) -> None:
+        watching = self.on_duty and document.revision >= 0
+        wait = document.wait if watching else 0.0
+        after = document.revision if watching else -1
+        document.read = self._next_read()
+        limit = wait + self.state.spread.exchange + SHELL_SLACK
+        document.overdue = now + limit
+        self.state.count(f"platform-read-{document.name}")
+        self.state.act(ReadPlatform(document.read, document.name, after, wait))
+
+    def read_part(self, digest: str, now: float) -> int | None:
+        """Read a part; None if the budget is spent."""
+        if not self.bucket.take(now):
+            self.state.count("platform-read-over-budget")
+            return None
+        read = self._next_read()
+        self.parts[read] = digest
+        self.state.count("platform-read-part")
+        self.state.act(ReadPlatform(read, PART_PREFIX + digest))
+        return read
+
+    def answer(self, event: PlatformAnswered, now: float) -> bool:
+        """Note an answer; return whether it was awaited."""
+        document = self._settle(event.read)
+        if document is None:
+            return False
+        document.revision = event.revision
+        first = not document.answered
+        document.answered = True
+        document.absent = False
+        if first and document is self.vms:
+            self._spread_heads(now)
+        return True
+
+    def unchanged(self, event: PlatformUnchanged) -> bool:
+        """Note a watch that ended without news."""
+        return self._settle(event.read) is not None
+
+    def failed(self, event: PlatformFailed, now: float) -> bool:
+        """Note a failure; return whether the read was awaited."""
+        document = self._find(event.read)
+        if document is None:
+            return False
+        document.read = None
+        document.absent = event.absent
+        document.backoff.fail(now, event.retry_after)
+        # The platform may come back with its revisions counted anew; a watch
+        # for more than the old number would wait for ever. So read afresh.
+        document.revision = -1
+        self.state.count(f"platform-failed-{document.name}")
+        return True
+
+    def forget(self) -> None:
+        """Give up every watch after this process stood still, and read afresh."""
+        if not self.on_duty:
+            return
+        self._stop_watching()
+        for document in (self.vms, self.head):
+            document.revision = -1
+            document.answered = False
+            document.due = 0.0
+
+    def _stop_watching(self) -> None:
+        for document in (self.vms, self.head):
+            if document.read is not None:
+                self.state.act(CancelRead(document.read))
+                document.read = None
+
+    def _spread_heads(self, now: float) -> None:
+        if self.on_duty:
+            return
+        window = len(self.state.vms.vms) / START_HEADS
+        self.head.due = now + self.state.rng.uniform(0, window)
+
+    def _settle(self, read: int) -> Document | None:
+        document = self._find(read)
+        if document:
+            document.read = None
+            document.backoff.succeed()
+        return document
+
+    def _find(self, read: int) -> Document | None:
+        for document in (self.head, self.vms):
+            if document.read == read:
+                return document
+        return None
+
+    def _next_read(self) -> int:
+        self.last_read += 1
+        return self.last_read
--- /dev/null
+++ b/sequoiaspoke/core/spread/pull.py
@@ -0,0 +1,218 @@
+"""Pulls what is missing: heads, parts and VM lists, each once at a time.
+
+Several peers tell of a new version within milliseconds. Asked of each of them,
+every part would cross the network several times over. So a part has one fetch
+in flight, whoever needs it; where that fetch fails, or brings bytes that do not
+match the digest, another source is asked.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.snapshot.gate import Verdict
+from sequoiaspoke.core.spread.budget import Backoff
+from sequoiaspoke.core.spread.messages import HeadQuestion, PartsQuestion, VmsQuestion
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.snapshot.gate import Known
+    from sequoiaspoke.core.spread.links import Link, LinkTable
+    from sequoiaspoke.core.spread.platform import PlatformReader
+    from sequoiaspoke.core.spread.state import SpreadState
+
+PLATFORM = 0  # stands for the platform where a link's number is expected
+PARTS_PER_QUESTION = 32
+QUESTIONS_PER_LINK = 2
+PLATFORM_READS = 8  # parts read from the platform at once
+# Sources that failed before a node off duty turns to the platform for a part.
+FAILURES_BEFORE_PLATFORM = 2
+
+
+@dataclass
+class Fetch:
+    """The state of one missing part."""
+
+    backoff: Backoff
+    source: int | None = None
+    number: int = 0
+    tried: set[int] = field(default_factory=set)
+
+
+class Puller:
+    """Decides what to ask of whom."""
+
+    def __init__(
+        self, state: SpreadState, links: LinkTable, platform: PlatformReader
+    ) -> None:
+        self.state = state
+        self.links = links
+        self.platform = platform
+        self.fetches: dict[str, Fetch] = {}
+        self.heads: dict[int, int] = {}
+        self.vms_question: int | None = None
+
+    def consider(self, link: Link, now: float) -> None:
+        """Compare what a peer shows with what is held."""
+        status = link.status
+        self.consider_version(link, status.version, status.root, now)
+        self.consider_version(link, status.refused_version, status.refused_root, now)
+        self.consider_vms(link, now)
+
+    def consider_version(self, link: Link, version: int, root: str, now: float) -> None:
+        """Ask for a version's head if it is newer and not known."""
+        gate = self.state.holder.gate
+        if version <= gate.version() or gate.judge(version, root) is not Verdict.NEW:
+            return
+        if self.heads.get(version) in self.links.pending:
+            return
+        base = gate.current.root if gate.current else ""
+        question = HeadQuestion(version, root, base)
+        self.heads[version] = self.links.ask(link, question, now)
+
+    def ask_whole_head(self, link: Link, question: HeadQuestion, now: float) -> None:
+        """Ask again without a base, where the difference did not fit."""
+        whole = HeadQuestion(question.version, question.root)
+        self.heads[question.version] = self.links.ask(link, whole, now)
+
+    def consider_vms(self, link: Link, now: float) -> None:
+        """Ask for a newer VM list, of one peer at a time."""
+        revision = self.state.vms.revision
+        if link.status.vms_revision <= revision:
+            return
+        if self.vms_question not in self.links.pending:
+            question = VmsQuestion(revision)
+            self.vms_question = self.links.ask(link, question, now)
+
+    def tick(self, now: float) -> None:
+        """Ask for what is missing and not being fetched."""
+        for link in self.links.live():
+            self.consider(link, now)
+        version = self.state.holder.version
+        self.heads = {v: n for v, n in self.heads.items() if v > version}
+        self.schedule(now)
+
+    def schedule(self, now: float) -> None:
+        """Choose a source for every missing part that has none."""
+        missing = self.state.holder.missing()
+        if not missing and not self.fetches:
+            return
+        self._match(missing, now)
+        asked: dict[int, list[str]] = defaultdict(list)
+        busy = self._busy()
+        for digest in missing:
+            fetch = self.fetches[digest]
+            if fetch.source is not None or not fetch.backoff.ready(now):
+                continue
+            source = self._choose(digest, fetch, asked, busy, now)
+            if source == PLATFORM:
+                self._read_platform(digest, fetch, busy, now)
+            elif source is not None:
+                asked[source].append(digest)
+        for source, digests in asked.items():
+            self._ask(self.links.links[source], digests, now)
+
+    def _match(self, missing: tuple[str, ...], now: float) -> None:
+        known = self.fetches
+        spread = self.state.spread
+        self.fetches = {
+            digest: known.get(digest)
+            or Fetch(Backoff(spread.reconnect, spread.reconnect_cap, self.state.rng))
+            for digest in missing
+        }
+        for fetch in self.fetches.values():
+            gone = fetch.source and fetch.number not in self.links.pending
+            if gone:
+                self.failed(fetch, now)
+
+    def _busy(self) -> dict[int, int]:
+        numbers: dict[int, set[int]] = defaultdict(set)
+        for fetch in self.fetches.values():
+            if fetch.source is not None:
+                numbers[fetch.source].add(fetch.number)
+        return {source: len(some) for source, some in numbers.items()}
+
+    def _choose(
+        self,
+        digest: str,
+        fetch: Fetch,
+        asked: dict[int, list[str]],
+        busy: dict[int, int],
+        now: float,
+    ) -> int | None:
+        holders = self._holders(digest)
+        untried = [link for link in holders if link.number not in fetch.tried]
+        free = [
+            link.number
+            for link in untried
+            if busy.get(link.number, 0) < QUESTIONS_PER_LINK
+            and len(asked[link.number]) < PARTS_PER_QUESTION
+        ]
+        if free:
+            return min(free, key=lambda number: (len(asked[number]), number))
+        if untried:
+            return None
+        fails = fetch.backoff.failures
+        allowed = self.platform.on_duty or fails >= FAILURES_BEFORE_PLATFORM
+        if allowed and PLATFORM not in fetch.tried:
+            return PLATFORM
+        # Everybody was asked in vain; begin anew after a random wait.
+        if fetch.tried:
+            fetch.tried.clear()
+            fetch.backoff.fail(now)
+        return None
+
+    def _holders(self, digest: str) -> list[Link]:
+        candidates = self.state.holder.gate.newest_candidates()
+        wanted = [one for one in candidates if digest in one.head.parts.values()]
+        return [link for link in self.links.live() if _has(link, wanted)]
+
+    def _ask(self, link: Link, digests: list[str], now: float) -> None:
+        number = self.links.ask(link, PartsQuestion(tuple(digests)), now)
+        for digest in digests:
+            self.fetches[digest].source = link.number
+            self.fetches[digest].number = number
+
+    def _read_platform(
+        self, digest: str, fetch: Fetch, busy: dict[int, int], now: float
+    ) -> None:
+        if busy.get(PLATFORM, 0) >= PLATFORM_READS:
+            return
+        read = self.platform.read_part(digest, now)
+        if read is not None:
+            fetch.source, fetch.number = PLATFORM, read
+            busy[PLATFORM] = busy.get(PLATFORM, 0) + 1
+
+    def failed(self, fetch: Fetch, now: float) -> None:
+        """Note that a source did not give a part."""
+        if fetch.source is None:
+            return
+        fetch.tried.add(fetch.source)
+        fetch.source = None
+        fetch.backoff.failures += 1
+        fetch.backoff.until = now
+
+    def part_left_out(self, digest: str, nothing: bool, now: float) -> None:
+        """Note that an answer did not bring a part.
+
+        Where it brought others the part may just not have fitted, and the same
+        peer may be asked again.
+        """
+        fetch = self.fetches.get(digest)
+        if fetch and nothing:
+            self.failed(fetch, now)
+        elif fetch:
+            fetch.source = None
+
+    def part_failed(self, digest: str, now: float) -> None:
+        """Note that a part did not come, or came corrupted."""
+        fetch = self.fetches.get(digest)
+        if fetch:
+            self.failed(fetch, now)
+
+
+def _has(link: Link, versions: list[Known]) -> bool:
+    status = link.status
+    shown = {status.root, status.refused_root}
+    return any(one.root in shown for one in versions)
--- /dev/null
+++ b/sequoiaspoke/core/spread/startup.py
@@ -0,0 +1,115 @@
+"""When a fresh process may install its first version.
+
+VMs keep nothing, so a process starts with no memory of what the fleet enforces.
+If it took whatever the platform said first, a stale platform would start it
+behind its neighbours, and calls through it would meet withdrawn rules. So it
+first hears the platform and several peers that hold a version, and takes the
+newest. The wait is bounded: when a whole fleet restarts nobody holds anything,
+and when the platform is down only peers can tell; whoever answered by then is
+believed, since not serving at all is worse for callers than an old version
+that the gate will replace as soon as a newer one is heard of.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.spread.links import LinkTable
+    from sequoiaspoke.core.spread.platform import PlatformReader
+    from sequoiaspoke.core.spread.state import SpreadState
+    from sequoiaspoke.core.spread.strategy import Strategy
+
+# Times the wait after which parts of the newest version heard of, which still
+# have not come, no longer hold back an older one that is whole.
+PARTS_WAITS = 2.0
+# Enough that, with half of the fleet fresh, one in 65,000 misses the others.
+MORE_PEERS = 16
+
+
+class CatchUp:
+    """Holds back the first install until enough was heard."""
+
+    def __init__(
+        self,
+        state: SpreadState,
+        links: LinkTable,
+        platform: PlatformReader,
+        strategy: Strategy,
+    ) -> None:
+        self.state = state
+        self.strategy = strategy
+        self.links = links
+        self.platform = platform
+        self.heard: dict[str, bool] = {}
+        self.since: float | None = None
+        self.peers_known = False
+        state.holder.hold = True
+
+    @property
+    def done(self) -> bool:
+        """Return whether installs are let through."""
+        return not self.state.holder.hold
+
+    def more_peers(self) -> int:
+        """Return how many peers to ask beyond the usual few.
+
+        After a herd died and returned, the usual few may all be fresh too. One
+        more is asked for each that holds nothing, or a node whose peers all
+        restarted would take a stale platform's word.
+        """
+        if self.done:
+            return 0
+        empty = len(self.heard) - sum(self.heard.values())
+        return min(empty, MORE_PEERS)
+
+    def tick(self, now: float) -> None:
+        """Let installs through once enough was heard."""
+        if self.done:
+            return
+        # Peers can be asked only once the VM list is there; the wait for them
+        # begins then, or at the start where the platform gives no list.
+        found = not self.peers_known and self.state.vms.revision > 0
+        if self.since is None or found:
+            self.since = now
+        self.peers_known = self.state.vms.revision > 0
+        self._listen()
+        if self._enough(now):
+            self.state.holder.hold = False
+            self.state.count("catch-up-done")
+
+    def _listen(self) -> None:
+        for link in self.links.live():
+            holds = link.status.version > 0
+            self.heard[link.peer] = holds or self.heard.get(link.peer, False)
+
+    def _enough(self, now: float) -> bool:
+        spread = self.state.spread
+        waited = now - (self.since or now)
+        told = sum(self.heard.values())
+        if waited >= spread.catch_up_wait:
+            whole = self._newest_is_whole() or (
+                waited >= spread.catch_up_wait * PARTS_WAITS
+            )
+            return whole and (told > 0 or self.platform.answered)
+        if not self.platform.answered or not self._newest_is_whole():
+            return False
+        if not self.strategy.links:
+            return True
+        others = sum(name != self.state.identity.name for name in self.state.vms.vms)
+        return told >= min(spread.catch_up_peers, others) or self._all_heard(others)
+
+    def _all_heard(self, others: int) -> bool:
+        # A small fleet that starts at once: everybody answered, none has more.
+        return len(self.heard) >= others
+
+    def _newest_is_whole(self) -> bool:
+        # A peer's newer version counts from when the peer shows it, not from
+        # when its head has come: the platform's older one may be whole by then.
+        shown = max((link.status.version for link in self.links.live()), default=0)
+        holder = self.state.holder
+        candidates = holder.gate.newest_candidates()
+        if not candidates:
+            return shown == 0
+        newest = candidates[0]
+        return newest.version >= shown and not holder.store.missing(newest.head)
--- /dev/null
+++ b/sequoiaspoke/core/spread/strategy.py
@@ -0,0 +1,100 @@
+"""How versions spread; one is used, the others are measured against it."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.spread.messages import HeadDelta
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.snapshot.gate import Known
+    from sequoiaspoke.core.spread.duty import Duty
+
+# Changed parts that an announcement lists itself; a larger change is asked for.
+ANNOUNCED_PARTS = 16
+
+
+def difference(target: Known, base: Known | None) -> HeadDelta:
+    """Return a head as its difference from another, or whole."""
+    if base is None:
+        return HeadDelta(target.version, target.root, "", dict(target.head.parts))
+    old, new = base.head.parts, target.head.parts
+    changed = {name: digest for name, digest in new.items() if old.get(name) != digest}
+    removed = tuple(name for name in old if name not in new)
+    return HeadDelta(target.version, target.root, base.root, changed, removed)
+
+
+class Strategy(ABC):
+    """What varies between the ways to spread versions."""
+
+    links = True
+    reuses_parts = True
+
+    def watches(self, duty: Duty, now: float) -> bool:
+        """Return whether this node watches the platform."""
+        return duty.decide(now)
+
+    @abstractmethod
+    def announced(self, target: Known, base: Known | None) -> HeadDelta | None:
+        """Return what an announcement says of the head itself."""
+
+    def summary(self, current: Known | None) -> dict[str, str]:
+        """Return the digests that every heartbeat carries beside the root's."""
+        del current
+        return {}
+
+
+class RootThenParts(Strategy):
+    """Compare one digest; descend to heads and parts only where it differs."""
+
+    def announced(self, target: Known, base: Known | None) -> HeadDelta | None:
+        """Tell the difference while it is small."""
+        if base is None:
+            return None
+        delta = difference(target, base)
+        small = len(delta.changed) + len(delta.removed) <= ANNOUNCED_PARTS
+        return delta if small else None
+
+
+class FlatDigests(RootThenParts):
+    """Compare the digests of all parts with every heartbeat."""
+
+    def summary(self, current: Known | None) -> dict[str, str]:
+        """Return the digest of every part."""
+        return dict(current.head.parts) if current else {}
+
+
+class WholeSnapshots(Strategy):
+    """Move every part with every version."""
+
+    reuses_parts = False
+
+    def announced(self, target: Known, base: Known | None) -> HeadDelta | None:
+        """Tell the whole head."""
+        del base
+        return difference(target, None)
+
+
+class WatchAll(Strategy):
+    """Let every node watch the platform; no node speaks to another."""
+
+    links = False
+
+    def watches(self, duty: Duty, now: float) -> bool:
+        """Return that every node watches."""
+        del duty, now
+        return True
+
+    def announced(self, target: Known, base: Known | None) -> HeadDelta | None:
+        """Return nothing, since there are no peers to tell."""
+        del target, base
+        return None
+
+
+STRATEGIES: dict[str, type[Strategy]] = {
+    "spread": RootThenParts,
+    "flat-digests": FlatDigests,
+    "whole-snapshots": WholeSnapshots,
+    "watch-all": WatchAll,
+}
--- /dev/null
+++ b/sequoiaspoke/core/spread/verify.py
@@ -0,0 +1,75 @@
+"""Whether this node's view may be served after it stood still.
+
+A process that was paused wakes up with an old version and believes it current.
+Until peers or the platform, asked after the wake, have confirmed the version,
+calls would be decided by rules that the rest of the fleet may have left. A node
+that reaches nobody serves again after a bounded wait, since a zone that is cut
+off must go on.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.spread.links import Link, LinkTable
+    from sequoiaspoke.core.spread.platform import PlatformReader
+    from sequoiaspoke.core.spread.state import SpreadState
+
+
+class Verifier:
+    """Holds the `verified` flag that the node's server reads."""
+
+    def __init__(
+        self, state: SpreadState, links: LinkTable, platform: PlatformReader
+    ) -> None:
+        self.state = state
+        self.links = links
+        self.platform = platform
+        self.settings = state.settings.membership
+        self.woke_at: float | None = None
+        self.confirmed: set[str] = set()
+
+    @property
+    def verified(self) -> bool:
+        """Return whether the version in force may decide calls."""
+        return self.woke_at is None and self.state.holder.current is not None
+
+    def wake(self, now: float) -> None:
+        """Doubt the view after a pause that ends now."""
+        self.state.count("pause-detected")
+        if self.state.holder.current is None:
+            return
+        self.woke_at = now
+        self.confirmed = set()
+
+    def confirm(self, link: Link, asked_at: float) -> None:
+        """Note a peer's answer to a question sent after the wake."""
+        if self.woke_at is not None and asked_at >= self.woke_at:
+            self.confirmed.add(link.peer)
+
+    def tick(self, now: float) -> None:
+        """Trust the view again once it is confirmed or the wait is over."""
+        if self.woke_at is None:
+            return
+        waited = now - self.woke_at
+        if self._behind() and waited < self.settings.verify_cap:
+            return
+        if self._confirmed() or waited >= self.settings.verify_wait:
+            self.woke_at = None
+            self.state.count("view-verified")
+
+    def _confirmed(self) -> bool:
+        if self.platform.answered and self.platform.on_duty:
+            return True
+        return 0 < self.settings.verify_peers <= len(self.confirmed)
+
+    def _behind(self) -> bool:
+        holder = self.state.holder
+        if holder.gate.candidates:
+            return True
+        return any(
+            link.status.version > holder.version
+            and link.status.version not in holder.gate.refused
+            for link in self.links.live()
+        )
--- a/sequoiaspoke/errors.py
+++ b/sequoiaspoke/errors.py
@@ -82,6 +82,12 @@
     code = "platform-failed"
 
 
+class MessageError(SequoiaspokeError):
+    """A message on the peer link breaks the protocol or a limit."""
+
+    code = "message-invalid"
+
+
 class VersionRefusedError(ProblemsError):
     """A published version is refused whole; the one in force stays."""
 
--- /dev/null
+++ b/sequoiaspoke/tests/test_spread.py
@@ -0,0 +1,364 @@
+"""Tests of the spread of versions under faults, on a virtual clock."""
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from testtools import TestCase
+from testtools.matchers import GreaterThan, LessThan
+
+from sequoiaspoke.core.spread import events, messages
+from sequoiaspoke.tests.fleet import Fleet, publication
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.spread.core import SpreadCore
+
+ZONES = {"akaki": 5, "bole": 5, "kality": 5}
+SOON = 2.0  # seconds in which an accepted version is in force everywhere
+
+
+class SpreadTestCase(TestCase):
+    def fleet(self, zones=None, version=1, **options):
+        fleet = Fleet(zones or ZONES, **options)
+        fleet.publish(version)
+        fleet.on_step = lambda: self.check(fleet)
+        fleet.run(8)
+        self.assertEqual({version}, fleet.at_version())
+        return fleet
+
+    def check(self, fleet):
+        for node in fleet.nodes.values():
+            if node.versions != sorted(set(node.versions)):
+                self.fail(f"{node.name} went back: {node.versions}")
+
+    def watchers(self, fleet, zone):
+        return sorted(
+            node.name
+            for node in fleet.nodes.values()
+            if node.zone == zone and node.core.platform.on_duty
+        )
+
+
+class CrossingTests(SpreadTestCase):
+    """Announcements and parts of several versions overtake each other.
+
+    A node that installed them in the order of arrival would go back to rules
+    that are withdrawn, and a foreman would book by yesterday's rules.
+    """
+
+    def test_the_newest_wins_at_every_node(self):
+        fleet = self.fleet()
+        fleet.delay, fleet.doubled = 0.4, 0.3
+        for version in range(2, 8):
+            fleet.publish(version)
+            fleet.run(0.3)
+        fleet.run(10)
+        self.assertEqual({7}, fleet.at_version())
+
+    def test_a_second_content_under_one_version_is_refused_and_counted(self):
+        fleet = self.fleet()
+        fleet.publish(2)
+        fleet.run(SOON)
+        fleet.publish(2, made=publication(2, route="booking"))
+        fleet.run(5)
+        roots = {node.core.holder.gate.current.root for node in fleet.nodes.values()}
+        self.assertEqual({fleet.published[2]}, roots)
+        counters = sum(
+            (n.core.holder.counters for n in fleet.nodes.values()), Counter()
+        )
+        self.assertThat(counters["head-conflict"], GreaterThan(0))
+
+
+class StalePlatformTests(SpreadTestCase):
+    """A herd of nodes restarts while the platform serves an old version.
+
+    A node that believed the platform alone would enforce rules that the rest
+    of the fleet has left; a mourner's order would depend on the proxy it met.
+    """
+
+    def test_restarted_nodes_start_with_the_fleets_version(self):
+        fleet = self.fleet(version=5)
+        fleet.publish(3)
+        herd = list(fleet.nodes)[::2]
+        for name in herd:
+            fleet.stop(name)
+        for name in herd:
+            fleet.start(name)
+        fleet.run(8)
+        firsts = {fleet.nodes[name].versions[0] for name in herd}
+        self.assertEqual({5}, firsts)
+        self.assertEqual({5}, fleet.at_version())
+
+    def test_a_fleet_that_lost_everything_serves_what_the_platform_has(self):
+        fleet = self.fleet(version=5)
+        fleet.publish(3)
+        for name in list(fleet.nodes):
+            fleet.stop(name)
+        for name in fleet.zones:
+            fleet.start(name)
+        fleet.run(8)
+        self.assertEqual({3}, fleet.at_version())
+        fleet.publish(6)
+        fleet.run(SOON)
+        self.assertEqual({6}, fleet.at_version())
+
+
+class OutageTests(SpreadTestCase):
+    """The platform is down for long, nodes restart meanwhile, then it returns.
+
+    If all of them asked at once, the platform would refuse most and stay
+    overloaded; versions would take minutes where a stream cannot wait.
+    """
+
+    def test_peers_go_on_and_the_return_is_no_stampede(self):
+        fleet = self.fleet({"akaki": 30, "bole": 30})
+        fleet.outage(up=False)
+        fleet.run(120)
+        for name in list(fleet.nodes)[::3]:
+            fleet.stop(name)
+            fleet.start(name)
+        fleet.run(60)
+        self.assertEqual({1}, fleet.at_version())
+        fleet.publish(2)
+        fleet.reads.clear()
+        back = fleet.now
+        fleet.outage(up=True)
+        fleet.run(25)
+        self.assertEqual({2}, fleet.at_version())
+        per_second = Counter(int(at - back) for at in fleet.reads)
+        self.assertThat(max(per_second.values()), LessThan(30))
+        fleet.reads.clear()
+        fleet.run(30)
+        self.assertThat(len(fleet.reads) / 30, LessThan(2.0))
+
+    def test_revisions_counted_anew_after_the_return_are_followed(self):
+        fleet = self.fleet()
+        fleet.outage(up=False)
+        for document in fleet.documents.values():
+            document.revision = 0
+        fleet.run(3)
+        fleet.outage(up=True)
+        fleet.run(25)
+        fleet.publish(2)
+        fleet.run(SOON)
+        self.assertEqual({2}, fleet.at_version())
+
+
+class CutTests(SpreadTestCase):
+    """A zone is cut off; versions are accepted just before, during and after.
+
+    Without merging, its nodes would enforce an old version for good, or worse,
+    bring the others back to it.
+    """
+
+    def test_a_zone_goes_on_and_merges_when_it_is_healed(self):
+        fleet = self.fleet()
+        fleet.publish(2)
+        fleet.run(0.005)
+        fleet.cuts = {
+            frozenset(("bole", other)) for other in ("akaki", "kality", "platform")
+        }
+        fleet.publish(3)
+        fleet.run(20)
+        inside = {
+            n.core.holder.version for n in fleet.nodes.values() if n.zone == "bole"
+        }
+        self.assertEqual(1, len(inside))
+        self.assertThat(max(inside), LessThan(3))
+        fleet.publish(4)
+        fleet.cuts = set()
+        fleet.run(25)
+        self.assertEqual({4}, fleet.at_version())
+
+    def test_a_zone_without_the_platform_is_told_by_the_others(self):
+        fleet = self.fleet()
+        fleet.cuts = {frozenset(("bole", "platform"))}
+        fleet.run(30)
+        fleet.publish(2)
+        fleet.run(SOON)
+        self.assertEqual({2}, fleet.at_version())
+        self.assertThat(len(self.watchers(fleet, "bole")), LessThan(5))
+
+
+class PauseTests(SpreadTestCase):
+    """A watcher stands still, its duty moves on, and it wakes believing itself.
+
+    Its late news must change nothing, and until it has asked its peers it must
+    not serve the rules that it believes current.
+    """
+
+    def test_a_woken_watcher_verifies_before_it_serves(self):
+        fleet = self.fleet(seed=3)
+        watchers = self.watchers(fleet, "akaki")
+        self.assertEqual(2, len(watchers))
+        sleeper = fleet.nodes[watchers[0]]
+        sleeper.paused = True
+        fleet.run(15)
+        others = set(self.watchers(fleet, "akaki")) - {sleeper.name}
+        self.assertThat(len(others), GreaterThan(1))
+        fleet.publish(2)
+        fleet.run(SOON)
+        sleeper.paused = False
+        sleeper.core.tick(fleet.now)
+        self.assertFalse(sleeper.core.verified)
+        while not sleeper.core.verified:
+            fleet.run(0.05)
+        self.assertEqual(2, sleeper.core.holder.version)
+        fleet.run(30)
+        self.assertEqual({2}, fleet.at_version())
+        self.assertEqual(watchers, self.watchers(fleet, "akaki"))
+
+    def test_an_isolated_node_serves_again_after_a_bounded_wait(self):
+        fleet = self.fleet()
+        sleeper = fleet.nodes["bole-1"]
+        sleeper.paused = True
+        others = [name for name in fleet.zones if name != "bole-1"]
+        fleet.cuts = {frozenset(("bole-1", name)) for name in (*others, "platform")}
+        fleet.run(10)
+        sleeper.paused = False
+        fleet.run(0.5)
+        self.assertFalse(sleeper.core.verified)
+        fleet.run(3)
+        self.assertTrue(sleeper.core.verified)
+
+
+class SilentLinkTests(SpreadTestCase):
+    """Open connections go silent for good while new ones work.
+
+    A node that trusted them would hear of no version any more, and would look
+    healthy all the while.
+    """
+
+    def test_silent_links_are_replaced(self):
+        fleet = self.fleet()
+        for node in fleet.nodes.values():
+            for link in node.ends:
+                node.ends[link] = ("nobody", 0, 0)
+        fleet.run(15)
+        fleet.publish(2)
+        fleet.run(SOON)
+        self.assertEqual({2}, fleet.at_version())
+        closed = fleet.nodes["akaki-0"].core.state.counters["link-closed-silent"]
+        self.assertThat(closed, GreaterThan(0))
+
+
+class HerdTests(SpreadTestCase):
+    """Half of the nodes die in one instant and come back together.
+
+    The survivors must take over the watch, and the storm of connections must
+    not take the survivors down.
+    """
+
+    def test_survivors_take_over_and_the_herd_catches_up(self):
+        fleet = self.fleet({"akaki": 20, "bole": 20})
+        herd = [n for zone in ("akaki", "bole") for n in self.watchers(fleet, zone)]
+        herd += [name for name in fleet.nodes if name not in herd][::2]
+        for name in herd:
+            fleet.stop(name)
+        fleet.run(5)
+        self.assertThat(len(self.watchers(fleet, "akaki")), GreaterThan(1))
+        fleet.publish(2)
+        fleet.run(SOON)
+        self.assertEqual({2}, fleet.at_version())
+        for name in herd:
+            fleet.start(name)
+        fleet.run(8)
+        self.assertEqual({2}, fleet.at_version())
+        fleet.run(60)
+        self.assertEqual(2, len(self.watchers(fleet, "akaki")))
+        most = max(len(node.core.links.links) for node in fleet.nodes.values())
+        self.assertThat(most, LessThan(20))
+
+
+class PartTests(SpreadTestCase):
+    """A part never arrives from where it was asked, or arrives corrupted.
+
+    A node that waited for it for good would stay behind alone; one that took
+    it would enforce what nobody published.
+    """
+
+    def test_corrupted_parts_are_fetched_elsewhere(self):
+        fleet = self.fleet()
+        fleet.corrupt = {"akaki-0", "bole-0", "kality-0", "akaki-1"}
+        fleet.publish(2)
+        fleet.run(5)
+        self.assertEqual({2}, fleet.at_version())
+
+    def test_a_part_missing_on_the_platform_holds_nothing_back(self):
+        fleet = self.fleet()
+        made = publication(2)
+        lost = made.head.parts["service/fleet"]
+        kept = made.parts.pop(lost)
+        fleet.publish(2, made=made)
+        fleet.run(10)
+        self.assertEqual({1}, fleet.at_version())
+        fleet.put(f"parts/{lost}", kept)
+        fleet.run(25)
+        self.assertEqual({2}, fleet.at_version())
+
+    def test_a_part_has_one_fetch_in_flight(self):
+        fleet = self.fleet({"akaki": 12})
+        asked = Counter()
+        send = fleet.send
+
+        def counting(node, action):
+            if isinstance(action.message, messages.PartsQuestion):
+                asked[node.name] += len(action.message.digests)
+            send(node, action)
+
+        fleet.send = counting
+        fleet.publish(2)
+        fleet.run(SOON)
+        self.assertEqual({2}, fleet.at_version())
+        self.assertEqual(1, max(asked.values()))
+
+
+class PoisonTests(SpreadTestCase):
+    """A version that contradicts itself is published between two good ones.
+
+    Every node must refuse it whole and say why, and fresh nodes must still
+    find the good one before it.
+    """
+
+    def test_it_is_refused_everywhere_and_the_next_one_is_taken(self):
+        fleet = self.fleet()
+        fleet.publish(2, route="nowhere")
+        fleet.run(SOON)
+        self.assertEqual({1}, fleet.at_version())
+        refused = {n.core.holder.last_refused.version for n in fleet.nodes.values()}
+        self.assertEqual({2}, refused)
+        fleet.stop("bole-1")
+        fleet.start("bole-1")
+        fleet.run(8)
+        self.assertEqual([1], fleet.nodes["bole-1"].versions)
+        fleet.publish(3)
+        fleet.run(SOON)
+        self.assertEqual({3}, fleet.at_version())
+
+
+class LateAnswerTests(SpreadTestCase):
+    """Answers come late, twice, or on another link than their question.
+
+    Handed to whoever waits next, they would settle a question that they do not
+    belong to.
+    """
+
+    def test_they_are_dropped_and_counted(self):
+        fleet = self.fleet({"akaki": 3})
+        core: SpreadCore = fleet.nodes["akaki-0"].core
+        link = core.links.live()[0]
+        before = link.status
+        forged = messages.BeatAnswer(messages.Status(99, "ab" * 16))
+        core.handle(events.Received(link.number, 12345, forged), fleet.now)
+        self.assertEqual(before, link.status)
+        self.assertEqual(1, core.state.counters["answer-late"])
+
+
+class StrategyTests(SpreadTestCase):
+    """The ways that the spread is measured against keep the same promises."""
+
+    def test_every_strategy_brings_a_change_to_every_node(self):
+        for strategy in ("watch-all", "whole-snapshots", "flat-digests"):
+            fleet = self.fleet(strategy=strategy)
+            fleet.publish(2)
+            fleet.run(SOON)
+            self.assertEqual({2}, fleet.at_version())
