Run the spread core with real sockets and use it in the node

Cause: every node watched the platform itself, which its rate does not allow for a fleet that grows. Change: peer links as frames over streams, a client of the platform with a deadline on every exchange, and a source that runs the core with both; the node listens on its peer port. The strategy watch-all stays as the other source. A document that the platform does not have yet is watched for.

--- a/sequoiaspoke/core/snapshot/holder.py
+++ b/sequoiaspoke/core/snapshot/holder.py
@@ -87,7 +87,7 @@
             self.sources = {
                 version: name
                 for version, name in self.sources.items()
-                if version in self.gate.candidates
+                if version in self.gate.candidates or version == self.version
             }
         if verdict not in (Verdict.NEW, Verdict.PENDING):
             return HeadDecision(verdict)
--- a/sequoiaspoke/core/spread/core.py
+++ b/sequoiaspoke/core/spread/core.py
@@ -52,7 +52,7 @@
         self.duty = Duty(self.state, self.peers)
         self.platform = PlatformReader(self.state)
         self.puller = Puller(self.state, self.links, self.platform)
-        self.catch_up = CatchUp(self.state, self.links, self.platform, self.strategy)
+        self.catch_up = CatchUp(self.state, self.links, self.platform)
         self.verifier = Verifier(self.state, self.links, self.platform)
         self.answerer = Answerer(self.state, self.links, self.strategy)
         self.pause = PauseDetector(settings.membership.pause)
@@ -98,9 +98,8 @@
     def tick(self, now: float) -> list[Action]:
         """Do what is due; to be called several times a second."""
         self.notice_pause(now)
-        self.platform.tick(self.strategy.watches(self.duty, now), now)
-        if self.strategy.links:
-            self.tick_links(now)
+        self.platform.tick(self.duty.decide(now), now)
+        self.tick_links(now)
         self.puller.tick(now)
         self.catch_up.tick(now)
         self.verifier.tick(now)
--- a/sequoiaspoke/core/spread/platform.py
+++ b/sequoiaspoke/core/spread/platform.py
@@ -100,7 +100,7 @@
             self.failed(PlatformFailed(document.read, document.name), now)
         if document.read is not None or now < document.due:
             return
-        if document.answered and not self.on_duty:
+        if (document.answered or document.absent) and not self.on_duty:
             return
         # Without the VM list there are no peers yet, so its size, by which
         # the reads of the head are spread, is not known either.
@@ -111,9 +111,10 @@
             self._read(document, now)
 
     def _read(self, document: Document, now: float) -> None:
-        watching = self.on_duty and document.revision >= 0
+        known = document.revision >= 0 or document.absent
+        watching = self.on_duty and known
         wait = document.wait if watching else 0.0
-        after = document.revision if watching else -1
+        after = max(document.revision, 0) if watching else -1
         document.read = self._next_read()
         limit = wait + self.state.spread.exchange + SHELL_SLACK
         document.overdue = now + limit
@@ -155,6 +156,9 @@
             return False
         document.read = None
         document.absent = event.absent
+        if event.absent:
+            document.backoff.succeed()
+            return True
         document.backoff.fail(now, event.retry_after)
         # The platform may come back with its revisions counted anew; a watch
         # for more than the old number would wait for ever. So read afresh.
--- a/sequoiaspoke/core/spread/startup.py
+++ b/sequoiaspoke/core/spread/startup.py
@@ -18,7 +18,6 @@
     from sequoiaspoke.core.spread.links import LinkTable
     from sequoiaspoke.core.spread.platform import PlatformReader
     from sequoiaspoke.core.spread.state import SpreadState
-    from sequoiaspoke.core.spread.strategy import Strategy
 
 # Times the wait after which parts of the newest version heard of, which still
 # have not come, no longer hold back an older one that is whole.
@@ -31,14 +30,9 @@
     """Holds back the first install until enough was heard."""
 
     def __init__(
-        self,
-        state: SpreadState,
-        links: LinkTable,
-        platform: PlatformReader,
-        strategy: Strategy,
+        self, state: SpreadState, links: LinkTable, platform: PlatformReader
     ) -> None:
         self.state = state
-        self.strategy = strategy
         self.links = links
         self.platform = platform
         self.heard: dict[str, bool] = {}
@@ -94,8 +88,6 @@
             return whole and (told > 0 or self.platform.answered)
         if not self.platform.answered or not self._newest_is_whole():
             return False
-        if not self.strategy.links:
-            return True
         others = sum(name != self.state.identity.name for name in self.state.vms.vms)
         return told >= min(spread.catch_up_peers, others) or self._all_heard(others)
 
--- a/sequoiaspoke/core/spread/strategy.py
+++ b/sequoiaspoke/core/spread/strategy.py
@@ -1,4 +1,8 @@
-"""How versions spread; one is used, the others are measured against it."""
+"""How versions spread; one is used, the others are measured against it.
+
+The way in which every node watches the platform needs no peers at all and is a
+source of its own, beside the one that runs this core.
+"""
 
 from __future__ import annotations
 
@@ -9,7 +13,6 @@
 
 if TYPE_CHECKING:
     from sequoiaspoke.core.snapshot.gate import Known
-    from sequoiaspoke.core.spread.duty import Duty
 
 # Changed parts that an announcement lists itself; a larger change is asked for.
 ANNOUNCED_PARTS = 16
@@ -28,13 +31,8 @@
 class Strategy(ABC):
     """What varies between the ways to spread versions."""
 
-    links = True
     reuses_parts = True
 
-    def watches(self, duty: Duty, now: float) -> bool:
-        """Return whether this node watches the platform."""
-        return duty.decide(now)
-
     @abstractmethod
     def announced(self, target: Known, base: Known | None) -> HeadDelta | None:
         """Return what an announcement says of the head itself."""
@@ -76,25 +74,8 @@
         return difference(target, None)
 
 
-class WatchAll(Strategy):
-    """Let every node watch the platform; no node speaks to another."""
-
-    links = False
-
-    def watches(self, duty: Duty, now: float) -> bool:
-        """Return that every node watches."""
-        del duty, now
-        return True
-
-    def announced(self, target: Known, base: Known | None) -> HeadDelta | None:
-        """Return nothing, since there are no peers to tell."""
-        del target, base
-        return None
-
-
 STRATEGIES: dict[str, type[Strategy]] = {
     "spread": RootThenParts,
     "flat-digests": FlatDigests,
     "whole-snapshots": WholeSnapshots,
-    "watch-all": WatchAll,
 }
--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -17,12 +17,13 @@
 from sequoiaspoke.node.home import Home, HomeHandler
 from sequoiaspoke.node.metrics import CallCounters, Metrics
 from sequoiaspoke.node.server import CallServer
+from sequoiaspoke.node.spreadloop import SpreadSource
 from sequoiaspoke.node.watchall import PlatformWatch
 
 if TYPE_CHECKING:
     import socket
 
-    from tornado.httpserver import HTTPServer
+    from tornado.tcpserver import TCPServer
 
     from sequoiaspoke.node.config import ConfigSource
     from sequoiaspoke.settings.schema import Settings
@@ -35,7 +36,7 @@
         self.settings = settings
         self.rng = random.Random()
         self.counters = CallCounters()
-        self.config: ConfigSource = PlatformWatch(settings, self.rng)
+        self.config = config_source(settings, self.rng)
         self.home = Home(settings, self.counters)
         self.entry = Entry(settings, self.config, self.home, self.counters, self.rng)
         self.callers = CallServer(self.entry, settings.limits)
@@ -49,7 +50,7 @@
     @property
     def ready(self) -> bool:
         """Return whether callers may be sent here."""
-        return self.config.current is not None and not self.draining
+        return self.config.verified and not self.draining
 
     async def start(self) -> None:
         """Listen, then follow the configuration.
@@ -60,11 +61,14 @@
             A port of the settings is taken.
         """
         node = self.settings.node
-        listeners = {
+        listeners: dict[str, tuple[TCPServer, str, int]] = {
             "call": (self.callers.server, node.address, node.call_port),
             "mesh": (self.mesh.server, node.address, node.mesh_port),
             "admin": (self.admin, node.admin_address, node.admin_port),
         }
+        if self.config.peer_server:
+            peer = (self.config.peer_server, node.address, node.peer_port)
+            listeners["peer"] = peer
         for name, (server, address, port) in listeners.items():
             self.ports[name] = listen(server, address, port)
         self.publish_metrics()
@@ -152,7 +156,14 @@
         }
 
 
-def listen(server: HTTPServer, address: str, port: int) -> int:
+def config_source(settings: Settings, rng: random.Random) -> ConfigSource:
+    """Return the way to the configuration that the settings choose."""
+    if settings.spread.strategy == "watch-all":
+        return PlatformWatch(settings, rng)
+    return SpreadSource(settings, rng)
+
+
+def listen(server: TCPServer, address: str, port: int) -> int:
     """Listen and return the port, which is a free one where 0 was asked.
 
     Raises
--- a/sequoiaspoke/node/config.py
+++ b/sequoiaspoke/node/config.py
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from tornado.tcpserver import TCPServer
+
     from sequoiaspoke.core.snapshot.model import Snapshot, VmList
 
 
@@ -51,6 +53,16 @@
     def vms(self) -> VmList:
         """Return the newest known list of VMs."""
 
+    @property
+    def verified(self) -> bool:
+        """Return whether the version in force may decide calls."""
+        return self.current is not None
+
+    @property
+    def peer_server(self) -> TCPServer | None:
+        """Return the server for other nodes' links, if there is one."""
+        return None
+
     @abstractmethod
     async def start(self) -> None:
         """Begin to follow the configuration."""
--- /dev/null
+++ b/sequoiaspoke/node/platformclient.py
@@ -0,0 +1,132 @@
+"""Reads and watches of the platform's documents over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from sequoiaspoke.errors import PlatformError
+
+if TYPE_CHECKING:
+    from tornado.httpclient import HTTPResponse
+
+    from sequoiaspoke.settings.schema import PlatformSettings
+
+BODY_LIMIT = 2 << 20  # the platform holds values up to a megabyte
+OPEN_READS = 64
+HEAD_BYTES = 250  # roughly what a request and the head of its answer take
+OK = 200
+UNCHANGED = 204
+NOT_FOUND = 404
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A document as the platform gave it; `body` is None where unchanged."""
+
+    revision: int
+    body: bytes | None
+
+
+class PlatformAbsentError(PlatformError):
+    """The platform has no such document."""
+
+    code = "platform-absent"
+
+
+class PlatformRefusedError(PlatformError):
+    """The platform asks to come back later."""
+
+    code = "platform-refused"
+
+    def __init__(self, detail: str, retry_after: float) -> None:
+        super().__init__(detail)
+        self.retry_after = retry_after
+
+
+class PlatformClient:
+    """Asks the platform; every exchange has a deadline.
+
+    A connection that goes silent is closed at the deadline, and the next
+    exchange opens a new one.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self.settings = settings
+        self.client = AsyncHTTPClient(
+            force_instance=True, max_clients=OPEN_READS, max_body_size=BODY_LIMIT
+        )
+        self.reads = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    async def read(self, document: str) -> Answer:
+        """Read a document.
+
+        Raises
+        ------
+        PlatformError
+            There is no usable answer in time.
+        """
+        path = f"documents/{quote(document)}"
+        return await self._get(path, self.settings.timeout)
+
+    async def watch(self, document: str, after: int, wait: float) -> Answer:
+        """Wait until a document has a later revision; see `read`."""
+        path = f"watch/{quote(document)}?after={after}&wait={wait:g}"
+        return await self._get(path, wait + self.settings.timeout)
+
+    async def _get(self, path: str, timeout: float) -> Answer:
+        request = HTTPRequest(
+            f"{self.settings.url.rstrip('/')}/v1/{path}",
+            connect_timeout=self.settings.timeout,
+            request_timeout=timeout,
+            follow_redirects=False,
+        )
+        self.reads += 1
+        self.bytes_sent += HEAD_BYTES
+        try:
+            response = await self._fetch(request)
+        except HTTPClientError as error:
+            raise _failure(path, error) from error
+        except (OSError, ValueError) as error:
+            raise PlatformError(f"{path}: {error!r}") from error
+        return self._answer(path, response)
+
+    async def _fetch(self, request: HTTPRequest) -> HTTPResponse:
+        # A watch that is no longer wanted is left to end by itself: the library
+        # has no way to give one up, and complains about a cancelled future.
+        fetching = asyncio.ensure_future(self.client.fetch(request))
+        fetching.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return await asyncio.shield(fetching)
+
+    def _answer(self, path: str, response: HTTPResponse) -> Answer:
+        self.bytes_received += HEAD_BYTES + len(response.body)
+        if response.code == UNCHANGED:
+            return Answer(-1, None)
+        try:
+            revision = int(response.headers.get("Revision", ""))
+        except ValueError as error:
+            raise PlatformError(f"{path}: no revision") from error
+        return Answer(revision, response.body)
+
+    def close(self) -> None:
+        """Give up every exchange."""
+        self.client.close()
+
+
+def _failure(path: str, error: HTTPClientError) -> PlatformError:
+    detail = f"{path}: {error}"
+    if error.code == NOT_FOUND:
+        return PlatformAbsentError(detail)
+    header = error.response.headers.get("Retry-After", "") if error.response else ""
+    if not header:
+        return PlatformError(detail)
+    try:
+        return PlatformRefusedError(detail, max(float(header), 0.0))
+    except ValueError:
+        return PlatformError(detail)
--- /dev/null
+++ b/sequoiaspoke/node/spreadloop.py
@@ -0,0 +1,216 @@
+"""Runs the spread core with real time, sockets and reads of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger as log
+from tornado.ioloop import PeriodicCallback
+
+from sequoiaspoke.core.snapshot.model import VmList
+from sequoiaspoke.core.spread import events
+from sequoiaspoke.core.spread.core import SpreadCore
+from sequoiaspoke.core.spread.state import Identity
+from sequoiaspoke.errors import PlatformError
+from sequoiaspoke.node.config import ConfigSource, SourceStatus
+from sequoiaspoke.node.peerlink import LinkListener, PeerLinks
+from sequoiaspoke.node.platformclient import (
+    PlatformAbsentError,
+    PlatformClient,
+    PlatformRefusedError,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from sequoiaspoke.core.spread.events import Action, Event
+    from sequoiaspoke.core.spread.messages import Message
+    from sequoiaspoke.settings.schema import Settings
+
+TICK = 0.25  # seconds between looks at what is due
+INCARNATION_BITS = 48
+
+
+def now() -> float:
+    """Return seconds that also pass while the VM itself is suspended."""
+    # The loop's own clock stands still with the VM: a node that was moved to
+    # another host for a minute would wake up without noticing.
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class SpreadSource(ConfigSource, LinkListener):
+    """Gets versions from a few watchers and from peers."""
+
+    def __init__(self, settings: Settings, rng: random.Random) -> None:
+        super().__init__()
+        node = settings.node
+        incarnation = rng.getrandbits(INCARNATION_BITS)
+        identity = Identity(node.name, node.zone, incarnation)
+        self.settings = settings
+        self.core = SpreadCore(settings, identity, rng)
+        self.holder = self.core.holder
+        self.links = PeerLinks(self)
+        self.platform = PlatformClient(settings.platform)
+        self.reads: dict[int, asyncio.Task[None]] = {}
+        self.ticker = PeriodicCallback(self.tick, TICK * 1000)
+        self.carriers: dict[type, Callable[[Any], None]] = {
+            events.ReadPlatform: self.read,
+            events.CancelRead: self.cancel,
+            events.OpenLink: self.open,
+            events.CloseLink: self.close,
+            events.Send: self.send,
+            events.Installed: self.installed,
+            events.Refused: self.refused,
+            events.VmsChanged: self.vms_changed,
+        }
+        self.stopped = False
+
+    @property
+    def vms(self) -> VmList:
+        """Return the newest known list of VMs."""
+        view = self.core.state.vms
+        return VmList(view.revision, tuple(view.vms.values()))
+
+    @property
+    def verified(self) -> bool:
+        """Return whether the version in force may decide calls."""
+        return self.core.verified
+
+    @property
+    def peer_server(self) -> PeerLinks:
+        """Return the server for other nodes' links."""
+        return self.links
+
+    async def start(self) -> None:
+        """Begin to follow the configuration."""
+        self.ticker.start()
+        self.tick()
+
+    async def stop(self) -> None:
+        """End every exchange."""
+        self.stopped = True
+        self.ticker.stop()
+        tasks = list(self.reads.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.platform.close()
+        await self.links.close()
+
+    def tick(self) -> None:
+        """Let the core do what is due."""
+        self.carry_out(self.core.tick(now()))
+
+    def happened(self, event: Event) -> None:
+        """Hand an event to the core."""
+        if not self.stopped:
+            self.carry_out(self.core.handle(event, now()))
+
+    def carry_out(self, actions: list[Action]) -> None:
+        """Do what the core decided."""
+        for action in actions:
+            self.carriers[type(action)](action)
+
+    def link_up(self, number: int) -> None:
+        """Take a connection that stands."""
+        self.happened(events.LinkUp(number))
+
+    def link_down(self, number: int) -> None:
+        """Take the end of a connection."""
+        self.happened(events.LinkDown(number))
+
+    def received(self, link: int, number: int, message: Message) -> None:
+        """Take a message."""
+        self.happened(events.Received(link, number, message))
+
+    def read(self, action: events.ReadPlatform) -> None:
+        """Start a read or watch."""
+        task = asyncio.get_running_loop().create_task(self._read(action))
+        self.reads[action.read] = task
+
+    async def _read(self, action: events.ReadPlatform) -> None:
+        event = await self._ask(action)
+        self.reads.pop(action.read, None)
+        self.happened(event)
+
+    async def _ask(self, action: events.ReadPlatform) -> Event:
+        read, document = action.read, action.document
+        try:
+            if action.wait:
+                answer = await self.platform.watch(document, action.after, action.wait)
+            else:
+                answer = await self.platform.read(document)
+        except PlatformAbsentError:
+            return events.PlatformFailed(read, document, absent=True)
+        except PlatformRefusedError as error:
+            return events.PlatformFailed(read, document, retry_after=error.retry_after)
+        except PlatformError as error:
+            log.debug("platform-read-failed", document=document, reason=str(error))
+            return events.PlatformFailed(read, document)
+        if answer.body is None:
+            return events.PlatformUnchanged(read, document)
+        return events.PlatformAnswered(read, document, answer.revision, answer.body)
+
+    def cancel(self, action: events.CancelRead) -> None:
+        """Give up a read."""
+        task = self.reads.pop(action.read, None)
+        if task:
+            task.cancel()
+
+    def open(self, action: events.OpenLink) -> None:
+        """Connect to a node."""
+        self.links.connect(action.link, action.address, action.port)
+
+    def close(self, action: events.CloseLink) -> None:
+        """Close a connection."""
+        self.links.close_link(action.link)
+
+    def send(self, action: events.Send) -> None:
+        """Send a message."""
+        self.links.send(action.link, action.number, action.message)
+
+    def installed(self, action: events.Installed) -> None:
+        """Note a version that came into force."""
+        self.holder.installed_at = time.time()
+        log.info(
+            "version-installed", version=action.snapshot.version, source=action.source
+        )
+
+    def refused(self, action: events.Refused) -> None:
+        """Note a version that failed validation."""
+        log.warning(
+            "version-refused",
+            version=action.version,
+            source=action.source,
+            reason=action.reason,
+        )
+
+    def vms_changed(self, action: events.VmsChanged) -> None:
+        """Note a newer VM list."""
+        log.info("vms-changed", revision=action.revision, vms=len(action.vms))
+
+    def status(self) -> SourceStatus:
+        """Return what operators want to see."""
+        core = self.core
+        source = self.holder.sources.get(self.holder.version, "")
+        return SourceStatus(
+            self.settings.spread.strategy,
+            source,
+            self.links.bytes_sent + self.platform.bytes_sent,
+            self.links.bytes_received + self.platform.bytes_received,
+            self.platform.reads,
+            self.verified,
+            {
+                "watching": core.platform.on_duty,
+                "rank": core.state.vms.rank(),
+                "links": sorted(link.peer for link in core.links.live()),
+                "vms_revision": core.state.vms.revision,
+                "catching_up": not core.catch_up.done,
+                "parts_bytes": self.holder.store.size(),
+                "events": dict(core.state.counters),
+                "link_events": dict(self.links.counters),
+            },
+        )
