Tell the platform's calls of each recent second

Cause: a measurement must show the peak of a herd's return, not only a mean. Change: the stand-in's report lists the calls of the last 60 seconds; the directory's log lines follow the program's form. Conclusion: peaks around a fault can be told apart from those at the start.

--- a/sequoiaspoke/standins/directory.py
+++ b/sequoiaspoke/standins/directory.py
@@ -35,11 +35,9 @@
         try:
             self.platform.publish(changed)
         except ValueTooLargeError as error:
-            log.error(
-                "event=publish-failed code={} detail={!r}", error.code, str(error)
-            )
+            log.error("publish-failed", code=error.code, reason=str(error))
         else:
-            log.info("event=published documents={}", len(changed))
+            log.info("published", documents=len(changed))
         self.published = found
 
     def read(self) -> dict[str, bytes]:
--- a/sequoiaspoke/standins/platform.py
+++ b/sequoiaspoke/standins/platform.py
@@ -127,6 +127,7 @@
             "failed": calls.failed,
             "bytes_sent": calls.bytes_sent,
             "peak_per_second": calls.peak,
+            "recent_per_second": calls.recent(asyncio.get_running_loop().time()),
             "revisions": revisions,
         }
 
--- a/sequoiaspoke/standins/rate.py
+++ b/sequoiaspoke/standins/rate.py
@@ -6,6 +6,7 @@
 
 WINDOW = 1.0  # seconds
 KEPT_SECONDS = 3600  # of the counts per second
+RECENT_SECONDS = 60  # of them in a report
 
 
 class RateLimit:
@@ -57,3 +58,9 @@
     def peak(self) -> int:
         """Return the most calls of any second, those refused included."""
         return max(self.by_second.values(), default=0)
+
+    def recent(self, now: float) -> list[int]:
+        """Return the calls of each of the last seconds, the newest last."""
+        newest = int(now)
+        span = range(newest - RECENT_SECONDS + 1, newest + 1)
+        return [self.by_second[second] for second in span]
