Measure the spread of versions with real processes

Cause: convergence and control bytes are the product's two figures, and they hold only for real processes over sockets. Zones cannot be cut off on one loopback; that stays with the tests of the spread. Conclusion: baselines and the spread can be compared by one command.

--- a/sequoiaspoke/__main__.py
+++ b/sequoiaspoke/__main__.py
@@ -27,6 +27,7 @@
     "demo": "demo:demo",
     "status": "status:status",
     "version-of": "versionof:version_of",
+    "measure": "measure",
 }
 
 
--- /dev/null
+++ b/sequoiaspoke/commands/measure.py
@@ -0,0 +1,75 @@
+"""`sequoiaspoke measure`: figures from real processes on loopback.
+
+The measuring command starts processes, which a node never does: it is a tool
+outside the mesh and plays the many VMs of a fleet on one machine.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import signal
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+
+def spread(
+    *,
+    nodes: int = 12,
+    changes: int = 10,
+    interval: float = 3.0,
+    idle: float = 10.0,
+    fault: str = "none",
+    strategy: str = "",
+    services: int = 4,
+    endpoints: int = 13,
+) -> None:
+    """Measure convergence and control cost; the last line is JSON.
+
+    Parameters
+    ----------
+    nodes : int
+        Nodes, spread over three zones.
+    changes : int
+        Versions to publish.
+    interval : float
+        Seconds from one version to the next.
+    idle : float
+        Seconds without a change that are measured first.
+    fault : str
+        none, platform-outage, half-die or pause.
+    strategy : str
+        How versions spread; empty for the nodes' default.
+    services : int
+        Services of the configuration.
+    endpoints : int
+        Endpoints of all services together.
+    """
+    from sequoiaspoke.measure.plan import FleetPlan
+    from sequoiaspoke.measure.spread import SpreadPlan, measure_spread
+
+    fleet = FleetPlan(nodes, services, endpoints, strategy)
+    plan = SpreadPlan(fleet, changes, interval, idle, fault)
+    report = run_measurement(measure_spread(plan))
+    print(json.dumps(dataclasses.asdict(report)))
+
+
+def run_measurement(measurement: Coroutine[Any, Any, Any]) -> Any:
+    """Run a measurement; a signal ends its processes too."""
+    return asyncio.run(cancelled_by_signal(measurement))
+
+
+async def cancelled_by_signal(measurement: Coroutine[Any, Any, Any]) -> Any:
+    """Await a measurement, cancelling it on SIGTERM.
+
+    Without this the processes of the measurement would outlive it.
+    """
+    task = asyncio.ensure_future(measurement)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
+
+
+COMMANDS = {"spread": spread}
--- a/sequoiaspoke/errors.py
+++ b/sequoiaspoke/errors.py
@@ -281,6 +281,13 @@
         self.ran = ran  # type: ignore[misc]
 
 
+class MeasureError(SequoiaspokeError):
+    """A measurement cannot be made as asked."""
+
+    code = "measure-failed"
+    exit_code = 8
+
+
 class ValueTooLargeError(SequoiaspokeError):
     """A document is larger than the platform holds."""
 
--- /dev/null
+++ b/sequoiaspoke/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with real processes on loopback; no part of the mesh."""
