--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python -m
 WORKERS ?= auto
 
-.PHONY: demo test lint format golden thrift docs reference dist dist-check
+.PHONY: demo test lint format golden property thrift docs reference dist dist-check
 
 $(VENV)/.ready: requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -17,6 +17,9 @@
 test: $(VENV)/.ready
 	$(RUN) pytest -n $(WORKERS)
 
+property: $(VENV)/.ready
+	SPREAD_EXAMPLES=2000 $(RUN) pytest -n $(WORKERS) sequoiaspoke/tests/test_spread_property.py
+
 thrift:
 	rm -rf sequoiaspoke/wire/gen
 	thrift --gen py:slots -out sequoiaspoke/wire sequoiaspoke/wire/sequoiaspoke.thrift
