Hold a call at the upstream's stand-in until it is released

Cause: a test that kills a node while a call runs would hang on a guess of how long the call takes. Change: a call with the header Standin-Hold runs until the control port says release.

--- a/sequoiaspoke/standins/platform.py
+++ b/sequoiaspoke/standins/platform.py
@@ -239,7 +239,9 @@
         self.standin.calls.waiting += 1
         try:
             await asyncio.wait(
-                [waiter, self.gone], timeout=seconds, return_when="FIRST_COMPLETED"
+                [waiter, self.gone],
+                timeout=seconds,
+                return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
             self.standin.waiters.discard(waiter)
--- a/sequoiaspoke/standins/slots.py
+++ b/sequoiaspoke/standins/slots.py
@@ -34,7 +34,9 @@
             return True
         turn = asyncio.get_running_loop().create_future()
         self.waiting.append(turn)
-        await asyncio.wait([turn, gone], timeout=seconds, return_when="FIRST_COMPLETED")
+        await asyncio.wait(
+            [turn, gone], timeout=seconds, return_when=asyncio.FIRST_COMPLETED
+        )
         if turn.done():
             return True
         self.waiting.remove(turn)
--- a/sequoiaspoke/standins/upstream.py
+++ b/sequoiaspoke/standins/upstream.py
@@ -82,6 +82,7 @@
         self.counts = UpstreamCounts()
         self.draining = False
         self.started_at = 0.0
+        self.released: asyncio.Future[None] | None = None
         self.told: LoadReport | None = None
         self.told_at = 0.0
 
@@ -94,6 +95,16 @@
         """Listen, and be cold from now on."""
         super().start()
         self.started_at = asyncio.get_running_loop().time()
+        self.hold()
+
+    def hold(self) -> None:
+        """Let calls that ask for it run until they are released."""
+        self.released = asyncio.get_running_loop().create_future()
+
+    def release(self) -> None:
+        """Let the calls that are held finish, and later ones not wait."""
+        if not self.released.done():
+            self.released.set_result(None)
 
     def drain(self) -> None:
         """Take no new work; what runs is finished."""
@@ -180,4 +191,10 @@
 
     def actions(self) -> dict[str, Callable[[], None]]:
         """Return what the control page can order."""
-        return {"drain": self.drain, "resume": self.resume, "silence": self.silence}
+        return {
+            "drain": self.drain,
+            "resume": self.resume,
+            "silence": self.silence,
+            "hold": self.hold,
+            "release": self.release,
+        }
--- a/sequoiaspoke/standins/upstreamhttp.py
+++ b/sequoiaspoke/standins/upstreamhttp.py
@@ -24,6 +24,7 @@
 KEY_HEADER = "Idempotency-Key"
 FAULT_HEADER = "Standin-Fault"
 SERVICE_HEADER = "Standin-Service-Ms"
+HOLD_HEADER = "Standin-Hold"
 READ_DELAY_HEADER = "Standin-Read-Delay-Ms"
 PIECE = bytes(range(256)) * 256  # 64 KiB, what large answers are made of
 MAX_BYTES = 1 << 40
@@ -155,6 +156,8 @@
             self.refuse(504, "deadline-before-run", Ran.NOT_RUN)
             return
         run = standin.count_run(self.request.headers.get(KEY_HEADER, ""))
+        if HOLD_HEADER in self.request.headers:
+            await self.hold()
         needed = standin.service_time(self.number(SERVICE_HEADER))
         left = self.remaining()
         if not await self.pause(needed if left is None else min(needed, left)):
@@ -167,6 +170,14 @@
         standin.counts.completed += 1
         await self.answer(run)
 
+    async def hold(self) -> None:
+        """Run on until released, cancelled or late."""
+        await asyncio.wait(
+            [self.standin.released, self.gone],
+            timeout=self.remaining(),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+
     async def answer(self, run: int) -> None:
         """Send what was received, unless the answer is to fail."""
         if (
