--- a/Makefile
+++ b/Makefile
@@ -47,3 +47,6 @@
 
 reference: $(VENV)/.ready
 	$(VENV)/bin/python tools/reference.py
+
+fuzz: $(VENV)/.ready
+	FUZZ_EXAMPLES=$(or $(EXAMPLES),20000) $(RUN) pytest -n $(WORKERS) sequoiaspoke/tests/test_fuzz.py
--- a/sequoiaspoke/ini.py
+++ b/sequoiaspoke/ini.py
@@ -61,6 +61,8 @@
 
 
 def _form_problems(error: configparser.Error, file: str) -> tuple[Problem, ...]:
+    if isinstance(error, configparser.MissingSectionHeaderError):
+        return (Problem(f"not in a section: {error.line!r}", file, error.lineno),)
     if isinstance(error, configparser.ParsingError) and error.errors:
         return tuple(
             Problem(f"not a key or section: {text}", file, line)
