--- a/sequoiaspoke/commands/render.py
+++ b/sequoiaspoke/commands/render.py
@@ -8,10 +8,13 @@
 
 from sequoiaspoke.commands.declarations import check_declarations
 from sequoiaspoke.core.snapshot.publish import Publication, make_publication
+from sequoiaspoke.errors import RequestTextError
 
 if TYPE_CHECKING:
     from sequoiaspoke.core.rules.parse import Declarations
 
+MAX_VERSION = 2**63 - 1  # what nodes tell each other has 64 bits
+
 
 def render(directory: str, out: str, *, version: int) -> None:
     """Write the documents of a version into a directory.
@@ -23,6 +26,8 @@
     :param out: directory to write to; made where missing
     :param version: number of the version, higher than any published before
     """
+    if not 1 <= version <= MAX_VERSION:
+        raise RequestTextError(f"found version {version}; allowed: 1 to {MAX_VERSION}")
     declarations, warnings = check_declarations(directory)
     for warning in warnings:
         print(warning)
--- a/sequoiaspoke/tests/test_commands.py
+++ b/sequoiaspoke/tests/test_commands.py
@@ -66,6 +66,11 @@
             self.assertEqual(0, status)
             assert_golden(self, f"render-{name}.txt", text + self.readable(Path(out)))
 
+    def test_a_version_that_nodes_cannot_tell_each_other_is_refused(self):
+        for number in ("0", "-3", str(2**63)):
+            status, _ = run("render", "examples/abay", "unused", "--version", number)
+            self.assertEqual(2, status)
+
     def readable(self, out):
         """Return the documents' content, one JSON value a line."""
         head = decode_head((out / "head").read_bytes())
