Measure and test a stale platform at a start and silent connections

Cause: a node that starts beside a stale platform could bring old rules back, and watches that go silent for good delay a change; neither had a figure. Change: faults stale-start and silent-platform of 'measure spread', and a test with real processes that a fresh node begins with the newest version.

--- a/sequoiaspoke/commands/measure.py
+++ b/sequoiaspoke/commands/measure.py
@@ -40,7 +40,8 @@
     idle : float
         Seconds without a change that are measured first.
     fault : str
-        none, platform-outage, half-die or pause.
+        none, platform-outage, half-die, pause, stale-start or
+        silent-platform.
     strategy : str
         How versions spread; empty for the nodes' default.
     services : int
--- a/sequoiaspoke/measure/faults.py
+++ b/sequoiaspoke/measure/faults.py
@@ -106,8 +106,43 @@
         return await self.catch_up(bench, change.version, since, paused)
 
 
+class StaleStart(Fault):
+    """Half the nodes die and start again while the platform is stale."""
+
+    name = "stale-start"
+
+    async def run(self, bench: Bench) -> list[float]:
+        """Count from the start; only other nodes hold the newest version."""
+        await bench.control.order("keep")
+        change = await bench.publish()
+        await bench.behind(change.version, LONGEST_SECONDS)
+        await bench.control.fault("stale=yes")
+        dead = set(sorted(bench.nodes)[::2])
+        for name in dead:
+            bench.nodes[name].kill()
+        since = time.time()
+        for name in dead:
+            bench.start_node(bench.vms[name])
+        caught_up = await self.catch_up(bench, change.version, since, dead)
+        await bench.control.fault("stale=no")
+        return caught_up
+
+
+class SilentPlatform(Fault):
+    """Every open connection to the platform goes silent for good."""
+
+    name = "silent-platform"
+
+    async def run(self, bench: Bench) -> list[float]:
+        """Count from the change, which only new connections can tell."""
+        await bench.control.order("silence")
+        change = await bench.publish()
+        return await self.catch_up(bench, change.version, change.accepted_at)
+
+
 NONE = "none"
-FAULTS = {fault.name: fault for fault in (PlatformOutage, HalfDie, Pause)}
+KINDS = (PlatformOutage, HalfDie, Pause, StaleStart, SilentPlatform)
+FAULTS = {fault.name: fault for fault in KINDS}
 
 
 def make_fault(name: str) -> Fault | None:
--- a/sequoiaspoke/tests/test_processes.py
+++ b/sequoiaspoke/tests/test_processes.py
@@ -43,9 +43,10 @@
 
 
 class ProcessTestCase(TestCase):
-    def run_with(self, plan, test):
+    def run_with(self, plan, test, node_settings=""):
         async def body():
-            async with asyncio.timeout(4 * PATIENCE), Bench(plan) as bench:
+            limit = asyncio.timeout(4 * PATIENCE)
+            async with limit, Bench(plan, node_settings) as bench:
                 vms = bench.plan.vms()
                 for vm in vms[: plan.endpoints]:
                     await bench.start_upstream(vm)
@@ -202,3 +203,28 @@
             self.assertEqual(0, bench.went_back)
 
         self.run_with(FleetPlan(3, 1, 1), test)
+
+
+class FreshNodeTests(ProcessTestCase):
+    def test_a_node_that_starts_beside_a_stale_platform_begins_with_the_newest(self):
+        """A VM is replaced, so its node starts with nothing.
+
+        The platform answers with an older moment for a long time. A node that
+        served from that would bring old rules back for its callers.
+        """
+
+        async def test(bench, vms):
+            await bench.control.order("keep")
+            newest = await bench.publish()
+            self.assertEqual(set(), await bench.behind(newest.version, PATIENCE))
+            await bench.control.fault("stale=yes")
+            bench.nodes[vms[0].name].kill()
+            bench.start_node(vms[0])
+            await bench.behind(1, PATIENCE, {vms[0].name})
+            status = await self.status(bench, vms[0])
+            self.assertEqual(newest.version, status.version)
+
+        # Peers may be slow to answer on a busy machine; the wait is generous so
+        # that the verdict is about the decision and not about the machine.
+        settings = f"[spread]\ncatch_up_wait = {PATIENCE}\n"
+        self.run_with(FleetPlan(4, 1, 1), test, settings)
