--- a/sequoiaspoke/commands/measure.py
+++ b/sequoiaspoke/commands/measure.py
@@ -58,6 +58,26 @@
     print(json.dumps(dataclasses.asdict(report)))
 
 
+def load(
+    *, scenario: str = "saturation-5x", policy: str = "sequoiaspoke", seed: int = 1
+) -> None:
+    """Play load on a virtual clock and print what callers got, a JSON line a run.
+
+    Parameters
+    ----------
+    scenario : str
+        Name of the load pattern, or all; a wrong name lists them.
+    policy : str
+        sequoiaspoke, the name of a baseline, or all.
+    seed : int
+        Seed of everything random.
+    """
+    from sequoiaspoke.measure.load import measure_all
+
+    for figures in measure_all(scenario, policy, seed):
+        print(json.dumps(figures))
+
+
 def run_measurement(measurement: Coroutine[Any, Any, Any]) -> Any:
     """Run a measurement; a signal ends its processes too."""
     return asyncio.run(cancelled_by_signal(measurement))
@@ -73,4 +93,4 @@
     return await task
 
 
-COMMANDS = {"spread": spread}
+COMMANDS = {"spread": spread, "load": load}
