Leave a zone that answers slowly; tell refusals before deadlines

A zone's one sick target is late but not busy, so spilling by use alone left all of the zone's calls with it. Calls now also leave in proportion to its latency over the other zones', and one in a hundred scouts. A waiting call is given up on early enough for its refusal to arrive before the entry's own deadline, else the caller heard "outcome unknown" of a call that never ran. The node's health view, new slots and the mark of a call retried before are added for the node to use.

--- a/sequoiaspoke/core/admission/admission.py
+++ b/sequoiaspoke/core/admission/admission.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.admission.durations import Durations
+from sequoiaspoke.core.admission.health import UpstreamHealth
 from sequoiaspoke.core.admission.lanes import Lanes
 from sequoiaspoke.core.admission.limit import UNBOUNDED, make_limit
 from sequoiaspoke.core.admission.model import (
@@ -75,13 +76,15 @@
         self.long_running = 0
         self.reserved = 0
         self.draining = False
-        self.state = UpstreamState.READY
+        self.health = UpstreamHealth(settings)
         self.refused: Counter[RefusalReason] = Counter()
 
     def arrive(self, call: Arrival, now: float) -> list[Verdict]:
         """Decide on a new call; the verdicts may concern others, too."""
         if self.draining:
             return [self.refuse((call, RefusalReason.DRAINING))]
+        if call.deadline <= now:
+            return [self.refuse((call, RefusalReason.DEADLINE_TOO_CLOSE))]
         self.lanes.arrived(call.kind, now)
         if not len(self.queue) and self.has_slot(call, now):
             return [self.start(call, now)]
@@ -99,6 +102,8 @@
 
         Parameters
         ----------
+        outcome : Outcome
+            `FAILED` means that no connection could be opened.
         latency : float
             Seconds from hand-over to the head of the answer.
         """
@@ -110,9 +115,12 @@
         arrival = running.arrival
         self.shares.charge(arrival, held - running.charged)
         if outcome is Outcome.ANSWERED:
+            self.health.answered(now)
             self.durations.add(arrival.kind, held)
             self.lanes.finished(arrival.kind, held, now)
             self.limit.answered(arrival.kind, latency, running.beside, now)
+        elif outcome is Outcome.FAILED:
+            self.health.connection_refused()
         elif outcome is Outcome.REFUSED:
             self.limit.shed(running.beside, now)
         return self.tick(now)
@@ -129,16 +137,18 @@
     def drain(self) -> None:
         """Take no new calls; those that wait or run finish."""
         self.draining = True
-        self.state = UpstreamState.LEAVING
 
-    def report(self) -> LoadReport:
+    def report(self, now: float) -> LoadReport:
         """Return the load to tell other nodes."""
         limit = self.limit.current()
+        state = self.health.state(now)
+        if self.draining:
+            state = UpstreamState.LEAVING
         return LoadReport(
             len(self.running) + self.reserved,
             len(self.queue),
             0 if limit == UNBOUNDED else limit,
-            self.state,
+            state,
         )
 
     def free(self) -> int:
--- a/sequoiaspoke/core/admission/durations.py
+++ b/sequoiaspoke/core/admission/durations.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 WEIGHT = 0.1  # of the newest call; ten calls outweigh all before
+DOUBT = 0.01  # a hundred refusals take a duration to a third
 KINDS = 256  # remembered at most, so that odd kinds don't fill the memory
 SHORT_PART = 0.1  # of the calls whose durations define what is short
 
@@ -75,6 +76,17 @@
         known = self.kinds.get(kind, self.all)
         return known.mean + known.deviation
 
+    def doubt(self, kind: str) -> None:
+        """Lower a kind's duration a little, since it turned a call away.
+
+        Calls that are turned away bring no new measurement. A kind that was
+        slow once would be refused for as long as there is a queue.
+        """
+        known = self.kinds.get(kind)
+        if known:
+            known.mean *= 1 - DOUBT
+            known.deviation *= 1 - DOUBT
+
     def is_long(self, kind: str, factor: float) -> bool:
         """Return whether a kind lasts a multiple of the short ones.
 
--- a/sequoiaspoke/core/admission/limit.py
+++ b/sequoiaspoke/core/admission/limit.py
@@ -35,6 +35,10 @@
         self.settings = settings
         self.slots = max(1, slots)
 
+    def resize(self, slots: int) -> None:
+        """Take over the slots of a new version."""
+        self.slots = max(1, slots)
+
     @abstractmethod
     def current(self) -> int:
         """Return how many calls may run at once now."""
@@ -95,6 +99,12 @@
         self.before = self.value
         self.grown = False
 
+    def resize(self, slots: int) -> None:
+        """Take over the slots of a new version; what was learnt stays."""
+        super().resize(slots)
+        self.least = max(1.0, self.settings.least_share * self.slots)
+        self.value = min(max(self.value, self.least), float(self.slots))
+
     def current(self) -> int:
         """Return the learnt limit, or half of it while calibrating."""
         value = self.value / 2 if self.calibrating else self.value
--- a/sequoiaspoke/core/admission/model.py
+++ b/sequoiaspoke/core/admission/model.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import Enum
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.rules.model import Priority
@@ -37,7 +37,7 @@
     arrived: float = 0.0
 
 
-class RefusalReason(Enum):
+class RefusalReason(StrEnum):
     """Why a call was turned away; each has a counter."""
 
     QUEUE_FULL = "queue-full"
--- a/sequoiaspoke/core/admission/queue.py
+++ b/sequoiaspoke/core/admission/queue.py
@@ -34,6 +34,8 @@
 
 SHARES = {Priority.URGENT: 8, Priority.ORDINARY: 4, Priority.PATIENT: 1}
 
+TELLING_SECONDS = 0.03  # a look at the queue every 20 ms, and the way back
+
 Given = tuple["Arrival", RefusalReason]
 
 
@@ -157,7 +159,6 @@
             Priority.ORDINARY: Waiting(settings.ordinary_wait),
             Priority.PATIENT: Waiting(settings.patient_wait),
         }
-        self.look_again_at = float("inf")
 
     def __len__(self) -> int:
         """Return how many wait."""
@@ -175,7 +176,6 @@
         if reason:
             return [*given, (call, reason)]
         waiting.calls[call.call] = call
-        self.look_again_at = min(self.look_again_at, self.end(call))
         if len(waiting.calls) > self.settings.queue_calls:
             given.append(self.evict(waiting, now))
         return given
@@ -191,6 +191,7 @@
         """Return why a call should not even wait."""
         wait = 0.0 if waiting.overloaded(now) else self.ahead(call, waiting) / rate
         if now + wait + self.durations.likely(call.kind) > call.deadline:
+            self.durations.doubt(call.kind)
             return RefusalReason.DEADLINE_TOO_CLOSE
         if wait > waiting.wait:
             return RefusalReason.WAIT_TOO_LONG
@@ -254,19 +255,18 @@
 
     def end(self, call: Arrival) -> float:
         """Return until when a call may wait."""
-        latest = call.deadline - self.durations.expected(call.kind)
+        # The refusal must reach the entry before its own deadline, else the
+        # caller hears "outcome unknown" of a call that was never run.
+        needed = max(self.durations.expected(call.kind), TELLING_SECONDS)
+        latest = call.deadline - needed
         return min(latest, call.arrived + self.waiting[call.priority].wait)
 
     def expire(self, now: float) -> list[Given]:
         """Take out the calls that waited too long or are too late to answer."""
-        if now < self.look_again_at:
-            return []
         given = []
-        self.look_again_at = float("inf")
         for waiting in self.waiting.values():
             for call in list(waiting.calls.values()):
                 if self.end(call) > now:
-                    self.look_again_at = min(self.look_again_at, self.end(call))
                     continue
                 del waiting.calls[call.call]
                 waited = now - call.arrived >= waiting.wait
--- a/sequoiaspoke/core/admission/settings.py
+++ b/sequoiaspoke/core/admission/settings.py
@@ -71,6 +71,12 @@
         1.1,
         1000,
     )
+    warm_up: float = option(
+        3.0,
+        "Seconds after its first answer for which the upstream is called cold.",
+        0,
+        600,
+    )
     long_memory: float = option(
         10.0, "Seconds after the last short call for which slots are kept.", 0, 600
     )
--- a/sequoiaspoke/core/routing/balancer.py
+++ b/sequoiaspoke/core/routing/balancer.py
@@ -8,7 +8,10 @@
 
 The own zone goes first, since another one costs 1 ms and may be cut off. Calls
 leave it in proportion to its use between two thresholds: a fixed point would
-swing whole zones of traffic back and forth as the use crosses it.
+swing whole zones of traffic back and forth as the use crosses it. They also
+leave it as it answers more slowly than the others, up to nine in ten: a zone
+with one sick target is not busy, its calls are just late. One call in a hundred
+goes to another zone in any case, which is what makes the comparison possible.
 """
 
 from __future__ import annotations
@@ -40,6 +43,9 @@
 
 FAILURES = frozenset({Outcome.FAILED, Outcome.TIMED_OUT})
 NO_TARGET_RETRY_AFTER = 1.0  # VM lists and probes change the answer within that
+SCOUTS = 0.01  # part of the calls that leave a healthy zone
+SLOW_START, SLOW_FULL = 1.5, 4.0  # latency as a multiple of the other zones'
+MOST_FOR_SLOWNESS = 0.9  # the rest shows when the zone is well again
 REDRAWS = 8  # tries to draw a target in proportion to its slow start
 
 
@@ -242,7 +248,7 @@
         far = [each for each in endpoints if each.zone != self.zone]
         if not near:
             return Choice(self.better(far, use, now), ChoiceReason.OTHER_ZONE)
-        if far and self.spills(near, far, use):
+        if far and self.spills(near, far, use, now):
             return Choice(self.better(far, use, now), ChoiceReason.SPILLED)
         return Choice(self.better(near, use, now), ChoiceReason.ZONE)
 
@@ -251,15 +257,19 @@
         near: Sequence[Endpoint],
         far: Sequence[Endpoint],
         use: dict[str, float],
+        now: float,
     ) -> bool:
         """Return whether this call leaves the zone."""
         here = sum(use[each.target] for each in near) / len(near)
         there = sum(use[each.target] for each in far) / len(far)
-        if there >= here:
-            return False
         start, full = self.settings.spill_start, self.settings.spill_full
-        width = max(full - start, 1e-9)
-        return self.rng.random() < (here - start) / width
+        part = SCOUTS
+        if there < here:
+            part = max(part, ramp(here, start, full))
+        if there < full:
+            ratio = self.load.ratio(near, far, now)
+            part = max(part, MOST_FOR_SLOWNESS * ramp(ratio, SLOW_START, SLOW_FULL))
+        return self.rng.random() < part
 
     def better(
         self, endpoints: Sequence[Endpoint], use: dict[str, float], now: float
@@ -310,6 +320,11 @@
         return Choice(order[0], ChoiceReason.STICKY)
 
 
+def ramp(value: float, start: float, full: float) -> float:
+    """Return how far a value is from a start to a full level, from 0 to 1."""
+    return min(1.0, max(0.0, (value - start) / max(full - start, 1e-9)))
+
+
 POLICIES = {"power-of-two": PowerOfTwo, "round-robin": RoundRobin}
 
 
--- a/sequoiaspoke/core/routing/load.py
+++ b/sequoiaspoke/core/routing/load.py
@@ -32,6 +32,7 @@
 TRUST = 0.5  # in a report that has just come
 LATENCY_WEIGHT = 0.1  # of the newest answer, at least
 LATENCY_HALF_LIFE = 1.0  # seconds
+LATENCY_MEMORY = 60.0  # seconds for which zones are compared by it
 FASTEST, SLOWEST = 0.5, 4.0  # multiples of the mean latency that count
 
 
@@ -128,6 +129,26 @@
             slowness[name] += (ratio - 1) * fresh
         return slowness
 
+    def ratio(
+        self, near: Sequence[Endpoint], far: Sequence[Endpoint], now: float
+    ) -> float:
+        """Return how many times slower one group of targets answers than another.
+
+        It is 1 while nothing is known of either.
+        """
+        means = []
+        for group in (near, far):
+            loads = [self.of(each.target) for each in group]
+            known = [
+                load.latency
+                for load in loads
+                if now - load.answered_at < LATENCY_MEMORY
+            ]
+            if not known:
+                return 1.0
+            means.append(sum(known) / len(known))
+        return means[0] / max(means[1], 1e-6)
+
     def use(self, endpoint: Endpoint, others: float, now: float) -> float:
         """Return the calls at a target as a part of what it runs at once."""
         load = self.of(endpoint.target)
--- a/sequoiaspoke/core/routing/model.py
+++ b/sequoiaspoke/core/routing/model.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import Enum
+from enum import Enum, StrEnum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -20,7 +20,7 @@
     CANCELLED = "cancelled"  # the caller went away
 
 
-class UpstreamState(Enum):
+class UpstreamState(StrEnum):
     """What a node says of its own upstream."""
 
     READY = "ready"
@@ -47,7 +47,7 @@
     may_probe: bool = False  # idempotent and with an attempt to spare
 
 
-class ChoiceReason(Enum):
+class ChoiceReason(StrEnum):
     """Why a target was chosen; each has a counter."""
 
     ZONE = "own-zone"
--- a/sequoiaspoke/core/routing/retry.py
+++ b/sequoiaspoke/core/routing/retry.py
@@ -16,7 +16,7 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from enum import Enum
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.errors import (
@@ -50,7 +50,7 @@
 FOR_LOAD = (OverloadedError, UpstreamShedError)
 
 
-class GiveUpReason(Enum):
+class GiveUpReason(StrEnum):
     """Why an attempt is the last one; each has a counter."""
 
     FINAL = "error-is-final"
@@ -62,7 +62,7 @@
     BUDGET = "budget-spent"
 
 
-class RetryReason(Enum):
+class RetryReason(StrEnum):
     """Why an attempt is followed by another; each has a counter."""
 
     NOT_RUN = "not-run"
@@ -141,7 +141,6 @@
         attempt: int,
         remaining: float,
         arrived_as: int = 1,
-        retried_below: bool = False,
     ) -> Retry | GiveUp:
         """Return what follows a failed attempt.
 
@@ -153,10 +152,8 @@
             Seconds until the call's deadline.
         arrived_as : int
             `Progress.attempt` with which the call came in.
-        retried_below : bool
-            Whether the failing answer says that a node further down retried.
         """
-        reason = self.refusal(error, policy, attempt, arrived_as, retried_below)
+        reason = self.refusal(error, policy, attempt, arrived_as)
         delay = self.delay(error, attempt)
         if reason is None and delay + self.settings.retry_least > remaining:
             reason = GiveUpReason.NO_TIME
@@ -176,14 +173,13 @@
         policy: CallPolicy,
         attempt: int,
         arrived_as: int,
-        retried_below: bool,
     ) -> GiveUpReason | None:
         """Return why the call may not be tried again, budgets aside."""
         if isinstance(error, FINAL):
             return GiveUpReason.FINAL
         if error.ran is not Ran.NOT_RUN and not policy.idempotent:
             return GiveUpReason.NOT_SAFE
-        if retried_below:
+        if error.retried:
             return GiveUpReason.RETRIED_BELOW
         if arrived_as > 1:
             return GiveUpReason.RETRIED_BEFORE
--- a/sequoiaspoke/errors.py
+++ b/sequoiaspoke/errors.py
@@ -125,6 +125,13 @@
         What happened, for the log and the answer's body.
     retry_after : float or None
         Seconds after which another try is worth it.
+
+    Attributes
+    ----------
+    retried : bool
+        Whether a node has already tried the call more than once.
+    remote : bool
+        Whether another node reported it.
     """
 
     code = "call-failed"
@@ -135,6 +142,8 @@
         super().__init__(detail or self.code)
         self.detail = detail
         self.retry_after = retry_after
+        self.retried = False
+        self.remote = False
 
 
 class NotRunError(CallError):
--- a/sequoiaspoke/measure/loadrun.py
+++ b/sequoiaspoke/measure/loadrun.py
@@ -216,7 +216,7 @@
     def report(self) -> LoadReport:
         """Return the load report that rides on an answer."""
         now = self.run.clock.now
-        report = self.admission.report()
+        report = self.admission.report(now)
         if self.run.scenario.lie:
             return replace(report, state=UpstreamState.DOWN)
         if not self.run.scenario.report_lag:
