Route and admit the node's calls by the load decisions

The node chose the least busy target it knew of and refused at a fixed count. Entries now use the balancer, exact splits, the retry policy, and deadlines and depth that travel; homes admit through the learnt limit and the fair queue; load reports ride on answers and refusals; leaving VMs, draining nodes and nodes whose upstream is down are passed over; each refusal, retry, give-up and choice has a counter on the metrics page.

--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -18,6 +18,7 @@
 from sequoiaspoke.node.metrics import CallCounters, Metrics
 from sequoiaspoke.node.server import CallServer
 from sequoiaspoke.node.spreadloop import SpreadSource
+from sequoiaspoke.node.upkeep import Upkeep, publish_load_metrics
 from sequoiaspoke.node.watchall import PlatformWatch
 
 if TYPE_CHECKING:
@@ -37,8 +38,9 @@
         self.rng = random.Random()
         self.counters = CallCounters()
         self.config = config_source(settings, self.rng)
-        self.home = Home(settings, self.counters)
+        self.home = Home(settings, self.counters, self.rng)
         self.entry = Entry(settings, self.config, self.home, self.counters, self.rng)
+        self.upkeep = Upkeep(settings, self.config, self.entry, self.home)
         self.callers = CallServer(self.entry, settings.limits)
         self.mesh = CallServer(HomeHandler(settings, self.home), settings.limits)
         self.metrics = Metrics()
@@ -73,11 +75,13 @@
             self.ports[name] = listen(server, address, port)
         self.publish_metrics()
         await self.config.start()
+        self.upkeep.start()
         log.info("node-started", node=node.name, zone=node.zone, **self.ports)
 
     def publish_metrics(self) -> None:
         """Put the counters of every part on the metrics page."""
         self.metrics.calls(self.counters)
+        publish_load_metrics(self.metrics, self.entry, self.home)
         holder = self.config.holder
         self.metrics.count(
             "sequoiaspoke_config", "Configuration events", "event", holder.counters
@@ -99,7 +103,7 @@
         if self.draining:
             return
         self.draining = True
-        self.home.draining = True
+        self.home.gate.admission.drain()
         self.callers.draining = self.mesh.draining = True
         log.info("node-draining", in_flight=self.in_flight())
         await asyncio.sleep(self.settings.node.drain)
@@ -111,6 +115,7 @@
                 await self.mesh.drained()
         except TimeoutError:
             log.warning("grace-over", in_flight=self.in_flight())
+        self.upkeep.stop()
         await self.config.stop()
         self.admin.stop()
         for server in (self.callers.server, self.mesh.server, self.admin):
--- /dev/null
+++ b/sequoiaspoke/node/attempts.py
@@ -0,0 +1,223 @@
+"""The attempts of a call: which target, whether another, what was learnt."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from tornado.httputil import RequestStartLine
+
+from sequoiaspoke.core.routing.balancer import make_balancer
+from sequoiaspoke.core.routing.model import Outcome, RouteContext
+from sequoiaspoke.core.routing.retry import GiveUp, RetryPolicy
+from sequoiaspoke.errors import (
+    CallError,
+    ConnectError,
+    DeadlineNotRunError,
+    DeadlineUnknownError,
+    DrainingError,
+    NotReadyError,
+    OutcomeUnknownError,
+    OverloadedError,
+    Ran,
+    UpstreamShedError,
+    reported_error,
+)
+from sequoiaspoke.node import headers as names
+from sequoiaspoke.node.client import Address, Pool
+from sequoiaspoke.node.home import discard
+from sequoiaspoke.node.loadheader import read_load
+
+if TYPE_CHECKING:
+    import random
+
+    from sequoiaspoke.core.routing.deadline import Progress
+    from sequoiaspoke.core.rules.model import CallPolicy, Endpoint, Service
+    from sequoiaspoke.node.client import Answer
+    from sequoiaspoke.node.home import Home, HomeCall
+    from sequoiaspoke.node.metrics import CallCounters
+    from sequoiaspoke.settings.schema import Settings
+
+REFUSALS = (DrainingError, NotReadyError, OverloadedError, UpstreamShedError)
+
+
+class Attempts:
+    """Try targets until one answers or another try is not allowed."""
+
+    def __init__(
+        self, settings: Settings, home: Home, counters: CallCounters, rng: random.Random
+    ) -> None:
+        self.settings = settings
+        self.home = home
+        self.counters = counters
+        self.balancer = make_balancer(settings.routing, settings.node.zone, rng)
+        self.retries = RetryPolicy(settings.routing, rng)
+        self.pools: dict[Address, Pool] = {}
+
+    async def run(
+        self, service: Service, policy: CallPolicy, call: HomeCall, progress: Progress
+    ) -> Answer:
+        """Return the first answer.
+
+        Raises
+        ------
+        CallError
+            The last attempt's failure; no further one would help or is safe.
+        """
+        loop = asyncio.get_running_loop()
+        self.retries.first(service.name)
+        tried: frozenset[str] = frozenset()
+        number = 0
+        while True:
+            number += 1
+            spare = policy.idempotent and number < policy.attempts
+            context = RouteContext(call.key, spare and replayable(call))
+            choice = self.balancer.choose(
+                service.name, service.endpoints, context, tried, loop.time()
+            )
+            target = choice.endpoint.target
+            tried |= {target}
+            sent_as = progress.attempted(number).attempt
+            attempt = replace(call, target=target, attempt=sent_as)
+            try:
+                return await self.attempt(choice.endpoint, attempt)
+            except CallError as error:
+                await self.wait_or_raise(service, policy, call, progress, number, error)
+
+    async def wait_or_raise(
+        self,
+        service: Service,
+        policy: CallPolicy,
+        call: HomeCall,
+        progress: Progress,
+        number: int,
+        error: CallError,
+    ) -> None:
+        """Prepare another attempt, or raise the error of the last one."""
+        now = asyncio.get_running_loop().time()
+        if not replayable(call):
+            raise error
+        decision = self.retries.decide(
+            service.name,
+            error,
+            policy,
+            number,
+            progress.remaining(now),
+            progress.attempt,
+        )
+        if isinstance(decision, GiveUp):
+            error.retried = error.retried or number > 1
+            raise error
+        self.counters.retried[error.code] += 1
+        await asyncio.sleep(decision.delay)
+        if call.body:
+            call.body.rewind()
+
+    async def attempt(self, endpoint: Endpoint, call: HomeCall) -> Answer:
+        """Make one attempt and learn from how it ends."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self.balancer.started(call.target, began)
+        try:
+            if endpoint.vm == self.settings.node.name:
+                answer = await self.run_here(call)
+            else:
+                answer = await self.send(endpoint, call)
+        except BaseException as error:
+            self.ended(call.target, outcome_of(error), began)
+            raise
+        latency = loop.time() - began
+        answer.on_close(lambda: self.answer_ended(call.target, answer, latency))
+        return answer
+
+    async def run_here(self, call: HomeCall) -> Answer:
+        """Run the call at this node's own upstream."""
+        try:
+            return await self.home.run(call)
+        finally:
+            now = asyncio.get_running_loop().time()
+            self.balancer.report(call.target, self.home.report(), now)
+
+    def answer_ended(self, target: str, answer: Answer, latency: float) -> None:
+        """Learn from an answer that is over; a broken one is a failure."""
+        outcome = Outcome.ANSWERED if answer.complete else Outcome.CANCELLED
+        if answer.body.error is not None:
+            outcome = Outcome.FAILED
+        now = asyncio.get_running_loop().time()
+        self.balancer.finished(target, outcome, latency, now)
+
+    def ended(self, target: str, outcome: Outcome, began: float) -> None:
+        """Learn from an attempt that brought no answer."""
+        now = asyncio.get_running_loop().time()
+        self.balancer.finished(target, outcome, now - began, now)
+
+    async def send(self, endpoint: Endpoint, call: HomeCall) -> Answer:
+        """Send the call to another node; its refusals come back typed."""
+        address = Address(endpoint.address, endpoint.mesh_port)
+        pool = self.pools.get(address)
+        if pool is None:
+            pool = self.pools[address] = Pool(address, self.settings.limits)
+        start_line = RequestStartLine(call.method, call.uri, "HTTP/1.1")
+        headers = self.headers(call)
+        answer = await pool.call(start_line, headers, call.body, call.deadline)
+        report = read_load(answer.headers)
+        if report:
+            now = asyncio.get_running_loop().time()
+            self.balancer.report(call.target, report, now)
+        ran = answer.headers.get(names.RAN, Ran.RAN.value)
+        if ran == Ran.RAN.value:
+            return answer
+        error = reported_error(
+            answer.headers.get(names.REASON, "remote"),
+            answer.status,
+            Ran.NOT_RUN if ran == Ran.NOT_RUN.value else Ran.OUTCOME_UNKNOWN,
+            f"at {call.target}",
+            names.whole_number(answer.headers, "Retry-After", 0) or None,
+        )
+        error.remote = True
+        error.retried = names.RETRIED in answer.headers
+        await discard(answer)
+        raise error
+
+    def headers(self, call: HomeCall) -> names.HTTPHeaders:
+        """Return what the target's node is told of a call."""
+        headers = names.end_to_end(call.headers)
+        remaining = call.deadline - asyncio.get_running_loop().time()
+        remaining -= self.settings.routing.hop_margin
+        headers[names.DEADLINE] = str(max(0, int(remaining * 1000)))
+        headers[names.DEPTH] = str(call.depth)
+        headers[names.ATTEMPT] = str(call.attempt)
+        headers[names.SERVICE] = call.service
+        headers[names.TARGET] = call.target
+        headers[names.CALLER] = call.caller
+        headers[names.PRIORITY] = call.priority.value
+        headers[names.RULE] = call.rule
+        if call.key:
+            headers[names.KEY] = call.key
+        return headers
+
+    def close(self) -> None:
+        """Close the idle connections to other nodes."""
+        for pool in self.pools.values():
+            pool.close()
+
+
+def replayable(call: HomeCall) -> bool:
+    """Return whether the request can be sent again from its start."""
+    return call.body is None or call.body.replayable
+
+
+def outcome_of(error: BaseException) -> Outcome:
+    """Return what a failed attempt says of its target."""
+    if isinstance(error, REFUSALS):
+        return Outcome.REFUSED
+    if isinstance(error, DeadlineUnknownError):
+        return Outcome.TIMED_OUT
+    if isinstance(error, DeadlineNotRunError):
+        # Reported by the target's node it is its queue; seen here, no
+        # connection came about in all that time.
+        return Outcome.REFUSED if error.remote else Outcome.TIMED_OUT
+    if isinstance(error, ConnectError | OutcomeUnknownError):
+        return Outcome.FAILED
+    return Outcome.CANCELLED
--- a/sequoiaspoke/node/entry.py
+++ b/sequoiaspoke/node/entry.py
@@ -4,41 +4,32 @@
 
 import asyncio
 import time
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from tornado.httputil import HTTPHeaders, RequestStartLine
+from tornado.httputil import HTTPHeaders
 
-from sequoiaspoke.core.rules.model import Redirect, Refuse
+from sequoiaspoke.core.routing.deadline import enter
+from sequoiaspoke.core.routing.split import Splitter
+from sequoiaspoke.core.rules.model import Redirect, Refuse, RouteTo
 from sequoiaspoke.core.rules.request import make_request_head
 from sequoiaspoke.errors import (
-    BadRequestError,
     CallError,
     NoRuleError,
-    NoTargetError,
     NotReadyError,
     Ran,
     RefusedByRuleError,
-    TooDeepError,
     UnknownServiceError,
-    reported_error,
 )
 from sequoiaspoke.node import headers as names
-from sequoiaspoke.node.client import Address, Pool
-from sequoiaspoke.node.home import HomeCall, discard
+from sequoiaspoke.node.attempts import Attempts
+from sequoiaspoke.node.home import HomeCall
 from sequoiaspoke.node.pipe import ReplayableBody
 from sequoiaspoke.node.server import CallHandler
 
 if TYPE_CHECKING:
     import random
 
-    from sequoiaspoke.core.rules.model import (
-        CallPolicy,
-        Endpoint,
-        RequestHead,
-        RouteTo,
-        Service,
-    )
+    from sequoiaspoke.core.rules.model import RequestHead, Rule, Service
     from sequoiaspoke.core.snapshot.model import Snapshot
     from sequoiaspoke.node.client import Answer
     from sequoiaspoke.node.config import ConfigSource
@@ -51,9 +42,6 @@
 # (availability, condolences, charges) are far shorter, and a recording that is
 # uploaded gets one attempt.
 REPLAY_BYTES = 65536
-# Calls go up to 19 deep; a rule that routes a service's own calls back to it
-# would otherwise go round until every slot is taken.
-DEPTH_LIMIT = 24
 
 
 class Entry(CallHandler):
@@ -71,9 +59,8 @@
         self.config = config
         self.home = home
         self.counters = counters
-        self.rng = rng
-        self.pools: dict[Address, Pool] = {}
-        self.in_flight: dict[str, int] = {}
+        self.attempts = Attempts(settings, home, counters, rng)
+        self.splitter = Splitter(rng)
 
     async def handle(self, call: IncomingCall) -> None:
         """Answer a caller by the rules in force."""
@@ -102,10 +89,8 @@
         if isinstance(rule.then, Redirect):
             redirect(call, rule.then)
             return
-        if names.whole_number(call.headers, names.DEPTH, 0) >= DEPTH_LIMIT:
-            raise TooDeepError(f"more than {DEPTH_LIMIT} calls deep")
-        service = self.pick_service(snapshot, rule.then)
-        answer = await self.attempts(call, service, rule.policy)
+        service = self.pick_service(snapshot, rule, call)
+        answer = await self.begin(call, rule, rule.then, service)
         self.counters.calls[service.name] += 1
         try:
             headers = names.end_to_end(answer.headers)
@@ -114,25 +99,32 @@
         finally:
             answer.close()
 
-    def pick_service(self, snapshot: Snapshot, route: RouteTo) -> Service:
+    def pick_service(
+        self, snapshot: Snapshot, rule: Rule, call: IncomingCall
+    ) -> Service:
         """Choose one service of a weighted split."""
-        split = route.split
-        chosen = split[0]
-        if len(split) > 1:
-            weights = [each.weight for each in split]
-            chosen = self.rng.choices(split, weights)[0]
-        service = snapshot.services.get(chosen.service)
+        assert isinstance(rule.then, RouteTo)
+        key = call.headers.get(rule.then.sticky_header, "")
+        name = self.splitter.choose(rule.name, rule.then.split, key)
+        service = snapshot.services.get(name)
         if service is None:
-            raise UnknownServiceError(chosen.service)
+            raise UnknownServiceError(name)
         return service
 
-    async def attempts(
-        self, call: IncomingCall, service: Service, policy: CallPolicy
+    async def begin(
+        self, call: IncomingCall, rule: Rule, route: RouteTo, service: Service
     ) -> Answer:
-        """Try targets until one answers or another try is not allowed."""
-        loop = asyncio.get_running_loop()
-        asked = names.whole_number(call.headers, names.DEADLINE, 0) / 1000
-        timeout = min(policy.timeout, asked) if asked else policy.timeout
+        """Set the call's deadline and depth, and try targets."""
+        policy = rule.policy
+        carried = names.DEADLINE in call.headers
+        progress = enter(
+            self.settings.routing,
+            policy.timeout,
+            asyncio.get_running_loop().time(),
+            names.whole_number(call.headers, names.DEADLINE, 0) if carried else None,
+            names.whole_number(call.headers, names.ATTEMPT, 1),
+            names.whole_number(call.headers, names.DEPTH, 0),
+        )
         home_call = HomeCall(
             service=service.name,
             target="",
@@ -140,106 +132,18 @@
             uri=call.uri,
             headers=call.headers,
             body=ReplayableBody(call.body, REPLAY_BYTES) if call.body else None,
-            deadline=loop.time() + timeout,
-            depth=names.whole_number(call.headers, names.DEPTH, 0) + 1,
-            caller=call.headers.get(policy.caller_header, call.remote)
-            if policy.caller_header
-            else call.remote,
-            priority=policy.priority.value,
-        )
-        tried: list[str] = []
-        while True:
-            endpoint = self.choose(service, tried)
-            tried.append(endpoint.target)
-            attempt = replace(home_call, target=endpoint.target, attempt=len(tried))
-            try:
-                return await self.attempt(endpoint, attempt)
-            except CallError as error:
-                if not may_retry(error, policy, attempt):
-                    raise
-                self.counters.retried[error.code] += 1
-                if attempt.body:
-                    attempt.body.rewind()
-
-    def choose(self, service: Service, tried: list[str]) -> Endpoint:
-        """Choose a target, those not tried yet first, then the least busy."""
-        if not service.endpoints:
-            raise NoTargetError(f"{service.name} has no target", 1.0)
-        zone = self.settings.node.zone
-        return min(
-            service.endpoints,
-            key=lambda endpoint: (
-                endpoint.target in tried,
-                endpoint.zone != zone,
-                self.in_flight.get(endpoint.target, 0),
-                self.rng.random(),
-            ),
-        )
-
-    async def attempt(self, endpoint: Endpoint, call: HomeCall) -> Answer:
-        """Send the call to the home of one target."""
-        target = endpoint.target
-        self.in_flight[target] = self.in_flight.get(target, 0) + 1
-        try:
-            if endpoint.vm == self.settings.node.name:
-                answer = await self.home.run(call)
-            else:
-                answer = await self.send(endpoint, call)
-        except BaseException:
-            self.in_flight[target] -= 1
-            raise
-        answer.on_close(lambda: self.ended(target))
-        return answer
-
-    def ended(self, target: str) -> None:
-        """Count a call to a target that is over."""
-        self.in_flight[target] -= 1
-
-    async def send(self, endpoint: Endpoint, call: HomeCall) -> Answer:
-        """Send the call to another node; its refusals come back typed."""
-        address = Address(endpoint.address, endpoint.mesh_port)
-        pool = self.pools.get(address)
-        if pool is None:
-            pool = self.pools[address] = Pool(address, self.settings.limits)
-        headers = names.end_to_end(call.headers)
-        remaining = call.deadline - asyncio.get_running_loop().time()
-        headers[names.DEADLINE] = str(max(1, int(remaining * 1000)))
-        headers[names.DEPTH] = str(call.depth)
-        headers[names.ATTEMPT] = str(call.attempt)
-        headers[names.SERVICE] = call.service
-        headers[names.TARGET] = call.target
-        headers[names.CALLER] = call.caller
-        headers[names.PRIORITY] = call.priority
-        start_line = RequestStartLine(call.method, call.uri, "HTTP/1.1")
-        answer = await pool.call(start_line, headers, call.body, call.deadline)
-        ran = answer.headers.get(names.RAN, Ran.RAN.value)
-        if ran == Ran.RAN.value:
-            return answer
-        error = reported_error(
-            answer.headers.get(names.REASON, "remote"),
-            answer.status,
-            Ran.NOT_RUN if ran == Ran.NOT_RUN.value else Ran.OUTCOME_UNKNOWN,
-            f"at {call.target}",
-            names.whole_number(answer.headers, "Retry-After", 0) or None,
+            deadline=progress.deadline,
+            depth=progress.depth,
+            caller=call.headers.get(policy.caller_header, call.remote),
+            priority=policy.priority,
+            rule=rule.name,
+            key=call.headers.get(route.sticky_header, ""),
         )
-        await discard(answer)
-        raise error
+        return await self.attempts.run(service, policy, home_call, progress)
 
     def close(self) -> None:
         """Close the idle connections to other nodes."""
-        for pool in self.pools.values():
-            pool.close()
-
-
-def may_retry(error: CallError, policy: CallPolicy, call: HomeCall) -> bool:
-    """Return whether another attempt is safe and allowed."""
-    if call.attempt >= policy.attempts or error.status == BadRequestError.status:
-        return False
-    if call.body is not None and not call.body.replayable:
-        return False
-    if call.deadline <= asyncio.get_running_loop().time():
-        return False
-    return policy.idempotent or error.ran is Ran.NOT_RUN
+        self.attempts.close()
 
 
 def read_request(call: IncomingCall, zone: str) -> RequestHead:
--- /dev/null
+++ b/sequoiaspoke/node/gate.py
@@ -0,0 +1,81 @@
+"""Let calls wait for what admission decides."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import count
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.admission.admission import Admission
+from sequoiaspoke.core.admission.model import Arrival, Refused, Started
+from sequoiaspoke.core.routing.model import Outcome
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sequoiaspoke.core.admission.model import Verdict
+    from sequoiaspoke.core.admission.settings import AdmissionSettings
+    from sequoiaspoke.core.rules.model import Priority
+
+TICK = 0.02  # seconds between looks at a queue; a refusal comes that late
+
+
+class Gate:
+    """The slots of this VM's target."""
+
+    def __init__(self, settings: AdmissionSettings, slots: int, rng: Random) -> None:
+        self.admission = Admission(settings, slots, rng)
+        self.numbers = count(1)
+        self.waiting: dict[int, asyncio.Future[None]] = {}
+        self.ticking = False
+
+    async def enter(
+        self, caller: str, key: str, kind: str, priority: Priority, deadline: float
+    ) -> int:
+        """Wait for a slot and return the number to leave with.
+
+        Raises
+        ------
+        CallError
+            The call is turned away; it was not run.
+        """
+        loop = asyncio.get_running_loop()
+        number, now = next(self.numbers), loop.time()
+        call = Arrival(number, caller, deadline, key, kind, priority, now)
+        turn = self.waiting[number] = loop.create_future()
+        self.act(self.admission.arrive(call, now))
+        try:
+            await turn
+        except asyncio.CancelledError:
+            # The caller is gone. It may have been given a slot in the same turn
+            # of the loop; kept, that slot would be lost for good.
+            self.waiting.pop(number, None)
+            if not self.admission.cancel(number):
+                self.leave(number, Outcome.CANCELLED, 0.0)
+            raise
+        return number
+
+    def leave(self, number: int, outcome: Outcome, latency: float) -> None:
+        """Give a slot back; see `Admission.release`."""
+        now = asyncio.get_running_loop().time()
+        self.act(self.admission.release(number, outcome, latency, now))
+
+    def act(self, verdicts: list[Verdict]) -> None:
+        """Tell the calls what was decided."""
+        for verdict in verdicts:
+            if isinstance(verdict, Started):
+                turn = self.waiting.pop(verdict.call, None)
+                if turn and not turn.done():
+                    turn.set_result(None)
+            elif isinstance(verdict, Refused):
+                turn = self.waiting.pop(verdict.call, None)
+                if turn and not turn.done():
+                    turn.set_exception(verdict.error)
+        if len(self.admission.queue) and not self.ticking:
+            self.ticking = True
+            asyncio.get_running_loop().call_later(TICK, self.tick)
+
+    def tick(self) -> None:
+        """Look at the queue again."""
+        self.ticking = False
+        self.act(self.admission.tick(asyncio.get_running_loop().time()))
--- a/sequoiaspoke/node/home.py
+++ b/sequoiaspoke/node/home.py
@@ -8,28 +8,35 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from sequoiaspoke.core.routing.model import Outcome
+from sequoiaspoke.core.rules.model import Priority
 from sequoiaspoke.errors import (
     BadRequestError,
-    DrainingError,
-    NotRunError,
-    OverloadedError,
+    CallError,
+    ConnectError,
     Ran,
     UpstreamShedError,
     WrongHomeError,
 )
 from sequoiaspoke.node import headers as names
 from sequoiaspoke.node.client import Address, Pool
+from sequoiaspoke.node.gate import Gate
+from sequoiaspoke.node.loadheader import write_load
 from sequoiaspoke.node.pipe import ReplayableBody
 from sequoiaspoke.node.server import CallHandler
 
 if TYPE_CHECKING:
+    import random
+
+    from sequoiaspoke.core.routing.model import LoadReport
     from sequoiaspoke.node.client import Answer
     from sequoiaspoke.node.metrics import CallCounters
     from sequoiaspoke.node.server import IncomingCall
     from sequoiaspoke.settings.schema import Settings
 
 FIRST_SERVER_ERROR = 500
-RETRY_AFTER_OVERLOAD = 1.0  # seconds
+FIRST_SLOTS = 10  # until a version tells how many the target has
+PRIORITIES = {priority.value: priority for priority in Priority}
 
 
 @dataclass(frozen=True)
@@ -52,21 +59,32 @@
     depth: int = 0
     attempt: int = 1
     caller: str = ""
-    priority: str = ""
+    priority: Priority = Priority.ORDINARY
+    rule: str = ""
+    key: str = ""
 
 
 class Home:
-    """Run the calls of this VM's target, as many as it has slots for."""
+    """Run the calls of this VM's target, as many as it runs well."""
 
-    def __init__(self, settings: Settings, counters: CallCounters) -> None:
+    def __init__(
+        self, settings: Settings, counters: CallCounters, rng: random.Random
+    ) -> None:
         self.settings = settings
         self.counters = counters
-        self.slots = 10
-        self.in_flight = 0
-        self.draining = False
+        self.gate = Gate(settings.admission, FIRST_SLOTS, rng)
         upstream = settings.upstream
         self.pool = Pool(Address(upstream.address, upstream.port), settings.limits)
 
+    @property
+    def in_flight(self) -> int:
+        """Return the calls that hold a slot."""
+        return len(self.gate.admission.running)
+
+    def report(self) -> LoadReport:
+        """Return the load to tell other nodes."""
+        return self.gate.admission.report(asyncio.get_running_loop().time())
+
     async def run(self, call: HomeCall) -> Answer:
         """Hand a call to the upstream and return its answer.
 
@@ -75,25 +93,28 @@
         CallError
             The call was refused or failed; says whether it ran.
         """
-        self.check(call)
-        self.in_flight += 1
+        upstream = self.settings.upstream
+        if call.service != upstream.service or call.target != upstream.target:
+            raise WrongHomeError(f"{call.service}/{call.target} is not here")
+        kind = f"{call.rule} {call.method}"
+        number = await self.gate.enter(
+            call.caller, call.key, kind, call.priority, call.deadline
+        )
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         try:
             answer = await self.hand_over(call)
-        except BaseException:
-            self.in_flight -= 1
+        except BaseException as error:
+            self.gate.leave(number, outcome_of(error), loop.time() - began)
             raise
-        answer.on_close(self.release)
+        latency = loop.time() - began
+        answer.on_close(lambda: self.answered(number, answer, latency))
         return answer
 
-    def check(self, call: HomeCall) -> None:
-        """Refuse what may not run here."""
-        upstream = self.settings.upstream
-        if call.service != upstream.service or call.target != upstream.target:
-            raise WrongHomeError(f"{call.service}/{call.target} is not here")
-        if self.draining:
-            raise DrainingError(f"{call.target} is leaving", RETRY_AFTER_OVERLOAD)
-        if self.in_flight >= self.slots:
-            raise OverloadedError(f"{call.target} is full", RETRY_AFTER_OVERLOAD)
+    def answered(self, number: int, answer: Answer, latency: float) -> None:
+        """Free the slot of a call whose answer is over."""
+        outcome = Outcome.ANSWERED if answer.complete else Outcome.CANCELLED
+        self.gate.leave(number, outcome, latency)
 
     async def hand_over(self, call: HomeCall) -> Answer:
         """Send the call to the upstream."""
@@ -108,14 +129,12 @@
         shed = answer.headers.get(names.RAN) == Ran.NOT_RUN.value
         if shed and answer.status >= FIRST_SERVER_ERROR:
             retry_after = names.whole_number(answer.headers, "Retry-After", 1)
+            error = UpstreamShedError(f"{call.target} shed the call", retry_after)
+            error.retried = names.RETRIED in answer.headers
             await discard(answer)
-            raise UpstreamShedError(f"{call.target} shed the call", retry_after)
+            raise error
         return answer
 
-    def release(self) -> None:
-        """Free the slot of a call that has ended."""
-        self.in_flight -= 1
-
 
 class HomeHandler(CallHandler):
     """Calls that other nodes send to this one."""
@@ -129,12 +148,15 @@
         home_call = read_home_call(call)
         try:
             answer = await self.home.run(home_call)
-        except NotRunError as error:
-            self.home.counters.refused[error.code] += 1
+        except CallError as error:
+            call.writer.refusal_headers[names.LOAD] = write_load(self.home.report())
+            if error.ran is Ran.NOT_RUN:
+                self.home.counters.refused[error.code] += 1
             raise
         try:
             headers = names.end_to_end(answer.headers)
             headers[names.RAN] = Ran.RAN.value
+            headers[names.LOAD] = write_load(self.home.report())
             await call.writer.relay(answer, headers, self.settings.limits.idle)
         finally:
             answer.close()
@@ -164,10 +186,21 @@
         depth=names.whole_number(headers, names.DEPTH, 0),
         attempt=names.whole_number(headers, names.ATTEMPT, 1),
         caller=headers.get(names.CALLER, ""),
-        priority=headers.get(names.PRIORITY, ""),
+        priority=PRIORITIES.get(headers.get(names.PRIORITY, ""), Priority.ORDINARY),
+        rule=headers.get(names.RULE, ""),
+        key=headers.get(names.KEY, ""),
     )
 
 
+def outcome_of(error: BaseException) -> Outcome:
+    """Return what a failed call says of the upstream."""
+    if isinstance(error, UpstreamShedError):
+        return Outcome.REFUSED
+    if isinstance(error, ConnectError):
+        return Outcome.FAILED
+    return Outcome.CANCELLED
+
+
 async def discard(answer: Answer) -> None:
     """Read a short answer to its end, so that its connection can be kept."""
     try:
--- /dev/null
+++ b/sequoiaspoke/node/loadheader.py
@@ -0,0 +1,35 @@
+"""The load report that rides on answers between nodes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.routing.model import LoadReport, UpstreamState
+from sequoiaspoke.node import headers as names
+
+if TYPE_CHECKING:
+    from tornado.httputil import HTTPHeaders
+
+FIELDS = 4
+
+
+def write_load(report: LoadReport) -> str:
+    """Return the header's value."""
+    numbers = (report.in_flight, report.queued, report.limit)
+    return " ".join([*map(str, numbers), report.state.value])
+
+
+def read_load(headers: HTTPHeaders) -> LoadReport | None:
+    """Return the report of an answer, or None without a readable one.
+
+    A node of another release may write it otherwise; its answers still count,
+    only its load is not known.
+    """
+    words = headers.get(names.LOAD, "").split()
+    if len(words) < FIELDS:
+        return None
+    try:
+        in_flight, queued, limit = (max(0, int(word)) for word in words[:3])
+        return LoadReport(in_flight, queued, limit, UpstreamState(words[3]))
+    except ValueError:
+        return None
--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -46,6 +46,7 @@
         self.connection = connection
         self.started = False
         self.close_after = False
+        self.refusal_headers: dict[str, str] = {}
 
     async def head(self, status: int, headers: HTTPHeaders) -> None:
         """Write the head of an answer whose body follows."""
@@ -86,6 +87,9 @@
         headers = HTTPHeaders({"Content-Type": "text/plain; charset=utf-8"})
         headers[names.RAN] = error.ran.value
         headers[names.REASON] = error.code
+        headers.update(self.refusal_headers)
+        if error.retried:
+            headers[names.RETRIED] = "yes"
         if error.retry_after is not None:
             headers["Retry-After"] = str(max(1, round(error.retry_after)))
         self.whole(error.status, headers, f"{error.code}: {error.detail}\n".encode())
--- /dev/null
+++ b/sequoiaspoke/node/upkeep.py
@@ -0,0 +1,97 @@
+"""Keep the decisions under load in step with the configuration."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.snapshot.model import VmState
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.rules.model import Endpoint
+    from sequoiaspoke.core.snapshot.model import Snapshot, VmList
+    from sequoiaspoke.node.config import ConfigSource
+    from sequoiaspoke.node.entry import Entry
+    from sequoiaspoke.node.home import Home
+    from sequoiaspoke.node.metrics import Metrics
+    from sequoiaspoke.settings.schema import Settings
+
+# Leaving targets must be off new work within seconds; the list itself takes
+# most of those to arrive.
+LOOK_SECONDS = 0.5
+
+
+class Upkeep:
+    """Look at the version in force and the list of VMs from time to time."""
+
+    def __init__(
+        self, settings: Settings, config: ConfigSource, entry: Entry, home: Home
+    ) -> None:
+        self.settings = settings
+        self.config = config
+        self.entry = entry
+        self.home = home
+        self.timer: asyncio.TimerHandle | None = None
+        self.seen: Snapshot | None = None
+
+    def start(self) -> None:
+        """Look now, and again until stopped."""
+        self.look()
+        self.timer = asyncio.get_running_loop().call_later(LOOK_SECONDS, self.start)
+
+    def stop(self) -> None:
+        """Look no more."""
+        if self.timer:
+            self.timer.cancel()
+
+    def look(self) -> None:
+        """Take over what changed."""
+        self.entry.attempts.balancer.set_leaving(leaving_vms(self.config.vms))
+        snapshot = self.config.current
+        if snapshot is None or snapshot is self.seen:
+            return
+        self.seen = snapshot
+        endpoint = find_endpoint(snapshot, self.settings)
+        if endpoint:
+            slots = min(endpoint.slots, endpoint.connections)
+            self.home.gate.admission.limit.resize(slots)
+        rules = frozenset(rule.name for rule in snapshot.rules)
+        self.entry.splitter.retain(rules)
+        self.entry.attempts.retries.retain(frozenset(snapshot.services))
+
+
+def leaving_vms(vms: VmList) -> frozenset[str]:
+    """Return the VMs that the platform's list shows as leaving."""
+    return frozenset(vm.name for vm in vms.vms if vm.state is VmState.LEAVING)
+
+
+def find_endpoint(snapshot: Snapshot, settings: Settings) -> Endpoint | None:
+    """Return what a version says of this VM's target."""
+    service = snapshot.services.get(settings.upstream.service)
+    endpoints = service.endpoints if service else ()
+    for endpoint in endpoints:
+        if endpoint.target == settings.upstream.target:
+            return endpoint
+    return None
+
+
+def publish_load_metrics(metrics: Metrics, entry: Entry, home: Home) -> None:
+    """Put the counters of the decisions under load on the metrics page."""
+    admission = home.gate.admission
+    balancer, retries = entry.attempts.balancer, entry.attempts.retries
+    counters = (
+        ("admission_refused", "Calls refused at the home", admission.refused),
+        ("choices", "Targets chosen", balancer.chosen),
+        ("retries", "Further attempts", retries.retried),
+        ("retries_given_up", "Failures not tried again", retries.given_up),
+    )
+    for name, doc, counter in counters:
+        metrics.count(f"sequoiaspoke_{name}", doc, "reason", counter)
+    gauges = (
+        ("limit", "Calls run at once", lambda: admission.limit.current()),
+        ("queued", "Calls waiting for a slot", lambda: len(admission.queue)),
+        ("ejections", "Targets ejected so far", lambda: balancer.ejector.ejections),
+        ("probes", "Recovery probes so far", lambda: balancer.ejector.probes),
+    )
+    for name, doc, value in gauges:
+        metrics.gauge(f"sequoiaspoke_{name}", doc, value)
