Keep a node on one thread

Five threads ran in an idle node: tornado's resolver asks the operating system on a thread pool for each new connection, also for IP numbers, and the metrics library looks for its resource on threads. Addresses are IP numbers by the settings, so a resolver takes them as they are, and the metrics get an empty resource.

--- a/sequoiaspoke/node/client.py
+++ b/sequoiaspoke/node/client.py
@@ -27,6 +27,7 @@
     TruncatedAnswerError,
 )
 from sequoiaspoke.node.pipe import BodyPipe
+from sequoiaspoke.node.resolver import NumericResolver
 
 if TYPE_CHECKING:
     import ssl
@@ -136,7 +137,7 @@
         self.tls = tls
         self.idle: deque[tuple[IOStream, float]] = deque()
         self.opened = 0
-        self.tcp = TCPClient()
+        self.tcp = TCPClient(resolver=NumericResolver())
         self.parameters = HTTP1ConnectionParameters(
             max_header_size=limits.head_bytes,
             max_body_size=limits.body_bytes,
--- a/sequoiaspoke/node/metrics.py
+++ b/sequoiaspoke/node/metrics.py
@@ -61,13 +61,17 @@
         # smaller without the library.
         from opentelemetry.exporter.prometheus import PrometheusMetricReader
         from opentelemetry.sdk.metrics import MeterProvider
+        from opentelemetry.sdk.resources import Resource
         from prometheus_client import CollectorRegistry
 
         self.registry = CollectorRegistry()
         self.reader = PrometheusMetricReader(
             disable_target_info=True, scope_info_enabled=False, registry=self.registry
         )
-        self.provider = MeterProvider([self.reader], shutdown_on_exit=False)
+        # Without a resource of its own the library looks for one on threads.
+        self.provider = MeterProvider(
+            [self.reader], resource=Resource.get_empty(), shutdown_on_exit=False
+        )
         self.meter = self.provider.get_meter("sequoiaspoke")
 
     def count(self, name: str, doc: str, label: str, source: Mapping[str, int]) -> None:
--- a/sequoiaspoke/node/peerlink.py
+++ b/sequoiaspoke/node/peerlink.py
@@ -18,6 +18,7 @@
 from tornado.tcpserver import TCPServer
 
 from sequoiaspoke.errors import MessageError
+from sequoiaspoke.node.resolver import NumericResolver
 from sequoiaspoke.wire.codec import decode_message, encode_message
 
 if TYPE_CHECKING:
@@ -91,7 +92,7 @@
         self.streams: dict[int, IOStream] = {}
         self.connecting: dict[int, asyncio.Task[None]] = {}
         self.accepted = itertools.count(-1, -1)
-        self.client = TCPClient()
+        self.client = TCPClient(resolver=NumericResolver())
         self.counters: Counter[str] = Counter()
         self.bytes_sent = 0
         self.bytes_received = 0
--- a/sequoiaspoke/node/platformclient.py
+++ b/sequoiaspoke/node/platformclient.py
@@ -10,6 +10,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from sequoiaspoke.errors import PlatformError
+from sequoiaspoke.node.resolver import NumericResolver
 
 if TYPE_CHECKING:
     from tornado.httpclient import HTTPResponse
@@ -58,7 +59,10 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self.settings = settings
         self.client = AsyncHTTPClient(
-            force_instance=True, max_clients=OPEN_READS, max_body_size=BODY_LIMIT
+            resolver=NumericResolver(),
+            force_instance=True,
+            max_clients=OPEN_READS,
+            max_body_size=BODY_LIMIT,
         )
         self.reads = 0
         self.bytes_sent = 0
