--- a/sequoiaspoke/commands/measure.py
+++ b/sequoiaspoke/commands/measure.py
@@ -93,4 +93,22 @@
     return await task
 
 
-COMMANDS = {"spread": spread, "load": load}
+def rules(*, rules: int = 200, services: int = 200, endpoints: int = 2000) -> None:
+    """Measure what rules cost; the line is JSON.
+
+    Parameters
+    ----------
+    rules : int
+        Rules of the configuration.
+    services : int
+        Services that they route to.
+    endpoints : int
+        Endpoints of all services together.
+    """
+    from sequoiaspoke.measure.rules import measure_rules
+
+    report = measure_rules(rules, services, endpoints)
+    print(json.dumps(dataclasses.asdict(report)))
+
+
+COMMANDS = {"load": load, "rules": rules, "spread": spread}
