Tell operators which events move, and hold the pages to the code

'status' shows lists by their length and whether a node watches. A test checks that the generated pages are current, that each failure a caller is told says what to do, and that every counter or event named to operators is counted in the code.

--- a/sequoiaspoke/commands/status.py
+++ b/sequoiaspoke/commands/status.py
@@ -13,7 +13,7 @@
     "node zone target version since learnt-from state in-flight "
     "calls refused unknown retried details last-refused"
 ).split()
-LONGEST = 60  # characters of one cell
+LONGEST = 80  # characters of one cell
 
 
 def status(*addresses: str, json: bool = False, timeout: float = 5.0) -> None:
@@ -87,12 +87,17 @@
     details = node.page.get("details")
     if not isinstance(details, dict):
         return "-"
-    plain = {
-        key: value
-        for key, value in sorted(details.items())
-        if isinstance(value, (str, int, float))
-    }
-    return " ".join(f"{key}={value}" for key, value in plain.items()) or "-"
+    cells = ((key, _brief(value)) for key, value in sorted(details.items()))
+    return " ".join(f"{key}={text}" for key, text in cells if text) or "-"
+
+
+def _brief(value: object) -> str:
+    """Return a value in a word, a list by its length, nothing for a group."""
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, list):
+        return str(len(value))
+    return str(value) if isinstance(value, (str, int, float)) else ""
 
 
 def _last_refused(node: NodeStatus) -> str:
--- /dev/null
+++ b/sequoiaspoke/tests/test_pages.py
@@ -0,0 +1,65 @@
+"""Tests that the pages name what the code has."""
+
+import re
+import subprocess
+import sys
+
+from testtools import TestCase
+
+from sequoiaspoke import errors
+from sequoiaspoke.tests.golden import ROOT
+
+SOURCES = [
+    path.read_text()
+    for path in (ROOT / "sequoiaspoke").rglob("*.py")
+    if "tests" not in path.parts
+]
+# The spread's counters are made of parts, such as f"link-closed-{reason}".
+EVENT = re.compile(
+    r"`((?:head|part|version|link|platform|duty|catch|pause|view)-[a-z-]+)`"
+)
+
+
+def call_errors(kind=errors.CallError):
+    """Yield the types of failures that callers are told."""
+    yield kind
+    for child in kind.__subclasses__():
+        yield from call_errors(child)
+
+
+def pages(folder):
+    return {path: path.read_text() for path in (ROOT / "docs" / folder).glob("*.md")}
+
+
+class PagesTests(TestCase):
+    def test_the_generated_reference_is_current(self):
+        command = (sys.executable, "tools/reference.py", "--check")
+        result = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+        self.assertEqual((0, ""), (result.returncode, result.stdout))
+
+    def test_every_refusal_says_what_to_do(self):
+        page = (ROOT / "docs/guide/refusals.md").read_text()
+        missing = {
+            kind.code
+            for kind in call_errors()
+            if kind.__module__ == errors.__name__ and f"`{kind.code}`" not in page
+        }
+        self.assertEqual(set(), missing)
+
+    def test_counters_that_operators_are_told_of_exist(self):
+        sources = "\n".join(SOURCES)
+        for path, page in pages("operators").items():
+            for name in set(re.findall(r"sequoiaspoke_[a-z_]+", page)):
+                self.assertIn(f'"{name}"', sources, path)
+            for name in set(EVENT.findall(page)):
+                self.assertTrue(self.is_counted(name, sources), f"{path}: {name}")
+
+    def is_counted(self, name, sources):
+        """Tell whether the code counts a name, whole or as prefix and value."""
+        if f'"{name}"' in sources:
+            return True
+        cuts = [at for at, char in enumerate(name) if char == "-"]
+        return any(
+            f'"{name[: at + 1]}{{' in sources and f'"{name[at + 1 :]}"' in sources
+            for at in cuts
+        )
--- a/sequoiaspoke/tests/test_status.py
+++ b/sequoiaspoke/tests/test_status.py
@@ -30,7 +30,7 @@
     "retried": {"connect-failed": 1},
     "verified": True,
     "draining": False,
-    "details": {"peers": 4, "duty": "watching", "lists": [1]},
+    "details": {"links": ["a", "b"], "rank": 1, "watching": True, "events": {"x": 1}},
     "last_refused_version": None,
 }
 NOBODY = "127.0.0.1:1"
