Close a link whose answer is of another kind than its question

A peer that answered one question with the answer of another kind, under the right number, ended the reading task with an AttributeError, so the link was lost without a reason that is counted. It is now closed as other-answer.

--- a/Makefile
+++ b/Makefile
@@ -49,4 +49,4 @@
 	$(VENV)/bin/python tools/reference.py
 
 fuzz: $(VENV)/.ready
-	FUZZ_EXAMPLES=$(or $(EXAMPLES),20000) $(RUN) pytest -n $(WORKERS) sequoiaspoke/tests/test_fuzz.py
+	FUZZ_EXAMPLES=$(or $(EXAMPLES),20000) $(RUN) pytest -n $(WORKERS) sequoiaspoke/tests/test_fuzz*.py
--- a/sequoiaspoke/core/spread/core.py
+++ b/sequoiaspoke/core/spread/core.py
@@ -39,6 +39,18 @@
 PLATFORM_SOURCE = "platform"
 
 
+# An answer that carries the number of another kind of question comes from a
+# peer that is broken; taken for the other it would end in an exception here.
+ANSWER_TO = {
+    messages.Welcome: messages.Hello,
+    messages.BeatAnswer: messages.Beat,
+    messages.HeadAnswer: messages.HeadQuestion,
+    messages.PartsAnswer: messages.PartsQuestion,
+    messages.VmsAnswer: messages.VmsQuestion,
+    messages.VouchAnswer: messages.VouchQuestion,
+}
+
+
 class SpreadCore:
     """Decides what one node reads, asks, answers, announces and installs."""
 
@@ -196,7 +208,9 @@
         answer = self.answers.get(type(message))
         if answer:
             exchange = self.links.settle(link, event.number)
-            if exchange:
+            if exchange and ANSWER_TO.get(type(message)) is not type(exchange.question):
+                self.links.close(link, "other-answer", now)
+            elif exchange:
                 answer(link, message, exchange, now)
         elif isinstance(message, messages.Hello):
             self.on_hello(link, event.number, message, now)
--- /dev/null
+++ b/sequoiaspoke/tests/test_fuzz_links.py
@@ -0,0 +1,119 @@
+"""Random frames and messages of other nodes, as a broken one would send them."""
+
+import contextlib
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from sequoiaspoke.core.spread import events, messages
+from sequoiaspoke.core.spread.core import SpreadCore
+from sequoiaspoke.core.spread.state import Identity
+from sequoiaspoke.errors import MessageError
+from sequoiaspoke.settings.schema import NodeSettings, Settings
+from sequoiaspoke.tests.test_fuzz import FUZZ
+from sequoiaspoke.wire.codec import decode_message, encode_message
+
+TEXT = st.one_of(st.sampled_from(["", "rules", "ab" * 16, "v1"]), st.text(max_size=4))
+DIGESTS = st.sampled_from(["ab" * 16, "cd" * 16, "", "zz"])
+NUMBERS = st.one_of(
+    st.integers(-1, 9), st.sampled_from([2**63 - 1, -(2**63), 2**31, 2**62])
+)
+MAPS = st.dictionaries(TEXT, DIGESTS, max_size=2)
+TEXTS = st.lists(TEXT, max_size=3).map(tuple)
+STATUS = st.builds(
+    messages.Status,
+    NUMBERS,
+    DIGESTS,
+    NUMBERS,
+    DIGESTS,
+    NUMBERS,
+    NUMBERS,
+    NUMBERS,
+    MAPS,
+)
+DELTA = st.builds(messages.HeadDelta, NUMBERS, DIGESTS, DIGESTS, MAPS, TEXTS)
+PARTS = st.lists(
+    st.builds(messages.Part, DIGESTS, st.binary(max_size=9)), max_size=2
+).map(tuple)
+MESSAGES = st.one_of(
+    st.builds(messages.Hello, TEXT, TEXT, NUMBERS, STATUS),
+    st.builds(messages.Welcome, TEXT, TEXT, NUMBERS, STATUS),
+    st.builds(messages.Beat, STATUS),
+    st.builds(messages.BeatAnswer, STATUS),
+    st.builds(messages.Announcement, NUMBERS, DIGESTS, st.none() | DELTA, NUMBERS),
+    st.builds(messages.HeadQuestion, NUMBERS, DIGESTS, DIGESTS),
+    st.builds(messages.HeadAnswer, st.none() | DELTA),
+    st.builds(messages.PartsQuestion, st.lists(DIGESTS, max_size=3).map(tuple)),
+    st.builds(messages.PartsAnswer, PARTS, st.booleans()),
+    st.builds(messages.VmsQuestion, NUMBERS),
+    st.builds(messages.VmsAnswer, NUMBERS, NUMBERS, st.binary(max_size=9), TEXTS),
+    st.builds(messages.VouchQuestion, TEXT, NUMBERS, NUMBERS),
+    st.builds(messages.VouchAnswer, NUMBERS, NUMBERS, st.booleans()),
+)
+HELLO = messages.Hello("v1", "z", 1, messages.Status(1, "ab" * 16))
+CHANGES = st.lists(st.tuples(st.integers(0, 200), st.integers(0, 255)), max_size=4)
+
+
+def encoded(message):
+    """Return a frame's payload, or nothing where the fields do not fit it."""
+    try:
+        return encode_message(1, message)
+    except Exception:  # what this side builds is no input from outside
+        return b""
+
+
+class FrameFuzzTests(TestCase):
+    """A node of another program, or none at all, speaks to the peer port.
+
+    An exception that is not the link's own would end the task that reads, and
+    the connection would stay open with nobody listening.
+    """
+
+    @FUZZ
+    @given(st.binary(max_size=64))
+    def test_any_bytes(self, payload):
+        with contextlib.suppress(MessageError):
+            decode_message(payload)
+
+    @FUZZ
+    @given(MESSAGES, CHANGES)
+    def test_messages_with_bytes_changed(self, message, changes):
+        payload = bytearray(encoded(message))
+        for place, value in changes:
+            if payload:
+                payload[place % len(payload)] = value
+        with contextlib.suppress(MessageError):
+            decode_message(bytes(payload))
+
+    def test_deep_nesting_and_false_lengths_are_refused(self):
+        for payload in (
+            b"\x82\x21\x01\x05greet" + b"\x1c" * 200_000,
+            b"\x82\x21\x01\x05greet\x1c\x18\xff\xff\xff\xff\x07",
+            b"\x82\x21\x01\x0bfetch_parts\x1c\x19\xf8\xff\xff\xff\xff\x07",
+        ):
+            self.assertRaises(MessageError, decode_message, payload)
+
+
+class MessageFuzzTests(TestCase):
+    """Well-formed messages arrive whose values make no sense, in any order."""
+
+    @FUZZ
+    @given(st.lists(st.tuples(MESSAGES, st.integers(0, 4)), max_size=12))
+    def test_the_core_takes_any_sequence(self, sequence):
+        settings = Settings(node=NodeSettings(name="v0", zone="z"))
+        core = SpreadCore(settings, Identity("v0", "z", 7), random.Random(0))
+        now = 100.0
+        core.tick(now)
+        core.handle(events.LinkUp(-1), now)
+        core.handle(events.Received(-1, 1, HELLO), now)
+        for message, number in sequence:
+            payload = encoded(message)
+            if not payload:
+                continue
+            _, received = decode_message(payload)
+            now += 0.1
+            core.handle(events.Received(-1, number, received), now)
+            core.tick(now)
+        self.assertEqual(0, core.holder.version)
