Measure what one and two hops add to a call

Cause: the added latency was only estimated. Change: measure hop calls the upstream directly, through the shell without decisions, through one node and through two, in turns at steady rates.

--- a/sequoiaspoke/commands/measure.py
+++ b/sequoiaspoke/commands/measure.py
@@ -78,6 +78,47 @@
         print(json.dumps(figures))
 
 
+def hop(*, rates: tuple[int, ...] = (50, 200, 500), seconds: float = 10.0) -> None:
+    """Measure what one and two hops add to a call; the last line is JSON.
+
+    Parameters
+    ----------
+    rates : tuple[int, ...]
+        Calls a second of the one entry node, each measured in turn.
+    seconds : float
+        Seconds of calls for each way at each rate.
+    """
+    from sequoiaspoke.measure.hop import measure_hop
+
+    report = run_measurement(measure_hop(rates, seconds))
+    for each in report.results:
+        print(
+            f"{each.rate:5}/s {each.way:9} calls={each.calls} failed={each.failed} "
+            f"p50={each.p50_ms:.2f} p99={each.p99_ms:.2f} "
+            f"added p50={each.added_p50_ms:.2f} p99={each.added_p99_ms:.2f} ms"
+        )
+    print(json.dumps(dataclasses.asdict(report)))
+
+
+def bare_proxy(address: str, port: int, upstream_port: int) -> None:
+    """Relay calls without any decision, to compare a node with.
+
+    Parameters
+    ----------
+    address : str
+        IP number to listen on and of the upstream.
+    port : int
+        TCP port of callers.
+    upstream_port : int
+        TCP port of the upstream.
+    """
+    from sequoiaspoke.measure.bareproxy import run_bare_proxy
+    from sequoiaspoke.node.client import Address
+
+    listening, upstream = Address(address, port), Address(address, upstream_port)
+    asyncio.run(run_bare_proxy(listening, upstream))
+
+
 def run_measurement(measurement: Coroutine[Any, Any, Any]) -> Any:
     """Run a measurement; a signal ends its processes too."""
     return asyncio.run(cancelled_by_signal(measurement))
@@ -111,4 +152,10 @@
     print(json.dumps(dataclasses.asdict(report)))
 
 
-COMMANDS = {"load": load, "rules": rules, "spread": spread}
+COMMANDS = {
+    "load": load,
+    "rules": rules,
+    "spread": spread,
+    "hop": hop,
+    "bare-proxy": bare_proxy,
+}
--- a/sequoiaspoke/measure/bench.py
+++ b/sequoiaspoke/measure/bench.py
@@ -188,9 +188,10 @@
         self.nodes[vm.name] = process
         process.start()
 
-    async def start_upstream(self, vm: Vm) -> None:
-        """Start an upstream in a VM."""
+    async def start_upstream(self, vm: Vm, service_ms: float = 5.0) -> None:
+        """Start an upstream in a VM; a call takes it `service_ms`."""
         words = ["standin", "upstream", "--address", vm.address, "--target", vm.name]
+        words += ["--service-ms", f"{service_ms:g}"]
         process = Process(words, self.path(f"{vm.name}-upstream.log"))
         self.upstreams[vm.name] = process
         process.start()
--- /dev/null
+++ b/sequoiaspoke/measure/hop.py
@@ -0,0 +1,160 @@
+"""Latency that a node adds to a call, over one hop and over two.
+
+The same caller calls the upstream directly, through the shell alone, through
+the node on the target's VM (one hop) and through another node (two hops). The
+ways take turns in short rounds, so that whatever else the machine does meets
+them alike.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from sequoiaspoke.errors import CallError
+from sequoiaspoke.measure.bench import Bench
+from sequoiaspoke.measure.percentiles import Percentiles
+from sequoiaspoke.measure.plan import CALL_PORT, UPSTREAM_PORT, FleetPlan
+from sequoiaspoke.measure.processes import Process
+from sequoiaspoke.node.client import Address, Pool
+from sequoiaspoke.settings.schema import LimitSettings
+
+BARE_PORT = 8079
+WARM_UP = 100  # calls on each way before the first round
+ROUND_SECONDS = 2.0
+PATH = "/service-0/availability"
+DEADLINE = 10.0  # seconds
+OK = 200
+MILLI = 1000
+WAYS = ("direct", "bare", "one_hop", "two_hops")
+
+
+@dataclass
+class WayResult:
+    """What callers of one way saw at one rate, in milliseconds."""
+
+    rate: int
+    way: str
+    calls: int = 0
+    failed: int = 0
+    p50_ms: float = 0.0
+    p99_ms: float = 0.0
+    added_p50_ms: float = 0.0
+    added_p99_ms: float = 0.0
+
+
+@dataclass
+class HopReport:
+    """The figures of every way at every rate."""
+
+    seconds: float
+    results: list[WayResult] = field(default_factory=list)
+
+
+class Caller:
+    """Call one address at a steady rate, whether or not answers are late."""
+
+    def __init__(self, address: Address) -> None:
+        self.pool = Pool(address, LimitSettings())
+        self.headers = HTTPHeaders({"Host": f"{address.host}:{address.port}"})
+        self.times: dict[int, Percentiles] = {}
+        self.failed: dict[int, int] = {}
+
+    async def round(self, rate: int, seconds: float) -> None:
+        """Make the calls of one round and wait for their answers."""
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        calls = []
+        for number in range(int(rate * seconds)):
+            due = begin + number / rate
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            calls.append(loop.create_task(self.call(rate)))
+        await asyncio.gather(*calls)
+
+    async def call(self, rate: int) -> None:
+        """Make one call and note how long its whole answer took."""
+        loop = asyncio.get_running_loop()
+        start_line = RequestStartLine("GET", PATH, "HTTP/1.1")
+        begin = time.perf_counter()
+        try:
+            answer = await self.pool.call(
+                start_line, self.headers, None, loop.time() + DEADLINE
+            )
+            try:
+                while await answer.body.get():
+                    pass
+            finally:
+                answer.close()
+        except CallError:
+            self.failed[rate] = self.failed.get(rate, 0) + 1
+            return
+        if answer.status != OK:
+            self.failed[rate] = self.failed.get(rate, 0) + 1
+            return
+        took = time.perf_counter() - begin
+        self.times.setdefault(rate, Percentiles()).add(took)
+
+
+async def measure_hop(rates: tuple[int, ...], seconds: float) -> HopReport:
+    """Measure every way at every rate for `seconds` each."""
+    plan = FleetPlan(2, 1, 1)
+    async with Bench(plan) as bench:
+        home, entry = bench.plan.vm(0), bench.plan.vm(1)
+        await bench.start_upstream(home, service_ms=0)
+        bare = Process(
+            ["measure", "bare-proxy", home.address, str(BARE_PORT), str(UPSTREAM_PORT)],
+            bench.path("bare.log"),
+        )
+        bare.start()
+        callers = {
+            "direct": Caller(Address(home.address, UPSTREAM_PORT)),
+            "bare": Caller(Address(home.address, BARE_PORT)),
+            "one_hop": Caller(Address(home.address, CALL_PORT)),
+            "two_hops": Caller(Address(entry.address, CALL_PORT)),
+        }
+        try:
+            await warm_up(callers)
+            for rate in rates:
+                for _ in range(max(1, round(seconds / ROUND_SECONDS))):
+                    for way in WAYS:
+                        await callers[way].round(rate, ROUND_SECONDS)
+        finally:
+            bare.kill()
+            for caller in callers.values():
+                caller.pool.close()
+    return report(callers, rates, seconds)
+
+
+async def warm_up(callers: dict[str, Caller]) -> None:
+    """Open connections and fill caches before anything counts."""
+    for caller in callers.values():
+        for _ in range(WARM_UP):
+            await caller.call(0)
+
+
+def report(
+    callers: dict[str, Caller], rates: tuple[int, ...], seconds: float
+) -> HopReport:
+    """Put the figures together, each way against the direct calls."""
+    made = HopReport(seconds)
+    for rate in rates:
+        direct = callers["direct"].times.get(rate, Percentiles())
+        for way in WAYS:
+            times = callers[way].times.get(rate, Percentiles())
+            failed = callers[way].failed.get(rate, 0)
+            result = WayResult(rate, way, times.count, failed)
+            if times.count and direct.count:
+                result.p50_ms = milliseconds(times, 50)
+                result.p99_ms = milliseconds(times, 99)
+                result.added_p50_ms = result.p50_ms - milliseconds(direct, 50)
+                result.added_p99_ms = result.p99_ms - milliseconds(direct, 99)
+            made.results.append(result)
+    return made
+
+
+def milliseconds(times: Percentiles, percent: float) -> float:
+    """Return a percentile in milliseconds, to the microsecond."""
+    return times.histogram.get_value_at_percentile(percent) / MILLI
