Validate only what changed between two versions

Cause: at 2,000 endpoints in 200 services each change held up the loop for 35 to 46 ms, most of it in looking at endpoints that had not changed. Change: services taken over unchanged from the version in force are not looked at by themselves again; what holds between services and rules is. Figures: offer of a head and its one changed part, 200 services and 2,000 endpoints: 35 to 46 ms before, 4.6 to 5.0 ms after. Tests: a change is refused for a duplicate with an unchanged service, for its own bad port and for an emptied service.

--- a/sequoiaspoke/core/rules/validate.py
+++ b/sequoiaspoke/core/rules/validate.py
@@ -25,7 +25,7 @@
 from sequoiaspoke.errors import Problem
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Container, Iterable, Iterator
 
     from sequoiaspoke.core.rules.model import (
         Condition,
@@ -61,11 +61,22 @@
 }
 
 
-def validate(rules: Iterable[Rule], services: Iterable[Service]) -> tuple[Problem, ...]:
+def validate(
+    rules: Iterable[Rule],
+    services: Iterable[Service],
+    accepted: Container[str] = frozenset(),
+) -> tuple[Problem, ...]:
     """Return every error and warning in a version, in the order of its parts.
 
     A version with an error must not come into force; warnings say what is
     probably not meant.
+
+    Parameters
+    ----------
+    accepted : Container of str
+        Names of services that have not changed since a version that had no
+        error; their own endpoints are not looked at again. The answer stays the
+        same but for their warnings.
     """
     rules, services = tuple(rules), tuple(services)
     sizes = {service.name: len(service.endpoints) for service in services}
@@ -76,7 +87,8 @@
     for rule in rules:
         problems += _rule(rule, sizes, zones)
     for service in services:
-        problems += _service(service)
+        if service.name not in accepted:
+            problems += _service(service)
     problems += _shared_places(services)
     return tuple(problems)
 
--- a/sequoiaspoke/core/snapshot/install.py
+++ b/sequoiaspoke/core/snapshot/install.py
@@ -34,7 +34,8 @@
     rules = _rules(head, store, before, problems)
     services = _services(head, store, before, problems)
     if not problems:
-        problems += errors_of(validate(rules, tuple(services.values())))
+        accepted = _unchanged(services, before)
+        problems += errors_of(validate(rules, services.values(), accepted))
     if problems:
         raise VersionRefusedError(tuple(problems))
     if before and before.rules is rules:
@@ -42,6 +43,15 @@
     return Snapshot(head, rules, services, compile_rules(rules))
 
 
+def _unchanged(services: dict[str, Service], before: Snapshot | None) -> set[str]:
+    # Looking at 2,000 endpoints again for each change of one holds up the loop,
+    # and every call on it, for tens of milliseconds.
+    if before is None:
+        return set()
+    known = before.services
+    return {name for name, held in services.items() if known.get(name) is held}
+
+
 def _rules(
     head: Head, store: PartStore, before: Snapshot | None, problems: list[Problem]
 ) -> tuple[Rule, ...]:
--- a/sequoiaspoke/tests/test_snapshot.py
+++ b/sequoiaspoke/tests/test_snapshot.py
@@ -137,6 +137,16 @@
         self.assertIs(before.services["billing"], holder.current.services["billing"])
         self.assertEqual((1, 3), ports(holder, "fleet"))
 
+    def test_a_change_is_validated_against_what_did_not_change(self):
+        holder = SnapshotHolder()
+        take(holder, publication(1, fleet=(1,), billing=(2,)))
+        take(holder, publication(2, fleet=(2,), billing=(2,)))
+        self.assertIn("duplicate", holder.last_refused.reason)
+        take(holder, publication(3, fleet=(-1,), billing=(2,)))
+        self.assertIn("mesh_port", holder.last_refused.reason)
+        take(holder, publication(4, fleet=(), billing=(2,)))
+        self.assertEqual((4, 1), (holder.last_refused.version, holder.version))
+
     def test_the_store_keeps_two_versions_for_peers(self):
         holder = SnapshotHolder()
         for version in range(1, 6):
