Refuse heads and VM lists that no message can carry

Cause: a version beyond 63 bits, a digest that is none or a name with a lone surrogate passed the gate and failed when it was told to peers. Change: bounds and forms are checked where documents and differences are decoded; a peer that sends such a head is cut off, the platform's is refused and counted. An address or port that cannot be no longer ends the task that connects.

--- a/sequoiaspoke/core/membership/vmlist.py
+++ b/sequoiaspoke/core/membership/vmlist.py
@@ -100,7 +100,9 @@
         for name in answer.removed:
             vms.pop(name, None)
         vms.update({vm.name: vm for vm in _unpack(answer.packed)})
-        return self.offer(VmList(answer.revision, tuple(vms.values())))
+        newer = VmList(answer.revision, tuple(vms.values()))
+        codec.check_vms(newer)
+        return self.offer(newer)
 
 
 def _pack(vms: Iterable[Vm]) -> bytes:
--- a/sequoiaspoke/core/snapshot/codec.py
+++ b/sequoiaspoke/core/snapshot/codec.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+import re
 import zlib
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -12,6 +13,7 @@
 from cattrs.strategies import configure_tagged_union
 
 from sequoiaspoke.core.rules import model as rules_model
+from sequoiaspoke.core.rules.validate import is_ip_number
 from sequoiaspoke.core.snapshot import model as snapshot_model
 from sequoiaspoke.core.snapshot.model import Head, VmList
 from sequoiaspoke.errors import DocumentError
@@ -24,6 +26,11 @@
 DOCUMENT_LIMIT = 1_000_000  # bytes; the platform holds values up to a megabyte
 PART_LIMIT = 8_000_000  # bytes once inflated, so that a bomb cannot fill the memory
 DIGEST_BYTES = 16
+LARGEST_NUMBER = 2**63 - 1  # of versions and revisions, as messages carry them
+LARGEST_PORT = 65535
+DIGEST = re.compile(rf"[0-9a-f]{{{2 * DIGEST_BYTES}}}")
+PART_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]{0,127}")
+VM_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 STRICT_CLASSES = (
     rules_model.Condition,
     rules_model.WeightedService,
@@ -132,8 +139,31 @@
 
 
 def decode_head(data: bytes) -> Head:
-    """Decode a head document."""
-    return decode_json(data, Head)
+    """Decode a head document.
+
+    Raises
+    ------
+    DocumentError
+        The bytes are no head that could be told to other nodes.
+    """
+    head = decode_json(data, Head)
+    check_head(head)
+    return head
+
+
+def check_head(head: Head) -> None:
+    """Check what every node must be able to store and pass on.
+
+    Raises
+    ------
+    DocumentError
+        The version, a part's name or a digest is out of bounds.
+    """
+    if not 1 <= head.version <= LARGEST_NUMBER:
+        raise DocumentError(f"version {head.version} is out of range")
+    for name, digest in head.parts.items():
+        if not PART_NAME.fullmatch(name) or not DIGEST.fullmatch(digest):
+            raise DocumentError(f"bad part {ascii(name[:80])}: {ascii(digest[:80])}")
 
 
 def root_digest(head: Head) -> str:
@@ -163,4 +193,23 @@
 
 def decode_vms(data: bytes) -> VmList:
     """Decode the platform's VM list."""
-    return decode_json(data, VmList)
+    vms = decode_json(data, VmList)
+    check_vms(vms)
+    return vms
+
+
+def check_vms(vms: VmList) -> None:
+    """Check what every node must be able to store and pass on.
+
+    Raises
+    ------
+    DocumentError
+        The revision, a name, an address or a port is out of bounds.
+    """
+    if not 0 <= vms.revision <= LARGEST_NUMBER:
+        raise DocumentError(f"revision {vms.revision} is out of range")
+    for vm in vms.vms:
+        named = VM_NAME.fullmatch(vm.name) and VM_NAME.fullmatch(vm.zone)
+        port = 0 <= vm.peer_port <= LARGEST_PORT
+        if not named or not port or not is_ip_number(vm.address):
+            raise DocumentError(f"bad VM {ascii(vm.name[:80])}")
--- a/sequoiaspoke/core/spread/answers.py
+++ b/sequoiaspoke/core/spread/answers.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.snapshot.codec import root_digest
+from sequoiaspoke.core.snapshot.codec import check_head, root_digest
 from sequoiaspoke.core.snapshot.model import Head
 from sequoiaspoke.core.spread.budget import TokenBucket
 from sequoiaspoke.core.spread.messages import (
@@ -33,7 +33,13 @@
 
 
 def apply_delta(delta: HeadDelta, holder: SnapshotHolder) -> Head | None:
-    """Rebuild a head; None if its base is not held or the digest differs."""
+    """Rebuild a head; None if its base is not held or the digest differs.
+
+    Raises
+    ------
+    DocumentError
+        It is no head that could be told to other nodes.
+    """
     parts: dict[str, str] = {}
     if delta.base_root:
         base = holder.held(delta.base_root)
@@ -44,6 +50,7 @@
         parts.pop(name, None)
     parts.update(delta.changed)
     head = Head(delta.version, parts)
+    check_head(head)
     return head if root_digest(head) == delta.root else None
 
 
--- a/sequoiaspoke/core/spread/core.py
+++ b/sequoiaspoke/core/spread/core.py
@@ -290,7 +290,11 @@
         """Rebuild a head from its difference; return whether it fitted."""
         if self.holder.gate.judge(delta.version, delta.root) is not Verdict.NEW:
             return True
-        head = apply_delta(delta, self.holder)
+        try:
+            head = apply_delta(delta, self.holder)
+        except DocumentError:
+            self.links.close(link, "nonsense", now)
+            return True
         if head is None:
             self.state.count("delta-without-base")
             return False
--- a/sequoiaspoke/node/peerlink.py
+++ b/sequoiaspoke/node/peerlink.py
@@ -114,7 +114,8 @@
             stream = await self.client.connect(
                 address, port, max_buffer_size=FRAME_LIMIT + READ_BYTES
             )
-        except (OSError, StreamClosedError):
+        # The list of VMs may name a port or an address that cannot be.
+        except (OSError, StreamClosedError, ValueError, OverflowError):
             self.connecting.pop(number, None)
             self.listener.link_down(number)
             return
--- a/sequoiaspoke/tests/test_snapshot.py
+++ b/sequoiaspoke/tests/test_snapshot.py
@@ -1,14 +1,15 @@
 """Tests of gathering, validating and installing versions."""
 
-from testtools import TestCase
+from testtools import ExpectedException, TestCase
 
 from sequoiaspoke.core.rules.model import Endpoint, RouteTo, Rule, Service
 from sequoiaspoke.core.rules.model import WeightedService as To
 from sequoiaspoke.core.snapshot import codec
 from sequoiaspoke.core.snapshot.gate import Verdict
 from sequoiaspoke.core.snapshot.holder import SnapshotHolder
-from sequoiaspoke.core.snapshot.model import Head
+from sequoiaspoke.core.snapshot.model import Head, Vm, VmList
 from sequoiaspoke.core.snapshot.publish import make_publication
+from sequoiaspoke.errors import DocumentError
 
 
 def service(name, *ports):
@@ -119,6 +120,30 @@
             self.assertEqual(1, holder.counters["version-refused"])
 
 
+class BoundsTests(TestCase):
+    """A publisher's tool goes wrong and writes numbers or names that no message
+    between nodes can carry.
+
+    A node that took them would fail when it passes them on, and its neighbours
+    would hear of no later version either.
+    """
+
+    def test_heads_and_vm_lists_out_of_bounds_are_refused(self):
+        digest = "ab" * 16
+        heads = [Head(version) for version in (0, -1, 2**63)]
+        heads += [Head(1, parts) for parts in ({"rules": "ab"}, {"a\ud800": digest})]
+        for head in heads:
+            with ExpectedException(DocumentError):
+                codec.decode_head(codec.encode_head(head))
+        lists = [VmList(2**63)]
+        for bad in ({"name": "a b"}, {"address": "localhost"}, {"peer_port": 65536}):
+            vm = {"name": "vm", "zone": "z", "address": "127.0.0.1", "peer_port": 1}
+            lists.append(VmList(1, (Vm(**(vm | bad), mesh_port=1),)))
+        for vms in lists:
+            with ExpectedException(DocumentError):
+                codec.decode_vms(codec.encode_json(vms))
+
+
 class ChurnTests(TestCase):
     """Targets come and go all day; each change moves one part.
 
