Notice a silent watch of the platform sooner

Cause: when the platform's connections go silent, each watcher notices at the end of its own wait and deadline; a change took 6.4 s to every node. Change: the head is watched for 4 s at a time instead of 6, and a read is given up at its deadline without a further second.

--- a/sequoiaspoke/core/spread/platform.py
+++ b/sequoiaspoke/core/spread/platform.py
@@ -27,8 +27,6 @@
 FAILING_AFTER = 2
 # Heads a second that a starting fleet may read; half of the platform's rate.
 START_HEADS = 1000.0
-# The shell ends a read itself; this much later the core stops waiting for it.
-SHELL_SLACK = 1.0
 
 
 @dataclass
@@ -116,8 +114,7 @@
         wait = document.wait if watching else 0.0
         after = max(document.revision, 0) if watching else -1
         document.read = self._next_read()
-        limit = wait + self.state.spread.exchange + SHELL_SLACK
-        document.overdue = now + limit
+        document.overdue = now + wait + self.state.spread.exchange
         self.state.count(f"platform-read-{document.name}")
         self.state.act(ReadPlatform(document.read, document.name, after, wait))
 
--- a/sequoiaspoke/core/spread/settings.py
+++ b/sequoiaspoke/core/spread/settings.py
@@ -25,9 +25,9 @@
         2, "More that try while the watchers' own watches fail.", 0, 16
     )
     head_wait: float = option(
-        6.0,
+        4.0,
         "Seconds one watch of the head may wait; a connection that went silent is "
-        "noticed this late, and two watchers cost a third of a read a second.",
+        "noticed this late, and two watchers cost half a read a second.",
         0.05,
         300,
     )
