--- a/sequoiaspoke/__main__.py
+++ b/sequoiaspoke/__main__.py
@@ -6,8 +6,6 @@
 import sys
 from typing import TYPE_CHECKING, Any
 
-import defopt
-
 from sequoiaspoke import __version__
 from sequoiaspoke.errors import SequoiaspokeError
 
@@ -44,19 +42,40 @@
     if words == ["--version"]:
         print(__version__)
         return 0
-    chosen = [words[0]] if words and words[0] in COMMANDS else list(COMMANDS)
-    table = {name: load(COMMANDS[name]) for name in chosen}
     try:
-        result = defopt.run(
-            table,
-            argv=words,
-            version=__version__,
-            no_negated_flags=True,
-            argparse_kwargs={"prog": "sequoiaspoke"},
-        )
+        return run_node(words[1]) if is_plain_node(words) else run_command(words)
     except SequoiaspokeError as error:
         print(f"{error.code}: {error}", file=sys.stderr)
         return error.exit_code
+
+
+def is_plain_node(words: list[str]) -> bool:
+    """Tell whether the words are `node SETTINGS` and nothing else."""
+    return len(words) == 2 and words[0] == "node" and not words[1].startswith("-")
+
+
+def run_node(settings: str) -> int:
+    """Run a node without the library that reads command lines.
+
+    That library parses docstrings for its help and holds 5 MB for it, which
+    every VM would carry for as long as its node runs.
+    """
+    return load(COMMANDS["node"])(settings)
+
+
+def run_command(words: list[str]) -> int:
+    """Run the subcommand that the words ask for."""
+    import defopt
+
+    chosen = [words[0]] if words and words[0] in COMMANDS else list(COMMANDS)
+    table = {name: load(COMMANDS[name]) for name in chosen}
+    result = defopt.run(
+        table,
+        argv=words,
+        version=__version__,
+        no_negated_flags=True,
+        argparse_kwargs={"prog": "sequoiaspoke"},
+    )
     return result if isinstance(result, int) else 0
 
 
