--- a/sequoiaspoke/tests/test_pages.py
+++ b/sequoiaspoke/tests/test_pages.py
@@ -7,6 +7,8 @@
 from testtools import TestCase
 
 from sequoiaspoke import errors
+from sequoiaspoke.core.admission.model import RefusalReason
+from sequoiaspoke.core.routing.retry import GiveUpReason, RetryReason
 from sequoiaspoke.tests.golden import ROOT
 
 SOURCES = [
@@ -46,14 +48,25 @@
         }
         self.assertEqual(set(), missing)
 
+    def test_every_reason_of_a_decision_says_what_to_do(self):
+        page = (ROOT / "docs/guide/refusals.md").read_text()
+        reasons = (*RefusalReason, *RetryReason, *GiveUpReason)
+        missing = [reason for reason in reasons if f"| `{reason}` |" not in page]
+        self.assertEqual([], missing)
+
     def test_counters_that_operators_are_told_of_exist(self):
         sources = "\n".join(SOURCES)
         for path, page in pages("operators").items():
             for name in set(re.findall(r"sequoiaspoke_[a-z_]+", page)):
-                self.assertIn(f'"{name}"', sources, path)
+                known = f'"{name}"' in sources or self.is_published(name, sources)
+                self.assertTrue(known, f"{path}: {name}")
             for name in set(EVENT.findall(page)):
                 self.assertTrue(self.is_counted(name, sources), f"{path}: {name}")
 
+    def is_published(self, name, sources):
+        """Tell whether a table of the code names a metric without its prefix."""
+        return f'("{name.removeprefix("sequoiaspoke_")}", "' in sources
+
     def is_counted(self, name, sources):
         """Tell whether the code counts a name, whole or as prefix and value."""
         if f'"{name}"' in sources:
