Test the measurement of the spread from end to end

Cause: its parts were tested, the whole only by hand. Change: three real nodes, two changes and a paused node in one test; the time to settle is part of the plan. Conclusion: the report's fields are what the run gave.

--- a/sequoiaspoke/measure/spread.py
+++ b/sequoiaspoke/measure/spread.py
@@ -16,7 +16,6 @@
     from sequoiaspoke.measure.faults import Fault
     from sequoiaspoke.measure.plan import FleetPlan
 
-SETTLE_SECONDS = 5.0  # after the start, before anything is counted
 LATEST_SECONDS = 30.0  # after which a node counts as behind
 MOMENT = 1.0  # seconds before the nodes are asked, so that asking costs them nothing
 USUAL_GAP = 45.0  # seconds between two changes: 1,900 a day
@@ -35,6 +34,8 @@
         Seconds from one to the next.
     idle : float
         Seconds before them in which nothing changes.
+    settle : float
+        Seconds after the start, before anything is counted.
     """
 
     fleet: FleetPlan
@@ -42,6 +43,7 @@
     interval: float = 3.0
     idle: float = 10.0
     fault: str = NONE
+    settle: float = 5.0
 
 
 @dataclass(frozen=True)
@@ -121,7 +123,7 @@
 
     async def run(self) -> SpreadReport:
         """Measure and report."""
-        await asyncio.sleep(SETTLE_SECONDS)
+        await asyncio.sleep(self.plan.settle)
         start = await self.bench.totals()
         await asyncio.sleep(self.plan.idle)
         idle = await self.bench.totals()
--- a/sequoiaspoke/tests/test_measure.py
+++ b/sequoiaspoke/tests/test_measure.py
@@ -9,11 +9,11 @@
 from sequoiaspoke.core.snapshot.codec import DOCUMENT_LIMIT
 from sequoiaspoke.errors import MeasureError
 from sequoiaspoke.measure.bench import Totals
-from sequoiaspoke.measure.faults import make_fault
+from sequoiaspoke.measure.faults import Pause, make_fault
 from sequoiaspoke.measure.percentiles import Percentiles
 from sequoiaspoke.measure.plan import FleetPlan
 from sequoiaspoke.measure.processes import Process
-from sequoiaspoke.measure.spread import Rates
+from sequoiaspoke.measure.spread import Rates, SpreadPlan, measure_spread
 from sequoiaspoke.settings.load import parse_settings
 
 
@@ -62,6 +62,18 @@
         self.assertAlmostEqual(5.0, rates.cpu_percent)
 
 
+class MeasureSpreadTests(TestCase):
+    def test_a_small_fleet_converges_and_its_paused_node_catches_up(self):
+        fleet = FleetPlan(3, 1, 1)
+        plan = SpreadPlan(fleet, 2, 0.1, 0.1, Pause.name, settle=0.0)
+        report = asyncio.run(measure_spread(plan))
+        self.assertEqual((0, 0), (report.behind, report.went_back))
+        self.assertEqual((1, 0), (report.fault_nodes, report.fault_behind))
+        self.assertGreater(report.convergence_p50_s, 0.0)
+        self.assertGreater(report.control_bytes_per_node_per_s, 0.0)
+        self.assertGreater(report.rss_mb_per_node, 0)
+
+
 class ProcessTests(TestCase):
     def test_a_process_starts_tells_its_ports_and_ends_as_it_is_told(self):
         async def test(path):
