Start a measured fleet one node after another

Cause: 150 nodes that start at once load a machine of 12 cores to 130, which says nothing of the fleet and disturbs whoever shares the machine. Change: a tenth of a second between two starts; the herd's return of half-die and stale-start stays at once. Measured: test_measure.py passes. Conclusion: only the settled fleet is measured, as before.

--- a/sequoiaspoke/measure/bench.py
+++ b/sequoiaspoke/measure/bench.py
@@ -27,6 +27,7 @@
 LAST_NETWORK = 250
 RESERVATION_PORT = 8079
 POLL = 0.5  # seconds between two looks at the nodes that are behind
+START_GAP = 0.1  # seconds between two starts, so that the machine keeps up
 START_SECONDS = 120.0  # for a whole fleet to hold the first version
 STOP_SECONDS = 20.0
 
@@ -174,6 +175,7 @@
         change = await self.publish()
         for vm in self.plan.vms():
             self.start_node(vm)
+            await asyncio.sleep(START_GAP)
         behind = await self.behind(change.version, START_SECONDS)
         if behind:
             tail = self.nodes[min(behind)].log_tail()
