--- /dev/null
+++ b/sequoiaspoke/core/routing/grants_home.py
@@ -0,0 +1,166 @@
+"""Grant direct connections to this home's upstream, and take them back.
+
+An entry that calls a target steadily pays the home's hop on every call only to
+be told that there is room. While there is room, the home lends it a few slots
+for a second at a time, for idempotent calls; the lent slots count as taken, so
+that the upstream's limit holds exactly. As soon as a call has to wait, nothing
+is lent any more: slots held idle by one entry while another's call waits would
+be unfair, and the fair queue can only order calls that pass it. After that the
+home lends nothing for some seconds, else lending and recalling would alternate
+with every burst.
+
+What is lent comes back when the entry returns it. If the entry has died, or the
+message is lost, it comes back when the lease and the longest direct call are
+over, so a lost grant never costs a slot for good and no direct call begins more
+than a lease after a drain.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from itertools import count
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.routing.grants import (
+    Ask,
+    Denied,
+    DenyReason,
+    GrantAnswer,
+    Granted,
+    Returned,
+)
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.routing.settings import RoutingSettings
+
+
+@dataclass
+class Lent:
+    """Slots that an entry holds."""
+
+    entry: str
+    slots: int
+    until: float
+
+
+@dataclass(frozen=True)
+class Room:
+    """What the home's admission says of its slots.
+
+    Attributes
+    ----------
+    limit : int
+        Calls that the target now runs at once, granted ones included.
+    free : int
+        Slots that neither a call nor a grant holds.
+    waiting : int
+        Calls in the queue.
+    """
+
+    limit: int
+    free: int
+    waiting: int
+
+
+class GrantHome:
+    """Lend slots of one target.
+
+    Attributes
+    ----------
+    denied : Counter of DenyReason
+        Questions answered without a grant.
+    recalls : int
+        Grants taken back before their lease was over.
+    """
+
+    def __init__(self, settings: RoutingSettings) -> None:
+        self.settings = settings
+        self.numbers = count(1)
+        self.lent: dict[int, Lent] = {}
+        self.closed = False
+        self.paused_until = float("-inf")
+        self.denied: Counter[DenyReason] = Counter()
+        self.recalls = 0
+
+    @property
+    def reserved(self) -> int:
+        """Return the slots that admission must count as taken."""
+        return sum(each.slots for each in self.lent.values())
+
+    def ask(self, ask: Ask, room: Room, now: float) -> GrantAnswer:
+        """Answer an entry's question."""
+        reason = self.refusal(room, now)
+        if reason is DenyReason.CONTENTION:
+            self.pause(now)
+        if ask.grant:
+            return self.renew(ask, reason, now)
+        slots = min(self.settings.grant_slots, room.free, self.lendable(room))
+        if reason is None and slots < 1:
+            reason = DenyReason.SHARE
+        if reason:
+            return self.deny(reason)
+        number = next(self.numbers)
+        self.lent[number] = Lent(ask.entry, slots, now + self.settings.grant_lease)
+        return Granted(number, slots, self.settings.grant_lease)
+
+    def refusal(self, room: Room, now: float) -> DenyReason | None:
+        """Return why nothing at all is lent now."""
+        if self.closed:
+            return DenyReason.DRAINING
+        if room.waiting or now < self.paused_until:
+            return DenyReason.CONTENTION
+        return None
+
+    def renew(self, ask: Ask, reason: DenyReason | None, now: float) -> GrantAnswer:
+        """Prolong a grant, or take it back."""
+        lent = self.lent.get(ask.grant)
+        if lent is None or lent.entry != ask.entry:
+            return self.deny(DenyReason.UNKNOWN)
+        if reason:
+            self.recalls += 1
+            self.shrink(ask.grant, ask.in_use)
+            return self.deny(reason)
+        lent.until = now + self.settings.grant_lease
+        return Granted(ask.grant, lent.slots, self.settings.grant_lease)
+
+    def lendable(self, room: Room) -> int:
+        """Return how many more slots may be lent."""
+        return int(self.settings.grant_share * room.limit) - self.reserved
+
+    def deny(self, reason: DenyReason) -> Denied:
+        """Count and return a denial."""
+        self.denied[reason] += 1
+        return Denied(reason)
+
+    def pause(self, now: float) -> None:
+        """Lend nothing for a while; holders hear it when they renew."""
+        self.paused_until = now + self.settings.grant_pause
+
+    def close(self) -> None:
+        """Lend nothing any more, since the target leaves or moves."""
+        self.closed = True
+
+    def must_recall(self, room: Room, now: float) -> bool:
+        """Return whether holders that wait for a renewal must hear at once."""
+        return bool(self.lent) and self.refusal(room, now) is not None
+
+    def returned(self, message: Returned) -> None:
+        """Take back the slots of a grant, save those still in use."""
+        lent = self.lent.get(message.grant)
+        if lent and lent.entry == message.entry:
+            self.shrink(message.grant, message.in_use)
+
+    def shrink(self, grant: int, in_use: int) -> None:
+        """Keep only the slots in use counted as taken."""
+        lent = self.lent[grant]
+        lent.slots = min(lent.slots, in_use)
+        if lent.slots <= 0:
+            del self.lent[grant]
+
+    def expire(self, now: float) -> None:
+        """Take back what entries that are gone hold."""
+        longest = self.settings.grant_call
+        for number, lent in list(self.lent.items()):
+            if now > lent.until + longest:
+                del self.lent[number]
--- a/sequoiaspoke/core/routing/settings.py
+++ b/sequoiaspoke/core/routing/settings.py
@@ -126,3 +126,42 @@
         1,
         255,
     )
+    grant_address: str = option(
+        "",
+        "IP number and TCP port, as 10.0.0.1:9000, at which other VMs reach this "
+        "target's upstream; empty to grant no direct connections.",
+    )
+    grant_lease: float = option(
+        1.0,
+        "Seconds a granted connection may be used without renewal; a leaving "
+        "target has no new work from entries after that.",
+        0.1,
+        10,
+    )
+    grant_slots: int = option(
+        2, "Slots granted to one entry; two carry 40 calls of 50 ms a second.", 1, 100
+    )
+    grant_share: float = option(
+        0.5,
+        "Part of the limit that may be granted; the rest stays with the queue, "
+        "which alone can share it fairly.",
+        0,
+        1,
+    )
+    grant_pause: float = option(
+        2.0, "Seconds without grants after a call had to wait.", 0, 60
+    )
+    grant_rate: float = option(
+        10.0,
+        "Calls a second to one target from which an entry asks; below, asking "
+        "costs more than the hop.",
+        0.1,
+        10000,
+    )
+    grant_call: float = option(
+        10.0,
+        "Longest deadline, in seconds, of a call that goes directly; a slot lent "
+        "to an entry that died comes back that long after its lease.",
+        0.1,
+        60,
+    )
