Use every target under a hot key and recover at once from an outage

Under a hot key the bound on sticky targets left the third of three targets part idle at saturation; a full target now passes its calls on, at last to the least used one. A limit that had fallen to its floor in an outage of shed answers waited a second before it grew; sheds at the floor are not for concurrency, so it grows at once.

--- a/sequoiaspoke/core/admission/limit.py
+++ b/sequoiaspoke/core/admission/limit.py
@@ -167,7 +167,13 @@
         self.value = max(self.least, level * self.settings.decrease)
 
     def may_grow(self, now: float) -> bool:
-        """Return whether the limit may pass the level of the last shed."""
+        """Return whether the limit may pass the level of the last shed.
+
+        Calls shed at the floor were not shed for their number; waiting after
+        an outage would only lengthen it.
+        """
+        if self.shed_level <= self.least:
+            return True
         if self.value + 1 < self.shed_level:
             return True
         return now - self.shed_at >= self.settings.shed_hold
--- a/sequoiaspoke/core/routing/balancer.py
+++ b/sequoiaspoke/core/routing/balancer.py
@@ -314,10 +314,14 @@
         mean = sum(use.values()) / len(use)
         for place, each in enumerate(order):
             free_slot = 1 / max(1, each.slots)
-            if use[each.target] <= self.settings.sticky_bound * mean + free_slot:
+            bound = self.settings.sticky_bound * mean + free_slot
+            # Near saturation the bound alone would leave the last targets of
+            # the order part idle while the first ones queue.
+            if use[each.target] <= min(bound, 1.0):
                 reason = ChoiceReason.STICKY_MOVED if place else ChoiceReason.STICKY
                 return Choice(each, reason)
-        return Choice(order[0], ChoiceReason.STICKY)
+        least = min(order, key=lambda each: use[each.target])
+        return Choice(least, ChoiceReason.STICKY_MOVED)
 
 
 def ramp(value: float, start: float, full: float) -> float:
