Decide which keyed calls may run, at most once

A call that may not be repeated names a key. The node on the target's VM decides alone whether it runs: it holds a quorum of witnesses without a gap from one window before the key was minted until the call is admitted, which no two processes can do for the same key. Targets, witness sets and processes are compared by epochs that also show a change and change back, which comparing digests alone misses.

not-run is told of a key only when its home settles it (and then keeps a late copy from running) or when the caller declares a first attempt.

Keys without a zone are refused: hashing them over the published zones would give a key to two zones with no common witness while one of them is cut off from a version that adds a zone.

Leaving out the window, the tenure, the silence of a restarted witness or the fingerprint breaks a promise in a fixed history each; the check at hand-over is needed only when a clock is wrong by more than the margin, as its history shows.

--- a/sequoiaspoke/core/idempotency/__init__.py
+++ b/sequoiaspoke/core/idempotency/__init__.py
@@ -1,1 +1,1 @@
-"""Calls that run at most once."""
+"""Run a call that may not be repeated at most once, and answer honestly."""
--- /dev/null
+++ b/sequoiaspoke/core/idempotency/home.py
@@ -0,0 +1,236 @@
+"""Decide for one target which keyed calls run, and give repeats their answer.
+
+A key runs only in the process that held a quorum of witnesses without a gap from one
+window before the key was minted until the call is handed over. No two processes can
+both have held one over that time, so at most one can ever run a key, and what that
+one refuses is not run anywhere.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.idempotency.calls import Join, Proceed, Refuse, Replay, Run
+from sequoiaspoke.core.idempotency.key import home_of
+from sequoiaspoke.core.idempotency.ledger import Ledger, State
+from sequoiaspoke.core.idempotency.refusals import Refusals
+from sequoiaspoke.core.idempotency.safeguards import Safeguards
+from sequoiaspoke.core.idempotency.tenure import Tenure
+from sequoiaspoke.errors import (
+    AnswerNotKeptError,
+    DrainingError,
+    IssuerGoneError,
+    KeyFromFutureError,
+    KeyOutcomeUnknownError,
+    KeyRefusedError,
+    KeyReusedError,
+    KeyTooOldError,
+    LedgerFullError,
+    Ran,
+    WindowClosedError,
+    WrongHomeError,
+)
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.idempotency.calls import (
+        Admission,
+        Identity,
+        KeptAnswer,
+        KeyedCall,
+    )
+    from sequoiaspoke.core.idempotency.key import Key
+    from sequoiaspoke.core.idempotency.ledger import Entry
+    from sequoiaspoke.core.idempotency.messages import Answer, Question
+    from sequoiaspoke.core.idempotency.moment import Moment
+    from sequoiaspoke.core.idempotency.settings import IdempotencySettings
+    from sequoiaspoke.core.snapshot.model import Snapshot, VmList
+    from sequoiaspoke.errors import CallError
+
+
+@dataclass(frozen=True)
+class HomeStatus:
+    """What the operators' page shows of a home."""
+
+    window_open: bool
+    tenure_since: float
+    lapses: int
+    keys: int
+    kept_bytes: int
+    refused_keys: int
+    draining: bool
+
+
+class HomeCore:
+    """Run each key of a target at most once.
+
+    Parameters
+    ----------
+    settings : IdempotencySettings
+    identity : Identity
+        The target and this process.
+    safeguards : Safeguards
+        Rules in force; all of them outside tests.
+    """
+
+    def __init__(
+        self,
+        settings: IdempotencySettings,
+        identity: Identity,
+        safeguards: Safeguards = Safeguards(),
+    ) -> None:
+        self.settings = settings
+        self.identity = identity
+        self.safeguards = safeguards
+        self.ledger = Ledger(settings)
+        self.refusals = Refusals(settings)
+        self.tenure = Tenure(settings, identity, safeguards)
+        self.draining = False
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        """Learn of an installed version."""
+        self.tenure.on_snapshot(snapshot)
+
+    def on_vms(self, vms: VmList, now: Moment) -> None:
+        """Learn of a VM list."""
+        self.tenure.on_vms(vms, now)
+
+    def on_vouch(self, answer: Answer, now: Moment) -> None:
+        """Count a witness's answer."""
+        self.tenure.on_vouch(answer, now)
+
+    def tick(self, now: Moment) -> tuple[Question, ...]:
+        """Forget what is old and return the questions that are due."""
+        self.ledger.forget(now)
+        return self.tenure.questions(now)
+
+    def drain(self) -> None:
+        """Take on no new key; repeats still get their answers."""
+        self.draining = True
+
+    def admit(self, call: KeyedCall, now: Moment) -> Admission:
+        """Decide what to do with an attempt that has arrived."""
+        entry = self.ledger.get(call.key)
+        if entry is not None:
+            return self._repeat(entry, call)
+        if self.refusals.knows(call.key):
+            return Refuse(KeyRefusedError(), settled=True)
+        error = self._not_ours(call.key) or self._may_not_run(call.key, now)
+        if isinstance(error, KeyFromFutureError):
+            self.refusals.add(call.key, now)
+        if error is not None:
+            return Refuse(error)
+        error = self._refusal(call.key, now)
+        if error is not None:
+            return self._settle(call.key, error, now)
+        self.ledger.start(call.key, call.fingerprint)
+        return Run()
+
+    def hand_over(self, key: Key, now: Moment) -> Proceed | Refuse:
+        """Check again at the moment of handing the call to the upstream.
+
+        A process that was paused since the admission would otherwise act on an old
+        window, while the key has run at a new home.
+        """
+        entry = self.ledger.get(key)
+        if entry is None or entry.state is not State.QUEUED:
+            return Refuse(KeyRefusedError("the call has ended"))
+        error = None
+        if self.safeguards.check_at_hand_over:
+            error = self._not_ours(key) or self._may_not_run(key, now)
+        if error is not None:
+            self.ledger.drop(entry)
+            return self._settle(key, _as_not_run(error), now)
+        entry.state = State.HANDED_OVER
+        return Proceed()
+
+    def finished(self, key: Key, answer: KeptAnswer, now: Moment) -> None:
+        """Keep the upstream's whole answer."""
+        entry = self.ledger.get(key)
+        if entry is not None and entry.live:
+            self.ledger.answered(entry, answer, now)
+
+    def failed(self, key: Key, error: CallError, now: Moment) -> Refuse:
+        """Note that the call got no whole answer, and say what to tell its callers."""
+        entry = self.ledger.get(key)
+        if entry is None or not entry.live:
+            return Refuse(error)
+        if entry.state is State.QUEUED or error.ran is Ran.NOT_RUN:
+            self.ledger.drop(entry)
+            return self._settle(key, _as_not_run(error), now)
+        self.ledger.outcome_unknown(entry, now)
+        return Refuse(error)
+
+    def status(self, now: Moment) -> HomeStatus:
+        """Return what the operators' page shows."""
+        return HomeStatus(
+            window_open=self.tenure.is_open(now),
+            tenure_since=self.tenure.begins(),
+            lapses=self.tenure.window.lapses,
+            keys=len(self.ledger.entries),
+            kept_bytes=self.ledger.kept_bytes,
+            refused_keys=len(self.refusals.keys),
+            draining=self.draining,
+        )
+
+    def _repeat(self, entry: Entry, call: KeyedCall) -> Admission:
+        if self.safeguards.fingerprint and entry.fingerprint != call.fingerprint:
+            return Refuse(KeyReusedError())
+        if entry.live:
+            return Join()
+        if entry.answer is None:
+            return Refuse(KeyOutcomeUnknownError())
+        if entry.answer.body is None:
+            return Refuse(AnswerNotKeptError())
+        return Replay(entry.answer)
+
+    def _not_ours(self, key: Key) -> CallError | None:
+        if key.target and key.target == self.identity.target:
+            if key.zone != self.identity.zone:
+                return WrongHomeError()
+            gone = key.incarnation != self.identity.incarnation
+            return IssuerGoneError() if gone else None
+        home = home_of(key, self.tenure.names)
+        if key.zone != self.identity.zone or home != self.identity.target:
+            return WrongHomeError()
+        return None
+
+    def _may_not_run(self, key: Key, now: Moment) -> CallError | None:
+        """Say why a key not in the ledger may have run, or may run elsewhere."""
+        margin = self.settings.clock_margin
+        if key.minted is not None and key.minted > now.wall + margin:
+            return KeyFromFutureError()
+        if not key.target and not self.tenure.is_open(now):
+            return WindowClosedError(retry_after=self.settings.window)
+        if not self.safeguards.tenure:
+            return None
+        if key.minted is None:
+            first_use = now.wall - self.settings.opaque_lifetime
+            return None if first_use >= self.tenure.begins() else KeyTooOldError()
+        if key.minted < now.wall - (self.settings.retention - margin):
+            return KeyTooOldError()
+        if not key.target and key.minted < self.tenure.begins() + margin:
+            return KeyTooOldError()
+        return None
+
+    def _refusal(self, key: Key, now: Moment) -> CallError | None:
+        if self.refusals.covers(key, now):
+            return KeyRefusedError()
+        if self.draining:
+            return DrainingError()
+        return LedgerFullError(retry_after=1.0) if self.ledger.full else None
+
+    def _settle(self, key: Key, error: CallError, now: Moment) -> Refuse:
+        """Refuse for good a key that this process alone may run.
+
+        A copy of the attempt may still be on its way through another entry. Its
+        caller has been told that the call was not run, so it must stay true.
+        """
+        self.refusals.add(key, now)
+        return Refuse(error, settled=True)
+
+
+def _as_not_run(error: CallError) -> CallError:
+    if error.ran is Ran.NOT_RUN:
+        return error
+    return KeyRefusedError(error.detail, error.retry_after)
--- /dev/null
+++ b/sequoiaspoke/core/idempotency/rendezvous.py
@@ -0,0 +1,19 @@
+"""Rendezvous hashing: the same choice everywhere, and few moves on a change."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+def rank(subject: str, names: Iterable[str]) -> list[str]:
+    """Order names for a subject, the preferred one first."""
+    return sorted(names, key=lambda name: _weight(subject, name), reverse=True)
+
+
+def _weight(subject: str, name: str) -> tuple[bytes, str]:
+    digest = blake2b(f"{subject}\0{name}".encode(), digest_size=8).digest()
+    return digest, name
--- a/sequoiaspoke/core/idempotency/settings.py
+++ b/sequoiaspoke/core/idempotency/settings.py
@@ -4,7 +4,79 @@
 
 from dataclasses import dataclass
 
+from sequoiaspoke.settings.option import option
+
 
 @dataclass(frozen=True)
 class IdempotencySettings:
     """Settings of the idempotency decisions."""
+
+    window: float = option(
+        3.0,
+        "Seconds that a witness's answer counts, from when it was asked: three lost "
+        "rounds close the window, and a moved key costs about this long.",
+        0.1,
+        60,
+    )
+    ask_every: float = option(
+        1.0,
+        "Seconds between rounds of questions to the witnesses; three rounds fit the "
+        "window, for about ten small messages a second.",
+        0.02,
+        20,
+    )
+    clock_margin: float = option(
+        0.5,
+        "Seconds by which the clocks of any two machines may differ; synchronised "
+        "clocks differ by milliseconds.",
+        0.0,
+        10,
+    )
+    witnesses: int = option(7, "VMs of the zone that vouch for a service.", 1, 31)
+    quorum: int = option(
+        5,
+        "Witnesses that must answer; 5 of 7 still meet when two members differ.",
+        1,
+        31,
+    )
+    departed: float = option(
+        30.0,
+        "Seconds for which the witnesses before a change of the VM list are asked "
+        "too; longer than the list takes to reach every node.",
+        0,
+        3600,
+    )
+    retention: float = option(
+        300.0,
+        "Seconds that a finished key is remembered; older keys are not run.",
+        5,
+        86400,
+    )
+    opaque_lifetime: float = option(
+        60.0,
+        "Seconds for which a caller may repeat a key that has no minted time.",
+        1,
+        3600,
+    )
+    entries: int = option(
+        20000,
+        "Keys in the ledger: 60 new keys a second for the retention.",
+        1,
+        1000000,
+    )
+    refusals: int = option(
+        2000,
+        "Refused keys remembered one by one, a few seconds of shedding.",
+        1,
+        100000,
+    )
+    answer_bytes: int = option(
+        65536, "Bytes of an answer that is kept for repeats.", 0, 1 << 24
+    )
+    kept_bytes: int = option(
+        8 << 20, "Bytes of all kept answers, an eighth of the memory.", 0, 1 << 30
+    )
+    body_bytes: int = option(
+        1 << 20, "Bytes of a keyed call's body, which is held whole.", 0, 1 << 26
+    )
+    key_length: int = option(200, "Characters of a key.", 40, 1000)
--- /dev/null
+++ b/sequoiaspoke/core/idempotency/tenure.py
@@ -0,0 +1,183 @@
+"""Hold the window of one target: ask the witnesses and weigh what they say."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.idempotency.epoch import Epoch, digest_of
+from sequoiaspoke.core.idempotency.messages import Question
+from sequoiaspoke.core.idempotency.window import NEVER, Window
+from sequoiaspoke.core.idempotency.witnesses import (
+    choose_witnesses,
+    zone_targets,
+    zone_vms,
+)
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.idempotency.calls import Identity
+    from sequoiaspoke.core.idempotency.messages import Answer
+    from sequoiaspoke.core.idempotency.moment import Moment
+    from sequoiaspoke.core.idempotency.safeguards import Safeguards
+    from sequoiaspoke.core.idempotency.settings import IdempotencySettings
+    from sequoiaspoke.core.idempotency.witnesses import WitnessSet
+    from sequoiaspoke.core.snapshot.model import Snapshot, VmList
+
+
+class Tenure:
+    """Know since when this process alone may run new keys of its target."""
+
+    def __init__(
+        self,
+        settings: IdempotencySettings,
+        identity: Identity,
+        safeguards: Safeguards,
+    ) -> None:
+        self.settings = settings
+        self.identity = identity
+        self.safeguards = safeguards
+        self.window = Window(settings)
+        self.names: tuple[str, ...] = ()
+        self.installed = ""  # digest of the names
+        self.targets = Epoch()
+        self.members = Epoch()
+        self.holder = Epoch(identity.incarnation, str(identity.incarnation))
+        self.current: WitnessSet | None = None
+        self.before: list[tuple[WitnessSet, float]] = []  # until, on the steady clock
+        self.rounds: dict[int, float] = {}  # when each was sent
+        self.last_round = 0
+        self.next_ask = NEVER
+        self.clock_gap: float | None = None
+        self.superseded = False
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        """Learn of an installed version; other targets end the tenure."""
+        identity = self.identity
+        self.names = zone_targets(snapshot, identity.service, identity.zone)
+        since = self.targets.since
+        self.installed = digest_of(self.names)
+        self.targets = self.targets.advance(snapshot.version, self.installed)
+        if self.targets.since != since or not self._in_step():
+            self._lapse()
+
+    def on_vms(self, vms: VmList, now: Moment) -> None:
+        """Learn of a VM list; for a while the witnesses before must vouch too."""
+        names = zone_vms(vms, self.identity.zone)
+        chosen = choose_witnesses(self.identity.service, names, self.settings)
+        self.members = self.members.advance(vms.revision, chosen.digest)
+        if self.members.digest != chosen.digest or chosen == self.current:
+            return
+        if self.current is not None:
+            self.before.append((self.current, now.steady + self.settings.departed))
+        self.current = chosen
+        self.next_ask = now.steady
+
+    def questions(self, now: Moment) -> tuple[Question, ...]:
+        """Return the questions to send now, if a round is due."""
+        self._check_clock(now)
+        self.is_open(now)
+        if (
+            self.current is None
+            or not self.targets.digest
+            or now.steady < self.next_ask
+        ):
+            return ()
+        self.next_ask = now.steady + self.settings.ask_every
+        self.last_round += 1
+        self.rounds[self.last_round] = now.steady
+        self._drop_old_rounds(now)
+        witnesses = {vm: None for members in self._sets(now) for vm in members.vms}
+        return tuple(self._question(vm) for vm in witnesses)
+
+    def on_vouch(self, answer: Answer, now: Moment) -> None:
+        """Count an answer, or close when it shows a newer assignment."""
+        asked = self.rounds.get(answer.round)
+        if asked is None or answer.service != self.identity.service:
+            return
+        if answer.target != self.identity.target:
+            return
+        if answer.holder.digest != self.holder.digest:
+            self._on_other_holder(answer)
+            return
+        if not self._agrees_on_targets(answer) or not self._in_step():
+            return
+        if answer.members.digest != self.members.digest:
+            self.window.discount(answer.witness)
+            return
+        if self.safeguards.window:
+            self.window.count(answer.witness, asked, self._sets(now), now)
+
+    def is_open(self, now: Moment) -> bool:
+        """Tell whether new keys may run now."""
+        if not self.safeguards.window:
+            self.window.opened = self.window.opened or now
+            return self._in_step()
+        self._check_clock(now)
+        return self.window.check(self._sets(now), now) and self._in_step()
+
+    def begins(self) -> float:
+        """Return the wall clock second from which minted keys may be new here."""
+        return self.window.tenure()
+
+    def _on_other_holder(self, answer: Answer) -> None:
+        """Close for good when a newer process speaks for the target.
+
+        A replaced VM may wake and go on as if the target were still its own.
+        """
+        if answer.holder.number > self.holder.number:
+            self.superseded = True
+            self._lapse()
+
+    def _agrees_on_targets(self, answer: Answer) -> bool:
+        theirs, since = answer.targets, self.targets.since
+        if theirs.digest != self.targets.digest:
+            if theirs.number > self.targets.number:
+                self._lapse()
+            return False
+        self.targets = self.targets.merge(theirs)
+        if self.targets.since == since:
+            return True
+        self._lapse()
+        return False
+
+    def _in_step(self) -> bool:
+        """Tell whether the installed targets are those the witnesses vouch for."""
+        return self.installed == self.targets.digest and not self.superseded
+
+    def _lapse(self) -> None:
+        self.window.lapse()
+        self.rounds.clear()
+        self.next_ask = NEVER
+
+    def _check_clock(self, now: Moment) -> None:
+        """End the tenure when the wall clock steps.
+
+        Tenure is compared with the times callers stamp on keys; after a step, keys
+        minted before it could pass for new.
+        """
+        gap = now.wall - now.steady
+        before, self.clock_gap = self.clock_gap, gap
+        if before is not None and abs(gap - before) > self.settings.clock_margin / 2:
+            self._lapse()
+
+    def _sets(self, now: Moment) -> tuple[WitnessSet, ...]:
+        if self.current is None:
+            return ()
+        self.before = [kept for kept in self.before if kept[1] > now.steady]
+        return (self.current, *(members for members, _ in self.before))
+
+    def _question(self, vm: str) -> Question:
+        return Question(
+            vm,
+            self.identity.service,
+            self.identity.target,
+            self.last_round,
+            self.targets,
+            self.members,
+            self.holder,
+        )
+
+    def _drop_old_rounds(self, now: Moment) -> None:
+        oldest = now.steady - self.settings.window
+        self.rounds = {
+            number: sent for number, sent in self.rounds.items() if sent >= oldest
+        }
--- /dev/null
+++ b/sequoiaspoke/core/idempotency/window.py
@@ -0,0 +1,83 @@
+"""When a home may run new keys, and which.
+
+Load pattern: none; this answers cuts, pauses and changes of version. Without it, a
+home that was paused or cut off goes on running keys that have moved to another
+home, and a caller's retry there runs a second time.
+
+The window is open while answers to questions asked within the last 3 s form a
+quorum. 3 s spans three rounds, so that two lost rounds refuse nobody, and bounds
+what a moved key costs. Tenure begins one window after the opening: by then every
+window that the quorum contradicts has closed, so a key minted later cannot have
+run elsewhere.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sequoiaspoke.core.idempotency.moment import Moment
+    from sequoiaspoke.core.idempotency.settings import IdempotencySettings
+    from sequoiaspoke.core.idempotency.witnesses import WitnessSet
+
+NEVER = float("-inf")
+
+
+class Window:
+    """Count the witnesses' answers by when they were asked."""
+
+    def __init__(self, settings: IdempotencySettings) -> None:
+        self.settings = settings
+        self.asked: dict[str, float] = {}  # by witness, for its newest answer
+        self.opened: Moment | None = None
+        self.lapses = 0
+
+    def count(
+        self, witness: str, asked: float, sets: tuple[WitnessSet, ...], now: Moment
+    ) -> None:
+        """Count an answer to a question sent at `asked` on the steady clock."""
+        self.check(sets, now)
+        self.asked[witness] = max(asked, self.asked.get(witness, NEVER))
+        if self.opened is None and self.closes_at(sets) >= now.steady:
+            self.opened = now
+
+    def discount(self, witness: str) -> None:
+        """Forget a witness that no longer vouches."""
+        self.asked.pop(witness, None)
+
+    def lapse(self) -> None:
+        """Close at once; the next opening begins a new tenure."""
+        if self.opened is not None:
+            self.lapses += 1
+        self.opened = None
+        self.asked.clear()
+
+    def check(self, sets: tuple[WitnessSet, ...], now: Moment) -> bool:
+        """Tell whether the window is open; a gap, however short, ends the tenure.
+
+        Answers that come in after a pause must not bridge it: another home may
+        have opened and run keys in between.
+        """
+        if self.opened is not None and self.closes_at(sets) < now.steady:
+            self.opened = None
+            self.lapses += 1
+        return self.opened is not None
+
+    def closes_at(self, sets: Iterable[WitnessSet]) -> float:
+        """Return the steady clock second at which the last quorum grows too old."""
+        ends = [self._quorum_asked(members) for members in sets]
+        return min(ends, default=NEVER) + self.settings.window
+
+    def tenure(self) -> float:
+        """Return the wall clock second from which minted keys may be new here."""
+        if self.opened is None:
+            return float("inf")
+        return self.opened.wall + self.settings.window
+
+    def _quorum_asked(self, members: WitnessSet) -> float:
+        times = sorted((self.asked.get(vm, NEVER) for vm in members.vms), reverse=True)
+        if not 0 < members.quorum <= len(times):
+            return NEVER
+        return times[members.quorum - 1]
--- /dev/null
+++ b/sequoiaspoke/core/idempotency/witnesses.py
@@ -0,0 +1,168 @@
+"""Choose the witnesses of a service, and answer as one.
+
+A home may run new keys only while a quorum of VMs of its zone vouches for its
+assignment. Any two quorums meet in one witness, and a witness never goes back to
+an older version, so two homes of the same key cannot both hold a quorum for long.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.idempotency.epoch import Epoch, digest_of
+from sequoiaspoke.core.idempotency.messages import Answer
+from sequoiaspoke.core.idempotency.rendezvous import rank
+from sequoiaspoke.core.idempotency.safeguards import Safeguards
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sequoiaspoke.core.idempotency.messages import Question
+    from sequoiaspoke.core.idempotency.moment import Moment
+    from sequoiaspoke.core.idempotency.settings import IdempotencySettings
+    from sequoiaspoke.core.snapshot.model import Snapshot, VmList
+
+MOST_RECORDS = 10_000
+SILENCE_WINDOWS = 2
+
+
+@dataclass(frozen=True)
+class WitnessSet:
+    """The VMs that vouch for a service and how many of them must."""
+
+    vms: tuple[str, ...]
+    quorum: int
+
+    @property
+    def digest(self) -> str:
+        """Return what tells this set from another."""
+        return digest_of(self.vms)
+
+
+def choose_witnesses(
+    service: str, vms: Iterable[str], settings: IdempotencySettings
+) -> WitnessSet:
+    """Choose the witnesses of a service among the VMs of its zone."""
+    ranked = rank(service, vms)
+    chosen = tuple(ranked[: settings.witnesses])
+    if len(ranked) >= settings.witnesses:
+        return WitnessSet(chosen, settings.quorum)
+    return WitnessSet(chosen, len(chosen) // 2 + 1)
+
+
+def zone_vms(vms: VmList, zone: str) -> tuple[str, ...]:
+    """Return the names of a zone's VMs, leaving ones included."""
+    return tuple(vm.name for vm in vms.vms if vm.zone == zone)
+
+
+def zone_targets(snapshot: Snapshot, service: str, zone: str) -> tuple[str, ...]:
+    """Return the targets of a service in a zone."""
+    found = snapshot.services.get(service)
+    endpoints = found.endpoints if found else ()
+    return tuple(endpoint.target for endpoint in endpoints if endpoint.zone == zone)
+
+
+@dataclass
+class ServiceRecord:
+    """What a witness has vouched for; each epoch only moves forward."""
+
+    targets: Epoch = field(default_factory=Epoch)
+    members: Epoch = field(default_factory=Epoch)
+    holders: dict[str, Epoch] = field(default_factory=dict)
+
+
+class Witness:
+    """Vouch for homes of the zone.
+
+    Parameters
+    ----------
+    started : float
+        Steady clock seconds at which the process started.
+    """
+
+    def __init__(
+        self,
+        settings: IdempotencySettings,
+        vm: str,
+        zone: str,
+        started: float,
+        safeguards: Safeguards = Safeguards(),
+    ) -> None:
+        self.settings = settings
+        self.vm = vm
+        self.zone = zone
+        self.started = started
+        self.safeguards = safeguards
+        self.records: dict[str, ServiceRecord] = {}
+        self.snapshot: Snapshot | None = None
+        self.vms: VmList | None = None
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        """Learn of an installed version."""
+        self.snapshot = snapshot
+
+    def on_vms(self, vms: VmList) -> None:
+        """Learn of a VM list."""
+        self.vms = vms
+
+    def answer(self, question: Question, now: Moment) -> Answer | None:
+        """Record what the home asserts and say what is known; None while silent."""
+        record = self._record(question)
+        if record is None or self.is_silent(now) or self._is_dropped():
+            return None
+        return Answer(
+            self.vm,
+            question.service,
+            question.target,
+            question.round,
+            record.targets,
+            record.members,
+            record.holders[question.target],
+        )
+
+    def is_silent(self, now: Moment) -> bool:
+        """Tell whether the process started too recently to vouch.
+
+        A restarted witness forgot what it vouched for. If it spoke at once, it
+        could vouch for an older version within the window of a home it vouched
+        for before, and both homes would run the same key. After two windows no
+        answer of the earlier process counts any more.
+        """
+        if not self.safeguards.witness_silence:
+            return False
+        return now.steady - self.started <= SILENCE_WINDOWS * self.settings.window
+
+    def _is_dropped(self) -> bool:
+        """Tell whether the VM list no longer holds this VM.
+
+        Homes with a newer list choose quorums without it, which an answer from
+        here to a home with an older list need not meet.
+        """
+        return self.vms is not None and self.vm not in zone_vms(self.vms, self.zone)
+
+    def _record(self, question: Question) -> ServiceRecord | None:
+        record = self.records.get(question.service)
+        if record is None:
+            if len(self.records) >= MOST_RECORDS:
+                return None
+            record = self.records[question.service] = ServiceRecord()
+        self._learn_own(record, question.service)
+        record.targets = record.targets.merge(question.targets)
+        record.members = record.members.merge(question.members)
+        holder = record.holders.get(question.target, Epoch())
+        if not holder.digest and len(record.holders) >= MOST_RECORDS:
+            return None
+        record.holders[question.target] = holder.merge(question.holder)
+        return record
+
+    def _learn_own(self, record: ServiceRecord, service: str) -> None:
+        if self.snapshot is not None:
+            names = zone_targets(self.snapshot, service, self.zone)
+            digest = digest_of(names)
+            record.targets = record.targets.advance(self.snapshot.version, digest)
+        if self.vms is not None:
+            chosen = choose_witnesses(
+                service, zone_vms(self.vms, self.zone), self.settings
+            )
+            record.members = record.members.advance(self.vms.revision, chosen.digest)
--- a/sequoiaspoke/errors.py
+++ b/sequoiaspoke/errors.py
@@ -265,6 +265,74 @@
     code = "wrong-home"
 
 
+class InvalidKeyError(NotRunError):
+    """The `Idempotency-Key` has a form that no target can run."""
+
+    code = "key-invalid"
+    status = 400
+
+
+class KeyFromFutureError(NotRunError):
+    """The key was minted later than the clock margin allows."""
+
+    code = "key-from-future"
+    status = 400
+
+
+class WindowClosedError(NotRunError):
+    """Too few witnesses vouch that this node may run new keys now."""
+
+    code = "window-closed"
+
+
+class LedgerFullError(NotRunError):
+    """The ledger has no room for another key."""
+
+    code = "ledger-full"
+
+
+class KeyRefusedError(NotRunError):
+    """The key was refused before, so it is never run."""
+
+    code = "key-refused"
+
+
+class KeyTooOldError(OutcomeUnknownError):
+    """The key may have been run before this process could know of it."""
+
+    code = "key-too-old"
+    status = 409
+
+
+class IssuerGoneError(OutcomeUnknownError):
+    """The process that issued the key is gone, and what it ran with it."""
+
+    code = "issuer-gone"
+    status = 409
+
+
+class KeyOutcomeUnknownError(OutcomeUnknownError):
+    """An earlier attempt with the key broke off after it was handed over."""
+
+    code = "key-outcome-unknown"
+    status = 409
+
+
+class KeyReusedError(OutcomeUnknownError):
+    """The key belongs to another call, with another path or body."""
+
+    code = "key-reused"
+    status = 422
+
+
+class AnswerNotKeptError(CallError):
+    """The call ran, but its answer was too large to keep for a repeat."""
+
+    code = "answer-not-kept"
+    status = 410
+    ran = Ran.RAN
+
+
 class UnknownServiceError(NotRunError):
     """The rules of this node route to a service it does not have."""
 
--- /dev/null
+++ b/sequoiaspoke/tests/test_idempotency.py
@@ -0,0 +1,539 @@
+"""Keys, witnesses, windows, the ledger and the home, each by its failures."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import unittest
+
+import testtools
+
+from sequoiaspoke.core.idempotency.calls import (
+    Fingerprint,
+    Identity,
+    Join,
+    KeptAnswer,
+    KeyedCall,
+    Proceed,
+    Refuse,
+    Replay,
+    Run,
+)
+from sequoiaspoke.core.idempotency.entry import AttemptResult, tell_caller
+from sequoiaspoke.core.idempotency.epoch import Epoch
+from sequoiaspoke.core.idempotency.home import HomeCore
+from sequoiaspoke.core.idempotency.key import (
+    home_of,
+    issue_key,
+    mint_key,
+    parse_key,
+)
+from sequoiaspoke.core.idempotency.safeguards import Safeguards
+from sequoiaspoke.core.idempotency.settings import IdempotencySettings
+from sequoiaspoke.core.idempotency.witnesses import choose_witnesses
+from sequoiaspoke.errors import (
+    AnswerNotKeptError,
+    ConnectionLostError,
+    DrainingError,
+    InvalidKeyError,
+    IssuerGoneError,
+    KeyFromFutureError,
+    KeyOutcomeUnknownError,
+    KeyRefusedError,
+    KeyReusedError,
+    KeyTooOldError,
+    LedgerFullError,
+    Ran,
+    UpstreamShedError,
+    WindowClosedError,
+    WrongHomeError,
+)
+from sequoiaspoke.tests.idempotency_world import (
+    SERVICE,
+    ZONE,
+    World,
+    moment_at,
+    snapshot_of,
+    vm_list,
+)
+
+SETTINGS = IdempotencySettings()
+RANDOM = random.Random(3)
+OPENED = 12.0  # seconds after which a fresh zone runs new keys
+
+
+class TestKey(testtools.TestCase):
+    def test_minted_time_and_zone(self) -> None:
+        key = parse_key(mint_key("bole", 1234.567, RANDOM), SETTINGS)
+        self.assertEqual(("bole", 1234.567), (key.zone, key.minted))
+
+    def test_issued_key_names_its_process(self) -> None:
+        identity = Identity("vm1", "bole", "booking", "booking-1.a", 77)
+        key = parse_key(issue_key(identity, 5.0, RANDOM), SETTINGS)
+        self.assertEqual(
+            ("booking-1.a", 77, 5.0), (key.target, key.incarnation, key.minted)
+        )
+        self.assertEqual("booking-1.a", home_of(key, ("booking-1.a", "other")))
+        self.assertEqual("", home_of(key, ("other",)))
+
+    def test_other_text_has_no_minted_time(self) -> None:
+        self.assertIsNone(parse_key('"bole/order-7"', SETTINGS).minted)
+
+    def test_bad_keys_are_refused(self) -> None:
+        for text in ("", "no-zone", "/x", "bole/", "bole/a b", "bole/" + "x" * 200):
+            self.assertRaises(InvalidKeyError, parse_key, text, SETTINGS)
+
+    def test_a_lost_target_moves_only_its_own_keys(self) -> None:
+        keys = [parse_key(f"bole/{i}", SETTINGS) for i in range(200)]
+        before = [home_of(key, "abcd") for key in keys]
+        after = [home_of(key, "abc") for key in keys]
+        moved = {old for old, new in zip(before, after, strict=True) if old != new}
+        self.assertEqual({"d"}, moved)
+
+
+class TestEpoch(testtools.TestCase):
+    def test_return_to_the_same_targets_shows(self) -> None:
+        """Targets change from A to B and back. A home that missed B thinks that its
+        keys were its own all along, while the home under B ran some of them.
+        """
+        epoch = Epoch(1, "A").advance(2, "B").advance(3, "A")
+        self.assertEqual(Epoch(3, "A", 3), epoch)
+        self.assertEqual(Epoch(3, "A", 3), Epoch(1, "A").merge(epoch))
+
+    def test_never_goes_back(self) -> None:
+        epoch = Epoch(3, "B")
+        self.assertEqual(epoch, epoch.advance(2, "A"))
+        self.assertEqual(epoch, epoch.advance(3, "A"))
+
+
+class TestWitnessChoice(testtools.TestCase):
+    def test_sets_that_differ_by_two_still_meet(self) -> None:
+        chosen = choose_witnesses("booking", [f"vm{i}" for i in range(90)], SETTINGS)
+        self.assertEqual((7, 5), (len(chosen.vms), chosen.quorum))
+        self.assertGreater(2 * chosen.quorum, len(chosen.vms) + 2)
+
+    def test_small_zones_use_all_and_a_majority(self) -> None:
+        quorums = [
+            choose_witnesses("booking", [f"vm{i}" for i in range(n)], SETTINGS).quorum
+            for n in (1, 2, 3, 4, 6)
+        ]
+        self.assertEqual([1, 2, 2, 3, 4], quorums)
+
+
+class TestEntry(testtools.TestCase):
+    def test_not_run_is_told_only_when_nothing_can_have_run(self) -> None:
+        refused = AttemptResult(Ran.NOT_RUN)
+        lost = AttemptResult(Ran.OUTCOME_UNKNOWN)
+        settled = AttemptResult(Ran.NOT_RUN, settled=True)
+        self.assertIs(Ran.OUTCOME_UNKNOWN, tell_caller((refused,), first=False))
+        self.assertIs(Ran.NOT_RUN, tell_caller((refused,), first=True))
+        self.assertIs(Ran.OUTCOME_UNKNOWN, tell_caller((lost, refused), first=True))
+        self.assertIs(Ran.NOT_RUN, tell_caller((lost, settled), first=False))
+
+
+class HomeCase(testtools.TestCase):
+    """A zone of one VM whose home has long held its tenure."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.world = World(1)
+        self.world.run(OPENED)
+        self.core = self.world.nodes[0].core
+
+    @property
+    def now(self):
+        return self.world.moment(self.world.nodes[0])
+
+    def keyed(self, minted: float = 0.0, body: str = "a") -> KeyedCall:
+        text = mint_key(ZONE, self.now.wall + minted, RANDOM)
+        fingerprint = Fingerprint("POST", "/book", body, SERVICE)
+        return KeyedCall(parse_key(text, SETTINGS), fingerprint)
+
+    def admit(self, call: KeyedCall):
+        return self.core.admit(call, self.now)
+
+    def hand_over(self, call: KeyedCall):
+        return self.core.hand_over(call.key, self.now)
+
+    def assertRefused(self, error: type, decision, settled: bool = False) -> None:
+        self.assertIsInstance(decision, Refuse)
+        self.assertIsInstance(decision.error, error)
+        self.assertEqual(settled, decision.settled)
+
+
+class TestHome(HomeCase):
+    def test_repeat_joins_and_then_gets_the_first_answer(self) -> None:
+        call = self.keyed()
+        self.assertEqual(Run(), self.admit(call))
+        self.assertEqual(Join(), self.admit(call))
+        self.assertEqual(Proceed(), self.hand_over(call))
+        self.assertEqual(Join(), self.admit(call))
+        answer = KeptAnswer(201, "Created", (("A", "b"),), b"booked")
+        self.core.finished(call.key, answer, self.now)
+        self.assertEqual(Replay(answer), self.admit(call))
+
+    def test_second_hand_over_is_refused(self) -> None:
+        call = self.keyed()
+        self.admit(call)
+        self.hand_over(call)
+        self.assertRefused(KeyRefusedError, self.hand_over(call))
+
+    def test_other_body_under_the_same_key(self) -> None:
+        """A caller's code reuses a key for another order. It would get the first
+        order's answer and believe that the second was placed.
+        """
+        call = self.keyed()
+        self.admit(call)
+        other = dataclasses.replace(
+            call, fingerprint=dataclasses.replace(call.fingerprint, body_digest="b")
+        )
+        self.assertRefused(KeyReusedError, self.admit(other))
+
+    def test_broken_connection_leaves_the_outcome_unknown(self) -> None:
+        """The upstream's connection breaks after the order was sent. A repeat that
+        ran it again could place it twice.
+        """
+        call = self.keyed()
+        self.admit(call)
+        self.hand_over(call)
+        self.core.failed(call.key, ConnectionLostError(), self.now)
+        self.assertRefused(KeyOutcomeUnknownError, self.admit(call))
+
+    def test_shed_call_is_never_run_later(self) -> None:
+        """The upstream sheds the call, and its caller hears not-run and makes a new
+        key. A copy that comes late through another entry must not run.
+        """
+        call = self.keyed()
+        self.admit(call)
+        self.hand_over(call)
+        refusal = self.core.failed(call.key, UpstreamShedError(), self.now)
+        self.assertRefused(UpstreamShedError, refusal, settled=True)
+        self.assertRefused(KeyRefusedError, self.admit(call), settled=True)
+
+    def test_failure_in_the_queue_was_certainly_not_run(self) -> None:
+        call = self.keyed()
+        self.admit(call)
+        refusal = self.core.failed(call.key, ConnectionLostError(), self.now)
+        self.assertRefused(KeyRefusedError, refusal, settled=True)
+
+    def test_minted_before_the_tenure(self) -> None:
+        self.assertRefused(KeyTooOldError, self.admit(self.keyed(minted=-5.0)))
+
+    def test_minted_in_the_future(self) -> None:
+        self.assertRefused(KeyFromFutureError, self.admit(self.keyed(minted=0.6)))
+
+    def test_other_zone(self) -> None:
+        key = parse_key(mint_key("bole", self.now.wall, RANDOM), SETTINGS)
+        call = dataclasses.replace(self.keyed(), key=key)
+        self.assertRefused(WrongHomeError, self.admit(call))
+
+    def test_key_of_an_earlier_process(self) -> None:
+        identity = dataclasses.replace(self.core.identity, incarnation=1)
+        key = parse_key(issue_key(identity, self.now.wall, RANDOM), SETTINGS)
+        call = dataclasses.replace(self.keyed(), key=key)
+        self.assertRefused(IssuerGoneError, self.admit(call))
+
+    def test_issued_key_needs_no_window(self) -> None:
+        """The node is cut off within its zone. Keys that it issued itself can run
+        nowhere else, so their callers are served.
+        """
+        self.core.tenure._lapse()
+        self.assertRefused(WindowClosedError, self.admit(self.keyed()))
+        key = parse_key(issue_key(self.core.identity, self.now.wall, RANDOM), SETTINGS)
+        self.assertEqual(Run(), self.admit(dataclasses.replace(self.keyed(), key=key)))
+
+    def test_draining_answers_repeats_and_takes_on_no_key(self) -> None:
+        """The node stops as planned. A caller whose answer was lost asks again
+        before the process ends and must get it.
+        """
+        call = self.keyed()
+        self.admit(call)
+        self.hand_over(call)
+        answer = KeptAnswer(200, "OK", (), b"booked")
+        self.core.finished(call.key, answer, self.now)
+        self.core.drain()
+        self.assertEqual(Replay(answer), self.admit(call))
+        self.assertRefused(DrainingError, self.admit(self.keyed()), settled=True)
+
+    def test_stepped_clock_ends_the_tenure(self) -> None:
+        """The wall clock is set back. Keys minted before the tenure would look as
+        if they were minted within it, and could run a second time.
+        """
+        self.world.nodes[0].skew -= 5.0
+        self.assertRefused(WindowClosedError, self.admit(self.keyed()))
+
+
+class TestLedger(HomeCase):
+    def test_full_ledger_refuses_new_keys_and_keeps_live_ones(self) -> None:
+        calls = [self.keyed() for _ in range(self.world.settings.entries)]
+        self.assertEqual([Run()] * len(calls), [self.admit(call) for call in calls])
+        late = self.keyed()
+        self.assertRefused(LedgerFullError, self.admit(late), settled=True)
+        self.assertEqual(Join(), self.admit(calls[0]))
+        self.core.failed(calls[0].key, UpstreamShedError(), self.now)
+        self.assertRefused(KeyRefusedError, self.admit(late), settled=True)
+        self.assertEqual(Run(), self.admit(self.keyed(minted=0.1)))
+
+    def test_forgotten_refusals_leave_a_floor(self) -> None:
+        """Under heavy shedding refused keys outgrow their room. A late copy of a
+        forgotten one must still be refused, for its caller was told not-run.
+        """
+        self.core.draining = True
+        calls = [self.keyed(minted=i / 100) for i in range(9)]
+        for call in calls:
+            self.assertRefused(DrainingError, self.admit(call), settled=True)
+        self.core.draining = False
+        for call in calls:
+            self.assertRefused(KeyRefusedError, self.admit(call), settled=True)
+        self.assertEqual(Run(), self.admit(self.keyed(minted=0.2)))
+
+    def test_large_answers_are_given_up_first(self) -> None:
+        small = dataclasses.replace(SETTINGS, answer_bytes=10, kept_bytes=15)
+        self.core.ledger.settings = small
+        calls = [self.keyed() for _ in range(3)]
+        for call, size in zip(calls, (11, 10, 9), strict=True):
+            self.admit(call)
+            self.hand_over(call)
+            answer = KeptAnswer(200, "OK", (), b"x" * size)
+            self.core.finished(call.key, answer, self.now)
+        self.assertRefused(AnswerNotKeptError, self.admit(calls[0]))
+        self.assertRefused(AnswerNotKeptError, self.admit(calls[1]))
+        self.assertIsInstance(self.admit(calls[2]), Replay)
+
+    def test_forgotten_key_is_too_old_to_run(self) -> None:
+        """A caller repeats an order after the ledger has forgotten it. It must not
+        pass for a new one.
+        """
+        call = self.keyed()
+        self.admit(call)
+        self.hand_over(call)
+        self.core.finished(call.key, KeptAnswer(200, "OK", (), b""), self.now)
+        self.world.run(SETTINGS.retention + 1)
+        self.assertEqual({}, self.core.ledger.entries)
+        self.assertRefused(KeyTooOldError, self.admit(call))
+
+
+class TestTenure(testtools.TestCase):
+    def home(self, world: World, number: int) -> HomeCore:
+        return world.nodes[number].core
+
+    def opens(self, world: World, number: int) -> bool:
+        node = world.nodes[number]
+        return node.core.tenure.is_open(world.moment(node))
+
+    def test_cut_off_vm_stops_and_the_rest_goes_on(self) -> None:
+        """One VM loses its zone. If it went on, its keys could move to another
+        target by a version it never hears of, and run there again.
+        """
+        world = World(5)
+        world.run(OPENED)
+        world.cut = frozenset({2})
+        world.run(4)
+        self.assertFalse(self.opens(world, 2))
+        self.assertTrue(self.opens(world, 0))
+
+    def test_answer_counts_from_when_it_was_asked(self) -> None:
+        """Answers are held up in the network and come in after a pause. Counted
+        from their arrival they would open a window on old news.
+        """
+        world = World(3)
+        world.run(OPENED)
+        world.held_from = {1, 2}
+        world.run(1)
+        world.cut = frozenset({0})
+        world.run(4)
+        self.assertFalse(self.opens(world, 0))
+        world.flight = [sent for sent in world.flight if sent[0] in world.held_from]
+        world.held_from, world.cut = set(), frozenset()
+        world.deliver_all()
+        self.assertFalse(self.opens(world, 0))
+
+    def test_unmoved_version_costs_nothing(self) -> None:
+        world = World(3)
+        world.run(OPENED)
+        begins = self.home(world, 0).tenure.begins()
+        world.versions.append(world.versions[0])
+        for number in range(3):
+            world.install(number, 2)
+        world.run(3)
+        self.assertEqual(begins, self.home(world, 0).tenure.begins())
+
+    def test_targets_that_changed_and_changed_back(self) -> None:
+        """A home misses the version under which its keys were another's. Its window
+        never closed, and it would run again what ran there.
+        """
+        world = World(3)
+        world.run(OPENED)
+        begins = self.home(world, 0).tenure.begins()
+        world.versions += [frozenset({1}), world.versions[0]]
+        for version in (2, 3):
+            for number in (1, 2):
+                world.install(number, version)
+            world.run(0.5 if version == 2 else 2.0)
+        self.assertGreater(self.home(world, 0).tenure.begins(), begins)
+
+    def test_woken_process_of_a_replaced_vm(self) -> None:
+        """A VM is replaced while its old process sleeps. When that wakes it takes
+        the target for its own, with the same version as everybody.
+        """
+        world = World(3)
+        world.run(OPENED)
+        old = self.home(world, 0)
+        world.start(0, 1)
+        world.run(OPENED)
+        answer = world.nodes[1].witness.answer(
+            old.tenure._question("vm1"), world.moment(world.nodes[1])
+        )
+        old.tenure.rounds[answer.round] = world.now
+        old.on_vouch(answer, world.moment(world.nodes[0]))
+        self.assertTrue(old.tenure.superseded)
+        self.assertTrue(self.opens(world, 0))
+
+    def test_changed_witnesses_must_agree_before_and_after(self) -> None:
+        """The VM list replaces most witnesses at once. A quorum of new ones alone
+        need not meet the quorum of a home that still asks the old ones.
+        """
+        core = HomeCore(SETTINGS, Identity("vm0", ZONE, SERVICE, "t0", 1))
+        core.on_snapshot(snapshot_of(1, frozenset({0})))
+        core.on_vms(vm_list(1, (0, 1, 2)), moment_at(0))
+        core.on_vms(vm_list(2, (0, 3, 4)), moment_at(1))
+        asked = {question.to for question in core.tick(moment_at(2))}
+        self.assertEqual({f"vm{i}" for i in range(5)}, asked)
+        later = moment_at(2 + SETTINGS.departed)
+        asked = {question.to for question in core.tick(later)}
+        self.assertEqual({"vm0", "vm3", "vm4"}, asked)
+
+
+class TestSafeguards(testtools.TestCase):
+    """Each rule alone keeps some history from breaking a promise to a caller."""
+
+    def assertNeeded(self, name: str, history) -> None:
+        history(Safeguards())
+        without = dataclasses.replace(Safeguards(), **{name: False})
+        self.assertRaises(AssertionError, history, without)
+
+    def moved(self, safeguards: Safeguards, skew: float = 0.25) -> World:
+        """Return a zone in which version 2 moves every key from vm0 to vm1."""
+        world = World(5, safeguards)
+        world.nodes[1].skew = skew
+        world.versions[0] = frozenset({0})
+        for number in range(5):
+            world.start(number, 1)
+        world.run(OPENED)
+        world.versions.append(frozenset({1}))
+        return world
+
+    def order(self, world: World, entry: int, owned=None):
+        owned = owned or world.mint()
+        world.call(owned, entry)
+        world.deliver_all()
+        return owned
+
+    def work(self, world: World) -> None:
+        for number in range(5):
+            while world.hand_over(number):
+                pass
+
+    def test_window(self) -> None:
+        """A VM is cut off within its zone and misses a version that moves its keys.
+        An order placed on the other side is repeated on this one.
+        """
+
+        def history(safeguards: Safeguards) -> None:
+            world = self.moved(safeguards)
+            world.cut = frozenset({0})
+            for number in range(1, 5):
+                world.install(number, 2)
+            world.run(8)
+            owned = self.order(world, 1)
+            self.work(world)
+            self.assertEqual(1, world.runs[owned.key.text])
+            self.order(world, 0, owned)
+            self.work(world)
+            world.check()
+
+        self.assertNeeded("window", history)
+
+    def test_tenure(self) -> None:
+        """An order's answer is lost, and the next version moves its key. The new
+        home knows nothing of the run.
+        """
+
+        def history(safeguards: Safeguards) -> None:
+            world = self.moved(safeguards)
+            owned = self.order(world, 0)
+            self.work(world)
+            for number in range(5):
+                world.install(number, 2)
+            world.run(8)
+            self.order(world, 1, owned)
+            self.work(world)
+            world.check()
+
+        self.assertNeeded("tenure", history)
+
+    def test_check_at_hand_over(self) -> None:
+        """A process is paused with an order in its queue, and the key moves to a
+        home whose clock is wrong by more than the margin, which runs it. When the
+        process wakes, the caller is charged again.
+        """
+
+        def history(safeguards: Safeguards) -> None:
+            world = self.moved(safeguards, skew=-20.0)
+            owned = self.order(world, 0)
+            world.pause(0)
+            for number in range(1, 5):
+                world.install(number, 2)
+            world.run(25)
+            self.order(world, 1, owned)
+            self.work(world)
+            self.assertEqual(1, world.runs[owned.key.text])
+            world.resume(0)
+            self.work(world)
+            assert world.runs[owned.key.text] == 1
+
+        self.assertNeeded("check_at_hand_over", history)
+
+    def test_witness_silence(self) -> None:
+        """A cut leaves two homes of a key with two witnesses each, and the fifth
+        restarts again and again onto the older version. Each time it has forgotten
+        that it vouched for the newer one, and so it gives both a quorum.
+        """
+
+        def history(safeguards: Safeguards) -> None:
+            world = self.moved(safeguards)
+            for _ in range(8):
+                world.kill(2)
+                world.start(2, 1)
+                world.cut = frozenset({0, 2, 3})
+                world.run(1)
+                world.cut = frozenset({0, 3})
+                for number in (1, 4):
+                    world.install(number, 2)
+                world.run(1)
+            owned = self.order(world, 1)
+            self.order(world, 0, owned)
+            self.work(world)
+            world.check()
+
+        self.assertNeeded("witness_silence", history)
+
+    def test_fingerprint(self) -> None:
+        """A caller reuses a key for another order and is given the first one's
+        answer.
+        """
+
+        def history(safeguards: Safeguards) -> None:
+            world = self.moved(safeguards)
+            owned = self.order(world, 0)
+            self.work(world)
+            world.finish(0)
+            world.call(owned, 0, "b")
+            world.deliver_all()
+            world.check()
+
+        self.assertNeeded("fingerprint", history)
+
+
+if __name__ == "__main__":
+    unittest.main()
