--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 
 .PHONY: demo test lint format golden property thrift docs reference dist dist-check
 
+.PHONY: demo test lint format golden thrift docs dist property-idempotency
+
 $(VENV)/.ready: requirements.lock
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
@@ -50,3 +52,9 @@
 
 fuzz: $(VENV)/.ready
 	FUZZ_EXAMPLES=$(or $(EXAMPLES),20000) $(RUN) pytest -n $(WORKERS) sequoiaspoke/tests/test_fuzz*.py
+
+	FUZZ_EXAMPLES=$(or $(EXAMPLES),20000) $(RUN) pytest -n $(WORKERS) sequoiaspoke/tests/test_fuzz.py
+
+property-idempotency: $(VENV)/.ready
+	PROPERTY_EXAMPLES=$${PROPERTY_EXAMPLES:-2500} $(RUN) pytest -n 4 \
+		sequoiaspoke/tests/test_idempotency_property.py
