--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,7 @@
 RUN = $(VENV)/bin/python -m
 WORKERS ?= auto
 
-.PHONY: demo test lint format golden property thrift docs reference dist dist-check
-
-.PHONY: demo test lint format golden thrift docs dist property-idempotency
+.PHONY: demo test lint format golden property property-idempotency thrift docs reference dist dist-check
 
 $(VENV)/.ready: requirements.lock
 	$(PYTHON) -m venv $(VENV)
--- a/sequoiaspoke/tests/idempotency_world.py
+++ b/sequoiaspoke/tests/idempotency_world.py
@@ -32,6 +32,7 @@
 from sequoiaspoke.core.idempotency.safeguards import Safeguards
 from sequoiaspoke.core.idempotency.settings import IdempotencySettings
 from sequoiaspoke.core.idempotency.witnesses import Witness, zone_targets
+from sequoiaspoke.core.rules.matcher import Matcher
 from sequoiaspoke.core.rules.model import Endpoint, Service
 from sequoiaspoke.core.snapshot.model import Head, Snapshot, Vm, VmList
 from sequoiaspoke.errors import (
@@ -50,7 +51,8 @@
     endpoints = tuple(
         Endpoint(f"t{i}", f"vm{i}", ZONE, "127.0.0.1", 1) for i in sorted(targets)
     )
-    return Snapshot(Head(version), (), {SERVICE: Service(SERVICE, endpoints)})
+    services = {SERVICE: Service(SERVICE, endpoints)}
+    return Snapshot(Head(version), (), services, Matcher(()))
 
 
 def vm_list(revision: int, numbers: Any) -> VmList:
