Carry witness questions whole and tie keys to the routes in force

A question now holds the three epochs that the witnesses compare, and names its witness, so that a VM that took over an address keeps quiet. The digest of an assignment covers the routes of keyed calls: a rule that sends a booking to another service between two attempts would else find a home there that never heard of the first.

Tests: the message examples of test_peerlink.py use the new structs; 66 passed (peer link, spread, idempotency).

--- a/sequoiaspoke/core/idempotency/messages.py
+++ b/sequoiaspoke/core/idempotency/messages.py
@@ -28,7 +28,7 @@
     """
 
     to: str
-    service: str
+    service_name: str
     target: str
     round: int
     targets: Epoch
@@ -41,7 +41,7 @@
     """What a witness knows after a question; see `Question`."""
 
     witness: str
-    service: str
+    service_name: str
     target: str
     round: int
     targets: Epoch
--- a/sequoiaspoke/core/idempotency/tenure.py
+++ b/sequoiaspoke/core/idempotency/tenure.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.idempotency.assignment import Assignment
 from sequoiaspoke.core.idempotency.epoch import Epoch, digest_of
 from sequoiaspoke.core.idempotency.messages import Question
 from sequoiaspoke.core.idempotency.window import NEVER, Window
 from sequoiaspoke.core.idempotency.witnesses import (
     choose_witnesses,
-    zone_targets,
     zone_vms,
 )
 
@@ -36,11 +36,13 @@
         self.identity = identity
         self.safeguards = safeguards
         self.window = Window(settings)
+        self.assignment = Assignment(identity.zone)
         self.names: tuple[str, ...] = ()
-        self.installed = ""  # digest of the names
+        self.installed = ""  # digest of the assignment in force here
         self.targets = Epoch()
         self.members = Epoch()
-        self.holder = Epoch(identity.incarnation, str(identity.incarnation))
+        process = digest_of((identity.target, str(identity.incarnation)))
+        self.holder = Epoch(identity.incarnation, process)
         self.current: WitnessSet | None = None
         self.before: list[tuple[WitnessSet, float]] = []  # until, on the steady clock
         self.rounds: dict[int, float] = {}  # when each was sent
@@ -51,10 +53,11 @@
 
     def on_snapshot(self, snapshot: Snapshot) -> None:
         """Learn of an installed version; other targets end the tenure."""
-        identity = self.identity
-        self.names = zone_targets(snapshot, identity.service, identity.zone)
+        service = self.identity.service
+        self.assignment.on_snapshot(snapshot)
+        self.names = self.assignment.targets(service)
+        self.installed = self.assignment.digest(service)
         since = self.targets.since
-        self.installed = digest_of(self.names)
         self.targets = self.targets.advance(snapshot.version, self.installed)
         if self.targets.since != since or not self._in_step():
             self._lapse()
@@ -91,7 +94,7 @@
     def on_vouch(self, answer: Answer, now: Moment) -> None:
         """Count an answer, or close when it shows a newer assignment."""
         asked = self.rounds.get(answer.round)
-        if asked is None or answer.service != self.identity.service:
+        if asked is None or answer.service_name != self.identity.service:
             return
         if answer.target != self.identity.target:
             return
--- a/sequoiaspoke/core/idempotency/witnesses.py
+++ b/sequoiaspoke/core/idempotency/witnesses.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.idempotency.assignment import Assignment
 from sequoiaspoke.core.idempotency.epoch import Epoch, digest_of
 from sequoiaspoke.core.idempotency.messages import Answer
 from sequoiaspoke.core.idempotency.rendezvous import rank
@@ -56,13 +57,6 @@
     return tuple(vm.name for vm in vms.vms if vm.zone == zone)
 
 
-def zone_targets(snapshot: Snapshot, service: str, zone: str) -> tuple[str, ...]:
-    """Return the targets of a service in a zone."""
-    found = snapshot.services.get(service)
-    endpoints = found.endpoints if found else ()
-    return tuple(endpoint.target for endpoint in endpoints if endpoint.zone == zone)
-
-
 @dataclass
 class ServiceRecord:
     """What a witness has vouched for; each epoch only moves forward."""
@@ -95,12 +89,12 @@
         self.started = started
         self.safeguards = safeguards
         self.records: dict[str, ServiceRecord] = {}
-        self.snapshot: Snapshot | None = None
+        self.assignment = Assignment(zone)
         self.vms: VmList | None = None
 
     def on_snapshot(self, snapshot: Snapshot) -> None:
         """Learn of an installed version."""
-        self.snapshot = snapshot
+        self.assignment.on_snapshot(snapshot)
 
     def on_vms(self, vms: VmList) -> None:
         """Learn of a VM list."""
@@ -108,12 +102,14 @@
 
     def answer(self, question: Question, now: Moment) -> Answer | None:
         """Record what the home asserts and say what is known; None while silent."""
+        if question.to != self.vm:
+            return None
         record = self._record(question)
         if record is None or self.is_silent(now) or self._is_dropped():
             return None
         return Answer(
             self.vm,
-            question.service,
+            question.service_name,
             question.target,
             question.round,
             record.targets,
@@ -142,12 +138,12 @@
         return self.vms is not None and self.vm not in zone_vms(self.vms, self.zone)
 
     def _record(self, question: Question) -> ServiceRecord | None:
-        record = self.records.get(question.service)
+        record = self.records.get(question.service_name)
         if record is None:
             if len(self.records) >= MOST_RECORDS:
                 return None
-            record = self.records[question.service] = ServiceRecord()
-        self._learn_own(record, question.service)
+            record = self.records[question.service_name] = ServiceRecord()
+        self._learn_own(record, question.service_name)
         record.targets = record.targets.merge(question.targets)
         record.members = record.members.merge(question.members)
         holder = record.holders.get(question.target, Epoch())
@@ -157,10 +153,10 @@
         return record
 
     def _learn_own(self, record: ServiceRecord, service: str) -> None:
-        if self.snapshot is not None:
-            names = zone_targets(self.snapshot, service, self.zone)
-            digest = digest_of(names)
-            record.targets = record.targets.advance(self.snapshot.version, digest)
+        if self.assignment.snapshot is not None:
+            version = self.assignment.snapshot.version
+            digest = self.assignment.digest(service)
+            record.targets = record.targets.advance(version, digest)
         if self.vms is not None:
             chosen = choose_witnesses(
                 service, zone_vms(self.vms, self.zone), self.settings
--- a/sequoiaspoke/core/spread/messages.py
+++ b/sequoiaspoke/core/spread/messages.py
@@ -149,24 +149,6 @@
     removed: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True)
-class VouchQuestion:
-    """Asks a witness which version of a service it vouches for."""
-
-    name: str
-    version: int
-    incarnation: int
-
-
-@dataclass(frozen=True)
-class VouchAnswer:
-    """The version that a witness holds; void where it is silent."""
-
-    version: int
-    incarnation: int
-    silent: bool
-
-
-Question = Hello | Beat | HeadQuestion | PartsQuestion | VmsQuestion | VouchQuestion
-Answer = Welcome | BeatAnswer | HeadAnswer | PartsAnswer | VmsAnswer | VouchAnswer
+Question = Hello | Beat | HeadQuestion | PartsQuestion | VmsQuestion
+Answer = Welcome | BeatAnswer | HeadAnswer | PartsAnswer | VmsAnswer
 Message = Question | Answer | Announcement
--- a/sequoiaspoke/tests/idempotency_world.py
+++ b/sequoiaspoke/tests/idempotency_world.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from sequoiaspoke.core.idempotency.assignment import zone_targets
 from sequoiaspoke.core.idempotency.calls import (
     Fingerprint,
     Identity,
@@ -31,7 +32,7 @@
 from sequoiaspoke.core.idempotency.moment import Moment
 from sequoiaspoke.core.idempotency.safeguards import Safeguards
 from sequoiaspoke.core.idempotency.settings import IdempotencySettings
-from sequoiaspoke.core.idempotency.witnesses import Witness, zone_targets
+from sequoiaspoke.core.idempotency.witnesses import Witness
 from sequoiaspoke.core.rules.matcher import Matcher
 from sequoiaspoke.core.rules.model import Endpoint, Service
 from sequoiaspoke.core.snapshot.model import Head, Snapshot, Vm, VmList
--- a/sequoiaspoke/tests/test_peerlink.py
+++ b/sequoiaspoke/tests/test_peerlink.py
@@ -9,6 +9,8 @@
 from testtools.matchers import GreaterThan
 from tornado.netutil import bind_sockets
 
+from sequoiaspoke.core.idempotency import messages as vouching
+from sequoiaspoke.core.idempotency.epoch import Epoch
 from sequoiaspoke.core.snapshot import codec
 from sequoiaspoke.core.snapshot.model import Vm, VmList
 from sequoiaspoke.core.spread import messages
@@ -29,6 +31,7 @@
 LOOPBACK = "127.0.0.1"
 DIGEST = "ab" * 16
 STATUS = messages.Status(7, DIGEST, 8, DIGEST, 3, 1, 2, {"rules": DIGEST})
+EPOCH = Epoch(7, "ab" * 8, 3)
 DELTA = messages.HeadDelta(7, DIGEST, DIGEST, {"service/fleet": DIGEST}, ("rules",))
 EXAMPLES = (
     messages.Hello("vm-1", "akaki", 99, STATUS),
@@ -44,8 +47,8 @@
     messages.PartsAnswer((messages.Part(DIGEST, b"bytes"),), busy=True),
     messages.VmsQuestion(3),
     messages.VmsAnswer(4, 3, b"bytes", ("vm-1",)),
-    messages.VouchQuestion("booking", 7, 99),
-    messages.VouchAnswer(7, 99, True),
+    vouching.Question("vm-1", "booking", "booking-1", 9, EPOCH, EPOCH, EPOCH),
+    vouching.Answer("vm-1", "booking", "booking-1", 9, EPOCH, EPOCH, EPOCH),
 )
 
 
--- a/sequoiaspoke/wire/codec.py
+++ b/sequoiaspoke/wire/codec.py
@@ -10,6 +10,8 @@
 from thrift.Thrift import TMessageType
 from thrift.transport.TTransport import TMemoryBuffer
 
+from sequoiaspoke.core.idempotency import messages as vouching
+from sequoiaspoke.core.idempotency.epoch import Epoch
 from sequoiaspoke.core.spread import messages
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.wire.gen import PeerLink, ttypes
@@ -38,7 +40,7 @@
     Method("fetch_head", messages.HeadQuestion, messages.HeadAnswer),
     Method("fetch_parts", messages.PartsQuestion, messages.PartsAnswer),
     Method("fetch_vms", messages.VmsQuestion, messages.VmsAnswer),
-    Method("vouch", messages.VouchQuestion, messages.VouchAnswer),
+    Method("vouch", vouching.Question, vouching.Answer),
 )
 BY_NAME = {method.name: method for method in METHODS}
 BY_QUESTION = {method.question: method for method in METHODS}
@@ -58,8 +60,9 @@
     messages.PartsAnswer: ttypes.PartsAnswer,
     messages.VmsQuestion: ttypes.VmsQuestion,
     messages.VmsAnswer: ttypes.VmsAnswer,
-    messages.VouchQuestion: ttypes.VouchQuestion,
-    messages.VouchAnswer: ttypes.VouchAnswer,
+    Epoch: ttypes.Epoch,
+    vouching.Question: ttypes.VouchQuestion,
+    vouching.Answer: ttypes.VouchAnswer,
 }
 NESTED = {
     (messages.Hello, "status"): messages.Status,
@@ -67,6 +70,11 @@
     (messages.Announcement, "delta"): messages.HeadDelta,
     (messages.HeadAnswer, "delta"): messages.HeadDelta,
     (messages.PartsAnswer, "parts"): messages.Part,
+    **{
+        (message, name): Epoch
+        for message in (vouching.Question, vouching.Answer)
+        for name in ("targets", "members", "holder")
+    },
 }
 # Fields that may be left out where they hold their default; see the service.
 DEFAULTS = {
--- a/sequoiaspoke/wire/gen/ttypes.py
+++ b/sequoiaspoke/wire/gen/ttypes.py
@@ -1108,26 +1108,130 @@
         return not (self == other)
 
 
+class Epoch(object):
+    """
+    Attributes:
+     - number
+     - digest
+     - since
+
+    """
+
+    __slots__ = (
+        'number',
+        'digest',
+        'since',
+    )
+
+
+    def __init__(self, number=None, digest=None, since=None,):
+        self.number = number
+        self.digest = digest
+        self.since = since
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.since = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Epoch')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 2)
+            oprot.writeBinary(self.digest)
+            oprot.writeFieldEnd()
+        if self.since is not None:
+            oprot.writeFieldBegin('since', TType.I64, 3)
+            oprot.writeI64(self.since)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class VouchQuestion(object):
     """
     Attributes:
-     - name
-     - version
-     - incarnation
+     - to
+     - service_name
+     - target
+     - round
+     - targets
+     - members
+     - holder
 
     """
 
     __slots__ = (
-        'name',
-        'version',
-        'incarnation',
+        'to',
+        'service_name',
+        'target',
+        'round',
+        'targets',
+        'members',
+        'holder',
     )
 
 
-    def __init__(self, name=None, version=None, incarnation=None,):
-        self.name = name
-        self.version = version
-        self.incarnation = incarnation
+    def __init__(self, to=None, service_name=None, target=None, round=None, targets=None, members=None, holder=None,):
+        self.to = to
+        self.service_name = service_name
+        self.target = target
+        self.round = round
+        self.targets = targets
+        self.members = members
+        self.holder = holder
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1140,17 +1244,40 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.to = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.version = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
                 if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
+                    self.round = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.targets = Epoch()
+                    self.targets.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.members = Epoch()
+                    self.members.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.holder = Epoch()
+                    self.holder.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1163,17 +1290,33 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('VouchQuestion')
-        if self.name is not None:
-            oprot.writeFieldBegin('name', TType.STRING, 1)
-            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+        if self.to is not None:
+            oprot.writeFieldBegin('to', TType.STRING, 1)
+            oprot.writeString(self.to.encode('utf-8') if sys.version_info[0] == 2 else self.to)
             oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 2)
-            oprot.writeI64(self.version)
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 3)
-            oprot.writeI64(self.incarnation)
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 3)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.round is not None:
+            oprot.writeFieldBegin('round', TType.I64, 4)
+            oprot.writeI64(self.round)
+            oprot.writeFieldEnd()
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.STRUCT, 5)
+            self.targets.write(oprot)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.STRUCT, 6)
+            self.members.write(oprot)
+            oprot.writeFieldEnd()
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRUCT, 7)
+            self.holder.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1203,23 +1346,35 @@
 class VouchAnswer(object):
     """
     Attributes:
-     - version
-     - incarnation
-     - silent
+     - witness
+     - service_name
+     - target
+     - round
+     - targets
+     - members
+     - holder
 
     """
 
     __slots__ = (
-        'version',
-        'incarnation',
-        'silent',
+        'witness',
+        'service_name',
+        'target',
+        'round',
+        'targets',
+        'members',
+        'holder',
     )
 
 
-    def __init__(self, version=None, incarnation=None, silent=None,):
-        self.version = version
-        self.incarnation = incarnation
-        self.silent = silent
+    def __init__(self, witness=None, service_name=None, target=None, round=None, targets=None, members=None, holder=None,):
+        self.witness = witness
+        self.service_name = service_name
+        self.target = target
+        self.round = round
+        self.targets = targets
+        self.members = members
+        self.holder = holder
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1231,18 +1386,41 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.version = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.witness = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.silent = iprot.readBool()
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.round = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.targets = Epoch()
+                    self.targets.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.members = Epoch()
+                    self.members.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.holder = Epoch()
+                    self.holder.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1255,17 +1433,33 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('VouchAnswer')
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 1)
-            oprot.writeI64(self.version)
+        if self.witness is not None:
+            oprot.writeFieldBegin('witness', TType.STRING, 1)
+            oprot.writeString(self.witness.encode('utf-8') if sys.version_info[0] == 2 else self.witness)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 2)
-            oprot.writeI64(self.incarnation)
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 3)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.round is not None:
+            oprot.writeFieldBegin('round', TType.I64, 4)
+            oprot.writeI64(self.round)
+            oprot.writeFieldEnd()
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.STRUCT, 5)
+            self.targets.write(oprot)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.STRUCT, 6)
+            self.members.write(oprot)
             oprot.writeFieldEnd()
-        if self.silent is not None:
-            oprot.writeFieldBegin('silent', TType.BOOL, 3)
-            oprot.writeBool(self.silent)
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRUCT, 7)
+            self.holder.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1369,19 +1563,34 @@
     (3, TType.STRING, 'packed', 'BINARY', None, ),  # 3
     (4, TType.LIST, 'removed', (TType.STRING, 'UTF8', False), None, ),  # 4
 )
+all_structs.append(Epoch)
+Epoch.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'digest', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'since', None, None, ),  # 3
+)
 all_structs.append(VouchQuestion)
 VouchQuestion.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'version', None, None, ),  # 2
-    (3, TType.I64, 'incarnation', None, None, ),  # 3
+    (1, TType.STRING, 'to', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'target', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'round', None, None, ),  # 4
+    (5, TType.STRUCT, 'targets', [Epoch, None], None, ),  # 5
+    (6, TType.STRUCT, 'members', [Epoch, None], None, ),  # 6
+    (7, TType.STRUCT, 'holder', [Epoch, None], None, ),  # 7
 )
 all_structs.append(VouchAnswer)
 VouchAnswer.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'version', None, None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.BOOL, 'silent', None, None, ),  # 3
+    (1, TType.STRING, 'witness', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'target', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'round', None, None, ),  # 4
+    (5, TType.STRUCT, 'targets', [Epoch, None], None, ),  # 5
+    (6, TType.STRUCT, 'members', [Epoch, None], None, ),  # 6
+    (7, TType.STRUCT, 'holder', [Epoch, None], None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
--- a/sequoiaspoke/wire/sequoiaspoke.thrift
+++ b/sequoiaspoke/wire/sequoiaspoke.thrift
@@ -78,17 +78,33 @@
   4: optional list<string> removed,
 }
 
-// Asks a witness which version of a service it vouches for.
+// Which assignment holds, and since which number; see core/idempotency/epoch.
+struct Epoch {
+  1: optional i64 number,
+  2: optional binary digest,
+  3: optional i64 since,
+}
+
+// Asks a witness whether a home's assignment still holds; a silent one does not
+// answer. Travels in single datagrams.
 struct VouchQuestion {
-  1: string name,
-  2: i64 version,
-  3: i64 incarnation,
+  1: string to,
+  2: string service_name,
+  3: string target,
+  4: i64 round,
+  5: Epoch targets,
+  6: Epoch members,
+  7: Epoch holder,
 }
 
 struct VouchAnswer {
-  1: i64 version,
-  2: i64 incarnation,
-  3: bool silent,
+  1: string witness,
+  2: string service_name,
+  3: string target,
+  4: i64 round,
+  5: Epoch targets,
+  6: Epoch members,
+  7: Epoch holder,
 }
 
 service PeerLink {
