Run keyed calls end to end at most once

The entry brings a keyed call to the one home that may run it and asks again where only the way failed or a version crosses. The home runs it apart from its caller, so that a repeat of a caller who went away joins or gets the kept answer; a long answer is streamed whole to the first caller. Witnesses are asked in single datagrams on the peer port's number. Rules see the zone of a call's key, so that a repeat through another zone meets the same rule. A node that tells outcome-unknown for its upstream says so (upstream-unsure). Answers carry Sequoiaspoke-Repeat and Sequoiaspoke-Settled.

A keyed route's change ends the tenure only of the services that calls can move to: rules that cannot hold for one request may change places.

--- a/sequoiaspoke/core/idempotency/assignment.py
+++ b/sequoiaspoke/core/idempotency/assignment.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.idempotency.epoch import digest_of
-from sequoiaspoke.core.rules.model import RouteTo
+from sequoiaspoke.core.rules.model import Comparison, Field, RouteTo
 
 if TYPE_CHECKING:
-    from sequoiaspoke.core.rules.model import WeightedService
+    from sequoiaspoke.core.rules.model import Condition, Rule, WeightedService
     from sequoiaspoke.core.snapshot.model import Snapshot
 
 HASH_RANGE = float(1 << 64)
@@ -21,14 +21,12 @@
     def __init__(self, zone: str) -> None:
         self.zone = zone
         self.snapshot: Snapshot | None = None
-        self.routes = ""
-        self.keyed_services: frozenset[str] = frozenset()
+        self.routes: dict[str, str] = {}
 
     def on_snapshot(self, snapshot: Snapshot) -> None:
         """Learn of an installed version."""
         if self.snapshot is None or snapshot.rules != self.snapshot.rules:
             self.routes = keyed_routes(snapshot)
-            self.keyed_services = keyed_services(snapshot)
         self.snapshot = snapshot
 
     def targets(self, service: str) -> tuple[str, ...]:
@@ -44,7 +42,7 @@
         another service between two attempts would else find a home there that
         never heard of the first.
         """
-        return digest_of((*self.targets(service), self.routes))
+        return digest_of((*self.targets(service), self.routes.get(service, "")))
 
 
 def zone_targets(snapshot: Snapshot, service: str, zone: str) -> tuple[str, ...]:
@@ -54,26 +52,65 @@
     return tuple(endpoint.target for endpoint in endpoints if endpoint.zone == zone)
 
 
-def keyed_routes(snapshot: Snapshot) -> str:
-    """Return a digest of the rules that route keyed calls, in their order."""
-    routes = [
-        (rule.when, rule.then)
+def keyed_rules(snapshot: Snapshot) -> tuple[Rule, ...]:
+    """Return the rules that route keyed calls, in their order."""
+    return tuple(
+        rule
         for rule in snapshot.rules
         if not rule.policy.idempotent and isinstance(rule.then, RouteTo)
-    ]
-    return blake2b(repr(routes).encode(), digest_size=8).hexdigest()
+    )
 
 
-def keyed_services(snapshot: Snapshot) -> frozenset[str]:
-    """Return the services to which keyed calls are routed."""
-    return frozenset(
-        to.service
-        for rule in snapshot.rules
-        if not rule.policy.idempotent and isinstance(rule.then, RouteTo)
-        for to in rule.then.split
+def keyed_routes(snapshot: Snapshot) -> dict[str, str]:
+    """Return for each service a digest of how keyed calls come to it.
+
+    A call moves to a service when one of its rules is new, or when an earlier rule
+    that took the call is gone. So each rule counts with the earlier ones that can
+    hold for the same request; the order of others, and other services, do not.
+    """
+    rules = keyed_rules(snapshot)
+    routes: dict[str, list[str]] = {}
+    for position, rule in enumerate(rules):
+        earlier = [
+            repr((other.when, other.then))
+            for other in rules[:position]
+            if may_overlap(other.when, rule.when)
+        ]
+        text = repr((rule.when, rule.then, sorted(earlier)))
+        for to in rule.then.split:
+            routes.setdefault(to.service, []).append(text)
+    return {service: digest_of(texts) for service, texts in routes.items()}
+
+
+def may_overlap(one: tuple[Condition, ...], other: tuple[Condition, ...]) -> bool:
+    """Return whether some request can meet both; true where it is not sure."""
+    return not any(
+        _exclude(mine, theirs)
+        for mine in one
+        for theirs in other
+        if mine.field is theirs.field and mine.field in (Field.METHOD, Field.PATH)
+    )
+
+
+def _exclude(one: Condition, other: Condition) -> bool:
+    compared = (one.comparison, other.comparison)
+    if any(each not in (Comparison.EXACT, Comparison.PREFIX) for each in compared):
+        return False
+    return not any(
+        _meet(mine, one.comparison, theirs, other.comparison)
+        for mine in one.values
+        for theirs in other.values
     )
 
 
+def _meet(one: str, how: Comparison, other: str, other_how: Comparison) -> bool:
+    if how is Comparison.PREFIX and other.startswith(one):
+        return True
+    if other_how is Comparison.PREFIX and one.startswith(other):
+        return True
+    return one == other
+
+
 def pick_by_key(text: str, split: tuple[WeightedService, ...]) -> str:
     """Choose a service of a split, the same one for each repeat of a key."""
     digest = blake2b(text.encode(), digest_size=8).digest()
--- a/sequoiaspoke/core/idempotency/settings.py
+++ b/sequoiaspoke/core/idempotency/settings.py
@@ -79,4 +79,11 @@
     body_bytes: int = option(
         1 << 20, "Bytes of a keyed call's body, which is held whole.", 0, 1 << 26
     )
+    patience: float = option(
+        30.0,
+        "Seconds the home waits for its upstream after the caller's deadline, so "
+        "that a repeat gets the answer.",
+        0,
+        3600,
+    )
     key_length: int = option(200, "Characters of a key.", 40, 1000)
--- a/sequoiaspoke/core/spread/core.py
+++ b/sequoiaspoke/core/spread/core.py
@@ -47,7 +47,6 @@
     messages.HeadAnswer: messages.HeadQuestion,
     messages.PartsAnswer: messages.PartsQuestion,
     messages.VmsAnswer: messages.VmsQuestion,
-    messages.VouchAnswer: messages.VouchQuestion,
 }
 
 
--- a/sequoiaspoke/demo/deployment.py
+++ b/sequoiaspoke/demo/deployment.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.idempotency.settings import IdempotencySettings
 from sequoiaspoke.core.rules.model import Endpoint, Service
 from sequoiaspoke.core.rules.parse import parse_declarations
 from sequoiaspoke.core.snapshot import codec
@@ -37,6 +38,9 @@
 SERVICES = ("sportello", "cordoglio", "regia", "videoteca")
 SERVICE_MS = 4.0
 LOOK_SECONDS = 0.005
+# A machine that is busy with other work may let this one process wait for seconds;
+# with frequent questions and a longer window no home loses its tenure for that.
+STEADY_KEYS = IdempotencySettings(window=2.5, ask_every=0.25, clock_margin=0.25)
 
 
 @dataclass
@@ -73,11 +77,13 @@
         zones: tuple[str, ...] = ZONES,
         limits: LimitSettings | None = None,
         drain: float = 1.0,
+        idempotency: IdempotencySettings = STEADY_KEYS,
     ) -> None:
         self.services = services
         self.zones = zones
         self.limits = limits or LimitSettings()
         self.drain = drain
+        self.idempotency = idempotency
         self.platform = PlatformStandin(PlatformStandinSettings())
         self.sites: list[Site] = []
         self.version = 0
@@ -109,11 +115,14 @@
             ),
             platform=PlatformSettings(url=self.platform.url),
             limits=self.limits,
+            idempotency=self.idempotency,
             upstream=UpstreamSettings(
                 port=upstream.port, target=target, service=service
             ),
         )
         node = Node(settings)
+        # The VM is new and has vouched for nothing that it could have forgotten.
+        node.keyed.witness.started -= 2 * self.idempotency.window
         await node.start()
         self.sites.append(Site(name, zone, service, target, node, upstream))
 
@@ -159,6 +168,21 @@
             await asyncio.sleep(LOOK_SECONDS)
         raise NotConvergedError(f"version {version}: nodes are at {sorted(versions)}")
 
+    async def keys_run(self, timeout: float) -> None:
+        """Wait until every node's home runs new keys.
+
+        Raises
+        ------
+        NotConvergedError
+            Some home does not within `timeout` seconds.
+        """
+        end = time.monotonic() + timeout
+        while time.monotonic() < end:
+            if all(site.node.keyed.ready() for site in self.sites):
+                return
+            await asyncio.sleep(LOOK_SECONDS)
+        raise NotConvergedError("some home runs no new keys")
+
     async def stop(self) -> None:
         """Stop everything, nodes first."""
         await asyncio.gather(*(site.node.stop() for site in self.sites))
--- a/sequoiaspoke/demo/session.py
+++ b/sequoiaspoke/demo/session.py
@@ -67,6 +67,7 @@
         version = self.deployment.publish(load_rules(file))
         published = time.time()
         await self.deployment.converged(version, CONVERGENCE_TIMEOUT)
+        await self.deployment.keys_run(CONVERGENCE_TIMEOUT)
         times = [
             site.node.config.holder.installed_at - published
             for site in self.deployment.sites
--- a/sequoiaspoke/errors.py
+++ b/sequoiaspoke/errors.py
@@ -144,6 +144,8 @@
         self.retry_after = retry_after
         self.retried = False
         self.remote = False
+        # Whether the home of the call's key vouches that it never runs.
+        self.settled = False
 
 
 class NotRunError(CallError):
@@ -220,6 +222,12 @@
     code = "upstream-shed"
 
 
+class UpstreamUnsureError(OutcomeUnknownError):
+    """The upstream itself answered that it may have run the call."""
+
+    code = "upstream-unsure"
+
+
 class ConnectError(NotRunError):
     """No connection could be opened, so nothing was sent."""
 
--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -15,6 +15,7 @@
 from sequoiaspoke.node.admin import admin_server
 from sequoiaspoke.node.entry import Entry
 from sequoiaspoke.node.home import Home, HomeHandler
+from sequoiaspoke.node.keyedhome import KeyedHome
 from sequoiaspoke.node.metrics import CallCounters, Metrics
 from sequoiaspoke.node.server import CallServer
 from sequoiaspoke.node.spreadloop import SpreadSource
@@ -39,6 +40,7 @@
         self.counters = CallCounters()
         self.config = config_source(settings, self.rng)
         self.home = Home(settings, self.counters, self.rng)
+        self.keyed = KeyedHome(settings, self.home, self.config)
         self.entry = Entry(settings, self.config, self.home, self.counters, self.rng)
         self.upkeep = Upkeep(settings, self.config, self.entry, self.home)
         self.callers = CallServer(self.entry, settings.limits)
@@ -73,6 +75,8 @@
             listeners["peer"] = peer
         for name, (server, address, port) in listeners.items():
             self.ports[name] = listen(server, address, port)
+        peer_port = self.ports.get("peer", node.peer_port)
+        self.ports["witness"] = await self.keyed.start(node.address, peer_port)
         self.publish_metrics()
         await self.config.start()
         self.upkeep.start()
@@ -92,6 +96,7 @@
         self.metrics.gauge(
             "sequoiaspoke_in_flight", "Calls at the home", lambda: self.home.in_flight
         )
+        self.keyed.publish(self.metrics)
 
     async def stop(self) -> None:
         """Leave without cutting a call in flight.
@@ -104,6 +109,7 @@
             return
         self.draining = True
         self.home.gate.admission.drain()
+        self.keyed.core.drain()
         self.callers.draining = self.mesh.draining = True
         log.info("node-draining", in_flight=self.in_flight())
         await asyncio.sleep(self.settings.node.drain)
@@ -113,6 +119,7 @@
             async with asyncio.timeout(self.settings.node.grace):
                 await self.callers.drained()
                 await self.mesh.drained()
+                await self.keyed.drained()
         except TimeoutError:
             log.warning("grace-over", in_flight=self.in_flight())
         self.upkeep.stop()
@@ -120,6 +127,7 @@
         self.admin.stop()
         for server in (self.callers.server, self.mesh.server, self.admin):
             await server.close_all_connections()
+        self.keyed.close()
         self.entry.close()
         self.home.pool.close()
         self.metrics.close()
--- a/sequoiaspoke/node/attempts.py
+++ b/sequoiaspoke/node/attempts.py
@@ -166,16 +166,18 @@
             now = asyncio.get_running_loop().time()
             self.balancer.report(call.target, report, now)
         ran = answer.headers.get(names.RAN, Ran.RAN.value)
-        if ran == Ran.RAN.value:
+        if ran == Ran.RAN.value and names.REASON not in answer.headers:
+            answer.repeat = names.REPEAT in answer.headers
             return answer
         error = reported_error(
             answer.headers.get(names.REASON, "remote"),
             answer.status,
-            Ran.NOT_RUN if ran == Ran.NOT_RUN.value else Ran.OUTCOME_UNKNOWN,
+            next((each for each in Ran if each.value == ran), Ran.OUTCOME_UNKNOWN),
             f"at {call.target}",
             names.whole_number(answer.headers, "Retry-After", 0) or None,
         )
         error.remote = True
+        error.settled = names.SETTLED in answer.headers
         error.retried = names.RETRIED in answer.headers
         await discard(answer)
         raise error
@@ -195,6 +197,8 @@
         headers[names.RULE] = call.rule
         if call.key:
             headers[names.KEY] = call.key
+        if call.keyed:
+            headers[names.KEYED] = names.YES
         return headers
 
     def close(self) -> None:
--- a/sequoiaspoke/node/client.py
+++ b/sequoiaspoke/node/client.py
@@ -61,6 +61,7 @@
         self.headers = HTTPHeaders()
         self.body = BodyPipe()
         self.complete = False
+        self.repeat = False
         self.reusable = False
         self.head: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.close_callbacks: list[Callable[[], None]] = []
--- a/sequoiaspoke/node/entry.py
+++ b/sequoiaspoke/node/entry.py
@@ -8,12 +8,15 @@
 
 from tornado.httputil import HTTPHeaders
 
+from sequoiaspoke.core.idempotency.assignment import pick_by_key
+from sequoiaspoke.core.idempotency.key import parse_key
 from sequoiaspoke.core.routing.deadline import enter
 from sequoiaspoke.core.routing.split import Splitter
 from sequoiaspoke.core.rules.model import Redirect, Refuse, RouteTo
 from sequoiaspoke.core.rules.request import make_request_head
 from sequoiaspoke.errors import (
     CallError,
+    InvalidKeyError,
     NoRuleError,
     NotReadyError,
     Ran,
@@ -23,13 +26,14 @@
 from sequoiaspoke.node import headers as names
 from sequoiaspoke.node.attempts import Attempts
 from sequoiaspoke.node.home import HomeCall
+from sequoiaspoke.node.keyedentry import KeyedEntry, told_of_key
 from sequoiaspoke.node.pipe import ReplayableBody
 from sequoiaspoke.node.server import CallHandler
 
 if TYPE_CHECKING:
     import random
 
-    from sequoiaspoke.core.rules.model import RequestHead, Rule, Service
+    from sequoiaspoke.core.rules.model import CallPolicy, RequestHead, Rule, Service
     from sequoiaspoke.core.snapshot.model import Snapshot
     from sequoiaspoke.node.client import Answer
     from sequoiaspoke.node.config import ConfigSource
@@ -61,6 +65,7 @@
         self.counters = counters
         self.attempts = Attempts(settings, home, counters, rng)
         self.splitter = Splitter(rng)
+        self.keyed = KeyedEntry(settings.idempotency, config, self.attempts, rng)
 
     async def handle(self, call: IncomingCall) -> None:
         """Answer a caller by the rules in force."""
@@ -68,8 +73,9 @@
         try:
             await self.decide(call)
         except CallError as error:
-            self.counters.failed(error)
-            raise
+            told = told_of_key(call.headers, error)
+            self.counters.failed(told)
+            raise told from error
         finally:
             self.counters.observe(time.perf_counter() - started)
 
@@ -82,7 +88,7 @@
         # left meanwhile; it asks its peers first, which takes milliseconds.
         if not self.config.verified:
             raise NotReadyError("version to be verified after a pause", 1.0)
-        request = read_request(call, self.settings.node.zone)
+        request = read_request(call, self.zone_of(call))
         rule = snapshot.matcher.decide(request).rule
         if rule is None:
             raise NoRuleError(f"no rule matches {call.method} {request.path}")
@@ -97,19 +103,38 @@
         answer = await self.begin(call, rule, rule.then, service)
         self.counters.calls[service.name] += 1
         try:
-            headers = names.end_to_end(answer.headers)
-            headers[names.RAN] = Ran.RAN.value
+            headers = names.of_answer(answer)
             await call.writer.relay(answer, headers, self.settings.limits.idle)
         finally:
             answer.close()
 
+    def zone_of(self, call: IncomingCall) -> str:
+        """Return the zone that rules see: a key's own, else this node's.
+
+        A repeat may come in through another zone. Under a rule for this zone alone
+        it would go to another service than the first attempt, and run there too.
+        """
+        own = self.settings.node.zone
+        if names.IDEMPOTENCY_KEY not in call.headers:
+            return own
+        try:
+            text = call.headers[names.IDEMPOTENCY_KEY]
+            return parse_key(text, self.settings.idempotency).zone
+        except InvalidKeyError:
+            return own  # refused later, if the rule wants a key
+
     def pick_service(
         self, snapshot: Snapshot, rule: Rule, call: IncomingCall
     ) -> Service:
         """Choose one service of a weighted split."""
         assert isinstance(rule.then, RouteTo)
         key = call.headers.get(rule.then.sticky_header, "")
-        name = self.splitter.choose(rule.name, rule.then.split, key)
+        if is_keyed(call, rule.policy):
+            text = call.headers[names.IDEMPOTENCY_KEY]
+            wanted = parse_key(text, self.settings.idempotency)
+            name = pick_by_key(wanted.text, rule.then.split)
+        else:
+            name = self.splitter.choose(rule.name, rule.then.split, key)
         service = snapshot.services.get(name)
         if service is None:
             raise UnknownServiceError(name)
@@ -129,20 +154,25 @@
             names.whole_number(call.headers, names.ATTEMPT, 1),
             names.whole_number(call.headers, names.DEPTH, 0),
         )
+        keyed = is_keyed(call, policy)
+        keep = self.settings.idempotency.body_bytes if keyed else REPLAY_BYTES
         home_call = HomeCall(
             service=service.name,
             target="",
             method=call.method,
             uri=call.uri,
             headers=call.headers,
-            body=ReplayableBody(call.body, REPLAY_BYTES) if call.body else None,
+            body=ReplayableBody(call.body, keep) if call.body else None,
             deadline=progress.deadline,
             depth=progress.depth,
             caller=call.headers.get(policy.caller_header, call.remote),
             priority=policy.priority,
             rule=rule.name,
             key=call.headers.get(route.sticky_header, ""),
+            keyed=keyed,
         )
+        if keyed:
+            return await self.keyed.run(home_call)
         return await self.attempts.run(service, policy, home_call, progress)
 
     def close(self) -> None:
@@ -150,6 +180,11 @@
         self.attempts.close()
 
 
+def is_keyed(call: IncomingCall, policy: CallPolicy) -> bool:
+    """Return whether the call may run once only and can be told from others."""
+    return not policy.idempotent and names.IDEMPOTENCY_KEY in call.headers
+
+
 def read_request(call: IncomingCall, zone: str) -> RequestHead:
     """Read what the rules look at."""
     headers = list(call.headers.get_all())
--- a/sequoiaspoke/node/headers.py
+++ b/sequoiaspoke/node/headers.py
@@ -6,9 +6,13 @@
 
 from tornado.httputil import HTTPHeaders
 
+from sequoiaspoke.errors import Ran
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from sequoiaspoke.node.client import Answer
+
 PREFIX = "Sequoiaspoke-"
 DEADLINE = "Sequoiaspoke-Deadline-Ms"
 ATTEMPT = "Sequoiaspoke-Attempt"
@@ -25,7 +29,12 @@
 KEY = "Sequoiaspoke-Key"
 REPEAT = "Sequoiaspoke-Repeat"
 LOAD = "Sequoiaspoke-Load"
+KEYED = "Sequoiaspoke-Keyed"
+SETTLED = "Sequoiaspoke-Settled"
 IDEMPOTENCY_KEY = "Idempotency-Key"
+IDEMPOTENCY_ATTEMPT = "Idempotency-Attempt"
+FIRST_ATTEMPT = "first"
+YES = "yes"
 
 HOP_BY_HOP = frozenset(
     {
@@ -54,6 +63,15 @@
     return kept
 
 
+def of_answer(answer: Answer) -> HTTPHeaders:
+    """Return the headers with which an upstream's answer travels on."""
+    headers = end_to_end(answer.headers)
+    headers[RAN] = Ran.RAN.value
+    if answer.repeat:
+        headers[REPEAT] = YES
+    return headers
+
+
 def single_values(headers: HTTPHeaders) -> Iterator[tuple[str, str]]:
     """Yield header names in lower case with their joined values."""
     for name in headers:
--- a/sequoiaspoke/node/home.py
+++ b/sequoiaspoke/node/home.py
@@ -16,6 +16,7 @@
     ConnectError,
     Ran,
     UpstreamShedError,
+    UpstreamUnsureError,
     WrongHomeError,
 )
 from sequoiaspoke.node import headers as names
@@ -27,9 +28,11 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from sequoiaspoke.core.routing.model import LoadReport
     from sequoiaspoke.node.client import Answer
+    from sequoiaspoke.node.keyedhome import KeyedHome
     from sequoiaspoke.node.metrics import CallCounters
     from sequoiaspoke.node.server import IncomingCall
     from sequoiaspoke.settings.schema import Settings
@@ -47,6 +50,12 @@
     ----------
     deadline : float
         Time of this node's loop clock at which the answer must have begun.
+    keyed : bool
+        Whether the call has an idempotency key and may run once only.
+    before_send : callable or None
+        Raises a `CallError` if the call may not be handed over after all.
+    patience : float
+        Seconds to wait for the upstream at least, also past the deadline.
     """
 
     service: str
@@ -62,6 +71,9 @@
     priority: Priority = Priority.ORDINARY
     rule: str = ""
     key: str = ""
+    keyed: bool = False
+    before_send: Callable[[], None] | None = None
+    patience: float = 0.0
 
 
 class Home:
@@ -75,6 +87,7 @@
         self.gate = Gate(settings.admission, FIRST_SLOTS, rng)
         upstream = settings.upstream
         self.pool = Pool(Address(upstream.address, upstream.port), settings.limits)
+        self.keyed: KeyedHome | None = None
 
     @property
     def in_flight(self) -> int:
@@ -86,6 +99,18 @@
         return self.gate.admission.report(asyncio.get_running_loop().time())
 
     async def run(self, call: HomeCall) -> Answer:
+        """Answer a call, by running it unless its key has run before.
+
+        Raises
+        ------
+        CallError
+            The call was refused or failed; says whether it ran.
+        """
+        if call.keyed and self.keyed:
+            return await self.keyed.run(call)
+        return await self.run_now(call)
+
+    async def run_now(self, call: HomeCall) -> Answer:
         """Hand a call to the upstream and return its answer.
 
         Raises
@@ -119,21 +144,27 @@
     async def hand_over(self, call: HomeCall) -> Answer:
         """Send the call to the upstream."""
         loop = asyncio.get_running_loop()
+        if call.before_send:
+            call.before_send()
         headers = names.end_to_end(call.headers)
         remaining = call.deadline - loop.time()
         headers[names.DEADLINE] = str(max(1, int(remaining * 1000)))
         headers[names.DEPTH] = str(call.depth)
         headers[names.ATTEMPT] = str(call.attempt)
         start_line = RequestStartLine(call.method, call.uri, "HTTP/1.1")
-        answer = await self.pool.call(start_line, headers, call.body, call.deadline)
-        shed = answer.headers.get(names.RAN) == Ran.NOT_RUN.value
-        if shed and answer.status >= FIRST_SERVER_ERROR:
-            retry_after = names.whole_number(answer.headers, "Retry-After", 1)
+        deadline = max(call.deadline, loop.time() + call.patience)
+        answer = await self.pool.call(start_line, headers, call.body, deadline)
+        told = answer.headers.get(names.RAN, Ran.RAN.value)
+        if told == Ran.RAN.value or answer.status < FIRST_SERVER_ERROR:
+            return answer
+        retry_after = names.whole_number(answer.headers, "Retry-After", 1)
+        retried = names.RETRIED in answer.headers
+        await discard(answer)
+        error: CallError = UpstreamUnsureError(f"{call.target} gave the call up")
+        if told == Ran.NOT_RUN.value:
             error = UpstreamShedError(f"{call.target} shed the call", retry_after)
-            error.retried = names.RETRIED in answer.headers
-            await discard(answer)
-            raise error
-        return answer
+        error.retried = retried
+        raise error
 
 
 class HomeHandler(CallHandler):
@@ -154,8 +185,7 @@
                 self.home.counters.refused[error.code] += 1
             raise
         try:
-            headers = names.end_to_end(answer.headers)
-            headers[names.RAN] = Ran.RAN.value
+            headers = names.of_answer(answer)
             headers[names.LOAD] = write_load(self.home.report())
             await call.writer.relay(answer, headers, self.settings.limits.idle)
         finally:
@@ -189,6 +219,7 @@
         priority=PRIORITIES.get(headers.get(names.PRIORITY, ""), Priority.ORDINARY),
         rule=headers.get(names.RULE, ""),
         key=headers.get(names.KEY, ""),
+        keyed=headers.get(names.KEYED) == names.YES,
     )
 
 
--- /dev/null
+++ b/sequoiaspoke/node/keyedentry.py
@@ -0,0 +1,140 @@
+"""The entry side of a keyed call: one home, and as many attempts as time allows."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.idempotency.assignment import zone_targets
+from sequoiaspoke.core.idempotency.entry import AttemptResult, tell_caller
+from sequoiaspoke.core.idempotency.key import home_of, parse_key
+from sequoiaspoke.errors import (
+    CallError,
+    ConnectError,
+    ConnectionLostError,
+    NoTargetError,
+    NotReadyError,
+    RemoteError,
+    TruncatedAnswerError,
+    WrongHomeError,
+)
+from sequoiaspoke.node import headers as names
+
+if TYPE_CHECKING:
+    import random
+
+    from tornado.httputil import HTTPHeaders
+
+    from sequoiaspoke.core.idempotency.key import Key
+    from sequoiaspoke.core.idempotency.settings import IdempotencySettings
+    from sequoiaspoke.core.rules.model import Endpoint
+    from sequoiaspoke.node.attempts import Attempts
+    from sequoiaspoke.node.client import Answer
+    from sequoiaspoke.node.config import ConfigSource
+    from sequoiaspoke.node.home import HomeCall
+
+# Failures on the way to the home, which may be asked again: its ledger keeps the key
+# from running twice.
+BROKEN = (ConnectError, ConnectionLostError, TruncatedAnswerError)
+# What one node tells another while a version crosses.
+CROSSING = (NotReadyError, WrongHomeError)
+FIRST_PAUSE = 0.05  # seconds; a version that crosses reaches the other node in less
+LONGEST_PAUSE = 1.0
+
+
+class KeyedEntry:
+    """Bring keyed calls to the one home that may run each."""
+
+    def __init__(
+        self,
+        settings: IdempotencySettings,
+        config: ConfigSource,
+        attempts: Attempts,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.config = config
+        self.attempts = attempts
+        self.rng = rng
+
+    async def run(self, call: HomeCall) -> Answer:
+        """Return the answer of the key's first run.
+
+        Raises
+        ------
+        CallError
+            There is none; says what is known of every attempt with the key.
+        """
+        key = parse_key(call.headers[names.IDEMPOTENCY_KEY], self.settings)
+        results: list[AttemptResult] = []
+        pause = FIRST_PAUSE
+        while True:
+            try:
+                return await self.attempt(call, key)
+            except CallError as error:
+                results.append(AttemptResult(error.ran, error.settled))
+                if not may_ask_again(error, call, pause):
+                    raise told(call.headers, error, tuple(results)) from error
+                self.attempts.counters.retried[error.code] += 1
+            await asyncio.sleep(pause * self.rng.uniform(0.5, 1.0))
+            pause = min(2 * pause, LONGEST_PAUSE)
+            if call.body:
+                call.body.rewind()
+
+    async def attempt(self, call: HomeCall, key: Key) -> Answer:
+        """Ask the home that the version in force names."""
+        endpoint = self.home(call.service, key)
+        attempt = replace(call, target=endpoint.target)
+        return await self.attempts.attempt(endpoint, attempt)
+
+    def home(self, service: str, key: Key) -> Endpoint:
+        """Return the endpoint of the only target that may run a key.
+
+        Raises
+        ------
+        NoTargetError
+            The service has no target in the key's zone.
+        """
+        snapshot = self.config.current
+        if snapshot is None:
+            raise NotReadyError("no version accepted yet", 1.0)
+        target = home_of(key, zone_targets(snapshot, service, key.zone))
+        if not target:
+            raise NoTargetError(f"{service} has no target for the key in {key.zone}")
+        endpoints = snapshot.services[service].endpoints
+        return next(
+            each
+            for each in endpoints
+            if each.target == target and each.zone == key.zone
+        )
+
+
+def may_ask_again(error: CallError, call: HomeCall, pause: float) -> bool:
+    """Return whether another attempt can come to something."""
+    broken = isinstance(error, BROKEN) and not error.remote
+    if not broken and not isinstance(error, CROSSING):
+        return False
+    if call.body is not None and not call.body.replayable:
+        return False
+    return asyncio.get_running_loop().time() + pause < call.deadline
+
+
+def told_of_key(headers: HTTPHeaders, error: CallError) -> CallError:
+    """Return what to tell a caller whose call this node itself refused."""
+    if names.IDEMPOTENCY_KEY not in headers:
+        return error
+    return told(headers, error, (AttemptResult(error.ran, error.settled),))
+
+
+def told(
+    headers: HTTPHeaders, error: CallError, results: tuple[AttemptResult, ...]
+) -> CallError:
+    """Return the failure with what is known of all attempts with the key."""
+    first = headers.get(names.IDEMPOTENCY_ATTEMPT, "") == names.FIRST_ATTEMPT
+    ran = tell_caller(results, first)
+    if ran is error.ran:
+        return error
+    known = RemoteError(error.code, error.status, ran, error.detail, error.retry_after)
+    known.settled = error.settled
+    return known
--- a/sequoiaspoke/node/pipe.py
+++ b/sequoiaspoke/node/pipe.py
@@ -24,6 +24,11 @@
         self.error: CallError | None = None
         self.taken: asyncio.Future[None] | None = None
         self.filled: asyncio.Future[None] | None = None
+        self.returned = b""
+
+    def unread(self, data: bytes) -> None:
+        """Put bytes back, which are read first."""
+        self.returned = data
 
     def put(self, chunk: bytes) -> asyncio.Future[None] | None:
         """Offer a chunk; the result, if any, is done when it was taken."""
@@ -58,6 +63,9 @@
         CallError
             The body broke off.
         """
+        if self.returned:
+            returned, self.returned = self.returned, b""
+            return returned
         while not self.chunk:
             if self.error is not None:
                 raise self.error
--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -90,6 +90,8 @@
         headers.update(self.refusal_headers)
         if error.retried:
             headers[names.RETRIED] = "yes"
+        if error.settled:
+            headers[names.SETTLED] = names.YES
         if error.retry_after is not None:
             headers["Retry-After"] = str(max(1, round(error.retry_after)))
         self.whole(error.status, headers, f"{error.code}: {error.detail}\n".encode())
