Measure keyed calls with real processes and the cost of witnesses

`measure idempotency` mints a key for each call, repeats it through other nodes until its outcome is known, and compares with the runs that the upstreams count; `measure witnesses` counts messages with real cores and codec on a virtual clock.

--- a/sequoiaspoke/commands/measure.py
+++ b/sequoiaspoke/commands/measure.py
@@ -152,7 +152,46 @@
     print(json.dumps(dataclasses.asdict(report)))
 
 
+def idempotency(
+    *, nodes: int = 12, calls: int = 20000, rate: float = 150.0, fault: str = "rolling"
+) -> None:
+    """Measure keyed calls with repeats; the last line is JSON.
+
+    Parameters
+    ----------
+    nodes : int
+        Nodes, spread over three zones.
+    calls : int
+        Keyed calls in all, each repeated until its outcome is known.
+    rate : float
+        New calls a second.
+    fault : str
+        none, platform-outage, rolling (nodes are killed or stopped in turn) or
+        rolling-moves (and versions move keys).
+    """
+    from sequoiaspoke.measure.keyed import measure_keyed
+
+    report = run_measurement(measure_keyed(nodes, calls, rate, fault))
+    print(json.dumps(dataclasses.asdict(report)))
+
+
+def witnesses(*, sizes: tuple[int, ...] = (4, 12, 90)) -> None:
+    """Count what witnesses cost a node, a JSON line for each size.
+
+    Parameters
+    ----------
+    sizes : tuple[int, ...]
+        VMs in a zone.
+    """
+    from sequoiaspoke.measure.witnesscost import measure_witnesses
+
+    for size in sizes:
+        print(json.dumps(dataclasses.asdict(measure_witnesses(size))))
+
+
 COMMANDS = {
+    "idempotency": idempotency,
+    "witnesses": witnesses,
     "load": load,
     "rules": rules,
     "spread": spread,
--- /dev/null
+++ b/sequoiaspoke/measure/keyed.py
@@ -0,0 +1,312 @@
+"""Measure keyed calls against real processes: doubled, untrue, refused, slow.
+
+Callers mint a key for each call and repeat it through other nodes until they know
+what became of it. The upstreams count the runs of each key, and are not restarted,
+so that the count is whole.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from sequoiaspoke.core.idempotency.key import mint_key
+from sequoiaspoke.core.rules.model import (
+    CallPolicy,
+    Comparison,
+    Condition,
+    Field,
+    RouteTo,
+    Rule,
+    Service,
+    WeightedService,
+)
+from sequoiaspoke.errors import CallError, MeasureError, Ran
+from sequoiaspoke.measure.bench import Bench
+from sequoiaspoke.measure.percentiles import Percentiles
+from sequoiaspoke.measure.plan import CALL_PORT, ZONES, FleetPlan
+from sequoiaspoke.node import headers as names
+from sequoiaspoke.node.client import Address, Pool
+from sequoiaspoke.node.wholebody import WholeBody
+from sequoiaspoke.settings.schema import LimitSettings
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.snapshot.model import Vm
+    from sequoiaspoke.node.client import Answer
+
+KEYED_PATH = "/once/"
+FAULTS = ("none", "platform-outage", "rolling", "rolling-moves")
+START_SECONDS = 15.0  # until every home of a zone that starts at once runs new keys
+ATTEMPT_SECONDS = 4.0
+ATTEMPTS = 6
+PAUSE = 0.2  # seconds before a repeat
+TURN_SECONDS = 10.0  # from one VM's fault to the next
+STOPPED_SECONDS = 5.0  # longer than the window
+DOWN_SECONDS = 1.0
+CHANGE_SECONDS = 5.0
+SEED = 11
+# Reasons after which a repeat cannot learn more.
+FINAL = frozenset(
+    {"key-too-old", "key-outcome-unknown", "issuer-gone", "answer-not-kept"}
+)
+
+
+@dataclass(frozen=True)
+class KeyedPlan(FleetPlan):
+    """A fleet whose nodes all serve one service with keyed calls."""
+
+    services: int = 1
+    moves: bool = False
+
+    def rules(self, version: int) -> tuple[Rule, ...]:
+        """Return the rules; the keyed one is the same in every version."""
+        path = Condition(Field.PATH, Comparison.PREFIX, (KEYED_PATH,))
+        route = RouteTo((WeightedService("service-0"),))
+        policy = CallPolicy(timeout=ATTEMPT_SECONDS, idempotent=False)
+        return (Rule("once", (path,), route, policy), *super().rules(version))
+
+    def service(self, index: int, version: int) -> Service:
+        """Return the service; if keys are to move, a target comes and goes."""
+        whole = super().service(index, version)
+        if not self.moves or version % 4 != 0:
+            return whole
+        left_out = version // 4 % len(whole.endpoints)
+        kept = [each for n, each in enumerate(whole.endpoints) if n != left_out]
+        return Service(whole.name, tuple(kept))
+
+
+@dataclass
+class Tally:
+    """What callers were told."""
+
+    told: dict[str, Ran] = field(default_factory=dict)
+    reasons: Counter[str] = field(default_factory=Counter)
+    attempts: int = 0
+    wrong_answers: int = 0
+    latency: Percentiles = field(default_factory=Percentiles)
+
+
+@dataclass(frozen=True)
+class KeyedReport:
+    """What was measured.
+
+    Attributes
+    ----------
+    doubled : int
+        Keys that ran more than once.
+    false_not_run : int
+        Keys told not-run that ran.
+    missing : int
+        Keys told ran that did not run.
+    refused_percent : float
+        Share of the calls that ended without the upstream's answer.
+    unknown_that_ran : int
+        Keys of unknown outcome that did run.
+    """
+
+    nodes: int
+    fault: str
+    calls: int
+    attempts: int
+    answered: int
+    not_run: int
+    unknown: int
+    refused_percent: float
+    reasons: dict[str, int]
+    doubled: int
+    false_not_run: int
+    missing: int
+    wrong_answers: int
+    unknown_that_ran: int
+    faults_made: int
+    versions: int
+    p50_s: float | None
+    p99_s: float | None
+    load_average: float
+
+
+async def measure_keyed(nodes: int, calls: int, rate: float, fault: str) -> KeyedReport:
+    """Run the whole measurement with processes of its own.
+
+    Raises
+    ------
+    MeasureError
+        The plan cannot be measured, or the fleet does not start.
+    """
+    if fault not in FAULTS:
+        raise MeasureError(f"fault: found {fault}; allowed: {', '.join(FAULTS)}")
+    plan = KeyedPlan(nodes, 1, nodes, moves=fault == "rolling-moves")
+    async with Bench(plan) as bench:
+        for vm in bench.plan.vms():
+            await bench.start_upstream(vm)
+        await asyncio.sleep(START_SECONDS)
+        return await KeyedMeasurement(bench, calls, rate, fault).run()
+
+
+class KeyedMeasurement:
+    """Callers at a steady rate, while nodes fail in turn and versions come."""
+
+    def __init__(self, bench: Bench, calls: int, rate: float, fault: str) -> None:
+        self.bench = bench
+        self.calls = calls
+        self.rate = rate
+        self.fault = fault
+        self.rng = random.Random(SEED)
+        self.tally = Tally()
+        self.away: set[str] = set()
+        self.faults_made = 0
+        limits = LimitSettings()
+        self.pools = {
+            vm.name: Pool(Address(vm.address, CALL_PORT), limits)
+            for vm in bench.vms.values()
+        }
+
+    async def run(self) -> KeyedReport:
+        """Measure and report."""
+        background = [asyncio.ensure_future(self.change())]
+        if self.fault.startswith("rolling"):
+            background.append(asyncio.ensure_future(self.roll()))
+        elif self.fault == "platform-outage":
+            await self.bench.control.fault("down=unavailable")
+        try:
+            await self.call_all()
+        finally:
+            for task in background:
+                task.cancel()
+            await asyncio.gather(*background, return_exceptions=True)
+            for pool in self.pools.values():
+                pool.close()
+        return await self.report()
+
+    async def call_all(self) -> None:
+        """Start calls at the rate and wait for all of them."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        running = []
+        for number in range(self.calls):
+            await asyncio.sleep(max(0.0, began + number / self.rate - loop.time()))
+            running.append(asyncio.ensure_future(self.call()))
+        await asyncio.gather(*running)
+
+    async def change(self) -> None:
+        """Publish a version every few seconds."""
+        while self.fault != "platform-outage":
+            await asyncio.sleep(CHANGE_SECONDS)
+            await self.bench.publish()
+
+    async def roll(self) -> None:
+        """Kill or stop one node after the other, each zone in turn."""
+        vms = sorted(self.bench.vms.values(), key=lambda vm: vm.name)
+        while True:
+            for vm in vms:
+                await asyncio.sleep(TURN_SECONDS)
+                await self.disturb(vm)
+                self.faults_made += 1
+
+    async def disturb(self, vm: Vm) -> None:
+        """Stop a node for longer than its window, or kill it and start it anew."""
+        process = self.bench.nodes[vm.name]
+        if self.faults_made % 2:
+            process.pause()
+            await asyncio.sleep(STOPPED_SECONDS)
+            process.resume()
+            return
+        process.kill()
+        await asyncio.sleep(DOWN_SECONDS)
+        self.bench.start_node(vm)
+
+    async def call(self) -> None:
+        """Make one keyed call and repeat it until its outcome is known."""
+        key = mint_key(self.rng.choice(ZONES), time.time(), self.rng)
+        began = time.monotonic()
+        told, reason = Ran.OUTCOME_UNKNOWN, ""
+        for attempt in range(ATTEMPTS):
+            told, reason = await self.attempt(key, attempt == 0)
+            if told is not Ran.OUTCOME_UNKNOWN or reason in FINAL:
+                break
+            await asyncio.sleep(PAUSE)
+        self.tally.told[key] = told
+        if reason:
+            self.tally.reasons[reason] += 1
+        else:
+            self.tally.latency.add(time.monotonic() - began)
+
+    async def attempt(self, key: str, first: bool) -> tuple[Ran, str]:
+        """Send a call through any node and return what it tells, and why."""
+        self.tally.attempts += 1
+        body = key.encode()
+        headers = HTTPHeaders({"Host": "once", names.IDEMPOTENCY_KEY: key})
+        headers["Content-Length"] = str(len(body))
+        if first:
+            headers[names.IDEMPOTENCY_ATTEMPT] = names.FIRST_ATTEMPT
+        line = RequestStartLine("POST", KEYED_PATH, "HTTP/1.1")
+        pool = self.pools[self.rng.choice(sorted(self.pools))]
+        deadline = asyncio.get_running_loop().time() + ATTEMPT_SECONDS
+        try:
+            answer = await pool.call(line, headers, WholeBody(body), deadline)
+            async with asyncio.timeout_at(deadline):
+                text = await read(answer)
+        except CallError as error:
+            return Ran.OUTCOME_UNKNOWN, error.code
+        except TimeoutError:
+            return Ran.OUTCOME_UNKNOWN, "caller-timeout"
+        reason = answer.headers.get(names.REASON, "")
+        told = Ran(answer.headers.get(names.RAN, Ran.OUTCOME_UNKNOWN.value))
+        if told is Ran.RAN and not reason and key.encode() not in text:
+            self.tally.wrong_answers += 1
+        return told, reason
+
+    async def report(self) -> KeyedReport:
+        """Compare what callers were told with what the upstreams counted."""
+        runs: Counter[str] = Counter()
+        for control in self.bench.upstream_controls.values():
+            runs.update((await control.report())["runs"])
+        told = self.tally.told
+        by_ran = Counter(told.values())
+        refused = self.calls - by_ran[Ran.RAN]
+        return KeyedReport(
+            nodes=self.bench.plan.nodes,
+            fault=self.fault,
+            calls=self.calls,
+            attempts=self.tally.attempts,
+            answered=by_ran[Ran.RAN],
+            not_run=by_ran[Ran.NOT_RUN],
+            unknown=by_ran[Ran.OUTCOME_UNKNOWN],
+            refused_percent=round(100 * refused / self.calls, 3),
+            reasons=dict(self.tally.reasons),
+            doubled=sum(1 for key in told if runs[key] > 1),
+            false_not_run=count(told, Ran.NOT_RUN, runs, ran=True),
+            missing=count(told, Ran.RAN, runs, ran=False),
+            wrong_answers=self.tally.wrong_answers,
+            unknown_that_ran=count(told, Ran.OUTCOME_UNKNOWN, runs, ran=True),
+            faults_made=self.faults_made,
+            versions=self.bench.version,
+            p50_s=self.tally.latency.at(50),
+            p99_s=self.tally.latency.at(99),
+            load_average=round(os.getloadavg()[0], 1),
+        )
+
+
+def count(told: dict[str, Ran], wanted: Ran, runs: Counter[str], ran: bool) -> int:
+    """Count the keys that were told one thing and did, or did not, run."""
+    return sum(
+        1 for key, each in told.items() if each is wanted and bool(runs[key]) is ran
+    )
+
+
+async def read(answer: Answer) -> bytes:
+    """Read a whole answer and give its connection back."""
+    try:
+        text = b""
+        while chunk := await answer.body.get():
+            text += chunk
+        return text
+    finally:
+        answer.close()
