--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -90,6 +90,8 @@
         self.metrics.count(
             "sequoiaspoke_config", "Configuration events", "event", holder.counters
         )
+        for name, counters in self.config.counters.items():
+            self.metrics.count(name, "Events of the spread", "event", counters)
         self.metrics.gauge(
             "sequoiaspoke_version", "Version in force", lambda: holder.version
         )
--- a/sequoiaspoke/node/config.py
+++ b/sequoiaspoke/node/config.py
@@ -9,6 +9,7 @@
 from sequoiaspoke.core.snapshot.holder import SnapshotHolder
 
 if TYPE_CHECKING:
+    from collections import Counter
     from collections.abc import Mapping
 
     from tornado.tcpserver import TCPServer
@@ -58,6 +59,11 @@
         """Return whether the version in force may decide calls."""
         return self.current is not None
 
+    @property
+    def counters(self) -> Mapping[str, Counter[str]]:
+        """Return counters of events by the name of their metric."""
+        return {}
+
     @property
     def peer_server(self) -> TCPServer | None:
         """Return the server for other nodes' links, if there is one."""
--- a/sequoiaspoke/node/spreadloop.py
+++ b/sequoiaspoke/node/spreadloop.py
@@ -24,7 +24,8 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections import Counter
+    from collections.abc import Callable, Mapping
 
     from sequoiaspoke.core.spread.events import Action, Event
     from sequoiaspoke.core.spread.messages import Message
@@ -79,6 +80,14 @@
         """Return whether the version in force may decide calls."""
         return self.core.verified(now())
 
+    @property
+    def counters(self) -> Mapping[str, Counter[str]]:
+        """Return the counters of the spread and of the links."""
+        return {
+            "sequoiaspoke_spread": self.core.state.counters,
+            "sequoiaspoke_link": self.links.counters,
+        }
+
     @property
     def peer_server(self) -> PeerLinks:
         """Return the server for other nodes' links."""
--- a/sequoiaspoke/tests/test_peerlink.py
+++ b/sequoiaspoke/tests/test_peerlink.py
@@ -191,6 +191,8 @@
             s for s, watches in zip(sources, watching, strict=True) if not watches
         ]
         self.assertEqual([2, 2], [source.platform.reads for source in followers])
+        counters = followers[0].counters["sequoiaspoke_spread"]
+        self.assertEqual(1, counters["platform-read-head"])
         for source in sources:
             await source.stop()
         await platform.stop()
