Take what documents bring out of the spread core's dispatch

Change: offering heads, parts and VM lists and telling of the outcome is a module of its own; no behaviour changes.

--- a/sequoiaspoke/core/spread/core.py
+++ b/sequoiaspoke/core/spread/core.py
@@ -11,12 +11,12 @@
 
 from sequoiaspoke.core.membership.pause import PauseDetector
 from sequoiaspoke.core.snapshot import codec
-from sequoiaspoke.core.snapshot.gate import Verdict
 from sequoiaspoke.core.snapshot.publish import HEAD_DOCUMENT, VMS_DOCUMENT
 from sequoiaspoke.core.spread import events, messages
-from sequoiaspoke.core.spread.answers import Answerer, apply_delta
+from sequoiaspoke.core.spread.answers import Answerer
 from sequoiaspoke.core.spread.duty import Duty
 from sequoiaspoke.core.spread.links import LinkTable
+from sequoiaspoke.core.spread.news import PLATFORM_SOURCE, News
 from sequoiaspoke.core.spread.peers import PeerChooser
 from sequoiaspoke.core.spread.platform import PlatformReader
 from sequoiaspoke.core.spread.pull import Puller
@@ -30,15 +30,11 @@
     import random
     from collections.abc import Callable
 
-    from sequoiaspoke.core.snapshot.model import Head
     from sequoiaspoke.core.spread.events import Action, Event
     from sequoiaspoke.core.spread.links import Link
     from sequoiaspoke.core.spread.state import Identity
     from sequoiaspoke.settings.schema import Settings
 
-PLATFORM_SOURCE = "platform"
-
-
 # An answer that carries the number of another kind of question comes from a
 # peer that is broken; taken for the other it would end in an exception here.
 ANSWER_TO = {
@@ -66,9 +62,10 @@
         self.catch_up = CatchUp(self.state, self.links, self.platform)
         self.verifier = Verifier(self.state, self.links, self.platform)
         self.answerer = Answerer(self.state, self.links, self.strategy)
+        self.news = News(
+            self.state, self.links, self.puller, self.answerer, self.strategy
+        )
         self.pause = PauseDetector(settings.membership.pause)
-        self.told_version = 0
-        self.told_refused = 0
         self.handlers: dict[type, Callable[[Any, float], None]] = {
             events.PlatformAnswered: self.on_platform_answered,
             events.PlatformUnchanged: self.on_platform_unchanged,
@@ -80,9 +77,9 @@
         self.answers: dict[type, Callable[[Link, Any, Any, float], None]] = {
             messages.Welcome: self.on_welcome,
             messages.BeatAnswer: self.on_beat_answer,
-            messages.HeadAnswer: self.on_head_answer,
-            messages.PartsAnswer: self.on_parts_answer,
-            messages.VmsAnswer: self.on_vms_answer,
+            messages.HeadAnswer: self.news.on_head_answer,
+            messages.PartsAnswer: self.news.on_parts_answer,
+            messages.VmsAnswer: self.news.on_vms_answer,
         }
 
     @property
@@ -118,7 +115,7 @@
         self.catch_up.tick(now)
         self.verifier.tick(now)
         self.holder.try_install(now)
-        self.tell()
+        self.news.tell()
         return self.state.take_actions()
 
     def notice_pause(self, now: float) -> None:
@@ -147,7 +144,7 @@
         """Take a document of the platform."""
         digest = self.platform.parts.pop(event.read, None)
         if digest is not None:
-            self.take_part(digest, event.body, PLATFORM_SOURCE, now)
+            self.news.take_part(digest, event.body, PLATFORM_SOURCE, now)
             return
         try:
             self.take_document(event, now)
@@ -161,13 +158,13 @@
         if event.document == HEAD_DOCUMENT:
             head = codec.decode_head(event.body)
             if self.platform.answer(event, now):
-                self.learn(head, PLATFORM_SOURCE, now)
+                self.news.learn(head, PLATFORM_SOURCE, now)
         elif event.document == VMS_DOCUMENT:
             vms = codec.decode_vms(event.body)
             taken = self.state.vms.offer(vms)
             self.platform.answer(event, now)
             if taken:
-                self.vms_changed(None)
+                self.news.vms_changed(None)
 
     def on_platform_unchanged(
         self, event: events.PlatformUnchanged, now: float
@@ -273,100 +270,5 @@
         revision = max(status.vms_revision, message.vms_revision)
         link.status = replace(status, vms_revision=revision)
         if message.delta and message.version > self.holder.version:
-            self.take_delta(link, message.delta, now)
+            self.news.take_delta(link, message.delta, now)
         self.puller.consider(link, now)
-
-    def on_head_answer(
-        self, link: Link, message: messages.HeadAnswer, exchange: Any, now: float
-    ) -> None:
-        """Take a head that we asked for."""
-        if message.delta is None:
-            # It was overtaken there in the meantime; the next heartbeat tells.
-            link.status = replace(link.status, version=0, refused_version=0)
-            return
-        taken = self.take_delta(link, message.delta, now)
-        if not taken and exchange.question.base_root:
-            self.puller.ask_whole_head(link, exchange.question, now)
-
-    def take_delta(self, link: Link, delta: messages.HeadDelta, now: float) -> bool:
-        """Rebuild a head from its difference; return whether it fitted."""
-        if self.holder.gate.judge(delta.version, delta.root) is not Verdict.NEW:
-            return True
-        try:
-            head = apply_delta(delta, self.holder)
-        except DocumentError:
-            self.links.close(link, "nonsense", now)
-            return True
-        if head is None:
-            self.state.count("delta-without-base")
-            return False
-        self.learn(head, link.peer, now)
-        return True
-
-    def learn(self, head: Head, source: str, now: float) -> None:
-        """Offer a head to the gate and gather what it needs."""
-        decision = self.holder.offer_head(head, source, now)
-        if decision.verdict is Verdict.NEW and not self.strategy.reuses_parts:
-            self.holder.store.parts.clear()
-        self.tell()
-
-    def on_parts_answer(
-        self, link: Link, message: messages.PartsAnswer, exchange: Any, now: float
-    ) -> None:
-        """Take parts that we asked for; those left out are asked elsewhere."""
-        for part in message.parts:
-            self.take_part(part.digest, part.packed, link.peer, now)
-        if message.busy:
-            self.state.count("peer-busy")
-        given = {part.digest for part in message.parts}
-        for digest in exchange.question.digests:
-            if digest not in given:
-                self.puller.part_left_out(digest, not given, now)
-
-    def take_part(self, digest: str, packed: bytes, source: str, now: float) -> None:
-        """Offer a part to the holder."""
-        if not self.holder.offer_part(digest, packed, now).taken:
-            self.state.count(f"part-corrupt-from-{_kind(source)}")
-            self.puller.part_failed(digest, now)
-        self.tell()
-
-    def on_vms_answer(
-        self, link: Link, message: messages.VmsAnswer, exchange: Any, now: float
-    ) -> None:
-        """Take a VM list that we asked for."""
-        del exchange, now
-        try:
-            taken = self.state.vms.apply(message)
-        except DocumentError:
-            self.state.count("vms-invalid")
-            return
-        if taken:
-            self.vms_changed(link)
-
-    def vms_changed(self, source: Link | None) -> None:
-        """Tell the shell and the peers of a newer VM list."""
-        view = self.state.vms
-        self.state.act(events.VmsChanged(view.revision, tuple(view.vms.values())))
-        news = messages.Announcement(0, vms_revision=view.revision)
-        for link in self.links.live():
-            if link is not source and link.status.vms_revision < view.revision:
-                self.links.send(link, news)
-
-    def tell(self) -> None:
-        """Tell the shell and the peers of what was installed or refused."""
-        gate = self.holder.gate
-        if self.holder.version > self.told_version:
-            self.told_version = self.holder.version
-            source = self.holder.sources.get(self.told_version, "")
-            self.state.act(events.Installed(self.holder.current, source))
-            self.answerer.announce(gate.current, self.holder.previous)
-        refused = gate.newest_refused()
-        if refused and refused.version > self.told_refused:
-            self.told_refused = refused.version
-            last = self.holder.last_refused
-            self.state.act(events.Refused(refused.version, last.source, last.reason))
-            self.answerer.announce(refused, gate.current)
-
-
-def _kind(source: str) -> str:
-    return source if source == PLATFORM_SOURCE else "peer"
--- /dev/null
+++ b/sequoiaspoke/core/spread/news.py
@@ -0,0 +1,140 @@
+"""Takes heads, parts and VM lists from any source, and passes the news on.
+
+Whatever the way a document came, it goes through the same gate, and what was
+installed or refused is told to the shell and to the peers once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+from sequoiaspoke.core.snapshot.gate import Verdict
+from sequoiaspoke.core.spread import events, messages
+from sequoiaspoke.core.spread.answers import apply_delta
+from sequoiaspoke.errors import DocumentError
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.snapshot.model import Head
+    from sequoiaspoke.core.spread.answers import Answerer
+    from sequoiaspoke.core.spread.links import Link, LinkTable
+    from sequoiaspoke.core.spread.pull import Puller
+    from sequoiaspoke.core.spread.state import SpreadState
+    from sequoiaspoke.core.spread.strategy import Strategy
+
+PLATFORM_SOURCE = "platform"
+
+
+class News:
+    """Offers documents to the holder and tells what became of them."""
+
+    def __init__(
+        self,
+        state: SpreadState,
+        links: LinkTable,
+        puller: Puller,
+        answerer: Answerer,
+        strategy: Strategy,
+    ) -> None:
+        self.state = state
+        self.links = links
+        self.puller = puller
+        self.answerer = answerer
+        self.strategy = strategy
+        self.told_version = 0
+        self.told_refused = 0
+
+    def on_head_answer(
+        self, link: Link, message: messages.HeadAnswer, exchange: Any, now: float
+    ) -> None:
+        """Take a head that we asked for."""
+        if message.delta is None:
+            # It was overtaken there in the meantime; the next heartbeat tells.
+            link.status = replace(link.status, version=0, refused_version=0)
+            return
+        taken = self.take_delta(link, message.delta, now)
+        if not taken and exchange.question.base_root:
+            self.puller.ask_whole_head(link, exchange.question, now)
+
+    def take_delta(self, link: Link, delta: messages.HeadDelta, now: float) -> bool:
+        """Rebuild a head from its difference; return whether it fitted."""
+        if self.state.holder.gate.judge(delta.version, delta.root) is not Verdict.NEW:
+            return True
+        try:
+            head = apply_delta(delta, self.state.holder)
+        except DocumentError:
+            self.links.close(link, "nonsense", now)
+            return True
+        if head is None:
+            self.state.count("delta-without-base")
+            return False
+        self.learn(head, link.peer, now)
+        return True
+
+    def learn(self, head: Head, source: str, now: float) -> None:
+        """Offer a head to the gate and gather what it needs."""
+        decision = self.state.holder.offer_head(head, source, now)
+        if decision.verdict is Verdict.NEW and not self.strategy.reuses_parts:
+            self.state.holder.store.parts.clear()
+        self.tell()
+
+    def on_parts_answer(
+        self, link: Link, message: messages.PartsAnswer, exchange: Any, now: float
+    ) -> None:
+        """Take parts that we asked for; those left out are asked elsewhere."""
+        for part in message.parts:
+            self.take_part(part.digest, part.packed, link.peer, now)
+        if message.busy:
+            self.state.count("peer-busy")
+        given = {part.digest for part in message.parts}
+        for digest in exchange.question.digests:
+            if digest not in given:
+                self.puller.part_left_out(digest, not given, now)
+
+    def take_part(self, digest: str, packed: bytes, source: str, now: float) -> None:
+        """Offer a part to the holder."""
+        if not self.state.holder.offer_part(digest, packed, now).taken:
+            self.state.count(f"part-corrupt-from-{_kind(source)}")
+            self.puller.part_failed(digest, now)
+        self.tell()
+
+    def on_vms_answer(
+        self, link: Link, message: messages.VmsAnswer, exchange: Any, now: float
+    ) -> None:
+        """Take a VM list that we asked for."""
+        del exchange, now
+        try:
+            taken = self.state.vms.apply(message)
+        except DocumentError:
+            self.state.count("vms-invalid")
+            return
+        if taken:
+            self.vms_changed(link)
+
+    def vms_changed(self, source: Link | None) -> None:
+        """Tell the shell and the peers of a newer VM list."""
+        view = self.state.vms
+        self.state.act(events.VmsChanged(view.revision, tuple(view.vms.values())))
+        news = messages.Announcement(0, vms_revision=view.revision)
+        for link in self.links.live():
+            if link is not source and link.status.vms_revision < view.revision:
+                self.links.send(link, news)
+
+    def tell(self) -> None:
+        """Tell the shell and the peers of what was installed or refused."""
+        gate = self.state.holder.gate
+        if self.state.holder.version > self.told_version:
+            self.told_version = self.state.holder.version
+            source = self.state.holder.sources.get(self.told_version, "")
+            self.state.act(events.Installed(self.state.holder.current, source))
+            self.answerer.announce(gate.current, self.state.holder.previous)
+        refused = gate.newest_refused()
+        if refused and refused.version > self.told_refused:
+            self.told_refused = refused.version
+            last = self.state.holder.last_refused
+            self.state.act(events.Refused(refused.version, last.source, last.reason))
+            self.answerer.announce(refused, gate.current)
+
+
+def _kind(source: str) -> str:
+    return source if source == PLATFORM_SOURCE else "peer"
