Join zones of a single node into a ring

Cause: each node picks its peer in another zone by hash; zones of one node could end up in groups that never hear of each other without the platform. Change: every other node of a zone prefers the next zone by name. Tests: eight zones of one node, seven of them cut off from the platform, come to the version that the eighth reads; without the change the test fails.

--- a/sequoiaspoke/core/spread/peers.py
+++ b/sequoiaspoke/core/spread/peers.py
@@ -3,7 +3,8 @@
 Three kinds make the graph of links. Each node links to the two live nodes
 before it in its zone's watch order; that chain connects every node of the zone
 and tells each exactly whether it is its turn to watch. Two more, picked by
-hash, shorten the way through the zone. One in another zone joins the zones.
+hash, shorten the way through the zone. One in another zone joins the zones,
+half of them to the next zone by name, which makes a ring.
 With a link to everybody, the cost would grow with the square of the fleet.
 """
 
@@ -103,13 +104,22 @@
         self.revision = view.revision
         self._place()
         self.near = [vm.name for vm in self._by_hash(view.others(own_zone=True))]
+        self.far = self._far(view.others(own_zone=False))
+
+    def _far(self, vms: list[Vm]) -> list[str]:
         # The best of each other zone first, so that two links reach two zones.
+        # By hash alone, zones of one node could end up linked in separate pairs
+        # and, without the platform, never hear of each other. So every other
+        # node of a zone prefers the next zone by name: the zones form a ring.
+        own = self.state.identity.zone
+        ring = self.state.vms.rank() % 2 == 0
         seen: dict[str, int] = {}
         places = []
-        for vm in self._by_hash(view.others(own_zone=False)):
+        for vm in self._by_hash(vms):
             seen[vm.zone] = seen.get(vm.zone, 0) + 1
-            places.append((seen[vm.zone], len(places), vm.name))
-        self.far = [name for _, _, name in sorted(places)]
+            zone = (vm.zone < own, vm.zone) if ring else ()
+            places.append((seen[vm.zone], zone, len(places), vm.name))
+        return [place[-1] for place in sorted(places)]
 
     def _by_hash(self, vms: list[Vm]) -> list[Vm]:
         live = [vm for vm in vms if vm.state is VmState.LIVE]
--- a/sequoiaspoke/tests/test_spread.py
+++ b/sequoiaspoke/tests/test_spread.py
@@ -169,6 +169,16 @@
         fleet.run(25)
         self.assertEqual({4}, fleet.at_version())
 
+    def test_zones_of_one_node_reach_each_other_without_the_platform(self):
+        # By hash alone, these names' links make two groups that never meet.
+        fleet = self.fleet({f"depot-{number}": 1 for number in range(8)})
+        cut_off = [name for name in fleet.zones if name != "depot-3-0"]
+        fleet.cuts = {frozenset(("platform", name)) for name in cut_off}
+        fleet.run(12)
+        fleet.publish(2)
+        fleet.run(SOON)
+        self.assertEqual({2}, fleet.at_version())
+
     def test_a_zone_without_the_platform_is_told_by_the_others(self):
         fleet = self.fleet()
         fleet.cuts = {frozenset(("bole", "platform"))}
