Link to as many peers as a fresh node has to hear

Cause: a fresh node waits for three peers with a version, but its usual links can be two; with the ring of zones a test of real processes then waited out its whole catch_up_wait and failed, rightly. Change: while it catches up a node links to one more peer, in its zone and in others, for each that is lacking.

--- a/sequoiaspoke/core/spread/startup.py
+++ b/sequoiaspoke/core/spread/startup.py
@@ -49,14 +49,16 @@
     def more_peers(self) -> int:
         """Return how many peers to ask beyond the usual few.
 
-        After a herd died and returned, the usual few may all be fresh too. One
-        more is asked for each that holds nothing, or a node whose peers all
-        restarted would take a stale platform's word.
+        The usual links may be fewer than the peers to hear, and after a herd died
+        and returned they may all be fresh too. One more is asked for each that is
+        lacking and each that holds nothing, or a node whose peers all restarted
+        would take a stale platform's word.
         """
         if self.done:
             return 0
-        empty = len(self.heard) - sum(self.heard.values())
-        return min(empty, MORE_PEERS)
+        told = sum(self.heard.values())
+        lacking = max(0, self.state.spread.catch_up_peers - told)
+        return min(lacking + len(self.heard) - told, MORE_PEERS)
 
     def tick(self, now: float) -> None:
         """Let installs through once enough was heard."""
--- a/sequoiaspoke/tests/test_spread.py
+++ b/sequoiaspoke/tests/test_spread.py
@@ -88,6 +88,15 @@
         self.assertEqual({5}, firsts)
         self.assertEqual({5}, fleet.at_version())
 
+    def test_the_peers_to_hear_are_linked_to_and_not_waited_for(self):
+        zones = {"akaki": 2, "bole": 1, "kality": 1}
+        fleet = self.fleet(zones, catch_up_wait=7.0)
+        for name in list(fleet.nodes):
+            fleet.stop(name)
+            fleet.start(name)
+            fleet.run(4)
+            self.assertEqual({1}, fleet.at_version(), name)
+
     def test_a_fleet_that_lost_everything_serves_what_the_platform_has(self):
         fleet = self.fleet(version=5)
         fleet.publish(3)
