Keep no record of VMs that are gone, and share those that stay

Cause: a node that runs for months kept a record of every VM it ever linked to, and eight copies of a list of 2,000 VMs. Change: records follow the VM list; remembered lists share unchanged VMs; a head is rebuilt from flat digests.

--- a/sequoiaspoke/core/membership/vmlist.py
+++ b/sequoiaspoke/core/membership/vmlist.py
@@ -41,7 +41,12 @@
         if vms.revision <= self.revision:
             return False
         self.revision = vms.revision
-        self.vms = {vm.name: vm for vm in sorted(vms.vms, key=lambda vm: vm.name)}
+        # Lists that are remembered share the VMs that did not change.
+        held = self.vms
+        self.vms = {
+            vm.name: held[vm.name] if held.get(vm.name) == vm else vm
+            for vm in sorted(vms.vms, key=lambda vm: vm.name)
+        }
         self.history[self.revision] = self.vms
         while len(self.history) > HISTORY_LIMIT:
             self.history.popitem(last=False)
--- a/sequoiaspoke/core/spread/core.py
+++ b/sequoiaspoke/core/spread/core.py
@@ -258,6 +258,11 @@
         first = gate.first_root(status.version)
         if first is not None and first != status.root:
             self.state.count("conflict-seen")
+        if status.digests:
+            delta = messages.HeadDelta(
+                status.version, status.root, changed=status.digests
+            )
+            self.news.take_delta(link, delta, now)
         self.puller.consider(link, now)
 
     def on_announcement(
--- a/sequoiaspoke/core/spread/links.py
+++ b/sequoiaspoke/core/spread/links.py
@@ -16,7 +16,7 @@
 from sequoiaspoke.core.spread.messages import Status
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Container, Iterable
 
     from sequoiaspoke.core.snapshot.model import Vm
     from sequoiaspoke.core.spread.messages import Hello, Message, Question, Welcome
@@ -103,6 +103,14 @@
             )
         return self.backoffs[peer]
 
+    def forget_gone(self, vms: Container[str]) -> None:
+        """Drop the record of VMs that are no longer on the list.
+
+        VMs are replaced under new names all day; kept, their records would
+        fill the memory of a node that runs for months.
+        """
+        self.backoffs = {n: b for n, b in self.backoffs.items() if n in vms}
+
     def failed(self, peer: str) -> bool:
         """Return whether the last connection to a peer failed."""
         return peer in self.backoffs and self.backoffs[peer].failures > 0
--- a/sequoiaspoke/core/spread/peers.py
+++ b/sequoiaspoke/core/spread/peers.py
@@ -127,6 +127,7 @@
 
     def _place(self) -> None:
         own = self.state.identity.name
+        self.links.forget_gone(self.state.vms.vms)
         known = self.places
         self.places = {
             name: known.get(name) or rank_key(own, name) for name in self.state.vms.vms
