--- a/sequoiaspoke/core/rules/parse.py
+++ b/sequoiaspoke/core/rules/parse.py
@@ -24,7 +24,7 @@
     Rule,
     Service,
 )
-from sequoiaspoke.core.rules.validate import NAME, NAME_ALLOWED
+from sequoiaspoke.core.rules.names import NAME, NAME_ALLOWED
 from sequoiaspoke.errors import DeclarationsError, Problem
 from sequoiaspoke.ini import parse_ini
 
--- a/sequoiaspoke/core/rules/validate.py
+++ b/sequoiaspoke/core/rules/validate.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import re
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -22,6 +21,8 @@
     Refuse,
     RouteTo,
 )
+from sequoiaspoke.core.rules.names import NAME, NAME_ALLOWED, NOT_PRINTED, TOKEN, shown
+from sequoiaspoke.core.rules.validservice import check_service, shared_places
 from sequoiaspoke.errors import Problem
 
 if TYPE_CHECKING:
@@ -29,7 +30,6 @@
 
     from sequoiaspoke.core.rules.model import (
         Condition,
-        Endpoint,
         Rule,
         Service,
         WeightedService,
@@ -38,18 +38,11 @@
 MAX_TIMEOUT = 3600.0  # seconds; a longer call would outlive any planned stop
 MAX_ATTEMPTS = 10
 MAX_WEIGHT = 1_000_000
-MAX_SLOTS = 10_000
-MAX_CONNECTIONS = 100_000
 MAX_VALUE = 4096  # characters of a condition's value or a location
 MAX_METHODS = 64  # each named method costs the matcher an index of its own
-MAX_PORT = 65535
 REDIRECTS = (301, 302, 303, 307, 308)
-NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
-NAME_ALLOWED = "1 to 64 letters, digits, dots, dashes and underscores"
-TOKEN = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]{1,128}")  # RFC 9110, names, methods
 REASON = re.compile(r"[a-z0-9][a-z0-9-]{0,63}")
 LOCATION = re.compile(r"(https?://[^\s/]+)?(/[^\s]*)?")
-NOT_PRINTED = re.compile(r"[\x00-\x1f\x7f\ud800-\udfff]")
 KEY_HEADER = "idempotency-key"
 COMPARISONS = {
     Field.METHOD: (Comparison.EXACT,),
@@ -88,8 +81,8 @@
         problems += _rule(rule, sizes, zones)
     for service in services:
         if service.name not in accepted:
-            problems += _service(service)
-    problems += _shared_places(services)
+            problems += check_service(service)
+    problems += shared_places(services)
     return tuple(problems)
 
 
@@ -98,11 +91,6 @@
     return tuple(problem for problem in problems if not problem.warning)
 
 
-def shown(text: str) -> str:
-    """Return text in a form that any log or terminal takes."""
-    return text if NAME.fullmatch(text) else ascii(text[:80])
-
-
 def _duplicates(kind: str, names: Iterable[str]) -> Iterator[Problem]:
     for name, count in Counter(names).items():
         if count > 1:
@@ -261,65 +249,3 @@
         for condition in rule.when
     )
     return rule.policy.attempts > 1 and not keyed
-
-
-def _service(service: Service) -> Iterator[Problem]:
-    section = f"service {shown(service.name)}"
-    for endpoint in service.endpoints:
-        key = f"target {shown(endpoint.target)}"
-        for message in _endpoint(endpoint):
-            yield Problem(message, section=section, key=key)
-        if endpoint.connections < endpoint.slots:
-            message = "fewer connections than slots: some slots cannot be used"
-            yield Problem(message, section=section, key=key, warning=True)
-
-
-def _endpoint(endpoint: Endpoint) -> Iterator[str]:
-    names = {"target": endpoint.target, "vm": endpoint.vm, "zone": endpoint.zone}
-    for what, name in names.items():
-        if not NAME.fullmatch(name):
-            yield f"bad {what} name {shown(name)}"
-    if not is_ip_number(endpoint.address):
-        yield f"bad address {shown(endpoint.address)}; allowed: an IP number"
-    numbers = (
-        ("mesh_port", endpoint.mesh_port, MAX_PORT),
-        ("slots", endpoint.slots, MAX_SLOTS),
-        ("connections", endpoint.connections, MAX_CONNECTIONS),
-    )
-    for what, number, most in numbers:
-        if not 1 <= number <= most:
-            yield f"{what} out of range; allowed: 1 to {most}"
-
-
-def is_ip_number(text: str) -> bool:
-    """Tell whether a text is an IP number without a scope."""
-    if "%" in text:
-        return False
-    try:
-        ipaddress.ip_address(text)
-    except ValueError:
-        return False
-    return True
-
-
-def _shared_places(services: tuple[Service, ...]) -> Iterator[Problem]:
-    # A node is the home of one target. Were two targets named at one node, or
-    # one target at two, the second would find a node that refuses its calls.
-    seen: dict[tuple[str, str], str] = {}
-    for service in services:
-        for endpoint in service.endpoints:
-            for what in _claims(endpoint):
-                if what not in seen:
-                    seen[what] = service.name
-                    continue
-                kind, name = what
-                yield Problem(
-                    f"duplicate {kind} {shown(name)}, also in {shown(seen[what])}",
-                    section=f"service {shown(service.name)}",
-                    key=f"target {shown(endpoint.target)}",
-                )
-
-
-def _claims(endpoint: Endpoint) -> tuple[tuple[str, str], ...]:
-    place = f"{endpoint.address}-{endpoint.mesh_port % 100_000}"
-    return ("target", endpoint.target), ("vm", endpoint.vm), ("address", place)
--- a/sequoiaspoke/core/snapshot/codec.py
+++ b/sequoiaspoke/core/snapshot/codec.py
@@ -13,7 +13,7 @@
 from cattrs.strategies import configure_tagged_union
 
 from sequoiaspoke.core.rules import model as rules_model
-from sequoiaspoke.core.rules.validate import is_ip_number
+from sequoiaspoke.core.rules.names import is_ip_number
 from sequoiaspoke.core.snapshot import model as snapshot_model
 from sequoiaspoke.core.snapshot.model import Head, VmList
 from sequoiaspoke.errors import DocumentError
