--- a/sequoiaspoke/tests/test_pages.py
+++ b/sequoiaspoke/tests/test_pages.py
@@ -11,6 +11,7 @@
 from sequoiaspoke.core.routing.retry import GiveUpReason, RetryReason
 from sequoiaspoke.tests.golden import ROOT
 
+TESTS = ROOT / "sequoiaspoke" / "tests"
 SOURCES = [
     path.read_text()
     for path in (ROOT / "sequoiaspoke").rglob("*.py")
@@ -63,6 +64,16 @@
             for name in set(EVENT.findall(page)):
                 self.assertTrue(self.is_counted(name, sources), f"{path}: {name}")
 
+    def test_modules_and_tests_that_developers_are_told_of_exist(self):
+        tests = "\n".join(path.read_text() for path in TESTS.glob("*.py"))
+        for path, page in pages("developers").items():
+            for name in re.findall(
+                r"`((?:core|node|commands)/[a-z/]+(?:\.py)?)`", page
+            ):
+                self.assertTrue((ROOT / "sequoiaspoke" / name).exists(), name)
+            for name in re.findall(r"`([A-Z][A-Za-z]+Tests)`", page):
+                self.assertIn(f"class {name}(", tests, path)
+
     def is_published(self, name, sources):
         """Tell whether a table of the code names a metric without its prefix."""
         return f'("{name.removeprefix("sequoiaspoke_")}", "' in sources
