--- a/sequoiaspoke/tests/test_pages.py
+++ b/sequoiaspoke/tests/test_pages.py
@@ -9,8 +9,12 @@
 from sequoiaspoke import errors
 from sequoiaspoke.core.admission.model import RefusalReason
 from sequoiaspoke.core.routing.retry import GiveUpReason, RetryReason
+from sequoiaspoke.core.rules.parse import parse_declarations
+from sequoiaspoke.core.rules.validate import validate
+from sequoiaspoke.settings.load import parse_settings
 from sequoiaspoke.tests.golden import ROOT
 
+INI_BLOCK = re.compile(r"```ini\n(.*?)```", re.DOTALL)
 TESTS = ROOT / "sequoiaspoke" / "tests"
 SOURCES = [
     path.read_text()
@@ -35,6 +39,13 @@
 
 
 class PagesTests(TestCase):
+    def test_the_examples_on_the_pages_are_sound(self):
+        (settings,) = INI_BLOCK.findall((ROOT / "docs/guide/settings.md").read_text())
+        parse_settings(settings)
+        (rules,) = INI_BLOCK.findall((ROOT / "docs/guide/rules.md").read_text())
+        declared = parse_declarations({"rules.md": rules})
+        self.assertEqual((), validate(declared.rules, declared.services))
+
     def test_the_generated_reference_is_current(self):
         command = (sys.executable, "tools/reference.py", "--check")
         result = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
