--- a/sequoiaspoke/core/rules/validate.py
+++ b/sequoiaspoke/core/rules/validate.py
@@ -39,7 +39,8 @@
 MAX_ATTEMPTS = 10
 MAX_WEIGHT = 1_000_000
 MAX_VALUE = 4096  # characters of a condition's value or a location
-MAX_METHODS = 64  # each named method costs the matcher an index of its own
+MAX_RULES = 5000  # building the matcher of more would hold up calls
+MAX_METHODS = 16  # each named method costs the matcher an index of its own
 REDIRECTS = (301, 302, 303, 307, 308)
 REASON = re.compile(r"[a-z0-9][a-z0-9-]{0,63}")
 LOCATION = re.compile(r"(https?://[^\s/]+)?(/[^\s]*)?")
@@ -77,6 +78,10 @@
     problems = list(_duplicates("rule", (rule.name for rule in rules)))
     problems += _duplicates("service", (service.name for service in services))
     problems += _methods(rules)
+    if len(rules) > MAX_RULES:
+        problems.append(Problem(f"{len(rules)} rules; allowed: {MAX_RULES}"))
+    if not rules:
+        problems.append(Problem("no rule: every request is refused", warning=True))
     for rule in rules:
         problems += _rule(rule, sizes, zones)
     for service in services:
--- a/sequoiaspoke/tests/test_rules.py
+++ b/sequoiaspoke/tests/test_rules.py
@@ -233,6 +233,16 @@
         keyed = rule_text("a", "header idempotency-key present", "route fleet", *lines)
         self.assertEqual([], problems_of(keyed + SERVICES))
 
+    def test_a_version_of_too_many_rules_or_methods_is_an_error(self):
+        rules = tuple(Rule(f"r{number}", (), Refuse()) for number in range(5001))
+        self.assertEqual(1, len(validate(rules, ())))
+        methods = tuple(f"M{number}" for number in range(17))
+        condition = Condition(Field.METHOD, Comparison.EXACT, methods)
+        self.assertEqual(1, len(validate((Rule("r", (condition,), Refuse()),), ())))
+
+    def test_a_version_without_rules_is_a_warning(self):
+        self.assertEqual([True], [each.warning for each in problems_of(SERVICES)])
+
     def test_duplicate_names_in_published_data_are_errors(self):
         rule = Rule("a", (), Refuse())
         endpoint = Endpoint("t", "v", "z", "10.0.0.1", 1)
