Begin with the published slots as the limit

A fresh process began at half of its slots and let calls wait while slots idled, until enough calls had come at once to raise the limit. The published slots are used until latency or shed answers speak against them.

--- a/sequoiaspoke/core/admission/limit.py
+++ b/sequoiaspoke/core/admission/limit.py
@@ -23,7 +23,6 @@
 
 WEIGHT = 0.1  # of the newest call in the mean ratio
 CALIBRATION_CALLS = 5  # at least, for the latency at half the limit
-FIRST_SHARE = 0.5  # of the slots, with which a fresh process begins
 UNBOUNDED = 1 << 30
 KINDS = 256
 
@@ -86,7 +85,7 @@
     def __init__(self, settings: AdmissionSettings, slots: int) -> None:
         super().__init__(settings, slots)
         self.least = max(1.0, settings.least_share * self.slots)
-        self.value = max(self.least, FIRST_SHARE * self.slots)
+        self.value = float(self.slots)
         self.baselines: dict[str, float] = {}
         self.baseline_at = float("-inf")
         self.ratio = 1.0
@@ -101,7 +100,10 @@
 
     def resize(self, slots: int) -> None:
         """Take over the slots of a new version; what was learnt stays."""
+        unlearnt = self.value >= self.slots
         super().resize(slots)
+        if unlearnt:
+            self.value = float(self.slots)
         self.least = max(1.0, self.settings.least_share * self.slots)
         self.value = min(max(self.value, self.least), float(self.slots))
 
