Grant direct connections between nodes, off by default

With grant_address set, an entry that calls a target steadily asks its node for a grant, runs idempotent calls at the upstream under it, and renews it with a question that the home holds back, so that a recall is heard at once. A planned stop waits until direct calls have ended.

A denied renewal no longer shrinks what is counted: calls may have begun since the question (found by review, test added).

--- a/sequoiaspoke/core/routing/grants_entry.py
+++ b/sequoiaspoke/core/routing/grants_entry.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,7 @@
     from sequoiaspoke.core.routing.settings import RoutingSettings
 
 RATE_SECONDS = 1.0  # over which steady use is counted
+DIRECT, HOME = "direct", "home"
 RENEW_AT = 0.5  # part of the lease after which it is renewed
 
 
@@ -53,7 +55,7 @@
 
     Attributes
     ----------
-    direct, through_home : int
+    ways : Counter of str
         Calls that could have gone directly, by the way they went.
     """
 
@@ -61,8 +63,7 @@
         self.settings = settings
         self.name = name
         self.holdings: dict[str, Holding] = {}
-        self.direct = 0
-        self.through_home = 0
+        self.ways: Counter[str] = Counter()
 
     def of(self, target: str) -> Holding:
         """Return what is held at a target."""
@@ -75,9 +76,9 @@
         free = holding.in_use < holding.connections
         short = deadline - now <= self.settings.grant_call
         if not (free and short and now < holding.until):
-            self.through_home += 1
+            self.ways[HOME] += 1
             return 0
-        self.direct += 1
+        self.ways[DIRECT] += 1
         holding.in_use += 1
         holding.used += 1
         return holding.grant
--- a/sequoiaspoke/core/routing/grants_home.py
+++ b/sequoiaspoke/core/routing/grants_home.py
@@ -118,8 +118,9 @@
         if lent is None or lent.entry != ask.entry:
             return self.deny(DenyReason.UNKNOWN)
         if reason:
+            # The slots stay counted until the entry tells what it still uses:
+            # since it asked, it may have begun more calls.
             self.recalls += 1
-            self.shrink(ask.grant, ask.in_use)
             return self.deny(reason)
         lent.until = now + self.settings.grant_lease
         return Granted(ask.grant, lent.slots, self.settings.grant_lease)
--- a/sequoiaspoke/core/routing/settings.py
+++ b/sequoiaspoke/core/routing/settings.py
@@ -149,7 +149,7 @@
         1,
     )
     grant_pause: float = option(
-        2.0, "Seconds without grants after a call had to wait.", 0, 60
+        1.0, "Seconds without grants after a call had to wait.", 0, 60
     )
     grant_rate: float = option(
         10.0,
--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -44,7 +44,9 @@
         self.entry = Entry(settings, self.config, self.home, self.counters, self.rng)
         self.upkeep = Upkeep(settings, self.config, self.entry, self.home)
         self.callers = CallServer(self.entry, settings.limits)
-        self.mesh = CallServer(HomeHandler(settings, self.home), settings.limits)
+        handler = HomeHandler(settings, self.home)
+        self.grants = handler.grants
+        self.mesh = CallServer(handler, settings.limits)
         self.metrics = Metrics()
         self.admin = admin_server(self)
         self.ports: dict[str, int] = {}
@@ -85,7 +87,7 @@
     def publish_metrics(self) -> None:
         """Put the counters of every part on the metrics page."""
         self.metrics.calls(self.counters)
-        publish_load_metrics(self.metrics, self.entry, self.home)
+        publish_load_metrics(self.metrics, self.entry, self.home, self.grants.core)
         holder = self.config.holder
         self.metrics.count(
             "sequoiaspoke_config", "Configuration events", "event", holder.counters
@@ -112,9 +114,11 @@
         self.draining = True
         self.home.gate.admission.drain()
         self.keyed.core.drain()
+        self.grants.drain()
         self.callers.draining = self.mesh.draining = True
         log.info("node-draining", in_flight=self.in_flight())
         await asyncio.sleep(self.settings.node.drain)
+        await self.grants.returned(self.settings.node.grace)
         self.callers.server.stop()
         self.mesh.server.stop()
         try:
--- a/sequoiaspoke/node/attempts.py
+++ b/sequoiaspoke/node/attempts.py
@@ -26,6 +26,7 @@
 )
 from sequoiaspoke.node import headers as names
 from sequoiaspoke.node.client import Address, Pool
+from sequoiaspoke.node.directcalls import DirectCalls
 from sequoiaspoke.node.home import discard
 from sequoiaspoke.node.loadheader import read_load
 
@@ -54,6 +55,7 @@
         self.balancer = make_balancer(settings.routing, settings.node.zone, rng)
         self.retries = RetryPolicy(settings.routing, rng)
         self.pools: dict[Address, Pool] = {}
+        self.direct = DirectCalls(settings, home, self.balancer, self.pools)
 
     async def run(
         self, service: Service, policy: CallPolicy, call: HomeCall, progress: Progress
@@ -81,7 +83,7 @@
             sent_as = progress.attempted(number).attempt
             attempt = replace(call, target=target, attempt=sent_as)
             try:
-                return await self.attempt(choice.endpoint, attempt)
+                return await self.attempt(choice.endpoint, attempt, policy)
             except CallError as error:
                 await self.wait_or_raise(service, policy, call, progress, number, error)
 
@@ -114,7 +116,9 @@
         if call.body:
             call.body.rewind()
 
-    async def attempt(self, endpoint: Endpoint, call: HomeCall) -> Answer:
+    async def attempt(
+        self, endpoint: Endpoint, call: HomeCall, policy: CallPolicy
+    ) -> Answer:
         """Make one attempt and learn from how it ends."""
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -122,6 +126,8 @@
         try:
             if endpoint.vm == self.settings.node.name:
                 answer = await self.run_here(call)
+            elif policy.idempotent and (grant := self.direct.take(endpoint, call)):
+                answer = await self.direct.run(grant, call)
             else:
                 answer = await self.send(endpoint, call)
         except BaseException as error:
@@ -203,6 +209,7 @@
 
     def close(self) -> None:
         """Close the idle connections to other nodes."""
+        self.direct.close()
         for pool in self.pools.values():
             pool.close()
 
--- /dev/null
+++ b/sequoiaspoke/node/directcalls.py
@@ -0,0 +1,142 @@
+"""The entry's side of granted direct connections."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from sequoiaspoke.core.routing.grants import Ask, Granted
+from sequoiaspoke.core.routing.grants_entry import GrantEntry
+from sequoiaspoke.errors import CallError
+from sequoiaspoke.node import headers as names
+from sequoiaspoke.node.client import Address, Pool
+from sequoiaspoke.node.grantheader import read_answer, write_message
+from sequoiaspoke.node.loadheader import read_load
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.routing.balancer import Balancer
+    from sequoiaspoke.core.routing.grants_entry import Question
+    from sequoiaspoke.core.rules.model import Endpoint
+    from sequoiaspoke.node.client import Answer
+    from sequoiaspoke.node.home import Home, HomeCall
+    from sequoiaspoke.settings.schema import Settings
+
+LOOK_SECONDS = 0.1  # between looks at which grants to ask for or renew
+
+
+class DirectCalls:
+    """Run idempotent calls at upstreams of other VMs under grants."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        home: Home,
+        balancer: Balancer,
+        mesh_pools: dict[Address, Pool],
+    ) -> None:
+        self.settings = settings
+        self.home = home
+        self.balancer = balancer
+        self.mesh_pools = mesh_pools
+        self.enabled = bool(settings.routing.grant_address)
+        self.core = GrantEntry(settings.routing, settings.node.name)
+        self.homes: dict[str, Address] = {}
+        self.upstreams: dict[str, Pool] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.looking = False
+
+    def take(self, endpoint: Endpoint, call: HomeCall) -> int:
+        """Return the grant under which a call may go directly, or 0."""
+        if not self.enabled:
+            return 0
+        self.homes[endpoint.target] = Address(endpoint.address, endpoint.mesh_port)
+        loop = asyncio.get_running_loop()
+        if not self.looking:
+            self.looking = True
+            loop.call_later(LOOK_SECONDS, self.look)
+        return self.core.take(endpoint.target, call.deadline, loop.time())
+
+    async def run(self, grant: int, call: HomeCall) -> Answer:
+        """Run a call at the upstream itself."""
+        target = call.target
+        try:
+            answer = await self.home.hand_over(call, self.upstreams[target])
+        except BaseException:
+            self.send(self.core.done(target, grant))
+            raise
+        answer.on_close(lambda: self.send(self.core.done(target, grant)))
+        return answer
+
+    def look(self) -> None:
+        """Ask the homes what is due."""
+        self.looking = False
+        loop = asyncio.get_running_loop()
+        for question in self.core.due(loop.time()):
+            self.send(question)
+        if self.core.holdings:
+            self.looking = True
+            loop.call_later(LOOK_SECONDS, self.look)
+
+    def send(self, question: Question | None) -> None:
+        """Send a message beside the calls."""
+        if question is None:
+            return
+        task = asyncio.get_running_loop().create_task(self.exchange(question))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def exchange(self, question: Question) -> None:
+        """Carry a message to a home and take its answer."""
+        target = question.target
+        read = None
+        try:
+            answer = await self.post(question)
+            read = read_answer(answer.headers.get(names.GRANT, ""))
+            report = read_load(answer.headers)
+            answer.close()
+            if report:
+                now = asyncio.get_running_loop().time()
+                self.balancer.report(target, report, now)
+        except CallError:
+            pass
+        if not isinstance(question.message, Ask):
+            return
+        if read is None:
+            self.send(self.core.failed(target))
+            return
+        if isinstance(read.answer, Granted):
+            self.connect(target, read.address)
+        self.send(self.core.answered(question, read.answer))
+
+    async def post(self, question: Question) -> Answer:
+        """Send a message and wait for its whole answer."""
+        address = self.homes[question.target]
+        if address not in self.mesh_pools:
+            self.mesh_pools[address] = Pool(address, self.settings.limits)
+        headers = HTTPHeaders({names.GRANT: write_message(question.message)})
+        headers["Host"] = address.host
+        start_line = RequestStartLine("GET", "/", "HTTP/1.1")
+        deadline = asyncio.get_running_loop().time()
+        deadline += self.settings.routing.grant_lease
+        pool = self.mesh_pools[address]
+        answer = await pool.call(start_line, headers, None, deadline)
+        while await answer.body.get():
+            pass
+        return answer
+
+    def connect(self, target: str, address: Address) -> None:
+        """Keep a pool to a target's upstream."""
+        pool = self.upstreams.get(target)
+        if pool and pool.address == address:
+            return
+        if pool:
+            pool.close()
+        self.upstreams[target] = Pool(address, self.settings.limits)
+
+    def close(self) -> None:
+        """Close the idle connections to upstreams."""
+        self.core.holdings.clear()
+        for pool in self.upstreams.values():
+            pool.close()
--- a/sequoiaspoke/node/gate.py
+++ b/sequoiaspoke/node/gate.py
@@ -11,6 +11,7 @@
 from sequoiaspoke.core.routing.model import Outcome
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from sequoiaspoke.core.admission.model import Verdict
@@ -28,6 +29,7 @@
         self.numbers = count(1)
         self.waiting: dict[int, asyncio.Future[None]] = {}
         self.ticking = False
+        self.on_wait: Callable[[], None] | None = None
 
     async def enter(
         self, caller: str, key: str, kind: str, priority: Priority, deadline: float
@@ -71,7 +73,11 @@
                 turn = self.waiting.pop(verdict.call, None)
                 if turn and not turn.done():
                     turn.set_exception(verdict.error)
-        if len(self.admission.queue) and not self.ticking:
+        if not len(self.admission.queue):
+            return
+        if self.on_wait:
+            self.on_wait()
+        if not self.ticking:
             self.ticking = True
             asyncio.get_running_loop().call_later(TICK, self.tick)
 
--- /dev/null
+++ b/sequoiaspoke/node/grantheader.py
@@ -0,0 +1,79 @@
+"""Messages about granted connections as header values between nodes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from sequoiaspoke.core.routing.grants import (
+    Ask,
+    Denied,
+    DenyReason,
+    GrantAnswer,
+    Granted,
+    Returned,
+)
+from sequoiaspoke.errors import BadRequestError
+from sequoiaspoke.node.client import Address
+
+ASK, RETURN, GRANTED, DENIED = "ask", "return", "granted", "denied"
+MILLISECONDS = 1000
+
+
+@dataclass(frozen=True)
+class ReadAnswer:
+    """A home's answer, with where the upstream is if it is granted."""
+
+    answer: GrantAnswer
+    address: Address | None = None
+
+
+def write_message(message: Ask | Returned) -> str:
+    """Return the value of a question or return."""
+    if isinstance(message, Ask):
+        numbers = (message.grant, message.in_use, message.used)
+        return " ".join([ASK, message.entry, *map(str, numbers)])
+    return f"{RETURN} {message.entry} {message.grant} {message.in_use}"
+
+
+def read_message(value: str) -> Ask | Returned:
+    """Read a question or return.
+
+    Raises
+    ------
+    BadRequestError
+        It is neither.
+    """
+    words = value.split()
+    try:
+        word, entry, *numbers = words
+        if word == ASK:
+            grant, in_use, used = map(int, numbers)
+            return Ask(entry, grant, in_use, used)
+        if word == RETURN:
+            grant, in_use = map(int, numbers)
+            return Returned(entry, grant, in_use)
+    except ValueError:
+        pass
+    raise BadRequestError("not a message about a grant")
+
+
+def write_answer(answer: GrantAnswer, address: str) -> str:
+    """Return the value of an answer."""
+    if isinstance(answer, Denied):
+        return f"{DENIED} {answer.reason.value}"
+    lease = round(answer.lease * MILLISECONDS)
+    return f"{GRANTED} {answer.grant} {answer.connections} {lease} {address}"
+
+
+def read_answer(value: str) -> ReadAnswer | None:
+    """Read an answer, or return None if it is none."""
+    words = value.split()
+    try:
+        if words[0] == DENIED:
+            return ReadAnswer(Denied(DenyReason(words[1])))
+        grant, connections, lease = map(int, words[1:4])
+        host, _, port = words[4].rpartition(":")
+        answer = Granted(grant, connections, lease / MILLISECONDS)
+        return ReadAnswer(answer, Address(host, int(port)))
+    except (ValueError, IndexError):
+        return None
--- a/sequoiaspoke/node/home.py
+++ b/sequoiaspoke/node/home.py
@@ -22,6 +22,7 @@
 from sequoiaspoke.node import headers as names
 from sequoiaspoke.node.client import Address, Pool
 from sequoiaspoke.node.gate import Gate
+from sequoiaspoke.node.grantserver import GrantServer
 from sequoiaspoke.node.loadheader import write_load
 from sequoiaspoke.node.pipe import ReplayableBody
 from sequoiaspoke.node.server import CallHandler
@@ -141,8 +142,8 @@
         outcome = Outcome.ANSWERED if answer.complete else Outcome.CANCELLED
         self.gate.leave(number, outcome, latency)
 
-    async def hand_over(self, call: HomeCall) -> Answer:
-        """Send the call to the upstream."""
+    async def hand_over(self, call: HomeCall, pool: Pool | None = None) -> Answer:
+        """Send the call to the upstream, or to another one under a grant."""
         loop = asyncio.get_running_loop()
         if call.before_send:
             call.before_send()
@@ -153,7 +154,9 @@
         headers[names.ATTEMPT] = str(call.attempt)
         start_line = RequestStartLine(call.method, call.uri, "HTTP/1.1")
         deadline = max(call.deadline, loop.time() + call.patience)
-        answer = await self.pool.call(start_line, headers, call.body, deadline)
+        answer = await (pool or self.pool).call(
+            start_line, headers, call.body, deadline
+        )
         told = answer.headers.get(names.RAN, Ran.RAN.value)
         if told == Ran.RAN.value or answer.status < FIRST_SERVER_ERROR:
             return answer
@@ -173,9 +176,13 @@
     def __init__(self, settings: Settings, home: Home) -> None:
         self.settings = settings
         self.home = home
+        self.grants = GrantServer(settings, home)
 
     async def handle(self, call: IncomingCall) -> None:
         """Run a call at this home and relay its answer."""
+        if names.GRANT in call.headers:
+            await self.grants.answer(call)
+            return
         home_call = read_home_call(call)
         try:
             answer = await self.home.run(home_call)
--- a/sequoiaspoke/node/upkeep.py
+++ b/sequoiaspoke/node/upkeep.py
@@ -8,6 +8,7 @@
 from sequoiaspoke.core.snapshot.model import VmState
 
 if TYPE_CHECKING:
+    from sequoiaspoke.core.routing.grants_home import GrantHome
     from sequoiaspoke.core.rules.model import Endpoint
     from sequoiaspoke.core.snapshot.model import Snapshot, VmList
     from sequoiaspoke.node.config import ConfigSource
@@ -75,19 +76,25 @@
     return None
 
 
-def publish_load_metrics(metrics: Metrics, entry: Entry, home: Home) -> None:
+def publish_load_metrics(
+    metrics: Metrics, entry: Entry, home: Home, grants: GrantHome
+) -> None:
     """Put the counters of the decisions under load on the metrics page."""
     admission = home.gate.admission
     balancer, retries = entry.attempts.balancer, entry.attempts.retries
     counters = (
         ("admission_refused", "Calls refused at the home", admission.refused),
         ("choices", "Targets chosen", balancer.chosen),
+        ("grants_denied", "Grants denied or not renewed", grants.denied),
+        ("ways", "Calls to other VMs by their way", entry.attempts.direct.core.ways),
         ("retries", "Further attempts", retries.retried),
         ("retries_given_up", "Failures not tried again", retries.given_up),
     )
     for name, doc, counter in counters:
-        metrics.count(f"sequoiaspoke_{name}", doc, "reason", counter)
+        label = "way" if name == "ways" else "reason"
+        metrics.count(f"sequoiaspoke_{name}", doc, label, counter)
     gauges = (
+        ("granted", "Slots lent to entries", lambda: grants.reserved),
         ("limit", "Calls run at once", lambda: admission.limit.current()),
         ("queued", "Calls waiting for a slot", lambda: len(admission.queue)),
         ("ejections", "Targets ejected so far", lambda: balancer.ejector.ejections),
--- a/sequoiaspoke/tests/test_grants.py
+++ b/sequoiaspoke/tests/test_grants.py
@@ -148,6 +148,21 @@
         self.home.expire(SETTINGS.grant_lease + SETTINGS.grant_call + 0.1)
         self.assertEqual(0, self.home.reserved)
 
+    def test_calls_begun_while_a_renewal_waited_stay_counted(self):
+        """The home holds a renewal back, then recalls the grant.
+
+        What the question said of calls in flight is old by then.
+        """
+        grant = self.granted()
+        (question,) = self.entry.due(0.6)
+        self.assertEqual(grant, self.call(0.7))
+        answer = self.home.ask(question.message, BUSY, 0.9)
+        self.assertEqual(2, self.home.reserved)
+        self.tell(self.entry.answered(question, answer), BUSY, 0.9)
+        self.assertEqual(2, self.home.reserved)
+        self.tell(self.entry.done("t", grant), BUSY, 1.0)
+        self.assertEqual(1, self.home.reserved)
+
     def test_half_of_the_slots_at_most_are_lent(self):
         for n in range(20):
             free = 10 - self.home.reserved
