Keep keyed calls off granted connections

Cause: keyed calls reach their home through the common attempt, which grants had given another parameter; every keyed call failed. Change: an attempt says whether it may go direct; only idempotent calls may. Conclusion: a call that must not run twice always passes its home.

--- a/sequoiaspoke/node/attempts.py
+++ b/sequoiaspoke/node/attempts.py
@@ -83,7 +83,7 @@
             sent_as = progress.attempted(number).attempt
             attempt = replace(call, target=target, attempt=sent_as)
             try:
-                return await self.attempt(choice.endpoint, attempt, policy)
+                return await self.attempt(choice.endpoint, attempt, policy.idempotent)
             except CallError as error:
                 await self.wait_or_raise(service, policy, call, progress, number, error)
 
@@ -117,16 +117,23 @@
             call.body.rewind()
 
     async def attempt(
-        self, endpoint: Endpoint, call: HomeCall, policy: CallPolicy
+        self, endpoint: Endpoint, call: HomeCall, may_go_direct: bool = False
     ) -> Answer:
-        """Make one attempt and learn from how it ends."""
+        """Make one attempt and learn from how it ends.
+
+        Parameters
+        ----------
+        may_go_direct : bool
+            Whether a granted connection past the home may be used; never for a
+            call that must not run twice, since only its home can tell.
+        """
         loop = asyncio.get_running_loop()
         began = loop.time()
         self.balancer.started(call.target, began)
         try:
             if endpoint.vm == self.settings.node.name:
                 answer = await self.run_here(call)
-            elif policy.idempotent and (grant := self.direct.take(endpoint, call)):
+            elif may_go_direct and (grant := self.direct.take(endpoint, call)):
                 answer = await self.direct.run(grant, call)
             else:
                 answer = await self.send(endpoint, call)
