--- a/sequoiaspoke/commands/measure.py
+++ b/sequoiaspoke/commands/measure.py
@@ -78,7 +78,12 @@
         print(json.dumps(figures))
 
 
-def hop(*, rates: tuple[int, ...] = (50, 200, 500), seconds: float = 10.0) -> None:
+def hop(
+    *,
+    rates: tuple[int, ...] = (50, 200, 500),
+    seconds: float = 10.0,
+    grants: bool = False,
+) -> None:
     """Measure what one and two hops add to a call; the last line is JSON.
 
     Parameters
@@ -87,10 +92,12 @@
         Calls a second of the one entry node, each measured in turn.
     seconds : float
         Seconds of calls for each way at each rate.
+    grants : bool
+        Whether the home grants direct connections.
     """
     from sequoiaspoke.measure.hop import measure_hop
 
-    report = run_measurement(measure_hop(rates, seconds))
+    report = run_measurement(measure_hop(rates, seconds, grants))
     for each in report.results:
         print(
             f"{each.rate:5}/s {each.way:9} calls={each.calls} failed={each.failed} "
--- a/sequoiaspoke/measure/hop.py
+++ b/sequoiaspoke/measure/hop.py
@@ -9,15 +9,17 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import time
 from dataclasses import dataclass, field
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from sequoiaspoke.errors import CallError
 from sequoiaspoke.measure.bench import Bench
 from sequoiaspoke.measure.percentiles import Percentiles
-from sequoiaspoke.measure.plan import CALL_PORT, UPSTREAM_PORT, FleetPlan
+from sequoiaspoke.measure.plan import ADMIN_PORT, CALL_PORT, UPSTREAM_PORT, FleetPlan
 from sequoiaspoke.measure.processes import Process
 from sequoiaspoke.node.client import Address, Pool
 from sequoiaspoke.settings.schema import LimitSettings
@@ -48,10 +50,18 @@
 
 @dataclass
 class HopReport:
-    """The figures of every way at every rate."""
+    """The figures of every way at every rate.
+
+    Attributes
+    ----------
+    ways : dict
+        Calls of the other node that went to the upstream directly, under a
+        grant, and over two hops.
+    """
 
     seconds: float
     results: list[WayResult] = field(default_factory=list)
+    ways: dict[str, float] = field(default_factory=dict)
 
 
 class Caller:
@@ -98,10 +108,22 @@
         self.times.setdefault(rate, Percentiles()).add(took)
 
 
-async def measure_hop(rates: tuple[int, ...], seconds: float) -> HopReport:
-    """Measure every way at every rate for `seconds` each."""
+async def measure_hop(
+    rates: tuple[int, ...], seconds: float, grants: bool = False
+) -> HopReport:
+    """Measure every way at every rate for `seconds` each.
+
+    With `grants` each way has its seconds in one round, since a grant ends
+    while the others have their turn.
+    """
     plan = FleetPlan(2, 1, 1)
-    async with Bench(plan) as bench:
+    bench = Bench(plan)
+    round_seconds = ROUND_SECONDS
+    if grants:
+        round_seconds = seconds
+        address = f"{bench.plan.vm(0).address}:{UPSTREAM_PORT}"
+        bench.node_settings = f"[routing]\ngrant_address = {address}\n"
+    async with bench:
         home, entry = bench.plan.vm(0), bench.plan.vm(1)
         await bench.start_upstream(home, service_ms=0)
         bare = Process(
@@ -115,17 +137,34 @@
             "one_hop": Caller(Address(home.address, CALL_PORT)),
             "two_hops": Caller(Address(entry.address, CALL_PORT)),
         }
+        ways = {}
         try:
             await warm_up(callers)
             for rate in rates:
-                for _ in range(max(1, round(seconds / ROUND_SECONDS))):
+                for _ in range(max(1, round(seconds / round_seconds))):
                     for way in WAYS:
-                        await callers[way].round(rate, ROUND_SECONDS)
+                        await callers[way].round(rate, round_seconds)
+            ways = await read_ways(entry.address)
         finally:
             bare.kill()
             for caller in callers.values():
                 caller.pool.close()
-    return report(callers, rates, seconds)
+    made = report(callers, rates, seconds)
+    made.ways = ways
+    return made
+
+
+async def read_ways(address: str) -> dict[str, float]:
+    """Read how many calls of a node went directly and how many over two hops."""
+    client = SimpleAsyncHTTPClient(force_instance=True)
+    try:
+        page = await client.fetch(f"http://{address}:{ADMIN_PORT}/metrics")
+    finally:
+        client.close()
+    found = re.findall(
+        r'sequoiaspoke_ways_total{way="(\w+)"} (\S+)', page.body.decode()
+    )
+    return {way: float(value) for way, value in found}
 
 
 async def warm_up(callers: dict[str, Caller]) -> None:
