Forget services, targets and connections that are gone

They are dropped when a new version comes into force; a closed pool closes connections as their calls end. The check for joined targets no longer costs each call a set.

--- a/sequoiaspoke/core/routing/balancer.py
+++ b/sequoiaspoke/core/routing/balancer.py
@@ -65,7 +65,7 @@
         self.load = LoadView(settings)
         self.ejector = Ejector(settings)
         self.slow_start = SlowStart(settings)
-        self.known: dict[str, frozenset[str]] = {}
+        self.known: dict[str, Sequence[Endpoint]] = {}
         self.leaving: frozenset[str] = frozenset()
         self.chosen: Counter[ChoiceReason] = Counter()
 
@@ -147,19 +147,26 @@
 
     def notice(self, service: str, endpoints: Sequence[Endpoint], now: float) -> None:
         """Warm up targets that joined a service already in use here."""
-        names = frozenset(each.target for each in endpoints)
-        before = self.known.get(service)
-        if before == names:
+        known = self.known.get(service)
+        if known is endpoints:
             return
-        self.known[service] = names
-        if before is None:
+        self.known[service] = endpoints
+        if known is None:
             # This node is new, not the targets: it knows nothing of any.
             return
+        before = {each.target for each in known}
+        names = {each.target for each in endpoints}
         for name in names - before:
             self.slow_start.begin(name, now)
         for name in before - names:
             self.forget(name)
 
+    def retain(self, services: frozenset[str]) -> None:
+        """Forget the services no longer in force, and their targets."""
+        for service in self.known.keys() - services:
+            for each in self.known.pop(service):
+                self.forget(each.target)
+
     def forget(self, target: str) -> None:
         """Drop what was learnt of a target that is gone."""
         self.load.forget(target)
--- a/sequoiaspoke/node/attempts.py
+++ b/sequoiaspoke/node/attempts.py
@@ -35,6 +35,7 @@
 
     from sequoiaspoke.core.routing.deadline import Progress
     from sequoiaspoke.core.rules.model import CallPolicy, Endpoint, Service
+    from sequoiaspoke.core.snapshot.model import Snapshot
     from sequoiaspoke.node.client import Answer
     from sequoiaspoke.node.home import Home, HomeCall
     from sequoiaspoke.node.metrics import CallCounters
@@ -214,6 +215,25 @@
             headers[names.KEYED] = names.YES
         return headers
 
+    def retain(self, snapshot: Snapshot) -> None:
+        """Forget services and targets that are not in force any more.
+
+        Hundreds of VMs are replaced a day; what is kept of each would fill the
+        memory of a node that runs for months.
+        """
+        services = frozenset(snapshot.services)
+        self.retries.retain(services)
+        self.balancer.retain(services)
+        endpoints = [
+            endpoint
+            for service in snapshot.services.values()
+            for endpoint in service.endpoints
+        ]
+        self.direct.retain(frozenset(endpoint.target for endpoint in endpoints))
+        addresses = {Address(each.address, each.mesh_port) for each in endpoints}
+        for address in self.pools.keys() - addresses:
+            self.pools.pop(address).close()
+
     def close(self) -> None:
         """Close the idle connections to other nodes."""
         self.direct.close()
--- a/sequoiaspoke/node/client.py
+++ b/sequoiaspoke/node/client.py
@@ -138,6 +138,7 @@
         self.tls = tls
         self.idle: deque[tuple[IOStream, float]] = deque()
         self.opened = 0
+        self.closed = False
         self.tcp = TCPClient(resolver=NumericResolver())
         self.parameters = HTTP1ConnectionParameters(
             max_header_size=limits.head_bytes,
@@ -178,13 +179,17 @@
         """Keep a connection for the next call."""
         if stream.closed():
             return
+        if self.closed:
+            stream.close()
+            return
         # A close callback makes the loop watch the idle connection, so that one
         # the other end has closed is found out before a call is sent on it.
         stream.set_close_callback(_nothing)
         self.idle.append((stream, time.monotonic()))
 
     def close(self) -> None:
-        """Close every idle connection."""
+        """Close every idle connection; the others when their calls end."""
+        self.closed = True
         while self.idle:
             self.idle.pop()[0].close()
         self.tcp.close()
--- a/sequoiaspoke/node/directcalls.py
+++ b/sequoiaspoke/node/directcalls.py
@@ -135,6 +135,13 @@
             pool.close()
         self.upstreams[target] = Pool(address, self.settings.limits)
 
+    def retain(self, targets: frozenset[str]) -> None:
+        """Forget targets that are gone, once no direct call runs there."""
+        for target in self.core.holdings.keys() - targets:
+            self.core.forget(target)
+        for target in self.upstreams.keys() - self.core.holdings.keys():
+            self.upstreams.pop(target).close()
+
     def close(self) -> None:
         """Close the idle connections to upstreams."""
         self.core.holdings.clear()
--- a/sequoiaspoke/node/upkeep.py
+++ b/sequoiaspoke/node/upkeep.py
@@ -58,7 +58,7 @@
             self.home.gate.admission.limit.resize(slots)
         rules = frozenset(rule.name for rule in snapshot.rules)
         self.entry.splitter.retain(rules)
-        self.entry.attempts.retries.retain(frozenset(snapshot.services))
+        self.entry.attempts.retain(snapshot)
 
 
 def leaving_vms(vms: VmList) -> frozenset[str]:
