--- a/sequoiaspoke/measure/hop.py
+++ b/sequoiaspoke/measure/hop.py
@@ -11,6 +11,7 @@
 import asyncio
 import re
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -27,6 +28,8 @@
 BARE_PORT = 8079
 WARM_UP = 100  # calls on each way before the first round
 ROUND_SECONDS = 2.0
+LEAD_IN_SECONDS = 1.5  # in which steady use gets its grant
+UNCOUNTED = 0
 PATH = "/service-0/availability"
 DEADLINE = 10.0  # seconds
 OK = 200
@@ -61,7 +64,7 @@
 
     seconds: float
     results: list[WayResult] = field(default_factory=list)
-    ways: dict[str, float] = field(default_factory=dict)
+    ways: dict[str, int] = field(default_factory=dict)
 
 
 class Caller:
@@ -73,15 +76,16 @@
         self.times: dict[int, Percentiles] = {}
         self.failed: dict[int, int] = {}
 
-    async def round(self, rate: int, seconds: float) -> None:
+    async def round(self, rate: int, seconds: float, counted: bool = True) -> None:
         """Make the calls of one round and wait for their answers."""
+        kept_as = rate if counted else UNCOUNTED
         loop = asyncio.get_running_loop()
         begin = loop.time()
         calls = []
         for number in range(int(rate * seconds)):
             due = begin + number / rate
             await asyncio.sleep(max(0.0, due - loop.time()))
-            calls.append(loop.create_task(self.call(rate)))
+            calls.append(loop.create_task(self.call(kept_as)))
         await asyncio.gather(*calls)
 
     async def call(self, rate: int) -> None:
@@ -137,24 +141,28 @@
             "one_hop": Caller(Address(home.address, CALL_PORT)),
             "two_hops": Caller(Address(entry.address, CALL_PORT)),
         }
-        ways = {}
+        ways: Counter[str] = Counter()
         try:
             await warm_up(callers)
             for rate in rates:
                 for _ in range(max(1, round(seconds / round_seconds))):
                     for way in WAYS:
+                        if grants:
+                            await callers[way].round(rate, LEAD_IN_SECONDS, False)
+                        before = await read_ways(entry.address)
                         await callers[way].round(rate, round_seconds)
-            ways = await read_ways(entry.address)
+                        ways.update(await read_ways(entry.address))
+                        ways.subtract(before)
         finally:
             bare.kill()
             for caller in callers.values():
                 caller.pool.close()
     made = report(callers, rates, seconds)
-    made.ways = ways
+    made.ways = dict(ways)
     return made
 
 
-async def read_ways(address: str) -> dict[str, float]:
+async def read_ways(address: str) -> Counter[str]:
     """Read how many calls of a node went directly and how many over two hops."""
     client = SimpleAsyncHTTPClient(force_instance=True)
     try:
@@ -164,14 +172,14 @@
     found = re.findall(
         r'sequoiaspoke_ways_total{way="(\w+)"} (\S+)', page.body.decode()
     )
-    return {way: float(value) for way, value in found}
+    return Counter({way: round(float(value)) for way, value in found})
 
 
 async def warm_up(callers: dict[str, Caller]) -> None:
     """Open connections and fill caches before anything counts."""
     for caller in callers.values():
         for _ in range(WARM_UP):
-            await caller.call(0)
+            await caller.call(UNCOUNTED)
 
 
 def report(
