Say that a target leaves when its upstream drains by itself

Entries heard only of the node's own drain. An upstream that drained refused each call, which cost the caller an attempt and the service a token of its retries. One such answer now makes the node say for 10 s that its target leaves.

Tests: test_admission.HealthTests, test_loadsockets (20 of 20 answered elsewhere).

--- a/sequoiaspoke/core/admission/settings.py
+++ b/sequoiaspoke/core/admission/settings.py
@@ -77,6 +77,13 @@
         0,
         600,
     )
+    drain_memory: float = option(
+        10.0,
+        "Seconds for which a target whose upstream refused as draining is called "
+        "leaving.",
+        0,
+        600,
+    )
     long_memory: float = option(
         10.0, "Seconds after the last short call for which slots are kept.", 0, 600
     )
--- a/sequoiaspoke/node/home.py
+++ b/sequoiaspoke/node/home.py
@@ -14,6 +14,7 @@
     BadRequestError,
     CallError,
     ConnectError,
+    DrainingError,
     Ran,
     UpstreamShedError,
     UpstreamUnsureError,
@@ -162,6 +163,8 @@
             return answer
         retry_after = names.whole_number(answer.headers, "Retry-After", 1)
         retried = names.RETRIED in answer.headers
+        if answer.headers.get(names.REASON) == DrainingError.code:
+            self.gate.admission.health.said_draining(loop.time())
         await discard(answer)
         error: CallError = UpstreamUnsureError(f"{call.target} gave the call up")
         if told == Ran.NOT_RUN.value:
--- a/sequoiaspoke/tests/test_admission.py
+++ b/sequoiaspoke/tests/test_admission.py
@@ -8,6 +8,7 @@
 from testtools import TestCase
 
 from sequoiaspoke.core.admission.admission import Admission
+from sequoiaspoke.core.admission.health import UpstreamHealth
 from sequoiaspoke.core.admission.limit import AdaptiveLimit
 from sequoiaspoke.core.admission.model import Arrival, RefusalReason, Refused, Started
 from sequoiaspoke.core.admission.settings import AdmissionSettings
@@ -107,6 +108,35 @@
         self.assertTrue(all(times == 1 for times in final.values()), final)
 
 
+class HealthTests(TestCase):
+    def test_states_follow_connections_and_answers(self):
+        health = UpstreamHealth(SETTINGS)
+        states = [health.state(0.0)]
+        health.answered(1.0)
+        states.append(health.state(1.0))
+        states.append(health.state(1.0 + SETTINGS.warm_up))
+        for _ in range(3):
+            health.connection_refused()
+        states.append(health.state(10.0))
+        health.answered(11.0)
+        states.append(health.state(11.0))
+        health.said_draining(20.0)
+        states.append(health.state(20.0))
+        states.append(health.state(20.0 + SETTINGS.drain_memory))
+        self.assertEqual(
+            [
+                UpstreamState.COLD,
+                UpstreamState.COLD,
+                UpstreamState.READY,
+                UpstreamState.DOWN,
+                UpstreamState.COLD,
+                UpstreamState.LEAVING,
+                UpstreamState.READY,
+            ],
+            states,
+        )
+
+
 class QueueTests(AdmissionCase):
     slots = 1
 
--- a/sequoiaspoke/tests/test_loadsockets.py
+++ b/sequoiaspoke/tests/test_loadsockets.py
@@ -191,6 +191,24 @@
 
         self.run_with(test)
 
+    def test_a_target_whose_upstream_drains_says_so(self):
+        """An operator drains the upstream and leaves its node alone.
+
+        Every call there would be refused and need another attempt.
+        """
+
+        async def test(deployment):
+            near, far = deployment.sites
+            near.upstream.drain()
+            for _ in range(20):
+                answer = await raw(near.node.ports["call"], request("GET", "/"))
+                self.assertEqual(200, status(answer))
+            self.assertEqual(20, far.upstream.runs_total)
+            known = near.node.entry.attempts.balancer.load.of(near.target)
+            self.assertIs(UpstreamState.LEAVING, known.state)
+
+        self.run_with(test)
+
     def test_a_target_whose_upstream_is_down_says_so(self):
         async def test(deployment):
             near, far = deployment.sites
