--- a/sequoiaspoke/core/routing/balancer.py
+++ b/sequoiaspoke/core/routing/balancer.py
@@ -5,13 +5,6 @@
 ignores that one target is slow and piles work up at it. The better of two
 random targets by own calls in flight and aged reports avoids both: the herd is
 split by chance, and a slow target holds its calls longer and so draws fewer.
-
-The own zone goes first, since another one costs 1 ms and may be cut off. Calls
-leave it in proportion to its use between two thresholds: a fixed point would
-swing whole zones of traffic back and forth as the use crosses it. They also
-leave it as it answers more slowly than the others, up to nine in ten: a zone
-with one sick target is not busy, its calls are just late. One call in a hundred
-goes to another zone in any case, which is what makes the comparison possible.
 """
 
 from __future__ import annotations
@@ -26,27 +19,21 @@
     Choice,
     ChoiceReason,
     Outcome,
-    RouteContext,
     UpstreamState,
 )
 from sequoiaspoke.core.routing.slowstart import SlowStart
-from sequoiaspoke.core.routing.split import hash_of
 from sequoiaspoke.errors import NoTargetError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
     from random import Random
 
-    from sequoiaspoke.core.routing.model import LoadReport
+    from sequoiaspoke.core.routing.model import LoadReport, RouteContext
     from sequoiaspoke.core.routing.settings import RoutingSettings
     from sequoiaspoke.core.rules.model import Endpoint
 
 FAILURES = frozenset({Outcome.FAILED, Outcome.TIMED_OUT})
 NO_TARGET_RETRY_AFTER = 1.0  # VM lists and probes change the answer within that
-SCOUTS = 0.01  # part of the calls that leave a healthy zone
-SLOW_START, SLOW_FULL = 1.5, 4.0  # latency as a multiple of the other zones'
-MOST_FOR_SLOWNESS = 0.9  # the rest shows when the zone is well again
-REDRAWS = 8  # tries to draw a target in proportion to its slow start
 
 
 class Balancer(ABC):
@@ -211,134 +198,3 @@
             before is UpstreamState.DOWN and report.state is UpstreamState.READY
         ):
             self.slow_start.begin(target, now)
-
-
-class RoundRobin(Balancer):
-    """Take turns over all targets; the baseline."""
-
-    def __init__(self, settings: RoutingSettings, zone: str, rng: Random) -> None:
-        super().__init__(settings, zone, rng)
-        self.turn: Counter[str] = Counter()
-
-    def pick(
-        self,
-        service: str,
-        endpoints: Sequence[Endpoint],
-        context: RouteContext,  # noqa: ARG002
-        now: float,  # noqa: ARG002
-    ) -> Choice:
-        """Return the next target in turn."""
-        self.turn[service] += 1
-        place = self.turn[service] % len(endpoints)
-        return Choice(endpoints[place], ChoiceReason.IN_TURN)
-
-
-class PowerOfTwo(Balancer):
-    """Take the less loaded of two random targets, own zone first."""
-
-    def pick(
-        self,
-        service: str,
-        endpoints: Sequence[Endpoint],
-        context: RouteContext,
-        now: float,
-    ) -> Choice:
-        """Return the better of two, or the target of the sticky key."""
-        others = self.load.others(endpoints, now)
-        use = {
-            each.target: self.load.use(each, others[each.target], now)
-            for each in endpoints
-        }
-        if context.key:
-            return self.stick(service, endpoints, context.key, use)
-        near = [each for each in endpoints if each.zone == self.zone]
-        far = [each for each in endpoints if each.zone != self.zone]
-        if not near:
-            return Choice(self.better(far, use, now), ChoiceReason.OTHER_ZONE)
-        if far and self.spills(near, far, use, now):
-            return Choice(self.better(far, use, now), ChoiceReason.SPILLED)
-        return Choice(self.better(near, use, now), ChoiceReason.ZONE)
-
-    def spills(
-        self,
-        near: Sequence[Endpoint],
-        far: Sequence[Endpoint],
-        use: dict[str, float],
-        now: float,
-    ) -> bool:
-        """Return whether this call leaves the zone."""
-        here = sum(use[each.target] for each in near) / len(near)
-        there = sum(use[each.target] for each in far) / len(far)
-        start, full = self.settings.spill_start, self.settings.spill_full
-        part = SCOUTS
-        if there < here:
-            part = max(part, ramp(here, start, full))
-        if there < full:
-            ratio = self.load.ratio(near, far, now)
-            part = max(part, MOST_FOR_SLOWNESS * ramp(ratio, SLOW_START, SLOW_FULL))
-        return self.rng.random() < part
-
-    def better(
-        self, endpoints: Sequence[Endpoint], use: dict[str, float], now: float
-    ) -> Endpoint:
-        """Return the less used of two targets drawn at random."""
-        first = self.draw(endpoints, now)
-        rest = [each for each in endpoints if each is not first]
-        if not rest:
-            return first
-        second = self.draw(rest, now)
-        slowness = self.load.slowness((first, second), now)
-        costs = [
-            (use[each.target] + 1 / max(1, each.slots)) * slowness[each.target]
-            for each in (first, second)
-        ]
-        return second if costs[1] < costs[0] else first
-
-    def draw(self, endpoints: Sequence[Endpoint], now: float) -> Endpoint:
-        """Return a random target, one in slow start less often."""
-        drawn = self.rng.choice(endpoints)
-        for _ in range(REDRAWS):
-            if self.rng.random() < self.slow_start.share(drawn.target, now):
-                return drawn
-            drawn = self.rng.choice(endpoints)
-        return drawn
-
-    def stick(
-        self,
-        service: str,
-        endpoints: Sequence[Endpoint],
-        key: str,
-        use: dict[str, float],
-    ) -> Choice:
-        """Return the key's target, or the next one that is not overloaded.
-
-        A hot key would overload its target while the others idle; the bound
-        moves the excess on, always to the same next target.
-        """
-        order = sorted(
-            endpoints, key=lambda each: hash_of(service, key, each.target), reverse=True
-        )
-        mean = sum(use.values()) / len(use)
-        for place, each in enumerate(order):
-            free_slot = 1 / max(1, each.slots)
-            bound = self.settings.sticky_bound * mean + free_slot
-            # Near saturation the bound alone would leave the last targets of
-            # the order part idle while the first ones queue.
-            if use[each.target] <= min(bound, 1.0):
-                reason = ChoiceReason.STICKY_MOVED if place else ChoiceReason.STICKY
-                return Choice(each, reason)
-        least = min(order, key=lambda each: use[each.target])
-        return Choice(least, ChoiceReason.STICKY_MOVED)
-
-
-def ramp(value: float, start: float, full: float) -> float:
-    """Return how far a value is from a start to a full level, from 0 to 1."""
-    return min(1.0, max(0.0, (value - start) / max(full - start, 1e-9)))
-
-
-POLICIES = {"power-of-two": PowerOfTwo, "round-robin": RoundRobin}
-
-
-def make_balancer(settings: RoutingSettings, zone: str, rng: Random) -> Balancer:
-    """Return the balancer that the settings name."""
-    return POLICIES[settings.policy](settings, zone, rng)
--- a/sequoiaspoke/node/attempts.py
+++ b/sequoiaspoke/node/attempts.py
@@ -8,8 +8,8 @@
 
 from tornado.httputil import RequestStartLine
 
-from sequoiaspoke.core.routing.balancer import make_balancer
 from sequoiaspoke.core.routing.model import Outcome, RouteContext
+from sequoiaspoke.core.routing.policies import make_balancer
 from sequoiaspoke.core.routing.retry import GiveUp, RetryPolicy
 from sequoiaspoke.errors import (
     CallError,
--- a/sequoiaspoke/tests/test_routing.py
+++ b/sequoiaspoke/tests/test_routing.py
@@ -7,7 +7,6 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from sequoiaspoke.core.routing.balancer import make_balancer
 from sequoiaspoke.core.routing.deadline import enter
 from sequoiaspoke.core.routing.model import (
     ChoiceReason,
@@ -16,6 +15,7 @@
     RouteContext,
     UpstreamState,
 )
+from sequoiaspoke.core.routing.policies import make_balancer
 from sequoiaspoke.core.routing.retry import (
     GiveUp,
     GiveUpReason,
