Hold calls against their deadline by the time to their answer's head

A stream holds its slot for minutes but is answered within milliseconds. Waiting calls were held against their deadline, which bounds the time to the head, by the whole length of earlier ones, so every stream that had to wait was refused at once. Both times are now measured by kind.

Tests: test_admission.QueueTests.test_a_stream_is_not_refused_for_its_length.

--- a/sequoiaspoke/core/admission/admission.py
+++ b/sequoiaspoke/core/admission/admission.py
@@ -116,7 +116,7 @@
         self.shares.charge(arrival, held - running.charged)
         if outcome is Outcome.ANSWERED:
             self.health.answered(now)
-            self.durations.add(arrival.kind, held)
+            self.durations.add(arrival.kind, held, latency)
             self.lanes.finished(arrival.kind, held, now)
             self.limit.answered(arrival.kind, latency, running.beside, now)
         elif outcome is Outcome.FAILED:
@@ -187,7 +187,7 @@
 
     def rate(self) -> float:
         """Estimate the calls that the target finishes per second."""
-        mean = self.durations.all.mean or FIRST_DURATION
+        mean = self.durations.all.held.mean or FIRST_DURATION
         return max(1, self.limit.current() - self.reserved) / mean
 
     def refuse(self, given: Given) -> Refused:
--- a/sequoiaspoke/core/admission/durations.py
+++ b/sequoiaspoke/core/admission/durations.py
@@ -1,9 +1,12 @@
-"""Measure how long each kind of call holds a slot.
+"""Measure how long each kind of call holds a slot, and when it is answered.
 
 Nothing that callers declare says how long a call will take, and a rule that
-says so is wrong after the next release of the upstream. The durations of
-finished calls, by kind, tell which calls can still be answered in time, what a
-call costs its caller's share, and which work is long.
+says so is wrong after the next release of the upstream. How long finished calls
+held their slots, by kind, tells what a call costs its caller's share and which
+work is long. How long they took to the head of their answers tells which calls
+can still be answered in time. The two differ for streams: a recording begins
+within milliseconds and runs for minutes, and held against its deadline by its
+whole length it would be refused whenever a call waits.
 """
 
 from __future__ import annotations
@@ -19,11 +22,10 @@
 
 @dataclass
 class Duration:
-    """Mean and mean deviation of the durations of one kind, in seconds."""
+    """Mean and mean deviation of durations, in seconds."""
 
     mean: float
     deviation: float = 0.0
-    calls: float = 0.0
 
     def add(self, seconds: float) -> None:
         """Take in one more call."""
@@ -32,60 +34,88 @@
         self.deviation += WEIGHT * (abs(off) - self.deviation)
 
 
+@dataclass
+class Kind:
+    """What is remembered of one kind of calls.
+
+    Attributes
+    ----------
+    held : Duration
+        Of the slot.
+    head : Duration
+        Until the head of the answer.
+    calls : float
+        How frequent it is among recent calls.
+    """
+
+    held: Duration
+    head: Duration
+    calls: float = 0.0
+
+    def add(self, held: float, head: float) -> None:
+        """Take in one more call."""
+        self.held.add(held)
+        self.head.add(head)
+
+
 class Durations:
     """Remember the durations of the kinds seen lately."""
 
     def __init__(self) -> None:
-        self.kinds: OrderedDict[str, Duration] = OrderedDict()
-        self.all = Duration(0.0)
+        self.kinds: OrderedDict[str, Kind] = OrderedDict()
+        self.all = Kind(Duration(0.0), Duration(0.0))
         self.short = 0.0
 
-    def add(self, kind: str, seconds: float) -> None:
-        """Note that a call of a kind held its slot for so long."""
+    def add(self, kind: str, held: float, head: float) -> None:
+        """Note how long a call held its slot, and took to its answer's head."""
         known = self.kinds.get(kind)
         if known is None:
-            known = self.kinds[kind] = Duration(seconds)
-        known.add(seconds)
+            known = self.kinds[kind] = Kind(Duration(held), Duration(head))
+        known.add(held, head)
         self.kinds.move_to_end(kind)
         if len(self.kinds) > KINDS:
             self.kinds.popitem(last=False)
-        if not self.all.mean:
-            self.all.mean = seconds
-        self.all.add(seconds)
+        if not self.all.held.mean:
+            self.all = Kind(Duration(held), Duration(head))
+        self.all.add(held, head)
         self.weigh(known)
 
-    def weigh(self, newest: Duration) -> None:
+    def weigh(self, newest: Kind) -> None:
         """Update how frequent each kind is and what is short."""
         for each in self.kinds.values():
             each.calls *= 1 - WEIGHT / 10
         newest.calls += 1
         total = sum(each.calls for each in self.kinds.values())
         seen = 0.0
-        for each in sorted(self.kinds.values(), key=lambda known: known.mean):
+        for each in sorted(self.kinds.values(), key=lambda known: known.held.mean):
             seen += each.calls
             if seen >= SHORT_PART * total:
-                self.short = each.mean
+                self.short = each.held.mean
                 return
 
     def expected(self, kind: str) -> float:
-        """Return the mean duration of a kind, or of all when it is new."""
-        return self.kinds.get(kind, self.all).mean
+        """Return how long a kind holds its slot, or all when it is new."""
+        return self.kinds.get(kind, self.all).held.mean
+
+    def answer_time(self, kind: str) -> float:
+        """Return the mean seconds to the head of a kind's answer."""
+        return self.kinds.get(kind, self.all).head.mean
 
     def likely(self, kind: str) -> float:
-        """Return the seconds within which most calls of a kind end."""
-        known = self.kinds.get(kind, self.all)
-        return known.mean + known.deviation
+        """Return the seconds within which most answers of a kind begin."""
+        head = self.kinds.get(kind, self.all).head
+        return head.mean + head.deviation
 
     def doubt(self, kind: str) -> None:
-        """Lower a kind's duration a little, since it turned a call away.
+        """Lower a kind's time to answer a little, since it turned a call away.
 
         Calls that are turned away bring no new measurement. A kind that was
         slow once would be refused for as long as there is a queue.
         """
         known = self.kinds.get(kind)
         if known:
-            known.mean *= 1 - DOUBT
-            known.deviation *= 1 - DOUBT
+            known.head.mean *= 1 - DOUBT
+            known.head.deviation *= 1 - DOUBT
 
     def is_long(self, kind: str, factor: float) -> bool:
         """Return whether a kind lasts a multiple of the short ones.
@@ -96,4 +126,4 @@
         if not self.short:
             return False
         known = self.kinds.get(kind)
-        return known is None or known.mean > factor * self.short
+        return known is None or known.held.mean > factor * self.short
--- a/sequoiaspoke/core/admission/queue.py
+++ b/sequoiaspoke/core/admission/queue.py
@@ -257,7 +257,7 @@
         """Return until when a call may wait."""
         # The refusal must reach the entry before its own deadline, else the
         # caller hears "outcome unknown" of a call that was never run.
-        needed = max(self.durations.expected(call.kind), TELLING_SECONDS)
+        needed = max(self.durations.answer_time(call.kind), TELLING_SECONDS)
         latest = call.deadline - needed
         return min(latest, call.arrived + self.waiting[call.priority].wait)
 
--- a/sequoiaspoke/tests/test_admission.py
+++ b/sequoiaspoke/tests/test_admission.py
@@ -162,6 +162,22 @@
         self.note(self.admission.tick(10.26))
         self.assertEqual(RefusalReason.EXPIRED, self.reason(waiting))
 
+    def test_a_stream_is_not_refused_for_its_length(self):
+        """A family asks for a recording that plays for a minute.
+
+        Its rule bounds the time to the answer's head to ten seconds. Held
+        against that by its length, it would be refused whenever a call waits.
+        """
+        for n in range(5):
+            stream = self.arrive(n * 60.0, kind="stream")
+            self.release(stream, (n + 1) * 60.0, latency=0.05)
+        running = self.arrive(400.0, kind="stream", priority=Priority.PATIENT)
+        how = {"kind": "stream", "priority": Priority.PATIENT}
+        waiting = self.arrive(400.0, deadline=410.0, **how)
+        self.note(self.admission.tick(409.0))
+        self.assertIsNone(self.reason(waiting))
+        self.assertEqual([waiting], self.release(running, 409.5))
+
     def test_urgent_calls_are_refused_while_patient_ones_wait(self):
         """The portal is busy when an archive page is asked for abroad.
 
