Measure the nodes' memory while a recording passes

Cause: that memory stays flat was held by design and a small test only. Change: measure stream passes a recording of 1,000 MB through two nodes, down and up, and samples the memory of both.

--- a/sequoiaspoke/commands/measure.py
+++ b/sequoiaspoke/commands/measure.py
@@ -107,6 +107,20 @@
     print(json.dumps(dataclasses.asdict(report)))
 
 
+def stream(*, megabytes: int = 1000) -> None:
+    """Measure nodes' memory while a recording passes; the last line is JSON.
+
+    Parameters
+    ----------
+    megabytes : int
+        Length of the recording in each direction.
+    """
+    from sequoiaspoke.measure.stream import measure_stream
+
+    results = run_measurement(measure_stream(megabytes))
+    print(json.dumps([dataclasses.asdict(each) for each in results]))
+
+
 def bare_proxy(address: str, port: int, upstream_port: int) -> None:
     """Relay calls without any decision, to compare a node with.
 
@@ -203,5 +217,6 @@
     "rules": rules,
     "spread": spread,
     "hop": hop,
+    "stream": stream,
     "bare-proxy": bare_proxy,
 }
--- a/sequoiaspoke/standins/upstream.py
+++ b/sequoiaspoke/standins/upstream.py
@@ -170,7 +170,7 @@
         return [
             (r"/health", HealthHandler, standin),
             (r"/load", LoadHandler, standin),
-            (r"/bytes", BytesHandler, standin),
+            (r"/(?:.*/)?bytes", BytesHandler, standin),
             (r"/.*", CallHandler, standin),
         ]
 
