--- a/sequoiaspoke/commands/status.py
+++ b/sequoiaspoke/commands/status.py
@@ -11,7 +11,7 @@
 
 HEADINGS = (
     "node zone target version since learnt-from state in-flight "
-    "calls refused unknown retried details last-refused"
+    "queued limit ledger ejected calls refused unknown retried details last-refused"
 ).split()
 LONGEST = 80  # characters of one cell
 
@@ -63,7 +63,8 @@
         _age(node.seconds("installed_at"), now),
         node.text("learnt_from"),
         _state(node),
-        node.text("in_flight"),
+        *(node.text(key) for key in ("in_flight", "queued", "limit", "ledger")),
+        _ejected(node),
         *(str(node.total(key)) for key in ("calls", "refused", "unknown", "retried")),
         _details(node),
         _last_refused(node),
@@ -83,6 +84,11 @@
     return "unverified" if node.page.get("verified") is False else "serving"
 
 
+def _ejected(node: NodeStatus) -> str:
+    targets = node.page.get("ejected")
+    return ",".join(map(str, targets)) if isinstance(targets, list) and targets else "-"
+
+
 def _details(node: NodeStatus) -> str:
     details = node.page.get("details")
     if not isinstance(details, dict):
--- a/sequoiaspoke/core/routing/ejection.py
+++ b/sequoiaspoke/core/routing/ejection.py
@@ -99,6 +99,10 @@
         record = self.records.get(target)
         return record is not None and record.ejected
 
+    def ejected(self) -> tuple[str, ...]:
+        """Return the targets out of use, in the order of their names."""
+        return tuple(sorted(filter(self.is_ejected, self.records)))
+
     def probe_due(self, target: str, now: float) -> bool:
         """Return whether one call should try the target again."""
         record = self.records.get(target)
--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -148,6 +148,7 @@
         source = self.config.status()
         holder = self.config.holder
         refused = holder.last_refused
+        admission = self.home.gate.admission
         return {
             "program": __version__,
             "name": self.settings.node.name,
@@ -166,6 +167,10 @@
             "started_at": self.started_at,
             "draining": self.draining,
             "in_flight": self.in_flight(),
+            "queued": len(admission.queue),
+            "limit": admission.limit.current(),
+            "ledger": len(self.keyed.core.ledger.entries),
+            "ejected": list(self.entry.attempts.balancer.ejector.ejected()),
             "calls": dict(self.counters.calls),
             "refused": dict(self.counters.refused),
             "unknown": dict(self.counters.unknown),
--- a/sequoiaspoke/tests/test_status.py
+++ b/sequoiaspoke/tests/test_status.py
@@ -4,6 +4,7 @@
 import contextlib
 import io
 import json
+import time
 
 from testtools import TestCase
 from tornado.httpserver import HTTPServer
@@ -11,10 +12,11 @@
 from tornado.web import Application, RequestHandler
 
 from sequoiaspoke.commands.nodestatus import NodeStatus, ask_nodes, read_status
-from sequoiaspoke.commands.status import as_table
+from sequoiaspoke.commands.status import HEADINGS, as_table
 from sequoiaspoke.commands.versionof import follow, version_of
 from sequoiaspoke.errors import NodeUnreachableError, NotConvergedError
 from sequoiaspoke.tests.golden import assert_golden
+from sequoiaspoke.tests.loopback import LoopbackTestCase
 
 PAGE = {
     "name": "akaki-fleet-1",
@@ -24,6 +26,10 @@
     "installed_at": 1000.0,
     "learnt_from": "platform",
     "in_flight": 3,
+    "queued": 2,
+    "limit": 20,
+    "ledger": 117,
+    "ejected": ["fleet-3", "fleet-4"],
     "calls": {"fleet": 40, "billing": 2},
     "refused": {"overloaded": 5},
     "unknown": {},
@@ -113,3 +119,20 @@
                 NotConvergedError, version_of, address, wait=7, timeout=0.1
             )
         self.assertIn(address, str(error))
+
+
+class LiveStatusTests(LoopbackTestCase):
+    def test_a_node_tells_every_column(self):
+        async def test(deployment):
+            ports = [site.node.ports["admin"] for site in deployment.sites]
+            addresses = tuple(f"127.0.0.1:{port}" for port in ports)
+            nodes = await ask_nodes(addresses, 5.0)
+            self.assertEqual([1, 1], [node.version for node in nodes])
+            table = as_table(nodes, time.time()).splitlines()
+            for line in table[1:]:
+                # Only what there may be none of stays empty.
+                cells = zip(HEADINGS, line.split(), strict=False)
+                empty = [heading for heading, cell in cells if cell == "-"]
+                self.assertEqual(["ejected"], empty)
+
+        self.run_with(test)
