Issue keys that one process alone may run

GET /.well-known/sequoiaspoke/keys/SERVICE gives twenty keys of a target that is up, of the caller's zone if possible. They name their process, so they need no window: a node that is cut off within its zone goes on with them, and a change of targets costs them nothing.

--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -40,7 +40,7 @@
         self.counters = CallCounters()
         self.config = config_source(settings, self.rng)
         self.home = Home(settings, self.counters, self.rng)
-        self.keyed = KeyedHome(settings, self.home, self.config)
+        self.keyed = KeyedHome(settings, self.home, self.config, self.rng)
         self.entry = Entry(settings, self.config, self.home, self.counters, self.rng)
         self.upkeep = Upkeep(settings, self.config, self.entry, self.home)
         self.callers = CallServer(self.entry, settings.limits)
--- a/sequoiaspoke/node/entry.py
+++ b/sequoiaspoke/node/entry.py
@@ -12,7 +12,13 @@
 from sequoiaspoke.core.idempotency.key import parse_key
 from sequoiaspoke.core.routing.deadline import enter
 from sequoiaspoke.core.routing.split import Splitter
-from sequoiaspoke.core.rules.model import Redirect, Refuse, RouteTo
+from sequoiaspoke.core.rules.model import (
+    CallPolicy,
+    Redirect,
+    Refuse,
+    RouteTo,
+    Rule,
+)
 from sequoiaspoke.core.rules.request import make_request_head
 from sequoiaspoke.errors import (
     CallError,
@@ -33,7 +39,7 @@
 if TYPE_CHECKING:
     import random
 
-    from sequoiaspoke.core.rules.model import CallPolicy, RequestHead, Rule, Service
+    from sequoiaspoke.core.rules.model import RequestHead, Service
     from sequoiaspoke.core.snapshot.model import Snapshot
     from sequoiaspoke.node.client import Answer
     from sequoiaspoke.node.config import ConfigSource
@@ -48,6 +54,10 @@
 REPLAY_BYTES = 65536
 
 
+KEYS_ROUTE = RouteTo(())
+KEYS_RULE = Rule("issued-keys", (), KEYS_ROUTE, CallPolicy(timeout=2.0))
+
+
 class Entry(CallHandler):
     """Calls of callers and of this VM's own upstream."""
 
@@ -88,6 +98,9 @@
         # left meanwhile; it asks its peers first, which takes milliseconds.
         if not self.config.verified:
             raise NotReadyError("version to be verified after a pause", 1.0)
+        if call.uri.startswith(names.KEYS_PATH):
+            await self.issue(call, snapshot)
+            return
         request = read_request(call, self.zone_of(call))
         rule = snapshot.matcher.decide(request).rule
         if rule is None:
@@ -101,7 +114,20 @@
             return
         service = self.pick_service(snapshot, rule, call)
         answer = await self.begin(call, rule, rule.then, service)
-        self.counters.calls[service.name] += 1
+        await self.relay(call, service.name, answer)
+
+    async def issue(self, call: IncomingCall, snapshot: Snapshot) -> None:
+        """Answer with keys of a target that is up, of this zone if possible."""
+        name = call.uri.removeprefix(names.KEYS_PATH)
+        service = snapshot.services.get(name)
+        if service is None:
+            raise UnknownServiceError(name)
+        answer = await self.begin(call, KEYS_RULE, KEYS_ROUTE, service)
+        await self.relay(call, name, answer)
+
+    async def relay(self, call: IncomingCall, service: str, answer: Answer) -> None:
+        """Pass an answer on to the caller."""
+        self.counters.calls[service] += 1
         try:
             headers = names.of_answer(answer)
             await call.writer.relay(answer, headers, self.settings.limits.idle)
--- a/sequoiaspoke/node/headers.py
+++ b/sequoiaspoke/node/headers.py
@@ -36,6 +36,8 @@
 IDEMPOTENCY_ATTEMPT = "Idempotency-Attempt"
 FIRST_ATTEMPT = "first"
 YES = "yes"
+# GET this with a service's name for keys that one of its targets issues.
+KEYS_PATH = "/.well-known/sequoiaspoke/keys/"
 
 HOP_BY_HOP = frozenset(
     {
--- a/sequoiaspoke/node/home.py
+++ b/sequoiaspoke/node/home.py
@@ -108,7 +108,9 @@
         CallError
             The call was refused or failed; says whether it ran.
         """
-        if call.keyed and self.keyed:
+        if self.keyed and call.uri.startswith(names.KEYS_PATH):
+            return self.keyed.issue(call)
+        if self.keyed and call.keyed:
             return await self.keyed.run(call)
         return await self.run_now(call)
 
--- a/sequoiaspoke/node/keyedhome.py
+++ b/sequoiaspoke/node/keyedhome.py
@@ -22,7 +22,7 @@
     Replay,
 )
 from sequoiaspoke.core.idempotency.home import HomeCore
-from sequoiaspoke.core.idempotency.key import parse_key
+from sequoiaspoke.core.idempotency.key import issue_key, parse_key
 from sequoiaspoke.core.idempotency.ledger import State
 from sequoiaspoke.core.idempotency.witnesses import Witness
 from sequoiaspoke.errors import (
@@ -30,6 +30,7 @@
     CallError,
     DeadlineNotRunError,
     DeadlineUnknownError,
+    DrainingError,
     RequestTooLargeError,
     WrongHomeError,
 )
@@ -39,6 +40,8 @@
 from sequoiaspoke.node.witnesslink import WitnessLink, moment
 
 if TYPE_CHECKING:
+    import random
+
     from sequoiaspoke.core.idempotency.key import Key
     from sequoiaspoke.node.config import ConfigSource
     from sequoiaspoke.node.home import Home, HomeCall
@@ -46,6 +49,7 @@
     from sequoiaspoke.settings.schema import Settings
 
 MILLISECONDS = 1000
+BATCH = 20  # issued keys in one answer; they are good for the retention
 MINT_STEP = 0.001  # seconds; a key's minted time is rounded down to it
 
 
@@ -71,9 +75,16 @@
 class KeyedHome:
     """Run each key of this VM's target at most once."""
 
-    def __init__(self, settings: Settings, home: Home, config: ConfigSource) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        home: Home,
+        config: ConfigSource,
+        rng: random.Random,
+    ) -> None:
         self.settings = settings.idempotency
         self.home = home
+        self.rng = rng
         node, upstream = settings.node, settings.upstream
         incarnation = int(time.time() * MILLISECONDS)
         identity = Identity(
@@ -130,6 +141,30 @@
             lambda: float(len(self.core.ledger.entries)),
         )
 
+    def issue(self, call: HomeCall) -> Answer:
+        """Return keys, one a line, that this process alone may run.
+
+        Raises
+        ------
+        CallError
+            The node is leaving, or the call is for another target.
+        """
+        self.check_target(call)
+        if self.core.draining:
+            raise DrainingError("no keys of a process that is about to end")
+        self.counters["issue"] += 1
+        identity, wall = self.core.identity, moment().wall
+        keys = [issue_key(identity, wall, self.rng) for _ in range(BATCH)]
+        text = "".join(f"{key}\n" for key in keys).encode()
+        headers = (("Content-Type", "text/plain"), ("Content-Length", str(len(text))))
+        return replayed(KeptAnswer(200, "OK", headers, text), call.method, repeat=False)
+
+    def check_target(self, call: HomeCall) -> None:
+        """Refuse a call that is for another target."""
+        identity = self.core.identity
+        if (call.service, call.target) != (identity.service, identity.target):
+            raise WrongHomeError(f"{call.service}/{call.target} is not here")
+
     async def run(self, call: HomeCall) -> Answer:
         """Return the answer of the key's first run.
 
@@ -139,9 +174,7 @@
             There is none; says whether this attempt ran, and whether the key
             never will.
         """
-        identity = self.core.identity
-        if (call.service, call.target) != (identity.service, identity.target):
-            raise WrongHomeError(f"{call.service}/{call.target} is not here")
+        self.check_target(call)
         key = parse_key(call.headers.get(names.IDEMPOTENCY_KEY, ""), self.settings)
         body = await read_body(call, self.settings.body_bytes)
         self.link.refresh()
--- a/sequoiaspoke/tests/test_keyed.py
+++ b/sequoiaspoke/tests/test_keyed.py
@@ -227,6 +227,26 @@
         self.run_keyed(test)
 
 
+class IssuedKeyTests(KeyedCase):
+    def test_issued_keys_run_without_a_window(self):
+        """A VM hears no witness any more. Calls with keys that it issued itself can
+        run nowhere else, so they run on, once each.
+        """
+
+        async def test(deployment, ports, key):
+            asked = request("GET", names.KEYS_PATH + "fleet")
+            issued = body_of(await raw(ports[0], asked)).decode().split()
+            home = deployment.sites[0].node.keyed
+            home.link.close()
+            await until(lambda: not home.ready())
+            for each in (issued[0], issued[0], issued[1]):
+                answer = await raw(ports[1], book(each))
+                self.assertEqual((200, "", "ran"), told(answer))
+            self.assertEqual(2, runs(deployment))
+
+        self.run_keyed(test)
+
+
 class RoutingTests(KeyedCase):
     RULES = (
         "[rule near]\nwhen = zone akaki\nthen = route fleet\nidempotent = no\n"
