--- a/sequoiaspoke/commands/measure.py
+++ b/sequoiaspoke/commands/measure.py
@@ -174,7 +174,12 @@
 
 
 def idempotency(
-    *, nodes: int = 12, calls: int = 20000, rate: float = 150.0, fault: str = "rolling"
+    *,
+    nodes: int = 12,
+    calls: int = 20000,
+    rate: float = 150.0,
+    fault: str = "rolling",
+    issued: bool = False,
 ) -> None:
     """Measure keyed calls with repeats; the last line is JSON.
 
@@ -189,10 +194,12 @@
     fault : str
         none, platform-outage, rolling (nodes are killed or stopped in turn) or
         rolling-moves (and versions move keys).
+    issued : bool
+        Whether callers use keys that nodes issue.
     """
     from sequoiaspoke.measure.keyed import measure_keyed
 
-    report = run_measurement(measure_keyed(nodes, calls, rate, fault))
+    report = run_measurement(measure_keyed(nodes, calls, rate, fault, issued))
     print(json.dumps(dataclasses.asdict(report)))
 
 
--- a/sequoiaspoke/measure/keyed.py
+++ b/sequoiaspoke/measure/keyed.py
@@ -118,6 +118,7 @@
 
     nodes: int
     fault: str
+    issued: bool
     calls: int
     attempts: int
     answered: int
@@ -139,7 +140,9 @@
     load_average: float
 
 
-async def measure_keyed(nodes: int, calls: int, rate: float, fault: str) -> KeyedReport:
+async def measure_keyed(
+    nodes: int, calls: int, rate: float, fault: str, issued: bool
+) -> KeyedReport:
     """Run the whole measurement with processes of its own.
 
     Raises
@@ -154,17 +157,21 @@
         for vm in bench.plan.vms():
             await bench.start_upstream(vm)
         await asyncio.sleep(START_SECONDS)
-        return await KeyedMeasurement(bench, calls, rate, fault).run()
+        return await KeyedMeasurement(bench, calls, rate, fault, issued).run()
 
 
 class KeyedMeasurement:
     """Callers at a steady rate, while nodes fail in turn and versions come."""
 
-    def __init__(self, bench: Bench, calls: int, rate: float, fault: str) -> None:
+    def __init__(
+        self, bench: Bench, calls: int, rate: float, fault: str, issued: bool
+    ) -> None:
         self.bench = bench
         self.calls = calls
         self.rate = rate
         self.fault = fault
+        self.issued = issued
+        self.issued_keys: list[str] = []
         self.rng = random.Random(SEED)
         self.tally = Tally()
         self.away: set[str] = set()
@@ -233,7 +240,7 @@
 
     async def call(self) -> None:
         """Make one keyed call and repeat it until its outcome is known."""
-        key = mint_key(self.rng.choice(ZONES), time.time(), self.rng)
+        key = await self.new_key()
         began = time.monotonic()
         told, reason = Ran.OUTCOME_UNKNOWN, ""
         for attempt in range(ATTEMPTS):
@@ -247,19 +254,37 @@
         else:
             self.tally.latency.add(time.monotonic() - began)
 
-    async def plain_call(self) -> None:
-        """Make a call without a key, for its latency."""
+    async def new_key(self) -> str:
+        """Mint a key, or take one that a node issued."""
+        if self.issued and not self.issued_keys:
+            await self.fetch_keys()
+        if self.issued_keys:
+            return self.issued_keys.pop()
+        return mint_key(self.rng.choice(ZONES), time.time(), self.rng)
+
+    async def fetch_keys(self) -> None:
+        """Ask any node for keys; without an answer a key is minted."""
+        text = await self.get(names.KEYS_PATH + "service-0")
+        self.issued_keys += text.decode().split()
+
+    async def get(self, path: str) -> bytes:
+        """Return an answer's body, empty without a whole one."""
         headers = HTTPHeaders({"Host": "once"})
-        line = RequestStartLine("GET", PLAIN_PATH, "HTTP/1.1")
+        line = RequestStartLine("GET", path, "HTTP/1.1")
         pool = self.pools[self.rng.choice(sorted(self.pools))]
-        began = time.monotonic()
         deadline = asyncio.get_running_loop().time() + ATTEMPT_SECONDS
         try:
             answer = await pool.call(line, headers, None, deadline)
-            await read(answer)
+            text = await read(answer)
         except CallError:
-            return
-        self.tally.plain_latency.add(time.monotonic() - began)
+            return b""
+        return b"" if names.REASON in answer.headers else text
+
+    async def plain_call(self) -> None:
+        """Make a call without a key, for its latency."""
+        began = time.monotonic()
+        if await self.get(PLAIN_PATH):
+            self.tally.plain_latency.add(time.monotonic() - began)
 
     async def attempt(self, key: str, first: bool) -> tuple[Ran, str]:
         """Send a call through any node and return what it tells, and why."""
@@ -297,6 +322,7 @@
         return KeyedReport(
             nodes=self.bench.plan.nodes,
             fault=self.fault,
+            issued=self.issued,
             calls=self.calls,
             attempts=self.tally.attempts,
             answered=by_ran[Ran.RAN],
