Say how many nodes of a measured fleet did not start

Cause: a run at 150 nodes and 200 services failed with an empty reason, on a machine at load 145 where all nodes had been started at once. Change: the error names the count, the time and a node's log.

--- a/sequoiaspoke/measure/bench.py
+++ b/sequoiaspoke/measure/bench.py
@@ -178,8 +178,12 @@
             await asyncio.sleep(START_GAP)
         behind = await self.behind(change.version, START_SECONDS)
         if behind:
-            tail = self.nodes[min(behind)].log_tail()
-            raise MeasureError(f"{len(behind)} nodes did not start: {tail}")
+            name = min(behind)
+            tail = self.nodes[name].log_tail() or "nothing was logged"
+            raise MeasureError(
+                f"{len(behind)} of {self.plan.nodes} nodes hold no version after "
+                f"{START_SECONDS:g} s; log of {name}: {tail}"
+            )
 
     def start_node(self, vm: Vm) -> None:
         """Start the node of a VM."""
