Call a draining upstream through its home, and blame the right one

Two faults where an upstream called under grants drains by itself. The entry took the answer for one of its own upstream and told the others that its own target was leaving; and it went on calling, since the home saw none of those answers. A direct call that is shed now ends the use of its grant, and only answers of a node's own upstream speak of it.

Tests: test_grantsockets.GrantedTests.test_an_upstream_that_drains_is_called_ through_its_home, which fails without the change in home.py.

--- a/sequoiaspoke/node/directcalls.py
+++ b/sequoiaspoke/node/directcalls.py
@@ -9,7 +9,7 @@
 
 from sequoiaspoke.core.routing.grants import Ask, Granted
 from sequoiaspoke.core.routing.grants_entry import GrantEntry
-from sequoiaspoke.errors import CallError
+from sequoiaspoke.errors import CallError, UpstreamShedError
 from sequoiaspoke.node import headers as names
 from sequoiaspoke.node.client import Address, Pool
 from sequoiaspoke.node.grantheader import read_answer, write_message
@@ -63,8 +63,13 @@
         target = call.target
         try:
             answer = await self.home.hand_over(call, self.upstreams[target])
-        except BaseException:
+        except BaseException as error:
             self.send(self.core.done(target, grant))
+            if isinstance(error, UpstreamShedError):
+                # The home does not see these answers. Called directly on, an
+                # upstream that drains by itself would get new work until the
+                # grant ends; through the home it is found out at once.
+                self.send(self.core.recalled(target))
             raise
         answer.on_close(lambda: self.send(self.core.done(target, grant)))
         return answer
--- a/sequoiaspoke/node/home.py
+++ b/sequoiaspoke/node/home.py
@@ -165,7 +165,9 @@
             return answer
         retry_after = names.whole_number(answer.headers, "Retry-After", 1)
         retried = names.RETRIED in answer.headers
-        if answer.headers.get(names.REASON) == DrainingError.code:
+        drains = answer.headers.get(names.REASON) == DrainingError.code
+        # Under a grant it is another VM's upstream that drains, not this one's.
+        if drains and pool is None:
             self.gate.admission.health.said_draining(loop.time())
         await discard(answer)
         error: CallError = UpstreamUnsureError(f"{call.target} gave the call up")
--- a/sequoiaspoke/tests/test_grantsockets.py
+++ b/sequoiaspoke/tests/test_grantsockets.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 
+from sequoiaspoke.core.routing.model import UpstreamState
 from sequoiaspoke.node import headers as names
 from sequoiaspoke.tests.loopback import (
     LoopbackTestCase,
@@ -48,6 +49,7 @@
 
         async def prepared(deployment):
             near, far = deployment.sites
+            self.near = near
             direct = lend(near, far)
             near.leaving = True
             version = deployment.publish(rules(self.RULES))
@@ -99,6 +101,27 @@
 
         self.run_granted(test)
 
+    def test_an_upstream_that_drains_is_called_through_its_home(self):
+        """An operator drains an upstream that is called under grants alone.
+
+        Its node sees none of those calls, and the entry must neither go on nor
+        take itself for the one that leaves.
+        """
+
+        async def test(port, far, ways):
+            far.upstream.drain()
+            leaving = far.node.home.report
+            while leaving().state is not UpstreamState.LEAVING:
+                answer = await raw(port, request("GET", "/"))
+                self.assertEqual("not-run", header(answer, names.RAN))
+            before = ways["direct"]
+            await raw(port, request("GET", "/"))
+            self.assertEqual(before, ways["direct"])
+            own = self.near.node.home.report().state
+            self.assertIsNot(UpstreamState.LEAVING, own)
+
+        self.run_granted(test)
+
     def test_a_stop_waits_for_direct_calls_and_begins_none(self):
         """A VM is replaced while an entry runs a call at its upstream.
 
