--- a/sequoiaspoke/measure/keyed.py
+++ b/sequoiaspoke/measure/keyed.py
@@ -47,6 +47,7 @@
 START_SECONDS = 15.0  # until every home of a zone that starts at once runs new keys
 ATTEMPT_SECONDS = 4.0
 ATTEMPTS = 6
+KEYS = 3  # for one call, each after the one before was told not-run
 PAUSE = 0.2  # seconds before a repeat
 TURN_SECONDS = 10.0  # from one VM's fault to the next
 STOPPED_SECONDS = 5.0  # longer than the window
@@ -89,6 +90,7 @@
     """What callers were told."""
 
     told: dict[str, Ran] = field(default_factory=dict)
+    ended: Counter[Ran] = field(default_factory=Counter)
     reasons: Counter[str] = field(default_factory=Counter)
     attempts: int = 0
     wrong_answers: int = 0
@@ -102,6 +104,8 @@
 
     Attributes
     ----------
+    reasons : dict
+        How often keys ended without an answer, by reason.
     doubled : int
         Keys that ran more than once.
     false_not_run : int
@@ -120,6 +124,7 @@
     fault: str
     issued: bool
     calls: int
+    keys: int
     attempts: int
     answered: int
     not_run: int
@@ -239,8 +244,17 @@
         self.bench.start_node(vm)
 
     async def call(self) -> None:
-        """Make one keyed call and repeat it until its outcome is known."""
-        key = await self.new_key()
+        """Make one keyed call; what was not run is sent again under a new key."""
+        told = Ran.NOT_RUN
+        for _ in range(KEYS):
+            told = await self.settle(await self.new_key())
+            if told is not Ran.NOT_RUN:
+                break
+            await asyncio.sleep(PAUSE)
+        self.tally.ended[told] += 1
+
+    async def settle(self, key: str) -> Ran:
+        """Send a call and repeat it with its key until the outcome is known."""
         began = time.monotonic()
         told, reason = Ran.OUTCOME_UNKNOWN, ""
         for attempt in range(ATTEMPTS):
@@ -253,6 +267,7 @@
             self.tally.reasons[reason] += 1
         else:
             self.tally.latency.add(time.monotonic() - began)
+        return told
 
     async def new_key(self) -> str:
         """Mint a key, or take one that a node issued."""
@@ -317,13 +332,14 @@
         for control in self.bench.upstream_controls.values():
             runs.update((await control.report())["runs"])
         told = self.tally.told
-        by_ran = Counter(told.values())
+        by_ran = self.tally.ended
         refused = self.calls - by_ran[Ran.RAN]
         return KeyedReport(
             nodes=self.bench.plan.nodes,
             fault=self.fault,
             issued=self.issued,
             calls=self.calls,
+            keys=len(told),
             attempts=self.tally.attempts,
             answered=by_ran[Ran.RAN],
             not_run=by_ran[Ran.NOT_RUN],
--- a/sequoiaspoke/tests/test_idempotency.py
+++ b/sequoiaspoke/tests/test_idempotency.py
@@ -32,6 +32,7 @@
 from sequoiaspoke.core.idempotency.safeguards import Safeguards
 from sequoiaspoke.core.idempotency.settings import IdempotencySettings
 from sequoiaspoke.core.idempotency.witnesses import choose_witnesses
+from sequoiaspoke.core.snapshot.model import VmList
 from sequoiaspoke.errors import (
     AnswerNotKeptError,
     ConnectionLostError,
@@ -333,6 +334,18 @@
         self.assertFalse(self.opens(world, 2))
         self.assertTrue(self.opens(world, 0))
 
+    def test_asks_its_own_zone_alone(self) -> None:
+        """A zone is cut off as a whole. Witnesses elsewhere would then close its
+        windows, though no other zone may run its keys.
+        """
+        core = HomeCore(SETTINGS, Identity("vm0", ZONE, SERVICE, "t0", 1))
+        core.on_snapshot(snapshot_of(1, frozenset({0})))
+        near = vm_list(1, (0, 1, 2)).vms
+        far = tuple(dataclasses.replace(vm, name="far", zone="bole") for vm in near)
+        core.on_vms(VmList(1, near + far), moment_at(0))
+        asked = {question.to for question in core.tick(moment_at(1))}
+        self.assertEqual({"vm0", "vm1", "vm2"}, asked)
+
     def test_answer_counts_from_when_it_was_asked(self) -> None:
         """Answers are held up in the network and come in after a pause. Counted
         from their arrival they would open a window on old news.
