--- a/sequoiaspoke/core/idempotency/witnesses.py
+++ b/sequoiaspoke/core/idempotency/witnesses.py
@@ -44,12 +44,17 @@
 def choose_witnesses(
     service: str, vms: Iterable[str], settings: IdempotencySettings
 ) -> WitnessSet:
-    """Choose the witnesses of a service among the VMs of its zone."""
+    """Choose the witnesses of a service among the VMs of its zone.
+
+    Whatever the settings say, a quorum is a majority. Two smaller ones need not
+    meet, and two homes of one key would both be vouched for.
+    """
     ranked = rank(service, vms)
     chosen = tuple(ranked[: settings.witnesses])
-    if len(ranked) >= settings.witnesses:
-        return WitnessSet(chosen, settings.quorum)
-    return WitnessSet(chosen, len(chosen) // 2 + 1)
+    majority = len(chosen) // 2 + 1
+    if len(ranked) < settings.witnesses:
+        return WitnessSet(chosen, majority)
+    return WitnessSet(chosen, min(len(chosen), max(settings.quorum, majority)))
 
 
 def zone_vms(vms: VmList, zone: str) -> tuple[str, ...]:
--- a/sequoiaspoke/tests/test_idempotency.py
+++ b/sequoiaspoke/tests/test_idempotency.py
@@ -114,6 +114,11 @@
         self.assertEqual((7, 5), (len(chosen.vms), chosen.quorum))
         self.assertGreater(2 * chosen.quorum, len(chosen.vms) + 2)
 
+    def test_no_setting_makes_a_quorum_less_than_a_majority(self) -> None:
+        weak = dataclasses.replace(SETTINGS, quorum=1)
+        vms = [f"vm{i}" for i in range(9)]
+        self.assertEqual(4, choose_witnesses("booking", vms, weak).quorum)
+
     def test_small_zones_use_all_and_a_majority(self) -> None:
         quorums = [
             choose_witnesses("booking", [f"vm{i}" for i in range(n)], SETTINGS).quorum
