Answer repeats until shortly before the end of a planned stop

A node that stopped at once after a keyed answer left its caller, whose answer was lost, with an unknown outcome. Other nodes now reach it for 3 s after its last keyed answer, within the grace.

--- a/sequoiaspoke/core/idempotency/settings.py
+++ b/sequoiaspoke/core/idempotency/settings.py
@@ -86,4 +86,11 @@
         0,
         3600,
     )
+    linger: float = option(
+        3.0,
+        "Seconds after its last keyed answer for which a planned stop, within its "
+        "grace, still answers repeats: time for a caller to notice and repeat.",
+        0,
+        3600,
+    )
     key_length: int = option(200, "Characters of a key.", 40, 1000)
--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -107,7 +107,8 @@
 
         New work is refused as not run first, so that other nodes turn away;
         the listeners close after that, and the calls in flight finish within
-        the grace of the settings.
+        the grace of the settings. Other nodes reach this one for a little
+        longer, since nobody else can answer repeats of the keys that ran here.
         """
         if self.draining:
             return
@@ -120,14 +121,15 @@
         await asyncio.sleep(self.settings.node.drain)
         await self.grants.returned(self.settings.node.grace)
         self.callers.server.stop()
-        self.mesh.server.stop()
         try:
             async with asyncio.timeout(self.settings.node.grace):
+                await self.keyed.linger()
+                self.mesh.server.stop()
                 await self.callers.drained()
                 await self.mesh.drained()
-                await self.keyed.drained()
         except TimeoutError:
             log.warning("grace-over", in_flight=self.in_flight())
+        self.mesh.server.stop()
         self.upkeep.stop()
         await self.config.stop()
         self.admin.stop()
--- a/sequoiaspoke/node/keyedhome.py
+++ b/sequoiaspoke/node/keyedhome.py
@@ -103,10 +103,16 @@
         """Begin to ask and answer as a witness; return the port."""
         return await self.link.listen(address, port)
 
-    async def drained(self) -> None:
-        """Wait for the calls whose callers may have gone."""
+    async def linger(self) -> None:
+        """Wait for calls whose callers may have gone, and then for their repeats."""
         while self.tasks:
             await asyncio.wait(self.tasks)
+        ended = self.core.ledger.ended
+        while ended:
+            left = ended[-1].finished + self.settings.linger - moment().steady
+            if left <= 0:
+                return
+            await asyncio.sleep(left)
 
     def ready(self) -> bool:
         """Return whether keys minted now may run here."""
--- a/sequoiaspoke/tests/test_keyed.py
+++ b/sequoiaspoke/tests/test_keyed.py
@@ -1,6 +1,7 @@
 """Keyed calls through real sockets: entry, home, witnesses and upstream."""
 
 import asyncio
+from dataclasses import replace
 
 from uuid6 import uuid7
 
@@ -119,12 +120,16 @@
         async def test(deployment, ports, key):
             first = await raw(ports[0], book(key))
             home = deployment.sites[0].node
-            home.keyed.core.drain()
-            home.home.gate.admission.drain()
+            home.keyed.settings = replace(home.keyed.settings, linger=60.0)
+            stop = asyncio.ensure_future(home.stop())
+            await until(lambda: home.callers.server._stopped)
             again = await raw(ports[1], book(key))
             self.assertEqual(body_of(first), body_of(again))
             fresh = await raw(ports[1], book(f"{ZONE}/{uuid7()}"))
             self.assertEqual((503, "draining", "not-run"), told(fresh))
+            home.keyed.settings = replace(home.keyed.settings, linger=0.0)
+            stop.cancel()
+            home.draining = False  # so that the deployment can stop it in full
 
         self.run_keyed(test)
 
