Split the home of keyed calls and their measurement

The forms of a run, and the fleet and report of the measurement, stand apart now; nothing else changes.

--- a/sequoiaspoke/measure/keyed.py
+++ b/sequoiaspoke/measure/keyed.py
@@ -12,26 +12,22 @@
 import random
 import time
 from collections import Counter
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from sequoiaspoke.core.idempotency.key import mint_key
-from sequoiaspoke.core.rules.model import (
-    CallPolicy,
-    Comparison,
-    Condition,
-    Field,
-    RouteTo,
-    Rule,
-    Service,
-    WeightedService,
-)
 from sequoiaspoke.errors import CallError, MeasureError, Ran
 from sequoiaspoke.measure.bench import Bench
-from sequoiaspoke.measure.percentiles import Percentiles
-from sequoiaspoke.measure.plan import CALL_PORT, ZONES, FleetPlan
+from sequoiaspoke.measure.keyedreport import (
+    ATTEMPT_SECONDS,
+    KEYED_PATH,
+    KeyedPlan,
+    KeyedReport,
+    Tally,
+    count,
+)
+from sequoiaspoke.measure.plan import CALL_PORT, ZONES
 from sequoiaspoke.node import headers as names
 from sequoiaspoke.node.client import Address, Pool
 from sequoiaspoke.node.wholebody import WholeBody
@@ -41,11 +37,9 @@
     from sequoiaspoke.core.snapshot.model import Vm
     from sequoiaspoke.node.client import Answer
 
-KEYED_PATH = "/once/"
 PLAIN_PATH = "/service-0/"
 FAULTS = ("none", "platform-outage", "rolling", "rolling-moves")
 START_SECONDS = 15.0  # until every home of a zone that starts at once runs new keys
-ATTEMPT_SECONDS = 4.0
 ATTEMPTS = 6
 KEYS = 3  # for one call, each after the one before was told not-run
 PAUSE = 0.2  # seconds before a repeat
@@ -61,90 +55,6 @@
 )
 
 
-@dataclass(frozen=True)
-class KeyedPlan(FleetPlan):
-    """A fleet whose nodes all serve one service with keyed calls."""
-
-    services: int = 1
-    moves: bool = False
-
-    def rules(self, version: int) -> tuple[Rule, ...]:
-        """Return the rules; the keyed one is the same in every version."""
-        path = Condition(Field.PATH, Comparison.PREFIX, (KEYED_PATH,))
-        route = RouteTo((WeightedService("service-0"),))
-        policy = CallPolicy(timeout=ATTEMPT_SECONDS, idempotent=False)
-        return (Rule("once", (path,), route, policy), *super().rules(version))
-
-    def service(self, index: int, version: int) -> Service:
-        """Return the service; if keys are to move, a target comes and goes."""
-        whole = super().service(index, version)
-        if not self.moves or version % 4 != 0:
-            return whole
-        left_out = version // 4 % len(whole.endpoints)
-        kept = [each for n, each in enumerate(whole.endpoints) if n != left_out]
-        return Service(whole.name, tuple(kept))
-
-
-@dataclass
-class Tally:
-    """What callers were told."""
-
-    told: dict[str, Ran] = field(default_factory=dict)
-    ended: Counter[Ran] = field(default_factory=Counter)
-    reasons: Counter[str] = field(default_factory=Counter)
-    attempts: int = 0
-    wrong_answers: int = 0
-    latency: Percentiles = field(default_factory=Percentiles)
-    plain_latency: Percentiles = field(default_factory=Percentiles)
-
-
-@dataclass(frozen=True)
-class KeyedReport:
-    """What was measured.
-
-    Attributes
-    ----------
-    reasons : dict
-        How often keys ended without an answer, by reason.
-    doubled : int
-        Keys that ran more than once.
-    false_not_run : int
-        Keys told not-run that ran.
-    missing : int
-        Keys told ran that did not run.
-    refused_percent : float
-        Share of the calls that ended without the upstream's answer.
-    unknown_that_ran : int
-        Keys of unknown outcome that did run.
-    plain_p50_s, plain_p99_s : float or None
-        Of calls without a key, made beside the others.
-    """
-
-    nodes: int
-    fault: str
-    issued: bool
-    calls: int
-    keys: int
-    attempts: int
-    answered: int
-    not_run: int
-    unknown: int
-    refused_percent: float
-    reasons: dict[str, int]
-    doubled: int
-    false_not_run: int
-    missing: int
-    wrong_answers: int
-    unknown_that_ran: int
-    faults_made: int
-    versions: int
-    p50_s: float | None
-    p99_s: float | None
-    plain_p50_s: float | None
-    plain_p99_s: float | None
-    load_average: float
-
-
 async def measure_keyed(
     nodes: int, calls: int, rate: float, fault: str, issued: bool
 ) -> KeyedReport:
@@ -361,13 +271,6 @@
         )
 
 
-def count(told: dict[str, Ran], wanted: Ran, runs: Counter[str], ran: bool) -> int:
-    """Count the keys that were told one thing and did, or did not, run."""
-    return sum(
-        1 for key, each in told.items() if each is wanted and bool(runs[key]) is ran
-    )
-
-
 async def read(answer: Answer) -> bytes:
     """Read a whole answer and give its connection back."""
     try:
--- a/sequoiaspoke/node/keyedhome.py
+++ b/sequoiaspoke/node/keyedhome.py
@@ -5,15 +5,12 @@
 import asyncio
 import time
 from collections import Counter
-from dataclasses import dataclass, replace
-from hashlib import sha256
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from loguru import logger as log
-from tornado.httputil import HTTPHeaders
 
 from sequoiaspoke.core.idempotency.calls import (
-    Fingerprint,
     Identity,
     Join,
     KeptAnswer,
@@ -31,11 +28,16 @@
     DeadlineNotRunError,
     DeadlineUnknownError,
     DrainingError,
-    RequestTooLargeError,
     WrongHomeError,
 )
 from sequoiaspoke.node import headers as names
-from sequoiaspoke.node.client import Answer
+from sequoiaspoke.node.keyedwork import (
+    Work,
+    fingerprint,
+    read_body,
+    refusal,
+    replayed,
+)
 from sequoiaspoke.node.wholebody import WholeBody
 from sequoiaspoke.node.witnesslink import WitnessLink, moment
 
@@ -43,6 +45,7 @@
     import random
 
     from sequoiaspoke.core.idempotency.key import Key
+    from sequoiaspoke.node.client import Answer
     from sequoiaspoke.node.config import ConfigSource
     from sequoiaspoke.node.home import Home, HomeCall
     from sequoiaspoke.node.metrics import Metrics
@@ -53,25 +56,6 @@
 MINT_STEP = 0.001  # seconds; a key's minted time is rounded down to it
 
 
-@dataclass
-class Work:
-    """One run of a key, apart from the callers that wait for it.
-
-    Attributes
-    ----------
-    done : Future
-        Set when the answer's head, or all of a short answer, is there.
-    stream : Answer or None
-        An answer too large to keep, for the caller of the first attempt.
-    alone : bool
-        Whether that caller has gone.
-    """
-
-    done: asyncio.Future[KeptAnswer]
-    stream: Answer | None = None
-    alone: bool = False
-
-
 class KeyedHome:
     """Run each key of this VM's target at most once."""
 
@@ -294,48 +278,3 @@
             return DeadlineUnknownError("the upstream still works on the key")
         error = DeadlineNotRunError("still queued")
         return refusal(self.core.failed(key, error, moment()))
-
-
-def refusal(decision: Refuse) -> CallError:
-    """Return the failure of a refused attempt."""
-    decision.error.remote = True
-    decision.error.settled = decision.settled
-    return decision.error
-
-
-def fingerprint(call: HomeCall, body: bytes) -> Fingerprint:
-    """Return what repeats of the call must share."""
-    return Fingerprint(call.method, call.uri, sha256(body).hexdigest(), call.service)
-
-
-async def read_body(call: HomeCall, limit: int) -> bytes:
-    """Read a keyed call's whole body.
-
-    Raises
-    ------
-    RequestTooLargeError
-        It is longer than the limit; nothing of it was run.
-    """
-    if call.body is None:
-        return b""
-    chunks: list[bytes] = []
-    size = 0
-    while chunk := await call.body.get():
-        size += len(chunk)
-        if size > limit:
-            raise RequestTooLargeError(f"a keyed call's body is over {limit} bytes")
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
-def replayed(kept: KeptAnswer, method: str, repeat: bool) -> Answer:
-    """Return an answer made of a kept one."""
-    answer = Answer(method)
-    answer.status, answer.reason = kept.status, kept.reason
-    answer.headers = HTTPHeaders()
-    for name, value in kept.headers:
-        answer.headers.add(name, value)
-    answer.body = WholeBody(kept.body or b"")
-    answer.repeat = repeat
-    answer.complete = True
-    return answer
