Tell the processor time of a call in the measurement of hops

Cause: the capacity of a node in calls a second needs the processor time that a call costs at the entry and at the home. Change: each round notes what both nodes used; the measurement is a class with short steps instead of one long function.

--- a/sequoiaspoke/commands/measure.py
+++ b/sequoiaspoke/commands/measure.py
@@ -102,7 +102,8 @@
         print(
             f"{each.rate:5}/s {each.way:9} calls={each.calls} failed={each.failed} "
             f"p50={each.p50_ms:.2f} p99={each.p99_ms:.2f} "
-            f"added p50={each.added_p50_ms:.2f} p99={each.added_p99_ms:.2f} ms"
+            f"added p50={each.added_p50_ms:.2f} p99={each.added_p99_ms:.2f} "
+            f"cpu entry={each.entry_cpu_ms:.2f} home={each.home_cpu_ms:.2f} ms"
         )
     print(json.dumps(dataclasses.asdict(report)))
 
--- a/sequoiaspoke/measure/hop.py
+++ b/sequoiaspoke/measure/hop.py
@@ -39,7 +39,13 @@
 
 @dataclass
 class WayResult:
-    """What callers of one way saw at one rate, in milliseconds."""
+    """What callers of one way saw at one rate, in milliseconds.
+
+    Attributes
+    ----------
+    entry_cpu_ms, home_cpu_ms : float
+        Processor time of the nodes for each call, their idle work included.
+    """
 
     rate: int
     way: str
@@ -49,6 +55,8 @@
     p99_ms: float = 0.0
     added_p50_ms: float = 0.0
     added_p99_ms: float = 0.0
+    entry_cpu_ms: float = 0.0
+    home_cpu_ms: float = 0.0
 
 
 @dataclass
@@ -112,54 +120,114 @@
         self.times.setdefault(rate, Percentiles()).add(took)
 
 
-async def measure_hop(
-    rates: tuple[int, ...], seconds: float, grants: bool = False
-) -> HopReport:
-    """Measure every way at every rate for `seconds` each.
+class HopBench:
+    """Two nodes, one upstream and a caller for each way.
 
-    With `grants` each way has its seconds in one round, since a grant ends
-    while the others have their turn.
+    Attributes
+    ----------
+    cpu : dict
+        Processor seconds of the entry and of the home by rate and way.
     """
-    plan = FleetPlan(2, 1, 1)
-    bench = Bench(plan)
-    round_seconds = ROUND_SECONDS
-    if grants:
-        round_seconds = seconds
-        address = f"{bench.plan.vm(0).address}:{UPSTREAM_PORT}"
-        bench.node_settings = f"[routing]\ngrant_address = {address}\n"
-    async with bench:
-        home, entry = bench.plan.vm(0), bench.plan.vm(1)
-        await bench.start_upstream(home, service_ms=0)
-        bare = Process(
-            ["measure", "bare-proxy", home.address, str(BARE_PORT), str(UPSTREAM_PORT)],
-            bench.path("bare.log"),
-        )
+
+    def __init__(self, grants: bool) -> None:
+        self.grants = grants
+        self.bench = Bench(FleetPlan(2, 1, 1))
+        self.home, self.entry = self.bench.plan.vm(0), self.bench.plan.vm(1)
+        if grants:
+            address = f"{self.home.address}:{UPSTREAM_PORT}"
+            self.bench.node_settings = f"[routing]\ngrant_address = {address}\n"
+        self.callers: dict[str, Caller] = {}
+        self.ways: Counter[str] = Counter()
+        self.cpu: dict[tuple[int, str], tuple[float, float]] = {}
+
+    async def run(self, rates: tuple[int, ...], seconds: float) -> HopReport:
+        """Measure every way at every rate for `seconds` each.
+
+        With grants each way has its seconds in one round, since a grant ends
+        while the others have their turn.
+        """
+        round_seconds = seconds if self.grants else ROUND_SECONDS
+        rounds = max(1, round(seconds / round_seconds))
+        async with self.bench:
+            bare = await self.start()
+            try:
+                await warm_up(self.callers)
+                for rate in rates:
+                    for _ in range(rounds):
+                        for way in WAYS:
+                            await self.round(rate, way, round_seconds)
+            finally:
+                bare.kill()
+                for caller in self.callers.values():
+                    caller.pool.close()
+        return self.report(rates, seconds)
+
+    async def start(self) -> Process:
+        """Start the upstream and the bare proxy, which is returned."""
+        address = self.home.address
+        await self.bench.start_upstream(self.home, service_ms=0)
+        words = ["measure", "bare-proxy", address, str(BARE_PORT), str(UPSTREAM_PORT)]
+        bare = Process(words, self.bench.path("bare.log"))
         bare.start()
-        callers = {
-            "direct": Caller(Address(home.address, UPSTREAM_PORT)),
-            "bare": Caller(Address(home.address, BARE_PORT)),
-            "one_hop": Caller(Address(home.address, CALL_PORT)),
-            "two_hops": Caller(Address(entry.address, CALL_PORT)),
+        self.callers = {
+            "direct": Caller(Address(address, UPSTREAM_PORT)),
+            "bare": Caller(Address(address, BARE_PORT)),
+            "one_hop": Caller(Address(address, CALL_PORT)),
+            "two_hops": Caller(Address(self.entry.address, CALL_PORT)),
         }
-        ways: Counter[str] = Counter()
-        try:
-            await warm_up(callers)
-            for rate in rates:
-                for _ in range(max(1, round(seconds / round_seconds))):
-                    for way in WAYS:
-                        if grants:
-                            await callers[way].round(rate, LEAD_IN_SECONDS, False)
-                        before = await read_ways(entry.address)
-                        await callers[way].round(rate, round_seconds)
-                        ways.update(await read_ways(entry.address))
-                        ways.subtract(before)
-        finally:
-            bare.kill()
-            for caller in callers.values():
-                caller.pool.close()
-    made = report(callers, rates, seconds)
-    made.ways = dict(ways)
-    return made
+        return bare
+
+    async def round(self, rate: int, way: str, seconds: float) -> None:
+        """Call one way for a while and note what it cost the nodes."""
+        caller = self.callers[way]
+        if self.grants:
+            await caller.round(rate, LEAD_IN_SECONDS, False)
+        ways, cpu = await read_ways(self.entry.address), self.processor_seconds()
+        await caller.round(rate, seconds)
+        entry, home = self.processor_seconds()
+        self.ways.update(await read_ways(self.entry.address))
+        self.ways.subtract(ways)
+        before = self.cpu.get((rate, way), (0.0, 0.0))
+        added = (before[0] + entry - cpu[0], before[1] + home - cpu[1])
+        self.cpu[rate, way] = added
+
+    def processor_seconds(self) -> tuple[float, float]:
+        """Return what the entry and the home have used so far."""
+        nodes = self.bench.nodes
+        entry, home = nodes[self.entry.name], nodes[self.home.name]
+        return entry.usage().cpu_seconds, home.usage().cpu_seconds
+
+    def report(self, rates: tuple[int, ...], seconds: float) -> HopReport:
+        """Put the figures together, each way against the direct calls."""
+        made = HopReport(seconds, ways=dict(self.ways))
+        for rate in rates:
+            direct = self.callers["direct"].times.get(rate, Percentiles())
+            for way in WAYS:
+                made.results.append(self.result(rate, way, direct))
+        return made
+
+    def result(self, rate: int, way: str, direct: Percentiles) -> WayResult:
+        """Return the figures of one way at one rate."""
+        caller = self.callers[way]
+        times = caller.times.get(rate, Percentiles())
+        result = WayResult(rate, way, times.count, caller.failed.get(rate, 0))
+        if not times.count or not direct.count:
+            return result
+        result.p50_ms = milliseconds(times, 50)
+        result.p99_ms = milliseconds(times, 99)
+        result.added_p50_ms = result.p50_ms - milliseconds(direct, 50)
+        result.added_p99_ms = result.p99_ms - milliseconds(direct, 99)
+        entry, home = self.cpu[rate, way]
+        result.entry_cpu_ms = entry * MILLI / times.count
+        result.home_cpu_ms = home * MILLI / times.count
+        return result
+
+
+async def measure_hop(
+    rates: tuple[int, ...], seconds: float, grants: bool = False
+) -> HopReport:
+    """Measure every way at every rate for `seconds` each."""
+    return await HopBench(grants).run(rates, seconds)
 
 
 async def read_ways(address: str) -> Counter[str]:
@@ -182,26 +250,6 @@
             await caller.call(UNCOUNTED)
 
 
-def report(
-    callers: dict[str, Caller], rates: tuple[int, ...], seconds: float
-) -> HopReport:
-    """Put the figures together, each way against the direct calls."""
-    made = HopReport(seconds)
-    for rate in rates:
-        direct = callers["direct"].times.get(rate, Percentiles())
-        for way in WAYS:
-            times = callers[way].times.get(rate, Percentiles())
-            failed = callers[way].failed.get(rate, 0)
-            result = WayResult(rate, way, times.count, failed)
-            if times.count and direct.count:
-                result.p50_ms = milliseconds(times, 50)
-                result.p99_ms = milliseconds(times, 99)
-                result.added_p50_ms = result.p50_ms - milliseconds(direct, 50)
-                result.added_p99_ms = result.p99_ms - milliseconds(direct, 99)
-            made.results.append(result)
-    return made
-
-
 def milliseconds(times: Percentiles, percent: float) -> float:
     """Return a percentile in milliseconds, to the microsecond."""
     return times.histogram.get_value_at_percentile(percent) / MILLI
