Spare the collector what the start of a node has made

Cause: calls over two nodes were late by 8 ms in one of a hundred. A full garbage collection of a started node takes 7.8 ms for 49,130 objects, in which nothing else runs. Change: after its start a node collects once and freezes what is left. Conclusion: kept for the shorter standstill; how much of the p99 it explains cannot be told from single runs on this machine.

--- a/sequoiaspoke/commands/node.py
+++ b/sequoiaspoke/commands/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import signal
 
 from sequoiaspoke.node.app import Node
@@ -28,5 +29,17 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     await process.start()
+    spare_the_collector()
     await stopping.wait()
     await process.stop()
+
+
+def spare_the_collector() -> None:
+    """Take what the start has made out of later garbage collections.
+
+    A full collection goes through every object of the libraries, some 8 ms in
+    which the loop stands still and every call through the node is late. None
+    of those objects is ever freed, so none needs another look.
+    """
+    gc.collect()
+    gc.freeze()
