Count out keyed calls that enter at their home

Cause: an answer that is kept in memory has no pipe, and the balancer looked for a failure there. Each keyed call that entered at its own home ended in an error after its answer; the call stayed counted as in flight at its target, which looked fuller with every booking. The log of a fresh run of the demonstration showed it as call-crashed; no test looked at that log. Ruled out: lost or doubled calls, since the answer had gone out whole. Change: an answer keeps its own failure; crashed calls are counted, shown on the status and metrics pages, and fail the demonstration and every test over sockets. Conclusion: an error of the program can no longer pass a test in silence.

--- a/sequoiaspoke/demo/session.py
+++ b/sequoiaspoke/demo/session.py
@@ -125,7 +125,10 @@
             f"redirected {tally.redirected}, lost {lost}, doubled {doubled}"
         )
         self.event(f"lost {lost}, doubled {doubled}")
-        return lost == 0 and doubled == 0
+        crashed = sum(site.node.crashed() for site in self.deployment.sites)
+        if crashed:
+            self.say(f"{crashed} calls met an error of the program; see the log")
+        return lost == 0 and doubled == 0 and crashed == 0
 
 
 def show(counter: Counter[str]) -> str:
--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -100,6 +100,11 @@
         self.metrics.gauge(
             "sequoiaspoke_in_flight", "Calls at the home", lambda: self.home.in_flight
         )
+        self.metrics.gauge(
+            "sequoiaspoke_crashed",
+            "Calls that met an error of the program",
+            self.crashed,
+        )
         self.keyed.publish(self.metrics)
 
     async def stop(self) -> None:
@@ -145,6 +150,10 @@
         """Return the calls that have not ended yet."""
         return self.callers.in_flight + self.mesh.in_flight
 
+    def crashed(self) -> int:
+        """Return the calls that met an error of the program itself."""
+        return self.callers.crashed + self.mesh.crashed
+
     def status(self) -> dict[str, Any]:
         """Return what the status page shows."""
         source = self.config.status()
@@ -169,6 +178,7 @@
             "started_at": self.started_at,
             "draining": self.draining,
             "in_flight": self.in_flight(),
+            "crashed": self.crashed(),
             "queued": len(admission.queue),
             "limit": admission.limit.current(),
             "ledger": len(self.keyed.core.ledger.entries),
--- a/sequoiaspoke/node/attempts.py
+++ b/sequoiaspoke/node/attempts.py
@@ -156,7 +156,7 @@
     def answer_ended(self, target: str, answer: Answer, latency: float) -> None:
         """Learn from an answer that is over; a broken one is a failure."""
         outcome = Outcome.ANSWERED if answer.complete else Outcome.CANCELLED
-        if answer.body.error is not None:
+        if answer.error is not None:
             outcome = Outcome.FAILED
         now = asyncio.get_running_loop().time()
         self.balancer.finished(target, outcome, latency, now)
--- a/sequoiaspoke/node/client.py
+++ b/sequoiaspoke/node/client.py
@@ -61,6 +61,7 @@
         self.headers = HTTPHeaders()
         self.body = BodyPipe()
         self.complete = False
+        self.error: CallError | None = None
         self.repeat = False
         self.reusable = False
         self.head: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -98,7 +99,7 @@
 
     def finish(self) -> None:
         """Take the end of the body; called by the library."""
-        if self.body.error is None:
+        if self.error is None:
             self.complete = True
             self.body.end()
 
@@ -108,6 +109,7 @@
 
     def fail(self, error: CallError) -> None:
         """Give the failure to whoever waits for the head or the body."""
+        self.error = error
         self.body.fail(error)
         if not self.head.done():
             self.head.set_exception(error)
--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -164,6 +164,7 @@
     ) -> None:
         self.handler = handler
         self.in_flight = 0
+        self.crashed = 0
         self.draining = False
         self.idle_callbacks: list[Callable[[], None]] = []
         self.server = HTTPServer(
@@ -263,6 +264,7 @@
         except asyncio.CancelledError:
             self.connection.close()
         except Exception as error:
+            self.server.crashed += 1
             log.opt(exception=error).error("call-crashed", uri=call.uri)
             self.answer_failure(call, CallError("internal error"))
 
--- a/sequoiaspoke/tests/loopback.py
+++ b/sequoiaspoke/tests/loopback.py
@@ -72,7 +72,9 @@
                 deployment.publish_vms()
                 version = deployment.publish(rules(self.RULES))
                 await deployment.converged(version, WAIT)
+                sites = list(deployment.sites)
                 await test(deployment)
+                self.assertEqual(0, sum(site.node.crashed() for site in sites))
             finally:
                 await deployment.stop()
 
--- a/sequoiaspoke/tests/test_keyed.py
+++ b/sequoiaspoke/tests/test_keyed.py
@@ -72,6 +72,22 @@
 
         self.run_keyed(test)
 
+    def test_a_call_that_enters_at_its_home_is_counted_out(self):
+        """Foremen book through the node of the very target that runs the booking.
+
+        Were each booking counted as still running there, that target would look
+        fuller with every call, and at last get none.
+        """
+
+        async def test(deployment, ports, key):
+            for port in ports:
+                await raw(port, book(f"{ZONE}/{uuid7()}"))
+            for site in deployment.sites:
+                loads = site.node.entry.attempts.balancer.load.targets.values()
+                await until(lambda loads=loads: sum(x.in_flight for x in loads) == 0)
+
+        self.run_keyed(test)
+
     def test_repeat_of_a_caller_who_went_away(self):
         """A foreman's line drops while his booking runs, and he books again. He
         must get that booking's answer, and no second crusher.
