Drop names that nothing uses

Change: they are gone; no behaviour changes. Conclusion: nothing is left that a reader would look for a use of.

--- a/sequoiaspoke/measure/loadscenarios.py
+++ b/sequoiaspoke/measure/loadscenarios.py
@@ -9,7 +9,6 @@
 CAPACITY = 600.0
 ZONES = ("monza", "bergamo", "lecco")
 ONE_EACH = tuple(TargetModel(zone) for zone in ZONES)
-TWO_EACH = ZONES * 2
 
 BURST = Scenario(
     "burst",
--- a/sequoiaspoke/node/headers.py
+++ b/sequoiaspoke/node/headers.py
@@ -9,15 +9,12 @@
 from sequoiaspoke.errors import Ran
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from sequoiaspoke.node.client import Answer
 
 PREFIX = "Sequoiaspoke-"
 DEADLINE = "Sequoiaspoke-Deadline-Ms"
 ATTEMPT = "Sequoiaspoke-Attempt"
 DEPTH = "Sequoiaspoke-Depth"
-VERSION = "Sequoiaspoke-Version"
 SERVICE = "Sequoiaspoke-Service"
 TARGET = "Sequoiaspoke-Target"
 RULE = "Sequoiaspoke-Rule"
@@ -75,12 +72,6 @@
     return headers
 
 
-def single_values(headers: HTTPHeaders) -> Iterator[tuple[str, str]]:
-    """Yield header names in lower case with their joined values."""
-    for name in headers:
-        yield name.lower(), headers[name]
-
-
 def whole_number(headers: HTTPHeaders, name: str, default: int) -> int:
     """Return a header's number, or the default where it is none."""
     text = headers.get(name, "")
--- a/sequoiaspoke/wire/codec.py
+++ b/sequoiaspoke/wire/codec.py
@@ -18,7 +18,6 @@
 
 STRING_LIMIT = 4 << 20  # bytes of one string or binary
 CONTAINER_LIMIT = 100_000  # entries of one list or map
-NUMBER_LIMIT = 1 << 31  # message numbers wrap below this
 DIGEST_FIELDS = frozenset({"root", "refused_root", "base_root", "digest"})
 DIGEST_MAPS = frozenset({"changed", "digests"})
 
