--- /dev/null
+++ b/sequoiaspoke/core/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a sidecar: routes, placing, repeats, admission, endpoints."""
--- /dev/null
+++ b/sequoiaspoke/core/mesh/directory.py
@@ -0,0 +1,174 @@
+"""Keep the endpoints that the platform publishes, through its outages.
+
+The platform drops the entry of an upstream that has been silent, also while the
+store is away and the upstream cannot report. Taken at its word, a store that
+returns after an outage would empty whole services of upstreams that run well,
+until each has reported again. So an entry that vanishes during an outage or just
+after it stays for a while; one that is still missing then is gone. An entry
+that vanishes from a healthy store is gone at once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sequoiaspoke.core.mesh.model import Endpoint
+
+# Seconds after the store's return for which a vanished entry stays: upstreams
+# that live have reported again within two, and reading takes a moment.
+LAPSE_GRACE = 2.2
+# Seconds for which an instance that left is remembered, so that late news from a
+# lagging node does not bring it back; beyond any drain and any lag of a peer.
+GONE_MEMORY = 60.0
+
+
+@dataclass(frozen=True)
+class Held:
+    """An endpoint and the revision of the store at which it was written."""
+
+    endpoint: Endpoint
+    revision: int
+    cold_until: float
+
+
+class Directory:
+    """The endpoints in force at this node.
+
+    Attributes
+    ----------
+    held : dict of str to Held
+        By instance, those draining and those kept through a lapse included.
+    lapsing : dict of str to float
+        When to give up on the entries that vanished around an outage.
+    gone : dict of str to tuple of int and float
+        Revision of the removal of instances that left, and when it was learnt.
+    """
+
+    def __init__(self) -> None:
+        self.held: dict[str, Held] = {}
+        self.lapsing: dict[str, float] = {}
+        self.gone: dict[str, tuple[int, float]] = {}
+        self.by_service: dict[str, tuple[Endpoint, ...]] = {}
+        self.revision = 0
+        self.outage = False
+        self.returned = float("-inf")
+
+    def put(self, endpoint: Endpoint, revision: int, now: float) -> bool:
+        """Take a published entry; return whether it changed anything."""
+        known = self.held.get(endpoint.instance)
+        if known is not None and known.revision >= revision:
+            return False
+        if self.gone.get(endpoint.instance, (0, 0.0))[0] >= revision:
+            return False
+        if known is not None and known.endpoint.draining and not endpoint.draining:
+            # A published leave is not taken back by a late report.
+            return False
+        self.gone.pop(endpoint.instance, None)
+        self.lapsing.pop(endpoint.instance, None)
+        cold_until = now + endpoint.cold_seconds
+        self.held[endpoint.instance] = Held(endpoint, revision, cold_until)
+        self.rebuild()
+        return True
+
+    def remove(
+        self, instance: str, revision: int, now: float, trusted: bool = False
+    ) -> bool:
+        """Take a removal; return whether the endpoint is gone now.
+
+        Parameters
+        ----------
+        trusted : bool
+            Whether the removal comes from a node that reads a healthy store.
+        """
+        known = self.held.get(instance)
+        if known is not None and known.revision > revision:
+            return False
+        doubtful = not trusted and self.unwell(now)
+        if known is not None and doubtful and not known.endpoint.draining:
+            self.lapsing.setdefault(instance, self.grace_end(now))
+            return False
+        self.forget(instance, revision, now)
+        return known is not None
+
+    def reconcile(
+        self,
+        listed: Iterable[tuple[Endpoint, int]],
+        revision: int,
+        now: float,
+        trusted: bool = False,
+    ) -> bool:
+        """Take a whole list read at a revision; what it lacks has vanished."""
+        names = set()
+        changed = False
+        for endpoint, written in listed:
+            names.add(endpoint.instance)
+            changed |= self.put(endpoint, written, now)
+        for instance in list(self.held.keys() - names):
+            changed |= self.remove(instance, revision, now, trusted)
+        return changed
+
+    def forget(self, instance: str, revision: int, now: float) -> None:
+        """Drop an endpoint and remember that it left."""
+        self.held.pop(instance, None)
+        self.lapsing.pop(instance, None)
+        self.gone[instance] = (revision, now)
+        self.rebuild()
+
+    def lost_store(self) -> None:
+        """Note that the store does not answer."""
+        self.outage = True
+
+    def reached_store(self, now: float) -> None:
+        """Note that the store answers."""
+        if not self.outage:
+            return
+        self.outage = False
+        self.returned = now
+        for instance in self.lapsing:
+            self.lapsing[instance] = now + LAPSE_GRACE
+
+    def unwell(self, now: float) -> bool:
+        """Return whether a missing entry says little."""
+        return self.outage or now < self.returned + LAPSE_GRACE
+
+    def grace_end(self, now: float) -> float:
+        """Return until when an entry that vanishes now stays."""
+        if self.outage:
+            return float("inf")
+        return max(now, self.returned + LAPSE_GRACE)
+
+    def expire(self, now: float) -> list[str]:
+        """Drop what stayed long enough; return the instances."""
+        due = [name for name, until in self.lapsing.items() if until <= now]
+        for instance in due:
+            self.forget(instance, self.held[instance].revision, now)
+        for instance, (_, since) in list(self.gone.items()):
+            if since + GONE_MEMORY < now:
+                del self.gone[instance]
+        return due
+
+    def rebuild(self) -> None:
+        """Group the endpoints that take new calls by service."""
+        groups: dict[str, list[Endpoint]] = {}
+        for held in self.held.values():
+            if not held.endpoint.draining:
+                groups.setdefault(held.endpoint.service, []).append(held.endpoint)
+        self.by_service = {name: tuple(group) for name, group in groups.items()}
+
+    def serving(self, service: str) -> tuple[Endpoint, ...]:
+        """Return the endpoints of a service that take new calls."""
+        return self.by_service.get(service, ())
+
+    def cold(self, instance: str, now: float) -> bool:
+        """Return whether an endpoint is still slow after its start."""
+        held = self.held.get(instance)
+        return held is not None and held.cold_until > now
+
+    def left(self, instance: str) -> bool:
+        """Return whether an instance drains or has left, as far as is known."""
+        held = self.held.get(instance)
+        return held.endpoint.draining if held else instance in self.gone
--- /dev/null
+++ b/sequoiaspoke/core/mesh/ledger.py
@@ -0,0 +1,84 @@
+"""Remember the calls of other nodes, so that asking again never runs one twice.
+
+A link between nodes breaks while a call runs at its home. The entry cannot know
+whether the call arrived, is running or was answered, and a call that may run once
+only would be lost. So it opens a new link to the same incarnation and sends the
+call again under the same number: a running one is joined, a finished one gives
+its answer, and one that never arrived runs now. The old link is closed by
+then and what was still unread on it is dropped.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable
+
+# Seconds for which a finished call is known. Above the longest time in which an entry
+# finds a dead link and opens another.
+KEPT_SECONDS = 10.0
+# Bytes of kept answers, at most; an older one is dropped first and then told as
+# unknown. Keeps a node small when answers are large.
+KEPT_BYTES = 2 << 20
+
+
+@dataclass
+class Entry:
+    """A call that arrived here.
+
+    Attributes
+    ----------
+    outcome : object or None
+        What came of it; None while it waits or runs, or after it was dropped.
+    """
+
+    finished: float | None = None
+    outcome: Any = None
+    size: int = 0
+
+
+class Ledger:
+    """The calls that arrived at this home, by their entry's number for them."""
+
+    def __init__(self) -> None:
+        self.calls: dict[Hashable, Entry] = {}
+        self.done: dict[Hashable, float] = {}
+        self.bytes = 0
+
+    def find(self, key: Hashable) -> Entry | None:
+        """Return what is known of a call."""
+        return self.calls.get(key)
+
+    def begin(self, key: Hashable) -> None:
+        """Note a call that arrived for the first time."""
+        self.calls[key] = Entry()
+
+    def finish(self, key: Hashable, outcome: Any, size: int, now: float) -> None:
+        """Keep what came of a call for a while."""
+        entry = self.calls.get(key)
+        if entry is None:
+            return
+        entry.finished, entry.outcome, entry.size = now, outcome, size
+        self.done[key] = now
+        self.bytes += size
+        if self.bytes > KEPT_BYTES:
+            self.shrink()
+
+    def shrink(self) -> None:
+        """Drop the oldest answers, but not that their calls have run."""
+        for key in self.done:
+            if self.bytes <= KEPT_BYTES:
+                return
+            entry = self.calls[key]
+            self.bytes -= entry.size
+            entry.outcome, entry.size = None, 0
+
+    def expire(self, now: float) -> None:
+        """Forget the calls that finished long ago."""
+        for key, finished in list(self.done.items()):
+            if finished + KEPT_SECONDS > now:
+                return
+            self.bytes -= self.calls.pop(key).size
+            del self.done[key]
--- /dev/null
+++ b/sequoiaspoke/core/mesh/outcome.py
@@ -0,0 +1,73 @@
+"""What comes of one attempt to have an upstream run a call."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# Name and value of each header, in their order.
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True)
+class Request:
+    """A call as its caller sent it."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+    def header(self, name: str) -> str:
+        """Return the value of a header, empty if it is not there."""
+        return find_header(self.headers, name)
+
+
+@dataclass(frozen=True)
+class Answer:
+    """An upstream's whole answer.
+
+    Attributes
+    ----------
+    seconds : float
+        Time at the upstream.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    seconds: float = 0.0
+
+
+@dataclass(frozen=True)
+class NotRun:
+    """The call has not run and never will by this attempt.
+
+    Attributes
+    ----------
+    reached : bool
+        Whether it was the upstream itself that turned the call away.
+    retry_after : float
+        Seconds after which there should be room.
+    """
+
+    reason: str
+    retry_after: float = 0.0
+    reached: bool = False
+
+
+@dataclass(frozen=True)
+class Unknown:
+    """The call may have run; nobody can tell."""
+
+    reason: str
+
+
+Outcome = Answer | NotRun | Unknown
+
+
+def find_header(headers: Headers, name: str) -> str:
+    """Return the value of the first header of a name in lower case."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return ""
--- /dev/null
+++ b/sequoiaspoke/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar: one process beside each upstream, entry and home of its calls."""
--- /dev/null
+++ b/sequoiaspoke/sidecar/app.py
@@ -0,0 +1,192 @@
+"""Put a sidecar together and run it until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import random
+import signal
+from typing import TYPE_CHECKING
+
+from tornado.iostream import StreamClosedError
+
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.callerserver import CallerServer
+from sequoiaspoke.sidecar.entry import Entry
+from sequoiaspoke.sidecar.follower import Follower
+from sequoiaspoke.sidecar.healthserver import HealthPages
+from sequoiaspoke.sidecar.home import Home
+from sequoiaspoke.sidecar.linkclient import LinkIdentity
+from sequoiaspoke.sidecar.linkserver import LinkServer
+from sequoiaspoke.sidecar.logs import EventLog
+from sequoiaspoke.sidecar.metrics import SidecarMetrics
+from sequoiaspoke.sidecar.peers import Peers
+from sequoiaspoke.sidecar.state import MeshState
+from sequoiaspoke.sidecar.upstream import Upstream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sequoiaspoke.sidecar.logs import DroppingOutput
+    from sequoiaspoke.sidecar.settings import SidecarSettings
+    from sequoiaspoke.sidecar.source import ItemDecoder, ItemStore
+
+# Seconds between two looks at what is overdue. Half a second is allowed for a final
+# answer after its time; each look costs some 50 microseconds.
+TICK_SECONDS = 0.1
+# A look that comes this much too late means that the VM stood still.
+PAUSE_SECONDS = 1.0
+# Seconds for which a stopping node serves on although nobody waits: callers are moved
+# away after two questions a second apart have found it not ready.
+LINGER_SECONDS = 2.6
+
+
+class Sidecar:
+    """One sidecar."""
+
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        store: ItemStore,
+        decoder: ItemDecoder,
+        reload: Callable[[], SidecarSettings],
+        output: DroppingOutput,
+    ) -> None:
+        self.settings = settings
+        self.reload = reload
+        rng = random.Random()
+        self.log = EventLog(settings.names.call_id)
+        self.incarnation = rng.getrandbits(62)
+        self.state = MeshState(decoder, self.log, self.state_changed)
+        host, port = settings.upstream
+        self.upstream = Upstream(host, port, settings.names)
+        self.home = Home(self.upstream, self.state.directory, self.log)
+        identity = LinkIdentity(settings.links[0], settings.zone, self.incarnation)
+        self.peers = Peers(identity, settings.links[1], self.state, rng, self.log)
+        self.entry = Entry(
+            settings.service,
+            settings.zone,
+            settings.names,
+            self.state,
+            self.home,
+            self.peers,
+            settings.repeats,
+            rng,
+            self.log,
+        )
+        self.callers = CallerServer(self.entry.handle, self.crashed)
+        self.links = LinkServer(self.home, self.state, self.incarnation, self.log)
+        self.metrics = SidecarMetrics(self, output)
+        pages = HealthPages(settings.health_path, self.not_ready, self.metrics.page)
+        self.health = CallerServer(pages.handle, self.crashed)
+        self.follower = Follower(store, self.state, rng)
+        self.stopping: float | None = None
+        self.stopped = asyncio.Event()
+        self.ticked = clock.now()
+
+    def crashed(self, error: BaseException) -> None:
+        """Log an error that no code expected."""
+        self.log.event("crash", error=repr(error))
+
+    def not_ready(self) -> str:
+        """Return why this node takes no callers, empty if it does."""
+        if self.stopping is not None:
+            return "stopping"
+        return "" if self.state.complete else "uninformed"
+
+    def state_changed(self) -> None:
+        """Follow a change of what is known of the platform."""
+        if self.state.table is not None:
+            self.callers.current_limits = self.state.table.config.limits
+        for held in self.state.directory.held.values():
+            endpoint = held.endpoint
+            if (endpoint.host, endpoint.port) == self.settings.upstream:
+                if endpoint.slots != self.home.admission.slots:
+                    self.home.take_slots(endpoint.slots)
+        self.peers.refresh()
+        self.entry.placing.retain(self.state.directory.held)
+
+    async def run(self) -> None:
+        """Serve until the process is told to stop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stop)
+        loop.add_signal_handler(signal.SIGINT, self.stop)
+        loop.add_signal_handler(signal.SIGHUP, self.take_settings)
+        self.callers.listen(self.settings.callers[1], self.settings.callers[0])
+        self.links.listen(self.settings.links[1], self.settings.links[0])
+        self.health.listen(self.settings.health[1], self.settings.health[0])
+        self.log.event(
+            "start",
+            node=self.settings.node,
+            zone=self.settings.zone,
+            service=self.settings.service,
+            incarnation=self.incarnation,
+        )
+        # What was imported stays for ever; the collector need not look at it.
+        gc.collect()
+        gc.freeze()
+        follower = asyncio.ensure_future(self.follower.run())
+        follower.add_done_callback(self.follower_ended)
+        while not self.stopped.is_set():
+            await asyncio.sleep(TICK_SECONDS)
+            self.tick()
+        follower.cancel()
+        self.log.event("end", node=self.settings.node)
+
+    def follower_ended(self, task: asyncio.Task[None]) -> None:
+        """Log the end of following, which only the end of the process allows."""
+        if not task.cancelled() and task.exception() is not None:
+            self.log.event("crash", error=repr(task.exception()))
+
+    def tick(self) -> None:
+        """Look at everything that time changes."""
+        now = clock.now()
+        if now - self.ticked > PAUSE_SECONDS:
+            self.log.event("pause", seconds=f"{now - self.ticked:.2f}")
+        self.ticked = now
+        self.home.tick(now)
+        self.state.tick(now)
+        self.peers.tick(now)
+        self.callers.tick(now)
+        if self.stopping is not None:
+            self.end_if_idle(now)
+
+    def take_settings(self) -> None:
+        """Read the settings anew."""
+        try:
+            settings = self.reload()
+        except Exception as error:
+            # The old settings stay in force.
+            self.log.event("reload-failed", error=str(error))
+            return
+        self.log.event("reload", changed=settings != self.settings)
+
+    # Stopping.
+
+    def stop(self) -> None:
+        """Begin to stop: no new calls for the upstream, callers move away."""
+        if self.stopping is not None:
+            return
+        self.stopping = clock.now()
+        self.home.leaving = True
+        self.callers.closing = True
+        self.links.announce_leaving()
+        self.log.event(
+            "stop", running=self.home.admission.running, calls=len(self.home.calls)
+        )
+
+    def end_if_idle(self, now: float) -> None:
+        """End once nobody waits for anything, or the time allowed is over."""
+        assert self.stopping is not None
+        since = now - self.stopping
+        busy = self.callers.busy() or bool(self.home.calls)
+        if since > self.settings.drain or (since > LINGER_SECONDS and not busy):
+            self.stopped.set()
+
+
+async def run_sidecar(sidecar: Sidecar) -> None:
+    """Run a sidecar to its end."""
+    try:
+        await sidecar.run()
+    except StreamClosedError as error:
+        sidecar.crashed(error)
--- /dev/null
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -0,0 +1,323 @@
+"""Serve callers over HTTP/1.1.
+
+A connection is read on while its calls run: callers send several without waiting,
+and give up those that are not read within a second. The calls run side by side
+and are answered in the order in which they came. Reading on is also how a node
+learns that a caller has left: its calls are cancelled at once, so that no
+upstream works for nobody.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from typing import TYPE_CHECKING
+
+import httptools
+from tornado.iostream import StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from sequoiaspoke.core.mesh.model import CallerLimits
+from sequoiaspoke.core.mesh.outcome import Request
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.httptext import CONTINUE, answer_text, own_answer
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from tornado.iostream import IOStream
+
+    from sequoiaspoke.core.mesh.outcome import Answer
+
+READ_BYTES = 64 * 1024
+# Calls read ahead on one connection; a caller with more waits for answers first.
+READ_AHEAD = 64
+# Bytes of request bodies that this node holds for all callers; above, calls are
+# refused until some have been answered.
+BODY_BYTES = 24 << 20
+# Bytes of answers that a caller has not read; beyond, its connection ends, as a
+# caller that stands still would fill this node's memory.
+UNREAD_BYTES = 16 << 20
+# Seconds after which a silent peer is probed, between probes, and until sent bytes
+# must be acknowledged; a dead connection is found in about four seconds.
+PROBE_AFTER, PROBE_EVERY, PROBES = 2, 1, 2
+UNACKED_MS = 4000
+
+
+def watch_for_silence(stream: IOStream) -> None:
+    """Have the kernel find a connection that went silent for good."""
+    sock = stream.socket
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+    stream.set_nodelay(True)
+
+
+class Exchange:
+    """One request of a connection and the answer that is due in its turn."""
+
+    def __init__(self, request: Request | None, keep: bool) -> None:
+        self.request = request
+        self.keep = keep
+        self.task: asyncio.Task[Answer] | None = None
+        self.answer: Answer | None = None
+
+
+class CallerConnection:
+    """A caller's connection."""
+
+    def __init__(self, stream: IOStream, server: CallerServer) -> None:
+        self.stream = stream
+        self.server = server
+        self.limits = server.limits()
+        self.pending: deque[Exchange] = deque()
+        self.room = asyncio.Event()
+        self.parser = httptools.HttpRequestParser(self)
+        self.active = clock.now()
+        self.ending = False
+        self.reset_request()
+
+    def reset_request(self) -> None:
+        """Begin to collect a request."""
+        self.target = b""
+        self.headers: list[tuple[str, str]] = []
+        self.body: list[bytes] = []
+        self.body_size = 0
+        self.head_size = 0
+        self.begun: float | None = None
+        self.head_done = False
+        self.too_large = 0
+
+    async def run(self) -> None:
+        """Read until the caller leaves or the connection ends."""
+        try:
+            while not self.ending:
+                if len(self.pending) >= READ_AHEAD:
+                    self.room.clear()
+                    await self.room.wait()
+                    continue
+                data = await self.stream.read_bytes(READ_BYTES, partial=True)
+                self.active = clock.now()
+                self.feed(data)
+        except StreamClosedError:
+            self.abandon()
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes of the caller."""
+        if not self.head_done:
+            self.head_size += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # Upgrades are not offered; the request itself was answered as usual.
+            self.ending = True
+        except httptools.HttpParserError:
+            self.refuse(400, "malformed request")
+        else:
+            if not self.head_done and self.head_size > self.limits.header_bytes:
+                self.refuse(431, "headers too large")
+
+    # Called by the parser.
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self.reset_request()
+        self.begun = clock.now()
+
+    def on_url(self, data: bytes) -> None:
+        """Take a piece of the request target."""
+        self.target += data
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Take the end of the head."""
+        self.head_done = True
+        self.head_size = 0
+        for name, value in self.headers:
+            if name.lower() == "expect" and value.lower() == "100-continue":
+                self.write(CONTINUE)
+
+    def on_body(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        self.body_size += len(data)
+        if self.body_size > self.limits.body_bytes:
+            self.too_large = 413
+        elif self.server.body_bytes + self.body_size > BODY_BYTES:
+            self.too_large = 503
+        if self.too_large:
+            self.body.clear()
+        else:
+            self.body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Begin to serve a whole request."""
+        if self.ending:
+            return
+        keep = self.parser.should_keep_alive()
+        request = Request(
+            self.parser.get_method().decode("ascii"),
+            self.target.decode("latin-1"),
+            tuple(self.headers),
+            b"".join(self.body),
+        )
+        exchange = Exchange(request, keep)
+        self.pending.append(exchange)
+        self.begun = None
+        if not keep:
+            self.ending = True
+        if self.too_large:
+            retry_after = 1.0 if self.too_large == 503 else None
+            exchange.answer = own_answer(self.too_large, "body", retry_after)
+            self.flush()
+            return
+        self.server.body_bytes += len(request.body)
+        exchange.task = asyncio.ensure_future(self.server.handle(request))
+        exchange.task.add_done_callback(lambda _: self.finished(exchange))
+
+    # Answers.
+
+    def refuse(self, status: int, reason: str) -> None:
+        """Answer something that is no request, after those before it."""
+        exchange = Exchange(None, keep=False)
+        exchange.answer = own_answer(status, reason)
+        self.pending.append(exchange)
+        self.begun = None
+        self.ending = True
+        self.flush()
+
+    def finished(self, exchange: Exchange) -> None:
+        """Take the answer of a call."""
+        assert exchange.task is not None
+        assert exchange.request is not None
+        self.server.body_bytes -= len(exchange.request.body)
+        if exchange.task.cancelled():
+            return
+        error = exchange.task.exception()
+        if error is not None:
+            self.server.crashed(error)
+            exchange.answer = own_answer(502, "internal error")
+        else:
+            exchange.answer = exchange.task.result()
+        self.flush()
+
+    def flush(self) -> None:
+        """Write the answers whose turn it is."""
+        while self.pending and self.pending[0].answer is not None:
+            exchange = self.pending.popleft()
+            last = not self.pending
+            close = not exchange.keep or (last and self.server.closing)
+            head = exchange.request is not None and exchange.request.method == "HEAD"
+            assert exchange.answer is not None
+            self.active = clock.now()
+            self.write(answer_text(exchange.answer, close, head))
+            if close:
+                self.ending = True
+                self.finish()
+                return
+        self.room.set()
+
+    def write(self, data: bytes) -> None:
+        """Send bytes unless the caller has left or does not read."""
+        if self.stream.closed():
+            return
+        if self.server.unread(self.stream) > UNREAD_BYTES:
+            self.stream.close()
+            return
+        self.stream.write(data)
+
+    def finish(self) -> None:
+        """End the connection once everything is written."""
+        if not self.stream.closed():
+            asyncio.ensure_future(self.close_gently())
+
+    async def close_gently(self) -> None:
+        """Stop sending, and read what still comes before closing.
+
+        Closing with unread bytes resets the connection, and a reset can overtake the
+        last answer: a caller with pipelined requests would lose it.
+        """
+        try:
+            await self.stream.write(b"")
+            self.stream.socket.shutdown(socket.SHUT_WR)
+            deadline = clock.now() + 1.0
+            while clock.now() < deadline:
+                await asyncio.wait_for(
+                    self.stream.read_bytes(READ_BYTES, partial=True), timeout=1.0
+                )
+        except (TimeoutError, StreamClosedError, OSError, AssertionError):
+            # The caller has closed, or had its second to do so.
+            pass
+        finally:
+            self.stream.close()
+
+    def abandon(self) -> None:
+        """Cancel the calls of a caller that has left."""
+        for exchange in self.pending:
+            if exchange.task is not None:
+                exchange.task.cancel()
+        self.pending.clear()
+        self.server.connections.discard(self)
+
+    def tick(self, now: float) -> None:
+        """End what has idled or been incomplete for too long."""
+        if self.pending or self.stream.closed():
+            return
+        if self.begun is not None and not self.head_done:
+            if now - self.begun > self.limits.header_timeout:
+                self.refuse(408, "headers took too long")
+        elif now - self.active > self.limits.idle_timeout:
+            self.stream.close()
+
+
+class CallerServer(TCPServer):
+    """Accepts callers.
+
+    Attributes
+    ----------
+    closing : bool
+        Whether connections end with the answer that leaves them idle.
+    """
+
+    def __init__(
+        self,
+        handle: Callable[[Request], Awaitable[Answer]],
+        crashed: Callable[[BaseException], None],
+    ) -> None:
+        super().__init__(max_buffer_size=4 << 20, read_chunk_size=READ_BYTES)
+        self.handle = handle
+        self.crashed = crashed
+        self.connections: set[CallerConnection] = set()
+        self.body_bytes = 0
+        self.closing = False
+        self.current_limits = CallerLimits()
+
+    def limits(self) -> CallerLimits:
+        """Return what callers may do."""
+        return self.current_limits
+
+    def unread(self, stream: IOStream) -> int:
+        """Return how many bytes wait for a caller that does not read."""
+        return stream._total_write_index - stream._total_write_done_index
+
+    async def handle_stream(self, stream: IOStream, address: object) -> None:  # noqa: ARG002
+        """Serve a connection."""
+        watch_for_silence(stream)
+        connection = CallerConnection(stream, self)
+        self.connections.add(connection)
+        stream.set_close_callback(lambda: self.connections.discard(connection))
+        await connection.run()
+
+    def tick(self, now: float) -> None:
+        """End connections that have idled for too long."""
+        for connection in list(self.connections):
+            connection.tick(now)
+
+    def busy(self) -> bool:
+        """Return whether a caller waits for an answer."""
+        return any(connection.pending for connection in self.connections)
--- /dev/null
+++ b/sequoiaspoke/sidecar/entry.py
@@ -0,0 +1,347 @@
+"""Bring each caller's call to an endpoint and its final answer back.
+
+A call is decided by the configuration in force when it came. It is tried again
+after a failure only if it certainly has not run or may run twice, and only while
+there is time, a target left and room in the budget of repeats.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from hdrh.histogram import HdrHistogram
+
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
+from sequoiaspoke.core.mesh.placing import Placing
+from sequoiaspoke.core.mesh.repeats import RepeatBudgets
+from sequoiaspoke.core.routing.split import Splitter
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.home import HomeCall
+from sequoiaspoke.sidecar.httptext import end_to_end, own_answer
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sequoiaspoke.core.mesh.model import Endpoint, Route
+    from sequoiaspoke.core.mesh.outcome import Outcome, Request
+    from sequoiaspoke.core.mesh.repeats import RepeatLimits
+    from sequoiaspoke.sidecar.home import Home
+    from sequoiaspoke.sidecar.logs import EventLog
+    from sequoiaspoke.sidecar.names import HeaderNames
+    from sequoiaspoke.sidecar.peers import Peers
+    from sequoiaspoke.sidecar.state import MeshState
+
+# Seconds after which a caller that was refused may come back if nothing better is
+# known: time for a link to be opened or a node to start.
+COME_BACK = 0.3
+# Seconds of a call whose caller names no limit and whose route is not known.
+DEFAULT_SECONDS = 10.0
+# Attempts that reach no upstream, at most: each costs a round trip only, but a fleet
+# that refuses should be told to the caller soon.
+FRUITLESS_MOST = 6
+# Statuses of an upstream after which a call that may run twice is tried elsewhere.
+TRY_ELSEWHERE = frozenset({500, 502, 503})
+
+
+@dataclass
+class Progress:
+    """How far the attempts to serve one call have come.
+
+    Attributes
+    ----------
+    tried : set of str
+        Instances that will not be tried again.
+    reached : int
+        Attempts that may have reached an upstream.
+    may_have_run : bool
+        Whether one of them may have run.
+    """
+
+    request: Request
+    route: Route
+    service: str
+    deadline: float
+    on_time: float
+    tried: set[str] = field(default_factory=set)
+    reached: int = 0
+    may_have_run: bool = False
+    fruitless: int = 0
+    last: Outcome | None = None
+
+
+class Entry:
+    """Serves the callers and the upstream of this VM."""
+
+    def __init__(
+        self,
+        service: str,
+        zone: str,
+        names: HeaderNames,
+        state: MeshState,
+        home: Home,
+        peers: Peers,
+        repeats: RepeatLimits,
+        rng: Random,
+        log: EventLog,
+    ) -> None:
+        self.service = service
+        self.zone = zone
+        self.names = names
+        self.state = state
+        self.home = home
+        self.peers = peers
+        self.log = log
+        self.placing = Placing(zone)
+        self.splitter = Splitter(rng)
+        self.budgets = RepeatBudgets(repeats)
+        self.local_calls = 0
+        self.counts: Counter[tuple[str, str]] = Counter()
+        self.reasons: Counter[str] = Counter()
+        self.latency = HdrHistogram(1, 3_600_000, 2)
+        self.own_headers = frozenset(
+            {names.time_left, names.instance, names.caller_service}
+        )
+
+    async def handle(self, request: Request) -> Answer:
+        """Return the final answer to a call."""
+        arrived = clock.now()
+        table = self.state.table
+        if table is None:
+            return self.refuse(request, "no-configuration", COME_BACK)
+        route = table.match(request.header("host"), request.target)
+        if route is None:
+            return self.no_route(request)
+        service = self.splitter.choose(route.name, route.split, "")
+        left = self.time_left(request, route)
+        if left <= 0:
+            return self.refuse(request, "no-time", COME_BACK)
+        progress = Progress(
+            self.forwarded(request),
+            route,
+            service,
+            arrived + left,
+            arrived + route.objective,
+        )
+        self.budgets.of(service).first(arrived)
+        try:
+            answer = await asyncio.wait_for(self.serve(progress), left)
+        except TimeoutError:
+            answer = self.timed_out(progress)
+        except asyncio.CancelledError:
+            self.counts[service, "caller-left"] += 1
+            raise
+        self.counts[service, str(answer.status)] += 1
+        self.latency.record_value(max(1, int((clock.now() - arrived) * 1000)))
+        return answer
+
+    def no_route(self, request: Request) -> Answer:
+        """Answer a call that no route matches."""
+        if self.state.stale(clock.now()):
+            # The route may be in a version that has not come here yet.
+            return self.refuse(request, "no-fresh-configuration", COME_BACK)
+        self.counts["", "404"] += 1
+        return own_answer(404, "no route")
+
+    def time_left(self, request: Request, route: Route) -> float:
+        """Return the seconds until the final answer is due."""
+        text = request.header(self.names.time_left)
+        try:
+            told = float(text) / 1000
+        except ValueError:
+            return route.timeout
+        return min(told, route.timeout)
+
+    def forwarded(self, request: Request) -> Request:
+        """Return the request as upstreams get it."""
+        headers = end_to_end(request.headers, self.own_headers)
+        headers += ((self.names.caller_service, self.service),)
+        return type(request)(request.method, request.target, headers, request.body)
+
+    # Attempts.
+
+    async def serve(self, progress: Progress) -> Answer:
+        """Try endpoints until there is a final answer."""
+        while True:
+            endpoint = self.choose(progress)
+            if endpoint is None:
+                return self.final(progress, "no-endpoint")
+            outcome = await self.attempt(progress, endpoint)
+            progress.last = outcome
+            if not self.again(progress, endpoint, outcome):
+                return self.final(progress, "gave-up")
+
+    def choose(self, progress: Progress) -> Endpoint | None:
+        """Return the endpoint of the next attempt."""
+        now = clock.now()
+        serving = self.state.directory.serving(progress.service)
+        left = [each for each in serving if each.instance not in progress.tried]
+        usable = [each for each in left if self.usable(each)]
+        return self.placing.choose(
+            progress.route,
+            usable,
+            lambda instance: self.state.directory.cold(instance, now),
+            now,
+            progress.on_time - now,
+        )
+
+    def usable(self, endpoint: Endpoint) -> bool:
+        """Return whether calls to an endpoint are worth a try."""
+        if endpoint.host == self.peers.identity.host:
+            return not self.home.leaving
+        return self.peers.reachable(endpoint)
+
+    async def attempt(self, progress: Progress, endpoint: Endpoint) -> Outcome:
+        """Have the home of an endpoint run the call."""
+        call = HomeCall(
+            progress.request,
+            endpoint.instance,
+            progress.route.name,
+            progress.route.priority,
+            progress.route.idempotent,
+            progress.deadline,
+        )
+        self.placing.begin(endpoint.instance)
+        try:
+            if endpoint.host == self.peers.identity.host:
+                outcome = await self.call_here(call)
+                occupied = self.home.admission.occupied
+            else:
+                link = self.peers.link(endpoint.host)
+                outcome = await link.call(call)
+                occupied = link.occupied
+        finally:
+            self.placing.end(endpoint.instance)
+        now = clock.now()
+        self.placing.load(endpoint.instance, occupied, now)
+        self.measure(progress.route, endpoint.instance, outcome, now)
+        return outcome
+
+    async def call_here(self, call: HomeCall) -> Outcome:
+        """Have the home of this node run a call."""
+        self.local_calls += 1
+        key = ("here", self.local_calls)
+        future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+
+        def tell(outcome: Outcome) -> None:
+            if not future.done():
+                future.set_result(outcome)
+
+        self.home.submit(key, call, tell)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.home.cancel(key)
+            raise
+
+    def measure(
+        self, route: Route, instance: str, outcome: Outcome, now: float
+    ) -> None:
+        """Learn from what came of an attempt."""
+        if isinstance(outcome, Answer):
+            if outcome.status in TRY_ELSEWHERE:
+                self.placing.failed(instance, now)
+            else:
+                self.placing.answered(route, instance, outcome.seconds)
+        elif isinstance(outcome, Unknown) or outcome.reached:
+            self.placing.failed(instance, now)
+
+    def again(self, progress: Progress, endpoint: Endpoint, outcome: Outcome) -> bool:
+        """Return whether another endpoint is tried."""
+        progress.tried.add(endpoint.instance)
+        fruitless = isinstance(outcome, NotRun) and not outcome.reached
+        if fruitless:
+            progress.fruitless += 1
+            decision = progress.fruitless <= FRUITLESS_MOST
+        else:
+            progress.reached += 1
+            progress.may_have_run |= not isinstance(outcome, NotRun)
+            decision = self.repeat_allowed(progress, outcome)
+        if not isinstance(outcome, Answer):
+            self.reasons[outcome.reason] += 1
+            self.log.call(
+                "attempt-failed",
+                progress.request,
+                service=progress.service,
+                instance=endpoint.instance,
+                outcome=type(outcome).__name__,
+                reason=outcome.reason,
+                again=decision,
+                left=f"{progress.deadline - clock.now():.3f}",
+                version=self.version(),
+                age=f"{self.peers.age():.2f}",
+            )
+        return decision
+
+    def repeat_allowed(self, progress: Progress, outcome: Outcome) -> bool:
+        """Return whether a call that reached an upstream is sent to another."""
+        if isinstance(outcome, Answer):
+            if outcome.status not in TRY_ELSEWHERE or not progress.route.idempotent:
+                return False
+        elif isinstance(outcome, Unknown) and not progress.route.idempotent:
+            return False
+        if progress.reached >= progress.route.attempts:
+            return False
+        if self.choose(progress) is None:
+            return False
+        budget = self.budgets.of(progress.service)
+        return budget.spend(self.peers.nodes(), clock.now())
+
+    # Final answers.
+
+    def final(self, progress: Progress, reason: str) -> Answer:
+        """Return the answer that the last attempt leaves."""
+        last = progress.last
+        if isinstance(last, Answer):
+            return last
+        if isinstance(last, Unknown):
+            return self.fail(progress, 502, last.reason)
+        if progress.may_have_run:
+            return self.fail(progress, 502, reason)
+        if isinstance(last, NotRun):
+            wait = max(last.retry_after, 0.05)
+            return self.refuse(progress.request, last.reason, wait, progress.service)
+        return self.refuse(progress.request, reason, COME_BACK, progress.service)
+
+    def timed_out(self, progress: Progress) -> Answer:
+        """Answer a call whose time is over while an attempt was under way."""
+        return self.fail(progress, 504, "timeout")
+
+    def fail(self, progress: Progress, status: int, reason: str) -> Answer:
+        """Answer a call that may have run."""
+        self.reasons[reason] += 1
+        self.log.call(
+            "call-failed",
+            progress.request,
+            service=progress.service,
+            status=status,
+            reason=reason,
+            reached=progress.reached,
+            version=self.version(),
+            age=f"{self.peers.age():.2f}",
+        )
+        return own_answer(status, reason)
+
+    def refuse(
+        self, request: Request, reason: str, retry_after: float, service: str = ""
+    ) -> Answer:
+        """Answer a call that has not run and tell when to come back."""
+        self.reasons[reason] += 1
+        self.log.call(
+            "call-refused",
+            request,
+            service=service,
+            status=503,
+            reason=reason,
+            retry_after=f"{retry_after:.3f}",
+            version=self.version(),
+            age=f"{self.peers.age():.2f}",
+        )
+        return own_answer(503, reason, retry_after)
+
+    def version(self) -> int:
+        """Return the version of the configuration in force."""
+        table = self.state.table
+        return table.config.version if table else 0
--- /dev/null
+++ b/sequoiaspoke/sidecar/healthserver.py
@@ -0,0 +1,37 @@
+"""Answer the platform's question whether this node takes callers, and its metrics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.mesh.outcome import Answer
+from sequoiaspoke.sidecar.httptext import own_answer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sequoiaspoke.core.mesh.outcome import Request
+
+
+class HealthPages:
+    """The pages on the health address."""
+
+    def __init__(
+        self, path: str, ready: Callable[[], str], metrics: Callable[[], bytes]
+    ) -> None:
+        self.path = path
+        self.ready = ready
+        self.metrics = metrics
+
+    async def handle(self, request: Request) -> Answer:
+        """Return a page."""
+        path = request.target.partition("?")[0]
+        if path == "/metrics":
+            kind = ("Content-Type", "text/plain; version=0.0.4")
+            return Answer(200, (kind,), self.metrics())
+        if path != self.path:
+            return own_answer(404, "no such page")
+        reason = self.ready()
+        if reason:
+            return own_answer(503, reason, retry_after=0.5)
+        return own_answer(200, "ready")
--- /dev/null
+++ b/sequoiaspoke/sidecar/home.py
@@ -0,0 +1,203 @@
+"""Run calls at the upstream beside this node: the only way to it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.mesh.admission import Admission, Arrival, Refused, Turned
+from sequoiaspoke.core.mesh.ledger import Ledger
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
+from sequoiaspoke.sidecar import clock
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Hashable
+
+    from sequoiaspoke.core.mesh.directory import Directory
+    from sequoiaspoke.core.mesh.outcome import Outcome, Request
+    from sequoiaspoke.sidecar.logs import EventLog
+    from sequoiaspoke.sidecar.upstream import Upstream
+
+# Slots of an upstream that the platform has not told yet.
+UNKNOWN_SLOTS = 8
+# Retry-After of a node that is about to stop, in seconds.
+LEAVING_SECONDS = 0.3
+
+
+@dataclass(frozen=True)
+class HomeCall:
+    """A call as it arrives at its home.
+
+    Attributes
+    ----------
+    deadline : float
+        By this node's clock.
+    """
+
+    request: Request
+    instance: str
+    route: str
+    rank: int
+    idempotent: bool
+    deadline: float
+
+
+@dataclass
+class Running:
+    """A call that waits for a slot or runs, and who hears what came of it."""
+
+    call: HomeCall
+    tell: Callable[[Outcome], None]
+    task: asyncio.Task[None] | None = None
+    dropped: bool = False
+
+
+class Home:
+    """Admits calls, runs them and remembers what came of them.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether this node is about to stop and takes no new calls.
+    """
+
+    def __init__(self, upstream: Upstream, directory: Directory, log: EventLog) -> None:
+        self.upstream = upstream
+        self.directory = directory
+        self.log = log
+        self.admission = Admission(UNKNOWN_SLOTS)
+        self.ledger = Ledger()
+        self.calls: dict[Hashable, Running] = {}
+        self.leaving = False
+        self.counts: Counter[str] = Counter()
+
+    def submit(
+        self, key: Hashable, call: HomeCall, tell: Callable[[Outcome], None]
+    ) -> None:
+        """Take a call, new or asked for again, and tell its outcome once."""
+        known = self.ledger.find(key)
+        if known is not None:
+            self.counts["asked-again"] += 1
+            running = self.calls.get(key)
+            if running is not None:
+                running.tell = tell
+            else:
+                tell(known.outcome or Unknown("answer-forgotten"))
+            return
+        refusal = self.unwanted(call)
+        if refusal is not None:
+            tell(refusal)
+            return
+        now = clock.now()
+        arrival = Arrival(key, call.route, call.rank, call.deadline)
+        refused = self.admission.arrive(arrival, now)
+        if refused is not None:
+            self.turned_away(refused, call)
+            tell(NotRun(refused.reason, refused.retry_after))
+            return
+        self.ledger.begin(key)
+        self.calls[key] = Running(call, tell)
+        self.advance()
+
+    def unwanted(self, call: HomeCall) -> NotRun | None:
+        """Return why no call may be taken now, whatever the load."""
+        if self.leaving:
+            return NotRun(Turned.LEAVING, LEAVING_SECONDS)
+        if self.directory.left(call.instance):
+            return NotRun("instance-left")
+        return None
+
+    def advance(self) -> None:
+        """Hand over as many calls as there are slots."""
+        while True:
+            arrival, late = self.admission.next(clock.now())
+            for refused in late:
+                self.give_up(refused)
+            if arrival is None:
+                return
+            running = self.calls[arrival.ticket]
+            running.task = asyncio.ensure_future(self.run(arrival.ticket, running))
+
+    async def run(self, key: Hashable, running: Running) -> None:
+        """Run a call at the upstream."""
+        call = running.call
+        outcome: Outcome = Unknown("cancelled")
+        try:
+            outcome = await self.upstream.call(
+                call.request, call.instance, call.deadline, call.idempotent
+            )
+        finally:
+            seconds = outcome.seconds if isinstance(outcome, Answer) else None
+            self.admission.finish(call.route, seconds)
+            self.finish(key, outcome)
+            self.advance()
+
+    def finish(self, key: Hashable, outcome: Outcome) -> None:
+        """Remember an outcome and tell it."""
+        running = self.calls.pop(key)
+        size = len(outcome.body) if isinstance(outcome, Answer) else 0
+        self.ledger.finish(key, outcome, size, clock.now())
+        self.counts[type(outcome).__name__] += 1
+        if not isinstance(outcome, Answer):
+            self.log.call(
+                "home-failed",
+                running.call.request,
+                instance=running.call.instance,
+                outcome=type(outcome).__name__,
+                reason=outcome.reason,
+                running=self.admission.running,
+                waiting=self.admission.waiting,
+            )
+        if not running.dropped:
+            running.tell(outcome)
+
+    def give_up(self, refused: Refused) -> None:
+        """Refuse a call that has waited for nothing."""
+        key = refused.arrival.ticket
+        self.turned_away(refused, self.calls[key].call)
+        self.finish(key, NotRun(refused.reason, refused.retry_after))
+
+    def turned_away(self, refused: Refused, call: HomeCall) -> None:
+        """Count and log a refusal."""
+        self.counts[refused.reason] += 1
+        self.log.call(
+            "home-refused",
+            call.request,
+            reason=refused.reason,
+            instance=call.instance,
+            running=self.admission.running,
+            waiting=self.admission.waiting,
+            slots=self.admission.slots,
+            left=f"{refused.arrival.deadline - clock.now():.3f}",
+        )
+
+    def cancel(self, key: Hashable) -> None:
+        """Drop a call whose caller has left.
+
+        One that may run once only and has begun goes on: breaking it off would leave
+        its effect in doubt.
+        """
+        running = self.calls.get(key)
+        if running is None:
+            return
+        if self.admission.cancel(key):
+            running.dropped = True
+            self.finish(key, NotRun("cancelled"))
+        elif running.call.idempotent and running.task is not None:
+            running.dropped = True
+            running.task.cancel()
+
+    def tick(self, now: float) -> None:
+        """Give up on what has waited too long."""
+        for refused in self.admission.overdue(now):
+            self.give_up(refused)
+        self.ledger.expire(now)
+        self.upstream.tick(now)
+        self.advance()
+
+    def take_slots(self, slots: int) -> None:
+        """Take the platform's word on how many calls the upstream runs at once."""
+        self.admission.slots = slots
+        self.advance()
--- /dev/null
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -0,0 +1,195 @@
+"""One connection of this node as a client of HTTP/1.1.
+
+A server may answer before it has read the request, answer twice, end an answer
+early, or forget a connection that idles. Each connection carries one call at
+a time; an answer counts only if it is whole and echoes the call's id, and a
+connection on which anything unexpected came is never used again. Otherwise the
+bytes of one call would be taken for the answer to the next.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+import httptools
+from tornado.iostream import IOStream, StreamClosedError
+
+from sequoiaspoke.core.mesh.outcome import Answer, Unknown, find_header
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.callerserver import READ_BYTES, watch_for_silence
+from sequoiaspoke.sidecar.httptext import BODILESS
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.mesh.outcome import Headers
+
+# Seconds for a connection to open; it goes over loopback or inside a data centre.
+CONNECT_SECONDS = 1.0
+# Largest answer that is held; whole answers are, so that one cut short is told
+# from a complete one before the first byte goes to the caller.
+ANSWER_BYTES = 8 << 20
+# Seconds for which an idle connection is used again if the server names none, and
+# what is taken off the time it names, for its clock and the way.
+IDLE_SECONDS, IDLE_MARGIN = 3.0, 1.0
+# A call that may run once only takes a connection used this recently (seconds): an
+# older one may have been forgotten, and the reset that follows says nothing about
+# whether the call ran.
+FRESH_SECONDS = 1.0
+
+
+async def open_connection(
+    address: tuple[str, int], call_header: str
+) -> ClientConnection | None:
+    """Open a connection; None if the server does not accept one."""
+    stream = IOStream(socket.socket(), read_chunk_size=READ_BYTES)
+    try:
+        await asyncio.wait_for(stream.connect(address), CONNECT_SECONDS)
+    except (TimeoutError, StreamClosedError, OSError):
+        stream.close()
+        return None
+    watch_for_silence(stream)
+    return ClientConnection(stream, call_header)
+
+
+class ClientConnection:
+    """One connection to a server."""
+
+    def __init__(self, stream: IOStream, call_header: str) -> None:
+        self.stream = stream
+        self.call_header = call_header
+        self.waiting: asyncio.Future[Answer | Unknown] | None = None
+        self.call_id = ""
+        self.head_only = False
+        self.tainted = False
+        self.used = clock.now()
+        self.idle_seconds = IDLE_SECONDS
+        self.begin_answer()
+        self.parser = httptools.HttpResponseParser(self)
+        self.reader = asyncio.ensure_future(self.read())
+
+    def begin_answer(self) -> None:
+        """Begin to collect an answer."""
+        self.status = 0
+        self.headers: list[tuple[str, str]] = []
+        self.body: list[bytes] = []
+        self.size = 0
+        self.until_close = False
+
+    async def read(self) -> None:
+        """Read until the server closes, also while no call waits."""
+        try:
+            while True:
+                data = await self.stream.read_bytes(READ_BYTES, partial=True)
+                if self.waiting is None:
+                    # Nothing is due here.
+                    self.tainted = True
+                    break
+                self.parser.feed_data(data)
+        except StreamClosedError:
+            self.closed_by_server()
+        except httptools.HttpParserError:
+            self.fail("answer-malformed")
+        self.close()
+
+    def closed_by_server(self) -> None:
+        """Take the end of the connection."""
+        if self.until_close and self.stream.error is None:
+            self.complete()
+        self.fail("connection-lost")
+
+    def fail(self, reason: str) -> None:
+        """Tell the call that waits that nobody knows what became of it."""
+        self.tainted = True
+        if self.waiting is not None and not self.waiting.done():
+            self.waiting.set_result(Unknown(reason))
+
+    # Called by the parser.
+
+    def on_message_begin(self) -> None:
+        """Begin an answer; a second one taints the connection."""
+        if self.waiting is None or self.waiting.done():
+            self.tainted = True
+        self.begin_answer()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Take the end of the head."""
+        self.status = self.parser.get_status_code()
+        headers = tuple(self.headers)
+        framed = find_header(headers, "content-length") or "chunked" in find_header(
+            headers, "transfer-encoding"
+        )
+        bodiless = self.status in BODILESS or self.status < 200 or self.head_only
+        self.until_close = not framed and not bodiless
+        self.tainted |= self.until_close
+
+    def on_body(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        self.size += len(data)
+        if self.size > ANSWER_BYTES:
+            self.fail("answer-too-large")
+            self.body.clear()
+        else:
+            self.body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Take the end of an answer that tells its length."""
+        if self.status >= 200:
+            self.complete()
+
+    def complete(self) -> None:
+        """Hand a whole answer to the call that waits for it."""
+        if self.waiting is None or self.waiting.done():
+            self.tainted = True
+            return
+        headers = tuple(self.headers)
+        echoed = find_header(headers, self.call_header)
+        if echoed and echoed != self.call_id:
+            # The late second answer to a call before; ours is still to come.
+            return
+        self.note_keep_alive(headers)
+        answer = Answer(self.status, headers, b"".join(self.body))
+        self.waiting.set_result(answer)
+
+    def note_keep_alive(self, headers: Headers) -> None:
+        """Take the server's word on how long the connection stays open."""
+        if "close" in find_header(headers, "connection").lower():
+            self.tainted = True
+        for part in find_header(headers, "keep-alive").split(","):
+            name, _, value = part.strip().partition("=")
+            if name == "timeout" and value.isdigit():
+                self.idle_seconds = max(0.3, int(value) - IDLE_MARGIN)
+
+    async def exchange(self, text: bytes, call_id: str, head: bool) -> Answer | Unknown:
+        """Send a request and return what came back."""
+        self.call_id = call_id
+        self.head_only = head
+        self.waiting = asyncio.get_running_loop().create_future()
+        sent = self.stream.write(text)
+        try:
+            outcome = await self.waiting
+        finally:
+            self.waiting = None
+        if not sent.done():
+            # Answered before it was sent whole: the rest would be read as a request.
+            self.tainted = True
+        self.used = clock.now()
+        return outcome
+
+    def usable(self, idempotent: bool, now: float) -> bool:
+        """Return whether the next call may take this connection."""
+        if self.tainted or self.stream.closed():
+            return False
+        limit = (
+            self.idle_seconds if idempotent else min(self.idle_seconds, FRESH_SECONDS)
+        )
+        return now - self.used < limit
+
+    def close(self) -> None:
+        """End the connection; an server drops the call that runs on it."""
+        self.tainted = True
+        self.stream.close()
--- /dev/null
+++ b/sequoiaspoke/sidecar/httptext.py
@@ -0,0 +1,85 @@
+"""Requests and answers to and from the text of HTTP/1.1."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.mesh.outcome import Answer, Request, find_header
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.mesh.outcome import Headers
+
+# They concern one connection only and are never passed on.
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+BODILESS = frozenset({204, 304})
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+def end_to_end(headers: Headers, without: frozenset[str] = frozenset()) -> Headers:
+    """Return the headers that are passed on.
+
+    Those that the Connection header names concern one connection, too.
+    """
+    named = find_header(headers, "connection").lower()
+    dropped = HOP_BY_HOP | without
+    if named and named not in ("close", "keep-alive"):
+        dropped |= {name.strip() for name in named.split(",")}
+    return tuple(pair for pair in headers if pair[0].lower() not in dropped)
+
+
+def request_text(request: Request, extra: Headers) -> bytes:
+    """Return the bytes of a request."""
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in request.headers]
+    lines += [f"{name}: {value}" for name, value in extra]
+    if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(f"Content-Length: {len(request.body)}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1") + request.body
+
+
+def answer_text(answer: Answer, close: bool, head_only: bool = False) -> bytes:
+    """Return the bytes of an answer.
+
+    Parameters
+    ----------
+    close : bool
+        Whether the connection ends after it.
+    head_only : bool
+        Whether the request was a HEAD, whose answer has no body.
+    """
+    try:
+        phrase = HTTPStatus(answer.status).phrase
+    except ValueError:
+        phrase = "Status"
+    lines = [f"HTTP/1.1 {answer.status} {phrase}"]
+    lines += [f"{name}: {value}" for name, value in answer.headers]
+    if answer.status not in BODILESS and not head_only:
+        lines.append(f"Content-Length: {len(answer.body)}")
+    if close:
+        lines.append("Connection: close")
+    head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    return head if head_only else head + answer.body
+
+
+def own_answer(status: int, reason: str, retry_after: float | None = None) -> Answer:
+    """Return an answer that this node gives in the upstream's place."""
+    headers = [("Content-Type", "text/plain")]
+    if retry_after is not None:
+        headers.append(("Retry-After", f"{retry_after:.3f}"))
+    return Answer(status, tuple(headers), f"{reason}\n".encode())
--- /dev/null
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -0,0 +1,339 @@
+"""The entry's side of a link to one home.
+
+A link may break or go silent while calls are under way on it. It is found dead
+within a second, and another one is opened to the same home. If the home is still
+the same incarnation, it is asked again for the same calls, which it runs at most
+once; if it is a new one, nobody knows what became of the calls that were sent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.callerserver import READ_BYTES
+from sequoiaspoke.sidecar.frames import FrameStream, flatten, unflatten
+from sequoiaspoke.wire.gen.meshlink import ttypes as wire
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.mesh.outcome import Outcome
+    from sequoiaspoke.sidecar.home import HomeCall
+    from sequoiaspoke.sidecar.linkserver import Gossip
+    from sequoiaspoke.sidecar.logs import EventLog
+
+# Seconds for a connection and for the greeting on it. Zones lie milliseconds apart;
+# a home that is busy answers in tenths.
+DIAL_SECONDS, GREET_SECONDS = 0.4, 0.8
+# Seconds without a word, while calls are under way, after which a home is asked for a
+# sign and then given up on.
+PING_AFTER, SILENT_AFTER = 0.3, 0.9
+# Seconds between attempts to reach a home, doubling up to the second figure.
+REDIAL_FIRST, REDIAL_MOST = 0.1, 1.0
+
+
+class Pending:
+    """A call under way at another node."""
+
+    def __init__(self, number: int, call: HomeCall) -> None:
+        self.number = number
+        self.call = call
+        self.future: asyncio.Future[Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.sent_to: int | None = None
+
+    def resolve(self, outcome: Outcome) -> None:
+        """Hand over what came of the call."""
+        if not self.future.done():
+            self.future.set_result(outcome)
+
+
+class LinkIdentity:
+    """What this node says of itself on each link it opens."""
+
+    def __init__(self, host: str, zone: str, incarnation: int) -> None:
+        self.host = host
+        self.zone = zone
+        self.incarnation = incarnation
+        self.count = 0
+
+    def number(self) -> int:
+        """Return the number of the next call; never one twice."""
+        self.count += 1
+        return self.count
+
+
+class LinkClient:
+    """The link to one home.
+
+    Attributes
+    ----------
+    kept : bool
+        Whether the link is held open without calls.
+    failing : bool
+        Whether the home could not be reached last time.
+    leaving : bool
+        Whether the home has said that it takes no new calls.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        identity: LinkIdentity,
+        gossip: Gossip,
+        log: EventLog,
+    ) -> None:
+        self.address = address
+        self.identity = identity
+        self.gossip = gossip
+        self.log = log
+        self.pending: dict[int, Pending] = {}
+        self.frames: FrameStream | None = None
+        self.greeted = False
+        self.kept = False
+        self.closed = False
+        self.failing = False
+        self.leaving = False
+        self.incarnation: int | None = None
+        self.occupied = 0
+        self.heard = 0.0
+        self.pinged = 0.0
+        self.offset = 0.0
+        self.round_trip = float("inf")
+        self.driver: asyncio.Task[None] | None = None
+        self.wake = asyncio.Event()
+
+    # Calls.
+
+    async def call(self, call: HomeCall) -> Outcome:
+        """Have the home run a call; cancelling it cancels it there."""
+        pending = Pending(self.identity.number(), call)
+        self.pending[pending.number] = pending
+        if self.greeted:
+            if len(self.pending) == 1:
+                self.heard = max(self.heard, clock.now())
+            self.send_call(pending)
+        else:
+            self.open()
+        try:
+            return await pending.future
+        except asyncio.CancelledError:
+            if self.frames is not None and pending.sent_to is not None:
+                self.frames.send(wire.Frame(cancel=wire.Cancel(pending.number)))
+            raise
+        finally:
+            self.pending.pop(pending.number, None)
+
+    def send_call(self, pending: Pending) -> None:
+        """Send a call on the link that stands."""
+        call = pending.call
+        pending.sent_to = self.incarnation
+        message = wire.Call(
+            number=pending.number,
+            instance=call.instance,
+            route=call.route,
+            method=call.request.method,
+            target=call.request.target,
+            headers=flatten(call.request.headers),
+            body=call.request.body,
+            deadline=call.deadline + self.offset,
+            rank=call.rank,
+            idempotent=call.idempotent,
+        )
+        assert self.frames is not None
+        self.frames.send(wire.Frame(call=message))
+
+    # The link.
+
+    def open(self) -> None:
+        """See that somebody dials."""
+        if self.driver is None and not self.closed:
+            self.driver = asyncio.ensure_future(self.drive())
+        self.wake.set()
+
+    def close(self) -> None:
+        """Give the link up for good; what is under way fails."""
+        self.closed = True
+        if self.frames is not None:
+            self.frames.close()
+        if self.driver is not None:
+            self.driver.cancel()
+        self.lose_all("home-left")
+
+    async def drive(self) -> None:
+        """Dial and read for as long as the link is needed."""
+        pause = REDIAL_FIRST
+        while (self.pending or self.kept) and not self.closed:
+            reason = await self.serve()
+            if reason is None:
+                pause = REDIAL_FIRST
+                continue
+            self.wake.clear()
+            try:
+                await asyncio.wait_for(self.wake.wait(), pause)
+                await asyncio.sleep(0.02)
+            except TimeoutError:
+                pause = min(2 * pause, REDIAL_MOST)
+        self.driver = None
+
+    async def serve(self) -> str | None:
+        """Dial once and read until the link ends; return why dialling failed."""
+        stream = IOStream(
+            socket.socket(), max_buffer_size=64 << 20, read_chunk_size=READ_BYTES
+        )
+        try:
+            await asyncio.wait_for(stream.connect(self.address), DIAL_SECONDS)
+        except (TimeoutError, StreamClosedError, OSError) as error:
+            refused = isinstance(stream.error, ConnectionRefusedError)
+            stream.close()
+            self.unreachable("refused" if refused else type(error).__name__)
+            return "unreachable"
+        self.frames = FrameStream(stream)
+        dialled = clock.now()
+        identity = self.identity
+        hello = wire.Hello(
+            identity.host,
+            identity.incarnation,
+            identity.zone,
+            dialled,
+            self.gossip.uninformed(),
+        )
+        self.frames.send(wire.Frame(hello=hello))
+        self.heard = dialled
+        self.pinged = dialled
+        reason = await self.frames.read(self.take)
+        was_greeted, self.greeted = self.greeted, False
+        self.frames = None
+        if was_greeted:
+            self.log.event("link-down", peer=self.address[0], reason=reason)
+            return None
+        self.unreachable("no-greeting")
+        return "no-greeting"
+
+    def take(self, frame: wire.Frame) -> None:
+        """Take a frame."""
+        self.heard = clock.now()
+        if frame.answer is not None:
+            told = frame.answer
+            answer = Answer(
+                told.status, unflatten(told.headers), told.body or b"", told.seconds
+            )
+            self.resolve(told.number, answer, told.occupied)
+        elif frame.not_run is not None:
+            refused = frame.not_run
+            outcome = NotRun(refused.reason, refused.retry_after, refused.reached)
+            self.resolve(refused.number, outcome, refused.occupied)
+        elif frame.unknown is not None:
+            self.resolve(frame.unknown.number, Unknown(frame.unknown.reason), None)
+        elif frame.pong is not None:
+            self.measure(frame.pong.sent, frame.pong.clock)
+        elif frame.welcome is not None:
+            self.welcome(frame.welcome)
+        elif frame.leaving is not None:
+            self.leaving = True
+        elif frame.ask is not None:
+            self.inform(frame.ask.config_revision)
+        elif frame.knowledge is not None:
+            self.gossip.learn(frame.knowledge)
+
+    def inform(self, config_revision: int) -> None:
+        """Tell the home what this node knows."""
+        knowledge = self.gossip.knowledge_for(config_revision)
+        if knowledge is not None and self.frames is not None:
+            self.frames.send(wire.Frame(knowledge=knowledge))
+
+    def ask(self) -> None:
+        """Ask the home what it knows."""
+        if self.frames is not None and self.greeted:
+            ask = wire.Ask(self.gossip.config_revision())
+            self.frames.send(wire.Frame(ask=ask))
+
+    def resolve(self, number: int, outcome: Outcome, occupied: int | None) -> None:
+        """Hand an outcome to the call that waits for it."""
+        if occupied is not None:
+            self.occupied = occupied
+        pending = self.pending.get(number)
+        if pending is not None:
+            pending.resolve(outcome)
+
+    def welcome(self, welcome: wire.Welcome) -> None:
+        """Take the home's greeting and send what waits."""
+        assert self.frames is not None
+        self.round_trip = float("inf")
+        self.measure(self.heard_dial(), welcome.clock)
+        if welcome.incarnation != self.incarnation:
+            self.lose_sent("home-restarted")
+            self.incarnation = welcome.incarnation
+        self.greeted = True
+        self.failing = False
+        self.leaving = welcome.leaving
+        self.log.event("link-up", peer=self.address[0], incarnation=welcome.incarnation)
+        for pending in list(self.pending.values()):
+            self.send_call(pending)
+        if welcome.uninformed:
+            self.inform(0)
+
+    def heard_dial(self) -> float:
+        """Return when the greeting was sent."""
+        return self.pinged
+
+    def measure(self, sent: float, told: float) -> None:
+        """Take the home's clock from its sign, if it came faster than others."""
+        now = clock.now()
+        round_trip = now - sent
+        if round_trip < self.round_trip or round_trip < 0.05:
+            self.round_trip = round_trip
+            self.offset = told - (sent + now) / 2
+
+    # Failures.
+
+    def unreachable(self, reason: str) -> None:
+        """Note that the home cannot be reached now.
+
+        Calls that were never sent certainly have not run. Of those that were, the
+        ones that may run again go elsewhere; the others wait for the link, unless
+        nothing listens there any more, so that nobody is left to ask.
+        """
+        if not self.failing:
+            self.log.event("link-unreachable", peer=self.address[0], reason=reason)
+        self.failing = True
+        for pending in list(self.pending.values()):
+            if pending.sent_to is None:
+                pending.resolve(NotRun("home-unreachable"))
+            elif pending.call.idempotent or reason == "refused":
+                pending.resolve(Unknown("home-unreachable"))
+
+    def lose_sent(self, reason: str) -> None:
+        """Fail the calls that an earlier incarnation of the home was sent."""
+        for pending in list(self.pending.values()):
+            if pending.sent_to is not None:
+                pending.resolve(Unknown(reason))
+
+    def lose_all(self, reason: str) -> None:
+        """Fail every call."""
+        self.lose_sent(reason)
+        for pending in list(self.pending.values()):
+            pending.resolve(NotRun(reason))
+
+    def tick(self, now: float) -> None:
+        """Ask a silent home for a sign, and give it up if none comes."""
+        if self.frames is None:
+            return
+        if not self.greeted:
+            if now - self.pinged > GREET_SECONDS:
+                self.frames.close()
+            return
+        if not self.pending:
+            return
+        silent = now - self.heard
+        if silent > SILENT_AFTER and now - self.pinged < SILENT_AFTER:
+            self.failing = True
+            self.frames.close()
+        elif silent > PING_AFTER and now - self.pinged > PING_AFTER:
+            self.pinged = now
+            self.frames.send(wire.Frame(ping=wire.Ping(now)))
--- /dev/null
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -0,0 +1,154 @@
+"""The home's side of the links between nodes."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from tornado.tcpserver import TCPServer
+
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.callerserver import READ_BYTES
+from sequoiaspoke.sidecar.frames import FrameStream, flatten, unflatten
+from sequoiaspoke.sidecar.home import HomeCall
+from sequoiaspoke.wire.gen.meshlink import ttypes as wire
+
+if TYPE_CHECKING:
+    from tornado.iostream import IOStream
+
+    from sequoiaspoke.core.mesh.outcome import Outcome
+    from sequoiaspoke.sidecar.home import Home
+    from sequoiaspoke.sidecar.logs import EventLog
+
+
+class Gossip(ABC):
+    """What nodes tell each other of the platform."""
+
+    @abstractmethod
+    def uninformed(self) -> bool:
+        """Return whether this node lacks news that others may have."""
+
+    @abstractmethod
+    def knowledge_for(self, config_revision: int) -> wire.Knowledge | None:
+        """Return what this node knows, or None if it knows nothing."""
+
+    @abstractmethod
+    def learn(self, knowledge: wire.Knowledge) -> None:
+        """Take what another node knows."""
+
+    @abstractmethod
+    def config_revision(self) -> int:
+        """Return the revision of the configuration in force here."""
+
+
+class AcceptedLink:
+    """A link that another node opened."""
+
+    def __init__(self, stream: IOStream, server: LinkServer) -> None:
+        self.frames = FrameStream(stream)
+        self.server = server
+        self.peer: tuple[str, int] | None = None
+        self.zone = ""
+
+    def take(self, frame: wire.Frame) -> None:
+        """Take a frame."""
+        if frame.call is not None:
+            self.call(frame.call)
+        elif frame.cancel is not None:
+            self.server.home.cancel((self.peer, frame.cancel.number))
+        elif frame.ping is not None:
+            pong = wire.Pong(frame.ping.sent, clock.now())
+            self.frames.send(wire.Frame(pong=pong))
+        elif frame.hello is not None:
+            self.hello(frame.hello)
+        elif frame.ask is not None:
+            knowledge = self.server.gossip.knowledge_for(frame.ask.config_revision)
+            if knowledge is not None:
+                self.frames.send(wire.Frame(knowledge=knowledge))
+        elif frame.knowledge is not None:
+            self.server.gossip.learn(frame.knowledge)
+
+    def hello(self, hello: wire.Hello) -> None:
+        """Take the name of the other node; its older links end unread."""
+        self.peer = (hello.host, hello.incarnation)
+        self.zone = hello.zone
+        for link in list(self.server.links):
+            if link is not self and link.peer == self.peer:
+                link.frames.close()
+        home = self.server.home
+        welcome = wire.Welcome(
+            self.server.incarnation,
+            clock.now(),
+            home.leaving,
+            self.server.gossip.uninformed(),
+        )
+        self.frames.send(wire.Frame(welcome=welcome))
+
+    def call(self, call: wire.Call) -> None:
+        """Take a call."""
+        number = call.number
+        request = Request(
+            call.method, call.target, unflatten(call.headers), call.body or b""
+        )
+        home_call = HomeCall(
+            request,
+            call.instance,
+            call.route,
+            call.rank,
+            call.idempotent,
+            call.deadline,
+        )
+        self.server.home.submit(
+            (self.peer, number), home_call, lambda outcome: self.tell(number, outcome)
+        )
+
+    def tell(self, number: int, outcome: Outcome) -> None:
+        """Send what came of a call."""
+        occupied = self.server.home.admission.occupied
+        if isinstance(outcome, Answer):
+            answer = wire.Answer(
+                number,
+                outcome.status,
+                flatten(outcome.headers),
+                outcome.body,
+                outcome.seconds,
+                occupied,
+            )
+            frame = wire.Frame(answer=answer)
+        elif isinstance(outcome, NotRun):
+            refusal = wire.NotRun(
+                number, outcome.reason, outcome.retry_after, outcome.reached, occupied
+            )
+            frame = wire.Frame(not_run=refusal)
+        else:
+            frame = wire.Frame(unknown=wire.Unknown(number, outcome.reason))
+        self.frames.send(frame)
+
+
+class LinkServer(TCPServer):
+    """Accepts links of other nodes."""
+
+    def __init__(
+        self, home: Home, gossip: Gossip, incarnation: int, log: EventLog
+    ) -> None:
+        super().__init__(max_buffer_size=64 << 20, read_chunk_size=READ_BYTES)
+        self.home = home
+        self.gossip = gossip
+        self.incarnation = incarnation
+        self.log = log
+        self.links: set[AcceptedLink] = set()
+
+    async def handle_stream(self, stream: IOStream, address: object) -> None:  # noqa: ARG002
+        """Serve a link."""
+        link = AcceptedLink(stream, self)
+        self.links.add(link)
+        reason = await link.frames.read(link.take)
+        self.links.discard(link)
+        if reason not in ("closed", "closed-here"):
+            self.log.event("link-broken", peer=link.peer, reason=reason)
+
+    def announce_leaving(self) -> None:
+        """Tell every entry that this home takes no new calls."""
+        for link in self.links:
+            link.frames.send(wire.Frame(leaving=wire.Leaving()))
--- /dev/null
+++ b/sequoiaspoke/sidecar/logs.py
@@ -0,0 +1,95 @@
+"""One line of key=value pairs an event on standard output, bounded.
+
+A flood of failures is when the log matters and when it would cost most. Each kind of
+event has a budget of lines a second; what goes beyond is counted and said in one
+line. Standard output is written without blocking: a reader that stands still
+costs lines and delays no call.
+"""
+
+from __future__ import annotations
+
+import os
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from sequoiaspoke.node.logs import format_line
+from sequoiaspoke.sidecar import clock
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.mesh.outcome import Request
+
+STDOUT = 1
+# Lines a second of one kind of event; enough to see each of a few failures, and
+# at most some 2% of a processor for all kinds together.
+LINES_A_SECOND = 20
+
+
+class DroppingOutput:
+    """Write lines that fit into the pipe and count the others."""
+
+    def __init__(self, descriptor: int = STDOUT) -> None:
+        self.descriptor = descriptor
+        self.dropped = 0
+        try:
+            os.set_blocking(descriptor, False)
+        except OSError:
+            # Some descriptors cannot be switched; a file does not block anyway.
+            self.dropped = 0
+
+    def write(self, text: str) -> None:
+        """Write a line or drop it."""
+        try:
+            os.write(self.descriptor, text.encode())
+        except OSError:
+            # Nobody reads; the count is on the metrics page.
+            self.dropped += 1
+
+
+class EventLog:
+    """The log of a sidecar."""
+
+    def __init__(self, names_call: str) -> None:
+        self.call_header = names_call
+        self.second = 0
+        self.lines: Counter[str] = Counter()
+        self.left_out: Counter[str] = Counter()
+
+    def allowed(self, kind: str) -> bool:
+        """Return whether there is room for a line of a kind."""
+        second = int(clock.now())
+        if second != self.second:
+            self.second = second
+            self.lines.clear()
+            self.report_left_out()
+        self.lines[kind] += 1
+        if self.lines[kind] <= LINES_A_SECOND:
+            return True
+        self.left_out[kind] += 1
+        return False
+
+    def report_left_out(self) -> None:
+        """Say how many lines the second before had too many."""
+        left_out, self.left_out = self.left_out, Counter()
+        for kind, count in left_out.items():
+            logger.bind(kind=kind, count=count).warning("lines-left-out")
+
+    def event(self, kind: str, **pairs: object) -> None:
+        """Log a change of what this process does or believes."""
+        if self.allowed(kind):
+            logger.bind(**pairs).info(kind)
+
+    def call(self, kind: str, request: Request, **pairs: object) -> None:
+        """Log a decision on a call, with the call's id."""
+        if self.allowed(kind):
+            call_id = request.header(self.call_header)
+            logger.bind(id=call_id, **pairs).warning(kind)
+
+
+def configure_output() -> DroppingOutput:
+    """Send the log to standard output."""
+    output = DroppingOutput()
+    logger.remove()
+    logger.add(output, level="INFO", format=format_line, enqueue=False, colorize=False)
+    return output
--- /dev/null
+++ b/sequoiaspoke/sidecar/peers.py
@@ -0,0 +1,104 @@
+"""The links of this node to the homes of all endpoints."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.idempotency.rendezvous import rank
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.linkclient import LinkClient
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sequoiaspoke.core.mesh.model import Endpoint
+    from sequoiaspoke.sidecar.linkclient import LinkIdentity
+    from sequoiaspoke.sidecar.logs import EventLog
+    from sequoiaspoke.sidecar.state import MeshState
+
+# Links held open without calls, to nodes of the own zone: by them a node that starts
+# while the store turns it away is found and told what it needs. Four reach it
+# unless all four nodes die with it.
+KEPT_LINKS = 4
+# Nodes asked at once for news, and seconds between two rounds.
+ASKED, ASK_EVERY = 2, 0.5
+
+
+class Peers:
+    """Links by the address of the other node."""
+
+    def __init__(
+        self,
+        identity: LinkIdentity,
+        port: int,
+        state: MeshState,
+        rng: Random,
+        log: EventLog,
+    ) -> None:
+        self.identity = identity
+        self.port = port
+        self.state = state
+        self.rng = rng
+        self.log = log
+        self.links: dict[str, LinkClient] = {}
+        self.asked = float("-inf")
+
+    def link(self, host: str) -> LinkClient:
+        """Return the link to a node."""
+        link = self.links.get(host)
+        if link is None:
+            link = LinkClient((host, self.port), self.identity, self.state, self.log)
+            self.links[host] = link
+        return link
+
+    def reachable(self, endpoint: Endpoint) -> bool:
+        """Return whether calls to an endpoint are worth a try."""
+        link = self.links.get(endpoint.host)
+        return link is None or not (link.failing or link.leaving)
+
+    def refresh(self) -> None:
+        """Open and close links as endpoints come and go."""
+        endpoints = [held.endpoint for held in self.state.directory.held.values()]
+        hosts = {endpoint.host for endpoint in endpoints}
+        for host in self.links.keys() - hosts:
+            link = self.links[host]
+            if not link.pending:
+                link.close()
+                del self.links[host]
+        near = {
+            endpoint.host
+            for endpoint in endpoints
+            if endpoint.zone == self.identity.zone
+            and endpoint.host != self.identity.host
+        }
+        kept = set(rank(self.identity.host, sorted(near))[:KEPT_LINKS])
+        for host in kept:
+            self.link(host)
+        for host, link in self.links.items():
+            link.kept = host in kept
+            if link.kept or link.failing:
+                link.open()
+
+    def tick(self, now: float) -> None:
+        """Look after the links and ask for news if what is known is old."""
+        for link in self.links.values():
+            link.tick(now)
+        if self.state.stale(now) and now - self.asked > ASK_EVERY:
+            self.asked = now
+            self.ask()
+
+    def ask(self) -> None:
+        """Ask some nodes for what they know."""
+        open_links = [link for link in self.links.values() if link.greeted]
+        self.rng.shuffle(open_links)
+        for link in open_links[:ASKED]:
+            link.ask()
+
+    def nodes(self) -> int:
+        """Return how many nodes the endpoints stand for."""
+        held = self.state.directory.held.values()
+        return max(1, len({entry.endpoint.host for entry in held}))
+
+    def age(self) -> float:
+        """Return the age of what is known here, in seconds."""
+        return self.state.age(clock.now())
--- /dev/null
+++ b/sequoiaspoke/sidecar/settings.py
@@ -0,0 +1,41 @@
+"""The settings of a sidecar."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sequoiaspoke.core.mesh.repeats import RepeatLimits
+from sequoiaspoke.sidecar.names import HeaderNames
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class SidecarSettings:
+    """What one sidecar is told at its start.
+
+    Attributes
+    ----------
+    service, zone : str
+        Those of the upstream beside it.
+    upstream, callers, links, health : Address
+        Where the upstream listens, and where this node listens for callers, for
+        other nodes, and for the platform's questions.
+    store : Address
+        Where the platform's store listens.
+    drain : float
+        Seconds after a termination signal at which the process ends at the latest.
+    """
+
+    node: str
+    service: str
+    zone: str
+    upstream: Address
+    callers: Address
+    links: Address
+    health: Address
+    store: Address
+    health_path: str = "/ready"
+    drain: float = 5.0
+    repeats: RepeatLimits = field(default_factory=RepeatLimits)
+    names: HeaderNames = field(default_factory=HeaderNames)
--- /dev/null
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -0,0 +1,106 @@
+"""Send calls to the upstream beside this node."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown, find_header
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.httpclient import open_connection
+from sequoiaspoke.sidecar.httptext import end_to_end, request_text
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.mesh.outcome import Outcome, Request
+    from sequoiaspoke.sidecar.httpclient import ClientConnection
+    from sequoiaspoke.sidecar.names import HeaderNames
+
+
+class Upstream:
+    """The upstream beside this node."""
+
+    def __init__(self, host: str, port: int, names: HeaderNames) -> None:
+        self.host = host
+        self.port = port
+        self.names = names
+        self.idle: list[ClientConnection] = []
+        self.connects = 0
+
+    async def call(
+        self, request: Request, instance: str, deadline: float, idempotent: bool
+    ) -> Outcome:
+        """Have a call run; cancelling it closes its connection."""
+        connection = self.reuse(idempotent) or await self.connect()
+        if connection is None:
+            return NotRun("upstream-unreachable")
+        left = deadline - clock.now()
+        if left <= 0:
+            self.release(connection)
+            return NotRun("no-time")
+        extra = (
+            (self.names.time_left, str(int(left * 1000))),
+            (self.names.instance, instance),
+        )
+        call_id = request.header(self.names.call_id)
+        text = request_text(request, extra)
+        if connection.stream.closed():
+            return NotRun("connection-closed")
+        begun = clock.now()
+        try:
+            outcome = await asyncio.wait_for(
+                connection.exchange(text, call_id, request.method == "HEAD"), left
+            )
+        except TimeoutError:
+            connection.close()
+            return Unknown("timeout")
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        self.release(connection)
+        if isinstance(outcome, Unknown):
+            return outcome
+        return self.judge(outcome, clock.now() - begun)
+
+    def judge(self, answer: Answer, seconds: float) -> Outcome:
+        """Tell an answer from a refusal and from bytes that are not an answer."""
+        if find_header(answer.headers, self.names.not_run):
+            return NotRun("upstream-refused", reached=True)
+        if answer.status == 421:
+            return NotRun("instance-replaced", reached=True)
+        success = 200 <= answer.status < 300
+        if success and not find_header(answer.headers, self.names.stamp):
+            return Unknown("answer-unstamped")
+        if success and find_header(answer.headers, "content-encoding"):
+            return Unknown("answer-encoded")
+        return Answer(answer.status, end_to_end(answer.headers), answer.body, seconds)
+
+    def reuse(self, idempotent: bool) -> ClientConnection | None:
+        """Return the connection that was used last, if it may be used again."""
+        now = clock.now()
+        while self.idle:
+            connection = self.idle[-1]
+            if connection.usable(idempotent=True, now=now):
+                if not connection.usable(idempotent, now):
+                    return None
+                return self.idle.pop()
+            self.idle.pop().close()
+        return None
+
+    async def connect(self) -> ClientConnection | None:
+        """Open a connection; None if the upstream does not accept one."""
+        self.connects += 1
+        return await open_connection((self.host, self.port), self.names.call_id)
+
+    def release(self, connection: ClientConnection) -> None:
+        """Keep a connection for the next call, or close it."""
+        if connection.tainted or connection.stream.closed():
+            connection.close()
+            return
+        self.idle.append(connection)
+
+    def tick(self, now: float) -> None:
+        """Close connections that will not be used again."""
+        for connection in list(self.idle):
+            if not connection.usable(idempotent=True, now=now):
+                self.idle.remove(connection)
+                connection.close()
--- /dev/null
+++ b/sequoiaspoke/wire/gen/meshlink/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
