--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -5,23 +5,29 @@
 are sent than it runs, and the rest waits here, by priority and then by arrival. A
 call that could not finish in time is refused as not run at once, so that its caller
 can go elsewhere while there is time.
+
+Under a standing overload a queue in order of arrival makes every answer late: each
+call waits the whole queue's length. Among calls of one priority those that can
+still be answered on time therefore go first, and the late ones take what is left.
 """
 
 from __future__ import annotations
 
-import heapq
 from dataclasses import dataclass
 from enum import StrEnum
 
+from sequoiaspoke.core.mesh.durations import Durations
+
 # Calls waiting for one slot, at most; beyond, a call would wait longer than any
 # objective allows even for the shortest work.
 QUEUE_PER_SLOT = 6
-# Weight of the newest measurement of how long calls take.
-NEWEST = 0.05
-# Part of the mean service time that must be left when a call is handed over.
+# Part of the expected time that must be left when a call is handed over; work varies,
+# and a call with half of its mean left still ends in time one time in ten.
 LEAST_LEFT = 0.5
-# Guess of the seconds of a call before the first was measured.
-FIRST_GUESS = 0.1
+# Part of the expected time of a running call that is still to come, on average.
+RESIDUAL = 0.5
+# Least Retry-After of a refusal, in seconds.
+LEAST_WAIT = 0.05
 
 
 class Turned(StrEnum):
@@ -44,6 +50,8 @@
         Name under which durations are measured.
     rank : int
         Priority of its route; 0 goes first.
+    on_time : float
+        Until when an answer is on time.
     deadline : float
         When the answer has no use any more.
     """
@@ -51,6 +59,7 @@
     ticket: object
     route: str
     rank: int
+    on_time: float
     deadline: float
 
 
@@ -74,96 +83,81 @@
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
-        self.running = 0
-        self.queue: list[tuple[int, int, Arrival]] = []
-        self.count = 0
-        self.cancelled: set[int] = set()
-        self.numbers: dict[object, int] = {}
-        self.mean: dict[str, float] = {}
-        self.overall = FIRST_GUESS
+        self.queue: dict[object, Arrival] = {}
+        self.durations = Durations()
+
+    @property
+    def running(self) -> int:
+        """Return how many calls run."""
+        return len(self.durations.running)
 
     @property
     def waiting(self) -> int:
         """Return how many calls wait."""
-        return len(self.queue) - len(self.cancelled)
+        return len(self.queue)
 
     @property
     def occupied(self) -> int:
         """Return how many calls run or wait."""
         return self.running + self.waiting
 
-    def service_time(self, route: str) -> float:
-        """Return the seconds that a call of a route takes, by what was seen."""
-        return self.mean.get(route, self.overall)
-
     def arrive(self, arrival: Arrival, now: float) -> Refused | None:
         """Queue a call, or refuse it."""
-        ahead = self.ahead(arrival)
-        wait = self.wait_for(ahead)
-        needed = wait + LEAST_LEFT * self.service_time(arrival.route)
-        if now + needed > arrival.deadline:
-            return Refused(arrival, Turned.NO_TIME, max(wait, 0.05))
+        wait = self.wait_before(arrival, now)
+        if now + wait + self.least(arrival, now) > arrival.deadline:
+            return Refused(arrival, Turned.NO_TIME, max(wait, LEAST_WAIT))
         if self.waiting >= self.slots * QUEUE_PER_SLOT:
-            return Refused(arrival, Turned.QUEUE_FULL, max(wait, 0.05))
-        self.count += 1
-        heapq.heappush(self.queue, (arrival.rank, self.count, arrival))
-        self.numbers[arrival.ticket] = self.count
+            return Refused(arrival, Turned.QUEUE_FULL, max(wait, LEAST_WAIT))
+        self.queue[arrival.ticket] = arrival
         return None
 
-    def ahead(self, arrival: Arrival) -> int:
-        """Return how many waiting calls go before a new one."""
-        return sum(
-            1
-            for rank, number, _ in self.queue
-            if rank <= arrival.rank and number not in self.cancelled
-        )
-
-    def wait_for(self, ahead: int) -> float:
-        """Return the seconds until a call with so many before it gets a slot."""
-        excess = self.running + ahead + 1 - self.slots
-        return max(0, excess) * self.overall / max(1, self.slots)
+    def least(self, arrival: Arrival, now: float) -> float:
+        """Return the seconds that a call needs at least."""
+        return LEAST_LEFT * self.durations.expected(arrival.route, now)
+
+    def wait_before(self, arrival: Arrival, now: float) -> float:
+        """Return the seconds until a new call would get a slot."""
+        if self.running < self.slots and not self.queue:
+            return 0.0
+        work = 0.0
+        for waiting in self.queue.values():
+            if waiting.rank <= arrival.rank:
+                work += self.durations.expected(waiting.route, now)
+        for route, _ in self.durations.running.values():
+            work += RESIDUAL * self.durations.expected(route, now)
+        return work / max(1, self.slots)
 
     def next(self, now: float) -> tuple[Arrival | None, list[Refused]]:
         """Return the call to hand over now, and those it is too late for."""
-        late: list[Refused] = []
-        while self.queue and self.running < self.slots:
-            _, number, arrival = heapq.heappop(self.queue)
-            self.numbers.pop(arrival.ticket, None)
-            if number in self.cancelled:
-                self.cancelled.discard(number)
-                continue
-            least = LEAST_LEFT * self.service_time(arrival.route)
-            if now + least > arrival.deadline:
-                late.append(Refused(arrival, Turned.NO_TIME, self.overall))
-                continue
-            self.running += 1
-            return arrival, late
-        return None, late
+        refused = self.overdue(now)
+        if not self.queue or self.running >= self.slots:
+            return None, refused
+        # Of equals the first in the order of arrival.
+        arrival = min(self.queue.values(), key=lambda each: self.turn(each, now))
+        del self.queue[arrival.ticket]
+        self.durations.begin(arrival.ticket, arrival.route, now)
+        return arrival, refused
+
+    def turn(self, arrival: Arrival, now: float) -> tuple[int, bool]:
+        """Return what orders the calls that wait."""
+        expected = self.durations.expected(arrival.route, now)
+        return (arrival.rank, now + expected > arrival.on_time)
 
     def overdue(self, now: float) -> list[Refused]:
         """Take out the waiting calls that could not be answered any more."""
-        late = []
-        for _, number, arrival in self.queue:
-            least = LEAST_LEFT * self.service_time(arrival.route)
-            if arrival.deadline <= now + least and number not in self.cancelled:
-                late.append(Refused(arrival, Turned.NO_TIME, self.overall))
-        for refused in late:
-            self.cancel(refused.arrival.ticket)
-        return late
+        refused = [
+            Refused(arrival, Turned.NO_TIME, self.durations.overall)
+            for arrival in self.queue.values()
+            if now + self.least(arrival, now) > arrival.deadline
+        ]
+        for each in refused:
+            del self.queue[each.arrival.ticket]
+        return refused
 
     def cancel(self, ticket: object) -> bool:
         """Take a call out of the queue; return whether it waited there."""
-        number = self.numbers.pop(ticket, None)
-        if number is None:
-            return False
-        self.cancelled.add(number)
-        return True
+        return self.queue.pop(ticket, None) is not None
 
-    def finish(self, route: str, seconds: float | None) -> None:
+    def finish(self, ticket: object, answered: bool, now: float) -> None:
         """Free a slot; measure the call if it was answered."""
-        self.running -= 1
-        if seconds is None:
-            return
-        mean = self.mean.get(route, seconds)
-        self.mean[route] = mean + NEWEST * (seconds - mean)
-        self.overall += NEWEST * (seconds - self.overall)
+        self.durations.end(ticket, answered, now)
--- a/sequoiaspoke/core/mesh/placing.py
+++ b/sequoiaspoke/core/mesh/placing.py
@@ -4,39 +4,63 @@
 and more, new ones are slow for seconds, and one may turn slow or fail part of its
 calls while its health check passes. Taking turns sends each the same and lets the
 slowest decide how late answers are. Links between zones are dear, so an
-endpoint of the own zone is taken as long as it would answer in time.
+endpoint of the own zone is taken unless its answer is likelier to be late.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.mesh.durations import FIRST_GUESS
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from sequoiaspoke.core.mesh.model import Endpoint, Route
 
-# Weight of the newest measurement. A change of speed shows after some five calls,
-# while one slow call in a hundred moves little.
-NEWEST = 0.15
+# Weight of the newest measurement of a route over all endpoints.
+NEWEST = 0.05
 # How much slower a cold endpoint is taken to be before it was measured.
 COLD_FACTOR = 2.0
-# An answer expected within this part of the objective counts as in time; work
-# varies by a third and more round its mean.
-IN_TIME = 0.75
 # Seconds to another zone and back, with the two nodes' own time.
 ZONE_SECONDS = 0.004
-# Share of failures above which an endpoint is worth avoiding, and the least share
-# of success by which its expected time is divided.
+# Least share of success by which an expected time is divided.
 LEAST_SUCCESS = 0.1
-# Seconds after which news of another node's queue counts for half.
-NEWS_HALF_LIFE = 0.5
-# Seconds after the last failure in which an endpoint is tried again as if half
-# of the doubt was gone.
+# Weight of a failure: after three in a row an endpoint is expected to fail two of
+# three calls, and takes three times its time.
+FAILURE_WEIGHT = 0.3
+# Seconds after which half of the doubt about an endpoint that failed is gone, so that
+# one that has recovered is tried again.
 FAILURE_HALF_LIFE = 2.0
-# Guess of the seconds of a call nobody has measured.
-FIRST_GUESS = 0.1
+# Seconds after which news of a home's queue, of its speed, and of the calls that last
+# too long there count for half.
+QUEUE_HALF_LIFE, SPEED_HALF_LIFE, STRAIN_HALF_LIFE = 0.5, 3.0, 1.0
+# How steeply the chance to be late rises round the objective: an answer expected in
+# half of it is late one time in 17, in three quarters one in four.
+STEEPNESS = 4
+# By how much less likely to be late an endpoint in another zone must be: what its
+# bytes cost in answers that are worth a third when late.
+ZONE_MARGIN = 0.12
+
+
+@dataclass(frozen=True)
+class News:
+    """A home's word on the load of its upstream.
+
+    Attributes
+    ----------
+    occupied : int
+        Calls that run or wait.
+    strain : float
+        How much longer than expected the running calls last, from 1.
+    expected : float
+        Seconds that a call of the route takes; 0 if no route was asked about.
+    """
+
+    occupied: int
+    strain: float = 1.0
+    expected: float = 0.0
 
 
 @dataclass
@@ -45,32 +69,34 @@
 
     Attributes
     ----------
-    pace : float
-        Time its calls take, relative to the mean of their route.
-    waiting : int
-        Calls that queued or ran there, by its home's last word.
-    told : float
-        When its home said so.
     mine : int
         Calls of this node under way there.
-    mine_told : int
-        Calls of this node among those that the home counted.
-    failing : float
-        Share of its recent calls that failed.
+    speeds : dict of str to tuple of two floats
+        By route, the seconds of a call and when the home said so.
     """
 
-    pace: float = 1.0
-    measured: int = 0
-    waiting: int = 0
-    told: float = float("-inf")
     mine: int = 0
+    occupied: int = 0
+    strain: float = 1.0
+    told: float = float("-inf")
     failing: float = 0.0
     failed: float = float("-inf")
+    speeds: dict[str, tuple[float, float]] = field(default_factory=dict)
 
     def failure_share(self, now: float) -> float:
         """Return the share of failures to expect, forgotten with time."""
         return self.failing * 0.5 ** ((now - self.failed) / FAILURE_HALF_LIFE)
 
+    def busy(self, now: float) -> float:
+        """Return how many calls run or wait there."""
+        trust = 0.5 ** ((now - self.told) / QUEUE_HALF_LIFE)
+        return max(self.mine, self.occupied * trust)
+
+    def slowed(self, now: float) -> float:
+        """Return by how much its calls last longer than was told, from 1."""
+        trust = 0.5 ** ((now - self.told) / STRAIN_HALF_LIFE)
+        return 1 + (self.strain - 1) * trust
+
 
 class Placing:
     """Measure endpoints and choose among them."""
@@ -95,50 +121,44 @@
         """Note that a call is over, whatever came of it."""
         self.of(instance).mine -= 1
 
-    def load(self, instance: str, occupied: int, now: float) -> None:
-        """Take a home's word on how many calls it runs and queues."""
+    def load(self, instance: str, route: str, news: News, now: float) -> None:
+        """Take a home's word on its upstream."""
         seen = self.of(instance)
-        seen.waiting = occupied
-        seen.told = now
-
-    def answered(self, route: Route, instance: str, seconds: float) -> None:
-        """Measure a call that its upstream finished.
+        seen.occupied, seen.strain, seen.told = news.occupied, news.strain, now
+        if news.expected > 0:
+            seen.speeds[route] = (news.expected, now)
 
-        Parameters
-        ----------
-        seconds : float
-            Time at the upstream, without the wait for a slot.
-        """
-        mean = self.mean.get(route.name)
-        if mean is None:
-            self.mean[route.name] = mean = seconds
-        self.mean[route.name] = mean + 0.05 * (seconds - mean)
-        seen = self.of(instance)
-        relative = min(20.0, seconds / max(mean, 0.001))
-        weight = max(NEWEST, 1 / (seen.measured + 1))
-        seen.pace += weight * (relative - seen.pace)
-        seen.measured += 1
-        seen.failing *= 1 - NEWEST
+    def answered(self, route: str, instance: str, seconds: float) -> None:
+        """Measure a call that its upstream finished in so many seconds."""
+        mean = self.mean.get(route, seconds)
+        self.mean[route] = mean + NEWEST * (seconds - mean)
+        self.of(instance).failing *= 1 - FAILURE_WEIGHT / 2
 
     def failed(self, instance: str, now: float) -> None:
         """Note a call that its endpoint turned away or broke off."""
         seen = self.of(instance)
         share = seen.failure_share(now)
-        seen.failing = share + 2 * NEWEST * (1 - share)
+        seen.failing = share + FAILURE_WEIGHT * (1 - share)
         seen.failed = now
 
-    def expected(
-        self, route: Route, endpoint: Endpoint, cold: bool, now: float
-    ) -> float:
+    def service_time(self, route: str, instance: str, cold: bool, now: float) -> float:
+        """Return the seconds that a call of a route takes at an endpoint."""
+        usual = self.mean.get(route, FIRST_GUESS)
+        seen = self.of(instance)
+        told = seen.speeds.get(route)
+        if told is None:
+            usual = usual * COLD_FACTOR if cold else usual
+        else:
+            trust = 0.5 ** ((now - told[1]) / SPEED_HALF_LIFE)
+            usual += trust * (told[0] - usual)
+        return usual * seen.slowed(now)
+
+    def expected(self, route: str, endpoint: Endpoint, cold: bool, now: float) -> float:
         """Return the seconds in which an endpoint would answer a call."""
         seen = self.of(endpoint.instance)
-        pace = seen.pace
-        if cold and seen.measured < 3:
-            pace *= COLD_FACTOR
-        service = self.mean.get(route.name, FIRST_GUESS) * pace
-        trust = 0.5 ** ((now - seen.told) / NEWS_HALF_LIFE)
-        busy = max(seen.mine, seen.waiting * trust)
+        service = self.service_time(route, endpoint.instance, cold, now)
         slots = max(1, endpoint.slots)
+        busy = seen.busy(now)
         wait = max(0.0, busy + 1 - slots) * service / slots
         # An upstream near its limit slows down before its queue shows.
         service *= 1 + 0.3 * min(1.0, busy / slots) ** 2
@@ -164,17 +184,28 @@
         best, best_time = None, float("inf")
         near, near_time = None, float("inf")
         for endpoint in endpoints:
-            time = self.expected(route, endpoint, cold(endpoint.instance), now)
+            is_cold = cold(endpoint.instance)
+            time = self.expected(route.name, endpoint, is_cold, now)
             if time < best_time:
                 best, best_time = endpoint, time
             if endpoint.zone == self.zone and time < near_time:
                 near, near_time = endpoint, time
-        if near is not None and near_time <= max(left, 0.0) * IN_TIME:
-            return near
-        return best
+        if near is None:
+            return best
+        gain = late_chance(near_time, left) - late_chance(best_time, left)
+        return near if gain <= ZONE_MARGIN else best
 
     def retain(self, instances: Iterable[str]) -> None:
         """Forget endpoints that left."""
         for instance in self.seen.keys() - set(instances):
             if self.seen[instance].mine == 0:
                 del self.seen[instance]
+
+
+def late_chance(expected: float, left: float) -> float:
+    """Return how likely an answer expected in some seconds is to be late."""
+    if left <= 0:
+        # All would be late: then the sooner the better, and near is not enough.
+        return min(1.0, expected)
+    ratio = min(expected / left, 10.0)
+    return ratio**STEEPNESS / (1 + ratio**STEEPNESS)
--- a/sequoiaspoke/core/mesh/repeats.py
+++ b/sequoiaspoke/core/mesh/repeats.py
@@ -12,9 +12,11 @@
 from collections import deque
 from dataclasses import dataclass
 
-# Part of the allowance that a node uses. Windows of nodes do not line up, and calls
-# made on behalf of a repeat count as repeats where they arrive.
-MARGIN = 0.8
+# Part of the allowance that a node uses. A repeat runs the calls of its upstream anew,
+# and those count as repeats of the services that they reach: with 1.4 nested calls for
+# each of a service as busy as the one called, 0.52 is the most. Windows of nodes do
+# not line up either.
+MARGIN = 0.45
 
 
 @dataclass(frozen=True)
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -168,9 +168,7 @@
         if self.stopping is not None:
             return
         self.stopping = clock.now()
-        self.home.leaving = True
         self.callers.closing = True
-        self.links.announce_leaving()
         self.log.event(
             "stop", running=self.home.admission.running, calls=len(self.home.calls)
         )
@@ -179,6 +177,9 @@
         """End once nobody waits for anything, or the time allowed is over."""
         assert self.stopping is not None
         since = now - self.stopping
+        if since > self.settings.leave_after and not self.home.leaving:
+            self.home.leaving = True
+            self.links.announce_leaving()
         busy = self.callers.busy() or bool(self.home.calls)
         if since > self.settings.drain or (since > LINGER_SECONDS and not busy):
             self.stopped.set()
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -40,9 +40,9 @@
 # caller that stands still would fill this node's memory.
 UNREAD_BYTES = 16 << 20
 # Seconds after which a silent peer is probed, between probes, and until sent bytes
-# must be acknowledged; a dead connection is found in about four seconds.
-PROBE_AFTER, PROBE_EVERY, PROBES = 2, 1, 2
-UNACKED_MS = 4000
+# must be acknowledged; a dead connection is found in about two seconds.
+PROBE_AFTER, PROBE_EVERY, PROBES = 1, 1, 1
+UNACKED_MS = 2000
 
 
 def watch_for_silence(stream: IOStream) -> None:
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -27,6 +27,7 @@
 
     from sequoiaspoke.core.mesh.model import Endpoint, Route
     from sequoiaspoke.core.mesh.outcome import Outcome, Request
+    from sequoiaspoke.core.mesh.placing import News
     from sequoiaspoke.core.mesh.repeats import RepeatLimits
     from sequoiaspoke.sidecar.home import Home
     from sequoiaspoke.sidecar.logs import EventLog
@@ -101,6 +102,7 @@
         self.counts: Counter[tuple[str, str]] = Counter()
         self.reasons: Counter[str] = Counter()
         self.latency = HdrHistogram(1, 3_600_000, 2)
+        peers.on_news = self.heard
         self.own_headers = frozenset(
             {names.time_left, names.instance, names.caller_service}
         )
@@ -201,21 +203,22 @@
             progress.route.name,
             progress.route.priority,
             progress.route.idempotent,
+            progress.on_time,
             progress.deadline,
         )
         self.placing.begin(endpoint.instance)
         try:
             if endpoint.host == self.peers.identity.host:
                 outcome = await self.call_here(call)
-                occupied = self.home.admission.occupied
+                news = self.home.news(progress.route.name)
             else:
                 link = self.peers.link(endpoint.host)
                 outcome = await link.call(call)
-                occupied = link.occupied
+                news = link.news
         finally:
             self.placing.end(endpoint.instance)
         now = clock.now()
-        self.placing.load(endpoint.instance, occupied, now)
+        self.placing.load(endpoint.instance, progress.route.name, news, now)
         self.measure(progress.route, endpoint.instance, outcome, now)
         return outcome
 
@@ -236,6 +239,13 @@
             self.home.cancel(key)
             raise
 
+    def heard(self, host: str, news: News) -> None:
+        """Take a home's word that came without a call."""
+        now = clock.now()
+        for held in self.state.directory.held.values():
+            if held.endpoint.host == host:
+                self.placing.load(held.endpoint.instance, "", news, now)
+
     def measure(
         self, route: Route, instance: str, outcome: Outcome, now: float
     ) -> None:
@@ -244,7 +254,7 @@
             if outcome.status in TRY_ELSEWHERE:
                 self.placing.failed(instance, now)
             else:
-                self.placing.answered(route, instance, outcome.seconds)
+                self.placing.answered(route.name, instance, outcome.seconds)
         elif isinstance(outcome, Unknown) or outcome.reached:
             self.placing.failed(instance, now)
 
--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -16,6 +16,10 @@
 # Seconds between attempts while the store fails, doubling up to the second; drawn at
 # random below it, so that nodes which lost it together do not return together.
 RETRY_FIRST, RETRY_MOST = 0.05, 0.5
+# Seconds after news before the next is asked for: in a storm of changes, several a
+# second, one read then brings several, and it is short against the two seconds in
+# which a version or a drain has to be acted on.
+GATHER_SECONDS = 0.35
 
 
 class Follower:
@@ -48,8 +52,7 @@
             self.state.take_all(await self.store.read_all())
             self.listed = True
             return
-        self.state.take_changes(await self.store.wait_for_changes(self.followed_to()))
-
-    def followed_to(self) -> int:
-        """Return the revision after which changes are asked for."""
-        return self.state.revision
+        changes = await self.store.wait_for_changes(self.state.revision)
+        self.state.take_changes(changes)
+        if changes.items:
+            await asyncio.sleep(GATHER_SECONDS)
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -10,6 +10,7 @@
 from sequoiaspoke.core.mesh.admission import Admission, Arrival, Refused, Turned
 from sequoiaspoke.core.mesh.ledger import Ledger
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
+from sequoiaspoke.core.mesh.placing import News
 from sequoiaspoke.sidecar import clock
 
 if TYPE_CHECKING:
@@ -32,8 +33,8 @@
 
     Attributes
     ----------
-    deadline : float
-        By this node's clock.
+    on_time, deadline : float
+        Until when an answer is on time and of any use, by this node's clock.
     """
 
     request: Request
@@ -41,6 +42,7 @@
     route: str
     rank: int
     idempotent: bool
+    on_time: float
     deadline: float
 
 
@@ -91,7 +93,7 @@
             tell(refusal)
             return
         now = clock.now()
-        arrival = Arrival(key, call.route, call.rank, call.deadline)
+        arrival = Arrival(key, call.route, call.rank, call.on_time, call.deadline)
         refused = self.admission.arrive(arrival, now)
         if refused is not None:
             self.turned_away(refused, call)
@@ -129,8 +131,8 @@
                 call.request, call.instance, call.deadline, call.idempotent
             )
         finally:
-            seconds = outcome.seconds if isinstance(outcome, Answer) else None
-            self.admission.finish(call.route, seconds)
+            answered = isinstance(outcome, Answer)
+            self.admission.finish(key, answered, clock.now())
             self.finish(key, outcome)
             self.advance()
 
@@ -173,6 +175,13 @@
             left=f"{refused.arrival.deadline - clock.now():.3f}",
         )
 
+    def news(self, route: str = "") -> News:
+        """Return what entries are told of the upstream's load."""
+        now = clock.now()
+        durations = self.admission.durations
+        expected = durations.expected(route, now) if route else 0.0
+        return News(self.admission.occupied, durations.strain(now), expected)
+
     def cancel(self, key: Hashable) -> None:
         """Drop a call whose caller has left.
 
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -15,12 +15,15 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
+from sequoiaspoke.core.mesh.placing import News
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.callerserver import READ_BYTES
 from sequoiaspoke.sidecar.frames import FrameStream, flatten, unflatten
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sequoiaspoke.core.mesh.outcome import Outcome
     from sequoiaspoke.sidecar.home import HomeCall
     from sequoiaspoke.sidecar.linkserver import Gossip
@@ -32,8 +35,22 @@
 # Seconds without a word, while calls are under way, after which a home is asked for a
 # sign and then given up on.
 PING_AFTER, SILENT_AFTER = 0.3, 0.9
+# A link that was heard on within so many seconds is taken to stand. On an older one
+# the home is asked for a sign before a call is sent, and given so long for it: what was
+# never sent can go elsewhere at once, while a call sent into a link that is cut is in
+# doubt until its time is over.
+HEARD_LATELY, SIGN_SECONDS = 0.1, 0.25
 # Seconds between attempts to reach a home, doubling up to the second figure.
-REDIAL_FIRST, REDIAL_MOST = 0.1, 1.0
+REDIAL_FIRST, REDIAL_MOST = 0.1, 0.4
+
+
+def read_news(news: wire.News) -> News:
+    """Return a home's word from what came over the link."""
+    return News(news.occupied, news.strain, news.expected)
+
+
+def ignore_news(news: News) -> None:
+    """Do nothing; for links whose news nobody uses."""
 
 
 class Pending:
@@ -100,11 +117,13 @@
         self.failing = False
         self.leaving = False
         self.incarnation: int | None = None
-        self.occupied = 0
+        self.news = News(0)
+        self.on_news: Callable[[News], None] = ignore_news
         self.heard = 0.0
         self.pinged = 0.0
         self.offset = 0.0
         self.round_trip = float("inf")
+        self.sign: asyncio.Future[None] | None = None
         self.driver: asyncio.Task[None] | None = None
         self.wake = asyncio.Event()
 
@@ -112,15 +131,17 @@
 
     async def call(self, call: HomeCall) -> Outcome:
         """Have the home run a call; cancelling it cancels it there."""
+        if self.greeted and not await self.stands():
+            return NotRun("link-silent")
+        # Only now, as a link that is opened anew sends all that is pending: a call
+        # that still waited for a sign would be told as not run after it was sent.
         pending = Pending(self.identity.number(), call)
         self.pending[pending.number] = pending
-        if self.greeted:
-            if len(self.pending) == 1:
-                self.heard = max(self.heard, clock.now())
-            self.send_call(pending)
-        else:
-            self.open()
         try:
+            if self.greeted:
+                self.send_call(pending)
+            else:
+                self.open()
             return await pending.future
         except asyncio.CancelledError:
             if self.frames is not None and pending.sent_to is not None:
@@ -129,6 +150,26 @@
         finally:
             self.pending.pop(pending.number, None)
 
+    async def stands(self) -> bool:
+        """Return whether the home was heard lately or answers now.
+
+        If the link ends meanwhile the call may wait for the next.
+        """
+        now = clock.now()
+        if now - self.heard < HEARD_LATELY:
+            return True
+        if self.sign is None:
+            self.sign = asyncio.get_running_loop().create_future()
+            self.ping(now)
+        try:
+            await asyncio.wait_for(asyncio.shield(self.sign), SIGN_SECONDS)
+        except TimeoutError:
+            self.failing = True
+            if self.frames is not None:
+                self.frames.close()
+            return False
+        return True
+
     def send_call(self, pending: Pending) -> None:
         """Send a call on the link that stands."""
         call = pending.call
@@ -141,6 +182,7 @@
             target=call.request.target,
             headers=flatten(call.request.headers),
             body=call.request.body,
+            on_time=call.on_time + self.offset,
             deadline=call.deadline + self.offset,
             rank=call.rank,
             idempotent=call.idempotent,
@@ -208,6 +250,7 @@
         self.pinged = dialled
         reason = await self.frames.read(self.take)
         was_greeted, self.greeted = self.greeted, False
+        self.tell_sign()
         self.frames = None
         if was_greeted:
             self.log.event("link-down", peer=self.address[0], reason=reason)
@@ -218,20 +261,22 @@
     def take(self, frame: wire.Frame) -> None:
         """Take a frame."""
         self.heard = clock.now()
+        self.tell_sign()
         if frame.answer is not None:
             told = frame.answer
             answer = Answer(
                 told.status, unflatten(told.headers), told.body or b"", told.seconds
             )
-            self.resolve(told.number, answer, told.occupied)
+            self.resolve(told.number, answer, told.news)
         elif frame.not_run is not None:
             refused = frame.not_run
             outcome = NotRun(refused.reason, refused.retry_after, refused.reached)
-            self.resolve(refused.number, outcome, refused.occupied)
+            self.resolve(refused.number, outcome, refused.news)
         elif frame.unknown is not None:
             self.resolve(frame.unknown.number, Unknown(frame.unknown.reason), None)
         elif frame.pong is not None:
             self.measure(frame.pong.sent, frame.pong.clock)
+            self.on_news(read_news(frame.pong.news))
         elif frame.welcome is not None:
             self.welcome(frame.welcome)
         elif frame.leaving is not None:
@@ -241,6 +286,12 @@
         elif frame.knowledge is not None:
             self.gossip.learn(frame.knowledge)
 
+    def tell_sign(self) -> None:
+        """Tell those who wait for a sign to go on."""
+        sign, self.sign = self.sign, None
+        if sign is not None and not sign.done():
+            sign.set_result(None)
+
     def inform(self, config_revision: int) -> None:
         """Tell the home what this node knows."""
         knowledge = self.gossip.knowledge_for(config_revision)
@@ -253,10 +304,10 @@
             ask = wire.Ask(self.gossip.config_revision())
             self.frames.send(wire.Frame(ask=ask))
 
-    def resolve(self, number: int, outcome: Outcome, occupied: int | None) -> None:
+    def resolve(self, number: int, outcome: Outcome, news: wire.News | None) -> None:
         """Hand an outcome to the call that waits for it."""
-        if occupied is not None:
-            self.occupied = occupied
+        if news is not None:
+            self.news = read_news(news)
         pending = self.pending.get(number)
         if pending is not None:
             pending.resolve(outcome)
@@ -335,5 +386,10 @@
             self.failing = True
             self.frames.close()
         elif silent > PING_AFTER and now - self.pinged > PING_AFTER:
-            self.pinged = now
+            self.ping(now)
+
+    def ping(self, now: float) -> None:
+        """Ask the home for a sign."""
+        self.pinged = now
+        if self.frames is not None:
             self.frames.send(wire.Frame(ping=wire.Ping(now)))
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -18,6 +18,7 @@
     from tornado.iostream import IOStream
 
     from sequoiaspoke.core.mesh.outcome import Outcome
+    from sequoiaspoke.core.mesh.placing import News
     from sequoiaspoke.sidecar.home import Home
     from sequoiaspoke.sidecar.logs import EventLog
 
@@ -58,7 +59,8 @@
         elif frame.cancel is not None:
             self.server.home.cancel((self.peer, frame.cancel.number))
         elif frame.ping is not None:
-            pong = wire.Pong(frame.ping.sent, clock.now())
+            news = wire_news(self.server.home.news())
+            pong = wire.Pong(frame.ping.sent, clock.now(), news)
             self.frames.send(wire.Frame(pong=pong))
         elif frame.hello is not None:
             self.hello(frame.hello)
@@ -97,15 +99,18 @@
             call.route,
             call.rank,
             call.idempotent,
+            call.on_time,
             call.deadline,
         )
         self.server.home.submit(
-            (self.peer, number), home_call, lambda outcome: self.tell(number, outcome)
+            (self.peer, number),
+            home_call,
+            lambda outcome: self.tell(number, home_call.route, outcome),
         )
 
-    def tell(self, number: int, outcome: Outcome) -> None:
+    def tell(self, number: int, route: str, outcome: Outcome) -> None:
         """Send what came of a call."""
-        occupied = self.server.home.admission.occupied
+        news = wire_news(self.server.home.news(route))
         if isinstance(outcome, Answer):
             answer = wire.Answer(
                 number,
@@ -113,12 +118,12 @@
                 flatten(outcome.headers),
                 outcome.body,
                 outcome.seconds,
-                occupied,
+                news,
             )
             frame = wire.Frame(answer=answer)
         elif isinstance(outcome, NotRun):
             refusal = wire.NotRun(
-                number, outcome.reason, outcome.retry_after, outcome.reached, occupied
+                number, outcome.reason, outcome.retry_after, outcome.reached, news
             )
             frame = wire.Frame(not_run=refusal)
         else:
@@ -126,6 +131,11 @@
         self.frames.send(frame)
 
 
+def wire_news(news: News) -> wire.News:
+    """Return a home's word as it goes over the link."""
+    return wire.News(news.occupied, news.strain, news.expected)
+
+
 class LinkServer(TCPServer):
     """Accepts links of other nodes."""
 
--- a/sequoiaspoke/sidecar/names.py
+++ b/sequoiaspoke/sidecar/names.py
@@ -27,7 +27,7 @@
 
     call_id: str = "x-request-id"
     time_left: str = "x-time-left-ms"
-    instance: str = "x-expect-instance"
+    instance: str = "x-instance"
     caller_service: str = "x-caller-service"
     stamp: str = "x-upstream-stamp"
     not_run: str = "x-not-run"
--- a/sequoiaspoke/sidecar/peers.py
+++ b/sequoiaspoke/sidecar/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.idempotency.rendezvous import rank
@@ -9,9 +10,11 @@
 from sequoiaspoke.sidecar.linkclient import LinkClient
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from sequoiaspoke.core.mesh.model import Endpoint
+    from sequoiaspoke.core.mesh.placing import News
     from sequoiaspoke.sidecar.linkclient import LinkIdentity
     from sequoiaspoke.sidecar.logs import EventLog
     from sequoiaspoke.sidecar.state import MeshState
@@ -24,6 +27,10 @@
 ASKED, ASK_EVERY = 2, 0.5
 
 
+def ignore_host_news(host: str, news: News) -> None:
+    """Do nothing; until an entry wants the news."""
+
+
 class Peers:
     """Links by the address of the other node."""
 
@@ -41,6 +48,7 @@
         self.rng = rng
         self.log = log
         self.links: dict[str, LinkClient] = {}
+        self.on_news: Callable[[str, News], None] = ignore_host_news
         self.asked = float("-inf")
 
     def link(self, host: str) -> LinkClient:
@@ -48,6 +56,7 @@
         link = self.links.get(host)
         if link is None:
             link = LinkClient((host, self.port), self.identity, self.state, self.log)
+            link.on_news = partial(self.on_news, host)
             self.links[host] = link
         return link
 
--- a/sequoiaspoke/sidecar/settings.py
+++ b/sequoiaspoke/sidecar/settings.py
@@ -23,6 +23,9 @@
         other nodes, and for the platform's questions.
     store : Address
         Where the platform's store listens.
+    leave_after : float
+        Seconds after a termination signal for which the home takes new calls: callers
+        here need that long to be moved away, and the upstream runs on.
     drain : float
         Seconds after a termination signal at which the process ends at the latest.
     """
@@ -36,6 +39,7 @@
     health: Address
     store: Address
     health_path: str = "/ready"
+    leave_after: float = 1.2
     drain: float = 5.0
     repeats: RepeatLimits = field(default_factory=RepeatLimits)
     names: HeaderNames = field(default_factory=HeaderNames)
--- a/sequoiaspoke/sidecar/state.py
+++ b/sequoiaspoke/sidecar/state.py
@@ -20,7 +20,7 @@
 
 # Age in seconds from which news of other nodes is asked for: above the wait of one
 # read of the store and the time in which it is given up.
-STALE_SECONDS = 2.8
+STALE_SECONDS = 4.2
 
 
 class MeshState(Gossip):
--- /dev/null
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -0,0 +1,221 @@
+"""Tests of the link between the entry and the home of a call, on loopback."""
+
+import asyncio
+
+from testtools import TestCase
+from tornado.netutil import bind_sockets
+
+from sequoiaspoke.core.mesh.directory import Directory
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.home import Home, HomeCall
+from sequoiaspoke.sidecar.linkclient import HEARD_LATELY, LinkClient, LinkIdentity
+from sequoiaspoke.sidecar.linkserver import Gossip, LinkServer
+from sequoiaspoke.sidecar.logs import EventLog
+
+WAIT = 20.0  # seconds; only a failing test waits so long
+
+
+class NoGossip(Gossip):
+    def uninformed(self):
+        return False
+
+    def knowledge_for(self, config_revision):
+        return None
+
+    def learn(self, knowledge):
+        pass
+
+    def config_revision(self):
+        return 0
+
+
+class FakeUpstream:
+    """Runs each call until it is told to answer."""
+
+    def __init__(self):
+        self.runs = []
+        self.gate = asyncio.Event()
+        self.cancelled = 0
+
+    async def call(self, request, instance, deadline, idempotent):
+        self.runs.append(request.target)
+        try:
+            await self.gate.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return Answer(200, (("X-Part", "1"),), b"body of " + request.target.encode())
+
+    def tick(self, now):
+        pass
+
+
+class LinkWorld:
+    """One home and one entry's link to it."""
+
+    def __init__(self):
+        self.upstream = FakeUpstream()
+        self.log = EventLog("x-request-id")
+        self.home = Home(self.upstream, Directory(), self.log)
+        self.server = LinkServer(self.home, NoGossip(), 7, self.log)
+        (self.socket,) = bind_sockets(0, "127.0.0.1")
+        self.server.add_sockets([self.socket])
+        self.identity = LinkIdentity("10.0.0.1", "akaki", 99)
+        address = self.socket.getsockname()[:2]
+        self.link = LinkClient(address, self.identity, NoGossip(), self.log)
+
+    def begin(self, target="/1", idempotent=False):
+        now = clock.now()
+        request = Request("POST", target, (("Host", "x"),), b"sent")
+        call = HomeCall(request, "i-1", "r", 0, idempotent, now + 5, now + 30)
+        return asyncio.ensure_future(self.link.call(call))
+
+    async def until(self, condition):
+        async with asyncio.timeout(WAIT):
+            while not condition():
+                await asyncio.sleep(0.002)
+
+    async def restart(self):
+        """Replace the home by one that remembers nothing."""
+        address = self.socket.getsockname()[:2]
+        self.server.stop()
+        for link in list(self.server.links):
+            link.frames.close()
+        self.home = Home(self.upstream, Directory(), self.log)
+        self.server = LinkServer(self.home, NoGossip(), 8, self.log)
+        self.server.add_sockets(bind_sockets(address[1], address[0]))
+
+    def close(self):
+        self.link.close()
+        self.server.stop()
+        for link in list(self.server.links):
+            link.frames.close()
+
+
+class TestMeshLink(TestCase):
+    def play(self, scenario):
+        async def run():
+            world = LinkWorld()
+            try:
+                async with asyncio.timeout(WAIT):
+                    await scenario(world)
+            finally:
+                world.close()
+
+        asyncio.run(run())
+
+    def test_calls_are_answered_side_by_side(self):
+        async def scenario(world):
+            calls = [world.begin(f"/{number}") for number in range(3)]
+            await world.until(lambda: len(world.upstream.runs) == 3)
+            world.upstream.gate.set()
+            bodies = [(await call).body for call in calls]
+            self.assertEqual(bodies, [b"body of /0", b"body of /1", b"body of /2"])
+
+        self.play(scenario)
+
+    def test_a_reset_link_neither_loses_nor_doubles_a_call(self):
+        # A middlebox resets the link while a booking runs. Without asking again the
+        # caller hears that nobody knows; sent anew as another call, it is booked twice.
+        async def scenario(world):
+            call = world.begin()
+            await world.until(lambda: world.upstream.runs)
+            world.link.frames.close()
+            await world.until(lambda: world.link.greeted and world.home.counts)
+            world.upstream.gate.set()
+            self.assertEqual((await call).body, b"body of /1")
+            self.assertEqual(world.upstream.runs, ["/1"])
+
+        self.play(scenario)
+
+    def test_an_answer_given_while_the_link_was_down_is_kept(self):
+        # The link breaks and the upstream answers before another stands.
+        async def scenario(world):
+            call = world.begin()
+            await world.until(lambda: world.upstream.runs)
+            for link in list(world.server.links):
+                link.frames.close()
+            world.upstream.gate.set()
+            self.assertEqual((await call).status, 200)
+            self.assertEqual(world.upstream.runs, ["/1"])
+
+        self.play(scenario)
+
+    def test_a_call_that_waited_for_a_sign_is_not_sent_twice(self):
+        # A link idles and is dead without a word. The next call asks for a sign first;
+        # the link's end is noticed and another one is opened meanwhile. Were the call
+        # sent with the new link and then told as not run, since no sign came, its
+        # entry would send it to another home, and the caller's order runs twice.
+        async def scenario(world):
+            world.upstream.gate.set()
+            await world.begin("/first")
+            await asyncio.sleep(2 * HEARD_LATELY)
+            call = world.begin("/second", idempotent=False)
+            await asyncio.sleep(0)
+            for link in list(world.server.links):
+                link.frames.close()
+            outcome = await call
+            if isinstance(outcome, NotRun):
+                self.assertNotIn("/second", world.upstream.runs)
+            else:
+                self.assertEqual(world.upstream.runs.count("/second"), 1)
+
+        self.play(scenario)
+
+    def test_a_call_to_a_home_that_forgot_it_is_told_as_unknown(self):
+        # The home is killed while it runs a booking and starts again. It knows nothing
+        # of the call; run again it might be booked twice, told as not run it
+        # might be booked by the caller's repeat.
+        async def scenario(world):
+            call = world.begin()
+            await world.until(lambda: world.upstream.runs)
+            await world.restart()
+            self.assertIsInstance(await call, Unknown)
+            self.assertEqual(world.upstream.runs, ["/1"])
+
+        self.play(scenario)
+
+    def test_a_home_that_cannot_be_reached_has_not_run_the_call(self):
+        async def scenario(world):
+            world.server.stop()
+            self.assertEqual(await world.begin(), NotRun("home-unreachable"))
+            self.assertTrue(world.link.failing)
+
+        self.play(scenario)
+
+    def test_a_caller_that_leaves_stops_what_may_be_repeated(self):
+        # The caller has closed its page. The upstream would go on to work for nobody.
+        async def scenario(world):
+            call = world.begin(idempotent=True)
+            await world.until(lambda: world.upstream.runs)
+            call.cancel()
+            await world.until(lambda: world.upstream.cancelled == 1)
+            self.assertEqual(world.home.admission.running, 0)
+
+        self.play(scenario)
+
+    def test_a_caller_that_leaves_does_not_break_off_what_may_run_once(self):
+        async def scenario(world):
+            call = world.begin()
+            await world.until(lambda: world.upstream.runs)
+            call.cancel()
+            await world.begin("/2") if world.upstream.gate.set() else None
+            await world.until(lambda: not world.home.calls)
+            self.assertEqual(world.upstream.cancelled, 0)
+
+        self.play(scenario)
+
+    def test_a_leaving_home_refuses_new_calls_and_finishes_the_others(self):
+        async def scenario(world):
+            call = world.begin()
+            await world.until(lambda: world.upstream.runs)
+            world.home.leaving = True
+            world.server.announce_leaving()
+            refused = await world.begin("/2")
+            self.assertEqual((type(refused), refused.reason), (NotRun, "leaving"))
+            self.assertTrue(world.link.leaving)
+            world.upstream.gate.set()
+            self.assertEqual((await call).status, 200)
+
+        self.play(scenario)
--- a/sequoiaspoke/wire/gen/meshlink/ttypes.py
+++ b/sequoiaspoke/wire/gen/meshlink/ttypes.py
@@ -247,6 +247,7 @@
      - headers
      - body
      - deadline
+     - on_time
      - rank
      - idempotent
 
@@ -263,10 +264,11 @@
         'deadline',
         'rank',
         'idempotent',
+        'on_time',
     )
 
 
-    def __init__(self, number=None, instance=None, route=None, method=None, target=None, headers=None, body=None, deadline=None, rank=None, idempotent=None,):
+    def __init__(self, number=None, instance=None, route=None, method=None, target=None, headers=None, body=None, deadline=None, on_time=None, rank=None, idempotent=None,):
         self.number = number
         self.instance = instance
         self.route = route
@@ -275,6 +277,7 @@
         self.headers = headers
         self.body = body
         self.deadline = deadline
+        self.on_time = on_time
         self.rank = rank
         self.idempotent = idempotent
 
@@ -332,6 +335,11 @@
                     self.deadline = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.on_time = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.I32:
                     self.rank = iprot.readI32()
@@ -395,6 +403,102 @@
             oprot.writeFieldBegin('idempotent', TType.BOOL, 10)
             oprot.writeBool(self.idempotent)
             oprot.writeFieldEnd()
+        if self.on_time is not None:
+            oprot.writeFieldBegin('on_time', TType.DOUBLE, 11)
+            oprot.writeDouble(self.on_time)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class News(object):
+    """
+    Attributes:
+     - occupied
+     - strain
+     - expected
+
+    """
+
+    __slots__ = (
+        'occupied',
+        'strain',
+        'expected',
+    )
+
+
+    def __init__(self, occupied=None, strain=None, expected=None,):
+        self.occupied = occupied
+        self.strain = strain
+        self.expected = expected
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.occupied = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.strain = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.expected = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('News')
+        if self.occupied is not None:
+            oprot.writeFieldBegin('occupied', TType.I32, 1)
+            oprot.writeI32(self.occupied)
+            oprot.writeFieldEnd()
+        if self.strain is not None:
+            oprot.writeFieldBegin('strain', TType.DOUBLE, 2)
+            oprot.writeDouble(self.strain)
+            oprot.writeFieldEnd()
+        if self.expected is not None:
+            oprot.writeFieldBegin('expected', TType.DOUBLE, 3)
+            oprot.writeDouble(self.expected)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -428,7 +532,7 @@
      - headers
      - body
      - seconds
-     - occupied
+     - news
 
     """
 
@@ -438,17 +542,17 @@
         'headers',
         'body',
         'seconds',
-        'occupied',
+        'news',
     )
 
 
-    def __init__(self, number=None, status=None, headers=None, body=None, seconds=None, occupied=None,):
+    def __init__(self, number=None, status=None, headers=None, body=None, seconds=None, news=None,):
         self.number = number
         self.status = status
         self.headers = headers
         self.body = body
         self.seconds = seconds
-        self.occupied = occupied
+        self.news = news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -490,8 +594,9 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.I32:
-                    self.occupied = iprot.readI32()
+                if ftype == TType.STRUCT:
+                    self.news = News()
+                    self.news.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -527,9 +632,9 @@
             oprot.writeFieldBegin('seconds', TType.DOUBLE, 5)
             oprot.writeDouble(self.seconds)
             oprot.writeFieldEnd()
-        if self.occupied is not None:
-            oprot.writeFieldBegin('occupied', TType.I32, 6)
-            oprot.writeI32(self.occupied)
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.STRUCT, 6)
+            self.news.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -563,7 +668,7 @@
      - reason
      - retry_after
      - reached
-     - occupied
+     - news
 
     """
 
@@ -572,16 +677,16 @@
         'reason',
         'retry_after',
         'reached',
-        'occupied',
+        'news',
     )
 
 
-    def __init__(self, number=None, reason=None, retry_after=None, reached=None, occupied=None,):
+    def __init__(self, number=None, reason=None, retry_after=None, reached=None, news=None,):
         self.number = number
         self.reason = reason
         self.retry_after = retry_after
         self.reached = reached
-        self.occupied = occupied
+        self.news = news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -613,8 +718,9 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.I32:
-                    self.occupied = iprot.readI32()
+                if ftype == TType.STRUCT:
+                    self.news = News()
+                    self.news.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -643,9 +749,9 @@
             oprot.writeFieldBegin('reached', TType.BOOL, 4)
             oprot.writeBool(self.reached)
             oprot.writeFieldEnd()
-        if self.occupied is not None:
-            oprot.writeFieldBegin('occupied', TType.I32, 5)
-            oprot.writeI32(self.occupied)
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.STRUCT, 5)
+            self.news.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -893,18 +999,21 @@
     Attributes:
      - sent
      - clock
+     - news
 
     """
 
     __slots__ = (
         'sent',
         'clock',
+        'news',
     )
 
 
-    def __init__(self, sent=None, clock=None,):
+    def __init__(self, sent=None, clock=None, news=None,):
         self.sent = sent
         self.clock = clock
+        self.news = news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -925,6 +1034,12 @@
                     self.clock = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.news = News()
+                    self.news.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -943,6 +1058,10 @@
             oprot.writeFieldBegin('clock', TType.DOUBLE, 2)
             oprot.writeDouble(self.clock)
             oprot.writeFieldEnd()
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.STRUCT, 3)
+            self.news.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1519,6 +1638,14 @@
     (8, TType.DOUBLE, 'deadline', None, None, ),  # 8
     (9, TType.I32, 'rank', None, None, ),  # 9
     (10, TType.BOOL, 'idempotent', None, None, ),  # 10
+    (11, TType.DOUBLE, 'on_time', None, None, ),  # 11
+)
+all_structs.append(News)
+News.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'occupied', None, None, ),  # 1
+    (2, TType.DOUBLE, 'strain', None, None, ),  # 2
+    (3, TType.DOUBLE, 'expected', None, None, ),  # 3
 )
 all_structs.append(Answer)
 Answer.thrift_spec = (
@@ -1528,7 +1655,7 @@
     (3, TType.LIST, 'headers', (TType.STRING, 'UTF8', False), None, ),  # 3
     (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
     (5, TType.DOUBLE, 'seconds', None, None, ),  # 5
-    (6, TType.I32, 'occupied', None, None, ),  # 6
+    (6, TType.STRUCT, 'news', [News, None], None, ),  # 6
 )
 all_structs.append(NotRun)
 NotRun.thrift_spec = (
@@ -1537,7 +1664,7 @@
     (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
     (3, TType.DOUBLE, 'retry_after', None, None, ),  # 3
     (4, TType.BOOL, 'reached', None, None, ),  # 4
-    (5, TType.I32, 'occupied', None, None, ),  # 5
+    (5, TType.STRUCT, 'news', [News, None], None, ),  # 5
 )
 all_structs.append(Unknown)
 Unknown.thrift_spec = (
@@ -1560,6 +1687,7 @@
     None,  # 0
     (1, TType.DOUBLE, 'sent', None, None, ),  # 1
     (2, TType.DOUBLE, 'clock', None, None, ),  # 2
+    (3, TType.STRUCT, 'news', [News, None], None, ),  # 3
 )
 all_structs.append(Leaving)
 Leaving.thrift_spec = (
--- a/sequoiaspoke/wire/meshlink.thrift
+++ b/sequoiaspoke/wire/meshlink.thrift
@@ -33,18 +33,26 @@
   7: binary body,
   // By the clock of the node that accepted the link.
   8: double deadline,
+  11: double on_time,
   9: i32 rank,
   10: bool idempotent,
 }
 
 
+// A home's word on the load of its upstream.
+struct News {
+  1: i32 occupied,
+  2: double strain,
+  3: double expected,
+}
+
 struct Answer {
   1: i64 number,
   2: i32 status,
   3: list<string> headers,
   4: binary body,
   5: double seconds,
-  6: i32 occupied,
+  6: News news,
 }
 
 struct NotRun {
@@ -52,7 +60,7 @@
   2: string reason,
   3: double retry_after,
   4: bool reached,
-  5: i32 occupied,
+  5: News news,
 }
 
 struct Unknown {
@@ -71,6 +79,7 @@
 struct Pong {
   1: double sent,
   2: double clock,
+  3: News news,
 }
 
 struct Leaving {
