Try a second endpoint beside a slow one, and tell the wait of each priority

Change: a full queue gives up its least urgent call; homes tell the wait that a call of the priority would have; a read whose answer takes three times the usual is sent to a second endpoint within the budget of repeats; the slot of a cancelled call settles for 20 ms.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -24,8 +24,6 @@
 # Part of the expected time that must be left when a call is handed over; work varies,
 # and a call with half of its mean left still ends in time one time in ten.
 LEAST_LEFT = 0.5
-# Part of the expected time of a running call that is still to come, on average.
-RESIDUAL = 0.5
 # Least Retry-After of a refusal, in seconds.
 LEAST_WAIT = 0.05
 
@@ -102,14 +100,29 @@
         return self.running + self.waiting
 
     def arrive(self, arrival: Arrival, now: float) -> Refused | None:
-        """Queue a call, or refuse it."""
+        """Queue a call; return the one that is refused for it, if any."""
         wait = self.wait_before(arrival, now)
         if now + wait + self.least(arrival, now) > arrival.deadline:
             return Refused(arrival, Turned.NO_TIME, max(wait, LEAST_WAIT))
-        if self.waiting >= self.slots * QUEUE_PER_SLOT:
-            return Refused(arrival, Turned.QUEUE_FULL, max(wait, LEAST_WAIT))
-        self.queue[arrival.ticket] = arrival
-        return None
+        refused = self.make_room(arrival, wait, now)
+        if refused is None or refused.arrival is not arrival:
+            self.queue[arrival.ticket] = arrival
+        return refused
+
+    def make_room(self, arrival: Arrival, wait: float, now: float) -> Refused | None:
+        """Return the call for which a full queue has no room, the new one or another.
+
+        A queue full of patient calls would otherwise refuse the urgent ones, which
+        would be served next.
+        """
+        if self.waiting < self.slots * QUEUE_PER_SLOT:
+            return None
+        last = max(self.queue.values(), key=lambda each: self.turn(each, now))
+        if self.turn(last, now) <= self.turn(arrival, now):
+            last = arrival
+        else:
+            del self.queue[last.ticket]
+        return Refused(last, Turned.QUEUE_FULL, max(wait, LEAST_WAIT))
 
     def least(self, arrival: Arrival, now: float) -> float:
         """Return the seconds that a call needs at least."""
@@ -117,14 +130,19 @@
 
     def wait_before(self, arrival: Arrival, now: float) -> float:
         """Return the seconds until a new call would get a slot."""
+        return self.wait_of_rank(arrival.rank, now)
+
+    def wait_of_rank(self, rank: int, now: float) -> float:
+        """Return the seconds until a new call of a priority would get a slot.
+
+        With all slots busy one is free after a mean call divided by the slots.
+        """
         if self.running < self.slots and not self.queue:
             return 0.0
-        work = 0.0
+        work = self.durations.mean_running(now)
         for waiting in self.queue.values():
-            if waiting.rank <= arrival.rank:
+            if waiting.rank <= rank:
                 work += self.durations.expected(waiting.route, now)
-        for route, _ in self.durations.running.values():
-            work += RESIDUAL * self.durations.expected(route, now)
         return work / max(1, self.slots)
 
     def next(self, now: float) -> tuple[Arrival | None, list[Refused]]:
--- a/sequoiaspoke/core/mesh/durations.py
+++ b/sequoiaspoke/core/mesh/durations.py
@@ -51,6 +51,13 @@
             mean *= 0.5 ** (age / FORGET_SECONDS - 1)
         return mean
 
+    def mean_running(self, now: float) -> float:
+        """Return the seconds that a running call takes on average."""
+        if not self.running:
+            return 0.0
+        total = sum(self.expected(route, now) for route, _ in self.running.values())
+        return total / len(self.running)
+
     def strain(self, now: float) -> float:
         """Return how much longer than expected the running calls last, at least 1."""
         if not self.running:
--- a/sequoiaspoke/core/mesh/placing.py
+++ b/sequoiaspoke/core/mesh/placing.py
@@ -39,6 +39,10 @@
 # How steeply the chance to be late rises round the objective: an answer expected in
 # half of it is late one time in 17, in three quarters one in four.
 STEEPNESS = 4
+# After how many times the mean of its route a call is tried at a second endpoint, and
+# after how many seconds at least. Work varies by a half of its mean; beyond three times
+# lie the one call in a hundred that is long, and those whose upstream turned slow.
+PATIENCE, LEAST_PATIENCE = 3.0, 0.1
 # By how much less likely to be late an endpoint in another zone must be: what its
 # bytes cost in answers that are worth a third when late.
 ZONE_MARGIN = 0.12
@@ -50,17 +54,29 @@
 
     Attributes
     ----------
-    occupied : int
-        Calls that run or wait.
     strain : float
         How much longer than expected the running calls last, from 1.
     expected : float
-        Seconds that a call of the route takes; 0 if no route was asked about.
+        Seconds that a call of the route takes; 0 if the news is of no route.
+    wait : float
+        Seconds until another call of the route would get a slot.
     """
 
-    occupied: int
     strain: float = 1.0
     expected: float = 0.0
+    wait: float = 0.0
+
+
+@dataclass(frozen=True)
+class Told:
+    """News of a route at an endpoint, and when it came."""
+
+    news: News
+    when: float
+
+    def trust(self, half_life: float, now: float) -> float:
+        """Return how much the news still counts, from 1 down to 0."""
+        return 0.5 ** ((now - self.when) / half_life)
 
 
 @dataclass
@@ -71,27 +87,21 @@
     ----------
     mine : int
         Calls of this node under way there.
-    speeds : dict of str to tuple of two floats
-        By route, the seconds of a call and when the home said so.
+    by_route : dict of str to Told
+        What the home said with the answers to calls of a route.
     """
 
     mine: int = 0
-    occupied: int = 0
     strain: float = 1.0
     told: float = float("-inf")
     failing: float = 0.0
     failed: float = float("-inf")
-    speeds: dict[str, tuple[float, float]] = field(default_factory=dict)
+    by_route: dict[str, Told] = field(default_factory=dict)
 
     def failure_share(self, now: float) -> float:
         """Return the share of failures to expect, forgotten with time."""
         return self.failing * 0.5 ** ((now - self.failed) / FAILURE_HALF_LIFE)
 
-    def busy(self, now: float) -> float:
-        """Return how many calls run or wait there."""
-        trust = 0.5 ** ((now - self.told) / QUEUE_HALF_LIFE)
-        return max(self.mine, self.occupied * trust)
-
     def slowed(self, now: float) -> float:
         """Return by how much its calls last longer than was told, from 1."""
         trust = 0.5 ** ((now - self.told) / STRAIN_HALF_LIFE)
@@ -124,9 +134,9 @@
     def load(self, instance: str, route: str, news: News, now: float) -> None:
         """Take a home's word on its upstream."""
         seen = self.of(instance)
-        seen.occupied, seen.strain, seen.told = news.occupied, news.strain, now
-        if news.expected > 0:
-            seen.speeds[route] = (news.expected, now)
+        seen.strain, seen.told = news.strain, now
+        if route:
+            seen.by_route[route] = Told(news, now)
 
     def answered(self, route: str, instance: str, seconds: float) -> None:
         """Measure a call that its upstream finished in so many seconds."""
@@ -145,23 +155,35 @@
         """Return the seconds that a call of a route takes at an endpoint."""
         usual = self.mean.get(route, FIRST_GUESS)
         seen = self.of(instance)
-        told = seen.speeds.get(route)
+        told = seen.by_route.get(route)
         if told is None:
             usual = usual * COLD_FACTOR if cold else usual
         else:
-            trust = 0.5 ** ((now - told[1]) / SPEED_HALF_LIFE)
-            usual += trust * (told[0] - usual)
+            trust = told.trust(SPEED_HALF_LIFE, now)
+            usual += trust * (told.news.expected - usual)
         return usual * seen.slowed(now)
 
+    def patience(self, route: str, endpoint: Endpoint, now: float) -> float:
+        """Return the seconds after which a call is tried at a second endpoint."""
+        usual = self.mean.get(route, FIRST_GUESS)
+        wait = self.wait(route, endpoint, usual, now)
+        return wait + max(LEAST_PATIENCE, PATIENCE * usual)
+
+    def wait(self, route: str, endpoint: Endpoint, service: float, now: float) -> float:
+        """Return the seconds until a call would get a slot of an endpoint."""
+        seen = self.of(endpoint.instance)
+        slots = max(1, endpoint.slots)
+        wait = max(0, seen.mine + 1 - slots) * service / slots
+        told = seen.by_route.get(route)
+        if told is None:
+            return wait
+        return max(wait, told.news.wait * told.trust(QUEUE_HALF_LIFE, now))
+
     def expected(self, route: str, endpoint: Endpoint, cold: bool, now: float) -> float:
         """Return the seconds in which an endpoint would answer a call."""
         seen = self.of(endpoint.instance)
         service = self.service_time(route, endpoint.instance, cold, now)
-        slots = max(1, endpoint.slots)
-        busy = seen.busy(now)
-        wait = max(0.0, busy + 1 - slots) * service / slots
-        # An upstream near its limit slows down before its queue shows.
-        service *= 1 + 0.3 * min(1.0, busy / slots) ** 2
+        wait = self.wait(route, endpoint, service, now)
         success = max(LEAST_SUCCESS, 1 - seen.failure_share(now))
         away = 0.0 if endpoint.zone == self.zone else ZONE_SECONDS
         return (wait + service) / success + away
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -23,6 +23,7 @@
 from sequoiaspoke.sidecar.httptext import end_to_end, own_answer
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
     from random import Random
 
     from sequoiaspoke.core.mesh.model import Endpoint, Route
@@ -35,6 +36,8 @@
     from sequoiaspoke.sidecar.peers import Peers
     from sequoiaspoke.sidecar.state import MeshState
 
+    Task = asyncio.Task[Outcome]
+
 # Seconds after which a caller that was refused may come back if nothing better is
 # known: time for a link to be opened or a node to start.
 COME_BACK = 0.3
@@ -73,6 +76,20 @@
     last: Outcome | None = None
 
 
+async def first_answer(
+    attempts: Mapping[Task, Endpoint],
+) -> tuple[Endpoint, Outcome]:
+    """Return the first answer that needs no repeat, or the last outcome."""
+    waiting = set(attempts)
+    while True:
+        done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            outcome = task.result()
+            good = isinstance(outcome, Answer) and outcome.status not in TRY_ELSEWHERE
+            if good or not waiting:
+                return attempts[task], outcome
+
+
 class Entry:
     """Serves the callers and the upstream of this VM."""
 
@@ -170,7 +187,7 @@
             endpoint = self.choose(progress)
             if endpoint is None:
                 return self.final(progress, "no-endpoint")
-            outcome = await self.attempt(progress, endpoint)
+            endpoint, outcome = await self.attempt_or_hedge(progress, endpoint)
             progress.last = outcome
             if not self.again(progress, endpoint, outcome):
                 return self.final(progress, "gave-up")
@@ -195,6 +212,55 @@
             return not self.home.leaving
         return self.peers.reachable(endpoint)
 
+    async def attempt_or_hedge(
+        self, progress: Progress, endpoint: Endpoint
+    ) -> tuple[Endpoint, Outcome]:
+        """Try an endpoint, and a second one beside it if the first takes too long.
+
+        An upstream that has just turned slow, or whose answer was lost, is known by
+        nothing else; the call would wait for it until its time is over.
+        """
+        if not progress.route.idempotent:
+            return endpoint, await self.attempt(progress, endpoint)
+        attempts = {asyncio.ensure_future(self.attempt(progress, endpoint)): endpoint}
+        try:
+            delay = self.placing.patience(progress.route.name, endpoint, clock.now())
+            await asyncio.wait(attempts, timeout=delay)
+            second = self.second_endpoint(progress, endpoint, attempts)
+            if second is not None:
+                task = asyncio.ensure_future(self.attempt(progress, second))
+                attempts[task] = second
+            return await first_answer(attempts)
+        finally:
+            for task in attempts:
+                task.cancel()
+
+    def second_endpoint(
+        self, progress: Progress, first: Endpoint, attempts: Iterable[Task]
+    ) -> Endpoint | None:
+        """Return where to try beside the first attempt, if that may be done."""
+        if any(task.done() for task in attempts):
+            return None
+        if progress.reached + 2 > progress.route.attempts:
+            return None
+        progress.tried.add(first.instance)
+        second = self.choose(progress)
+        budget = self.budgets.of(progress.service)
+        if second is None or not budget.spend(self.peers.nodes(), clock.now()):
+            return None
+        progress.reached += 1
+        progress.may_have_run = True
+        self.reasons["hedged"] += 1
+        self.log.call(
+            "hedge",
+            progress.request,
+            service=progress.service,
+            instance=first.instance,
+            second=second.instance,
+            left=f"{progress.deadline - clock.now():.3f}",
+        )
+        return second
+
     async def attempt(self, progress: Progress, endpoint: Endpoint) -> Outcome:
         """Have the home of an endpoint run the call."""
         call = HomeCall(
@@ -210,7 +276,7 @@
         try:
             if endpoint.host == self.peers.identity.host:
                 outcome = await self.call_here(call)
-                news = self.home.news(progress.route.name)
+                news = self.home.news(progress.route.name, progress.route.priority)
             else:
                 link = self.peers.link(endpoint.host)
                 outcome = await link.call(call)
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -23,6 +23,9 @@
 
 # Slots of an upstream that the platform has not told yet.
 UNKNOWN_SLOTS = 8
+# Seconds for which the slot of a cancelled call stays taken: the upstream drops the
+# call when it sees its connection close, and until then one more would be too many.
+SETTLE_SECONDS = 0.02
 # Retry-After of a node that is about to stop, in seconds.
 LEAVING_SECONDS = 0.3
 
@@ -95,12 +98,14 @@
         now = clock.now()
         arrival = Arrival(key, call.route, call.rank, call.on_time, call.deadline)
         refused = self.admission.arrive(arrival, now)
-        if refused is not None:
+        if refused is not None and refused.arrival is arrival:
             self.turned_away(refused, call)
             tell(NotRun(refused.reason, refused.retry_after))
             return
         self.ledger.begin(key)
         self.calls[key] = Running(call, tell)
+        if refused is not None:
+            self.give_up(refused)
         self.advance()
 
     def unwanted(self, call: HomeCall) -> NotRun | None:
@@ -126,15 +131,24 @@
         """Run a call at the upstream."""
         call = running.call
         outcome: Outcome = Unknown("cancelled")
+        settle = SETTLE_SECONDS
         try:
             outcome = await self.upstream.call(
                 call.request, call.instance, call.deadline, call.idempotent
             )
+            settle = 0.0
         finally:
-            answered = isinstance(outcome, Answer)
-            self.admission.finish(key, answered, clock.now())
+            if settle:
+                loop = asyncio.get_running_loop()
+                loop.call_later(settle, self.free, key, False)
+            else:
+                self.free(key, isinstance(outcome, Answer))
             self.finish(key, outcome)
-            self.advance()
+
+    def free(self, key: Hashable, answered: bool) -> None:
+        """Give the slot of a call to the next."""
+        self.admission.finish(key, answered, clock.now())
+        self.advance()
 
     def finish(self, key: Hashable, outcome: Outcome) -> None:
         """Remember an outcome and tell it."""
@@ -175,12 +189,25 @@
             left=f"{refused.arrival.deadline - clock.now():.3f}",
         )
 
-    def news(self, route: str = "") -> News:
-        """Return what entries are told of the upstream's load."""
+    def news(self, route: str = "", rank: int = 0) -> News:
+        """Return what entries are told of the upstream's load.
+
+        Parameters
+        ----------
+        route : str
+            Route of the call with whose answer this goes, empty for none.
+        rank : int
+            Its priority.
+        """
         now = clock.now()
         durations = self.admission.durations
-        expected = durations.expected(route, now) if route else 0.0
-        return News(self.admission.occupied, durations.strain(now), expected)
+        if not route:
+            return News(strain=durations.strain(now))
+        return News(
+            durations.strain(now),
+            durations.expected(route, now),
+            self.admission.wait_of_rank(rank, now),
+        )
 
     def cancel(self, key: Hashable) -> None:
         """Drop a call whose caller has left.
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -46,7 +46,7 @@
 
 def read_news(news: wire.News) -> News:
     """Return a home's word from what came over the link."""
-    return News(news.occupied, news.strain, news.expected)
+    return News(news.strain, news.expected, news.wait)
 
 
 def ignore_news(news: News) -> None:
@@ -117,7 +117,7 @@
         self.failing = False
         self.leaving = False
         self.incarnation: int | None = None
-        self.news = News(0)
+        self.news = News()
         self.on_news: Callable[[News], None] = ignore_news
         self.heard = 0.0
         self.pinged = 0.0
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -105,12 +105,12 @@
         self.server.home.submit(
             (self.peer, number),
             home_call,
-            lambda outcome: self.tell(number, home_call.route, outcome),
+            lambda outcome: self.tell(number, home_call, outcome),
         )
 
-    def tell(self, number: int, route: str, outcome: Outcome) -> None:
+    def tell(self, number: int, call: HomeCall, outcome: Outcome) -> None:
         """Send what came of a call."""
-        news = wire_news(self.server.home.news(route))
+        news = wire_news(self.server.home.news(call.route, call.rank))
         if isinstance(outcome, Answer):
             answer = wire.Answer(
                 number,
@@ -133,7 +133,7 @@
 
 def wire_news(news: News) -> wire.News:
     """Return a home's word as it goes over the link."""
-    return wire.News(news.occupied, news.strain, news.expected)
+    return wire.News(news.strain, news.expected, news.wait)
 
 
 class LinkServer(TCPServer):
--- a/sequoiaspoke/wire/gen/meshlink/ttypes.py
+++ b/sequoiaspoke/wire/gen/meshlink/ttypes.py
@@ -435,23 +435,23 @@
 class News(object):
     """
     Attributes:
-     - occupied
      - strain
      - expected
+     - wait
 
     """
 
     __slots__ = (
-        'occupied',
         'strain',
         'expected',
+        'wait',
     )
 
 
-    def __init__(self, occupied=None, strain=None, expected=None,):
-        self.occupied = occupied
+    def __init__(self, strain=None, expected=None, wait=None,):
         self.strain = strain
         self.expected = expected
+        self.wait = wait
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -463,18 +463,18 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I32:
-                    self.occupied = iprot.readI32()
+                if ftype == TType.DOUBLE:
+                    self.strain = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.DOUBLE:
-                    self.strain = iprot.readDouble()
+                    self.expected = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.DOUBLE:
-                    self.expected = iprot.readDouble()
+                    self.wait = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             else:
@@ -487,18 +487,18 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('News')
-        if self.occupied is not None:
-            oprot.writeFieldBegin('occupied', TType.I32, 1)
-            oprot.writeI32(self.occupied)
-            oprot.writeFieldEnd()
         if self.strain is not None:
-            oprot.writeFieldBegin('strain', TType.DOUBLE, 2)
+            oprot.writeFieldBegin('strain', TType.DOUBLE, 1)
             oprot.writeDouble(self.strain)
             oprot.writeFieldEnd()
         if self.expected is not None:
-            oprot.writeFieldBegin('expected', TType.DOUBLE, 3)
+            oprot.writeFieldBegin('expected', TType.DOUBLE, 2)
             oprot.writeDouble(self.expected)
             oprot.writeFieldEnd()
+        if self.wait is not None:
+            oprot.writeFieldBegin('wait', TType.DOUBLE, 3)
+            oprot.writeDouble(self.wait)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1643,9 +1643,9 @@
 all_structs.append(News)
 News.thrift_spec = (
     None,  # 0
-    (1, TType.I32, 'occupied', None, None, ),  # 1
-    (2, TType.DOUBLE, 'strain', None, None, ),  # 2
-    (3, TType.DOUBLE, 'expected', None, None, ),  # 3
+    (1, TType.DOUBLE, 'strain', None, None, ),  # 1
+    (2, TType.DOUBLE, 'expected', None, None, ),  # 2
+    (3, TType.DOUBLE, 'wait', None, None, ),  # 3
 )
 all_structs.append(Answer)
 Answer.thrift_spec = (
--- a/sequoiaspoke/wire/meshlink.thrift
+++ b/sequoiaspoke/wire/meshlink.thrift
@@ -41,9 +41,9 @@
 
 // A home's word on the load of its upstream.
 struct News {
-  1: i32 occupied,
-  2: double strain,
-  3: double expected,
+  1: double strain,
+  2: double expected,
+  3: double wait,
 }
 
 struct Answer {
