Answer in time after a suspension, and take up changed settings

Cause: the loop's clock stands still while a VM is suspended, so callers waited for a final answer as long again; a reload was logged only.

Change: timers are set anew after a pause, the store is read anew, limits and times of a changed settings file are taken up. Final answers, hedging and the pause have tests. docs/design/platform.md tells the design.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -10,6 +10,7 @@
 
 from tornado.iostream import StreamClosedError
 
+from sequoiaspoke.errors import SettingsError
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.callerserver import CallerServer
 from sequoiaspoke.sidecar.entry import Entry
@@ -143,6 +144,9 @@
         now = clock.now()
         if now - self.ticked > PAUSE_SECONDS:
             self.log.event("pause", seconds=f"{now - self.ticked:.2f}")
+            self.entry.woke(now)
+            # Whatever was read before may be long out of date.
+            self.follower.store.reconnect()
         self.ticked = now
         self.home.tick(now)
         self.state.tick(now)
@@ -155,11 +159,16 @@
         """Read the settings anew."""
         try:
             settings = self.reload()
-        except Exception as error:
+        except SettingsError as error:
             # The old settings stay in force.
-            self.log.event("reload-failed", error=str(error))
+            self.log.event("reload-failed", code=error.code, reason=str(error))
             return
         self.log.event("reload", changed=settings != self.settings)
+        self.settings = settings
+        self.entry.service = settings.service
+        self.entry.budgets.limits = settings.repeats
+        for budget in self.entry.budgets.by_service.values():
+            budget.limits = settings.repeats
 
     # Stopping.
 
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -115,6 +115,7 @@
         self.placing = Placing(zone)
         self.splitter = Splitter(rng)
         self.budgets = RepeatBudgets(repeats)
+        self.limits: dict[asyncio.Timeout, float] = {}
         self.local_calls = 0
         self.counts: Counter[tuple[str, str]] = Counter()
         self.reasons: Counter[str] = Counter()
@@ -146,7 +147,7 @@
         )
         self.budgets.of(service).first(arrived)
         try:
-            answer = await asyncio.wait_for(self.serve(progress), left)
+            answer = await self.in_time(progress, left)
         except TimeoutError:
             answer = self.timed_out(progress)
         except asyncio.CancelledError:
@@ -156,6 +157,25 @@
         self.latency.record_value(max(1, int((clock.now() - arrived) * 1000)))
         return answer
 
+    async def in_time(self, progress: Progress, left: float) -> Answer:
+        """Serve a call; raise TimeoutError once its time is over."""
+        async with asyncio.timeout(left) as limit:
+            self.limits[limit] = progress.deadline
+            try:
+                return await self.serve(progress)
+            finally:
+                del self.limits[limit]
+
+    def woke(self, now: float) -> None:
+        """Set the timers right after this VM stood still.
+
+        The loop's clock stood still with it. Callers would wait for their final answer
+        as long again as the VM was suspended.
+        """
+        loop_now = asyncio.get_running_loop().time()
+        for limit, deadline in self.limits.items():
+            limit.reschedule(loop_now + max(0.0, deadline - now))
+
     def no_route(self, request: Request) -> Answer:
         """Answer a call that no route matches."""
         if self.state.stale(clock.now()):
--- a/sequoiaspoke/sidecar/source.py
+++ b/sequoiaspoke/sidecar/source.py
@@ -63,6 +63,10 @@
         Raises StoreError, and HistoryLostError if everything has to be read anew.
         """
 
+    @abstractmethod
+    def reconnect(self) -> None:
+        """End what is under way, so that the next read begins anew."""
+
 
 class ItemDecoder(ABC):
     """Turns the platform's items into the product's types."""
--- /dev/null
+++ b/sequoiaspoke/tests/test_sidecar_entry.py
@@ -0,0 +1,180 @@
+"""Tests of the entry's decisions that need a loop but no other process."""
+
+import asyncio
+import random
+
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.model import Endpoint, MeshConfig, Route
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
+from sequoiaspoke.core.mesh.repeats import RepeatLimits
+from sequoiaspoke.core.mesh.table import RouteTable
+from sequoiaspoke.core.rules.model import WeightedService
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.entry import Entry
+from sequoiaspoke.sidecar.home import Home
+from sequoiaspoke.sidecar.linkclient import LinkIdentity
+from sequoiaspoke.sidecar.logs import EventLog
+from sequoiaspoke.sidecar.names import HeaderNames
+from sequoiaspoke.sidecar.peers import Peers
+from sequoiaspoke.sidecar.source import ItemDecoder
+from sequoiaspoke.sidecar.state import MeshState
+
+WAIT = 20.0  # seconds; only a failing test waits so long
+LOST = Unknown("connection-lost")
+SHED = NotRun("upstream-refused", 0.2, reached=True)
+SERVED = Answer(200, (), b"served")
+
+
+class NoItems(ItemDecoder):
+    def kind(self, key):
+        return ""
+
+    def instance(self, key):
+        return key
+
+    def endpoint(self, key, value):
+        raise NotImplementedError
+
+    def config(self, value):
+        raise NotImplementedError
+
+
+class ScriptedEntry(Entry):
+    """An entry whose attempts bring what the test says, by instance."""
+
+    script = {}
+    sent = ()
+
+    async def attempt(self, progress, endpoint):
+        self.sent += (endpoint.instance,)
+        outcome = self.script[endpoint.instance]
+        if outcome is None:
+            await asyncio.sleep(3600)
+        return outcome
+
+
+def route(name, idempotent):
+    split = (WeightedService("fleet"),)
+    return Route(name, "x.example", f"/{name}/", idempotent, 5.0, 1.0, 1, 2, split)
+
+
+def entry(script):
+    """Return an entry that knows one endpoint for each line of the script."""
+    names, log = HeaderNames(), EventLog("x-request-id")
+    state = MeshState(NoItems(), log, lambda: None)
+    routes = (route("read", True), route("order", False))
+    state.table = RouteTable(MeshConfig(1, routes, frozenset({"fleet"})))
+    state.as_of = clock.now()
+    for number, instance in enumerate(script):
+        host = f"10.0.0.{number}"
+        endpoint = Endpoint(instance, "fleet", host, 80, "akaki", 4)
+        state.directory.put(endpoint, 1, clock.now())
+    home = Home(None, state.directory, log)
+    rng = random.Random(3)
+    peers = Peers(LinkIdentity("10.0.9.9", "akaki", 1), 1, state, rng, log)
+    limits = RepeatLimits(0.2, 500, 10)
+    made = ScriptedEntry("fleet", "akaki", names, state, home, peers, limits, rng, log)
+    made.script = script
+    return made
+
+
+def request(name, left=4000):
+    headers = (("Host", "x.example"), ("X-Request-Id", "1"), ("X-Time-Left-Ms", left))
+    return Request("GET", f"/{name}/1", headers, b"")
+
+
+class TestFinalAnswers(TestCase):
+    def play(self, script, name, left=4000):
+        async def run():
+            self.entry = entry(script)
+            async with asyncio.timeout(WAIT):
+                return await self.entry.handle(request(name, left))
+
+        return asyncio.run(run())
+
+    def test_a_read_that_was_lost_is_tried_elsewhere(self):
+        answer = self.play({"a": LOST, "b": SERVED}, "read")
+        self.assertEqual(answer.status, 200)
+
+    def test_an_order_that_was_lost_is_never_tried_again(self):
+        # The connection broke after the order was sent. It may have been booked.
+        answer = self.play({"a": LOST, "b": LOST}, "order")
+        self.assertEqual((answer.status, len(self.entry.sent)), (502, 1))
+
+    def test_an_order_that_was_turned_away_is_tried_elsewhere(self):
+        answer = self.play({"a": SHED, "b": SHED}, "order")
+        self.assertEqual((answer.status, len(self.entry.sent)), (503, 2))
+
+    def test_a_read_that_may_have_run_is_not_told_as_not_run(self):
+        # The first attempt was lost and the second turned away. "Not run" would be
+        # untrue, and a caller who counts runs would count one too few.
+        answer = self.play({"a": LOST, "b": SHED}, "read")
+        self.assertEqual((answer.status, self.entry.sent), (502, ("a", "b")))
+
+    def test_a_refusal_tells_when_to_return(self):
+        answer = self.play({"a": SHED}, "order")
+        self.assertIn(("Retry-After", "0.200"), answer.headers)
+
+    def test_targets_of_one_call_stay_within_its_attempts(self):
+        answer = self.play({"a": LOST, "b": LOST, "c": SERVED}, "read")
+        self.assertTrue(len(self.entry.sent) <= 2)
+        self.assertIn(answer.status, (200, 502))
+
+    def test_a_call_without_time_is_refused_at_once(self):
+        answer = self.play({"a": SERVED}, "read", left=0)
+        self.assertEqual((answer.status, self.entry.sent), (503, ()))
+
+    def test_a_route_that_may_be_too_new_is_not_denied(self):
+        # This node cannot read the store. A caller uses a route that was added
+        # meanwhile; told that there is none, it gives up for good.
+        async def run():
+            made = entry({"a": SERVED})
+            made.state.as_of -= 60
+            stale = await made.handle(request("added"))
+            made.state.as_of += 60
+            fresh = await made.handle(request("added"))
+            return stale.status, fresh.status
+
+        self.assertEqual(asyncio.run(run()), (503, 404))
+
+
+class TestHedging(TestCase):
+    def test_a_second_endpoint_answers_beside_one_that_hangs(self):
+        async def run():
+            made = entry({"a": None, "b": None})
+            made.script["b"] = SERVED
+            async with asyncio.timeout(WAIT):
+                return await made.handle(request("read")), made.sent
+
+        answer, sent = asyncio.run(run())
+        self.assertEqual(answer.status, 200)
+        self.assertTrue(len(sent) <= 2)
+
+    def test_an_order_is_never_sent_beside_itself(self):
+        async def run():
+            made = entry({"a": None, "b": None})
+            answer = await made.handle(request("order", left=600))
+            return answer.status, made.sent
+
+        status, sent = asyncio.run(run())
+        self.assertEqual((status, len(sent)), (504, 1))
+
+
+class TestSuspended(TestCase):
+    def test_callers_get_their_answer_when_the_vm_wakes(self):
+        # The VM is suspended for a minute while a call is under way. Its clock for
+        # timers stood still, so the timer still has its five seconds to go.
+        async def run():
+            made = entry({"a": None})
+            call = asyncio.ensure_future(made.handle(request("order", left=5000)))
+            while not made.sent:
+                await asyncio.sleep(0)
+            made.woke(clock.now() + 60)
+            begun = clock.now()
+            answer = await call
+            return answer.status, clock.now() - begun
+
+        status, seconds = asyncio.run(run())
+        self.assertEqual(status, 504)
+        self.assertTrue(seconds < 4, seconds)
