Take no call that would outlast a stopping node; count calls of a process before

Change: a stopping entry refuses calls whose route usually takes more than a quarter of what is left and passes its end on as their deadline; the upstream's own word on its load takes slots for half a second.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -24,6 +24,9 @@
 # Part of the expected time that must be left when a call is handed over; work varies,
 # and a call with half of its mean left still ends in time one time in ten.
 LEAST_LEFT = 0.5
+# Seconds for which the upstream's word on calls that are not ours counts; calls take
+# tenths of a second, so that it is soon out of date.
+FOREIGN_SECONDS = 0.5
 # Least Retry-After of a refusal, in seconds.
 LEAST_WAIT = 0.05
 
@@ -81,9 +84,28 @@
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
+        self.foreign = 0
+        self.foreign_told = float("-inf")
         self.queue: dict[object, Arrival] = {}
         self.durations = Durations()
 
+    def told_load(self, load: int, now: float) -> None:
+        """Take the upstream's word on how many calls it has, ours included.
+
+        After this node was killed its upstream still runs the calls of the process
+        before, for nobody. Sent a full load beside them, it would turn calls away or
+        leave them without a word.
+        """
+        self.foreign = max(0, load - self.running - 1)
+        self.foreign_told = now
+
+    def free_slots(self, now: float) -> int:
+        """Return how many more calls the upstream can run."""
+        foreign = self.foreign if now < self.foreign_told + FOREIGN_SECONDS else 0
+        # One call is always let through, as only its answer tells of a change.
+        least = 1 if not self.running else 0
+        return max(least, self.slots - foreign - self.running)
+
     @property
     def running(self) -> int:
         """Return how many calls run."""
@@ -137,7 +159,7 @@
 
         With all slots busy one is free after a mean call divided by the slots.
         """
-        if self.running < self.slots and not self.queue:
+        if self.free_slots(now) and not self.queue:
             return 0.0
         work = self.durations.mean_running(now)
         for waiting in self.queue.values():
@@ -148,7 +170,7 @@
     def next(self, now: float) -> tuple[Arrival | None, list[Refused]]:
         """Return the call to hand over now, and those it is too late for."""
         refused = self.overdue(now)
-        if not self.queue or self.running >= self.slots:
+        if not self.queue or not self.free_slots(now):
             return None, refused
         # Of equals the first in the order of arrival.
         arrival = min(self.queue.values(), key=lambda each: self.turn(each, now))
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -40,6 +40,8 @@
 # Seconds for which a stopping node serves on although nobody waits: callers are moved
 # away after two questions a second apart have found it not ready.
 LINGER_SECONDS = 2.6
+# Seconds before its end by which a stopping node's calls should have their answers.
+LAST_SECONDS = 0.2
 
 
 class Sidecar:
@@ -178,6 +180,7 @@
             return
         self.stopping = clock.now()
         self.callers.closing = True
+        self.entry.closes_at = self.stopping + self.settings.drain - LAST_SECONDS
         self.log.event(
             "stop", running=self.home.admission.running, calls=len(self.home.calls)
         )
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -14,6 +14,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from sequoiaspoke.core.mesh.durations import FIRST_GUESS
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
 from sequoiaspoke.core.mesh.placing import Placing
 from sequoiaspoke.core.mesh.repeats import RepeatBudgets
@@ -43,6 +44,11 @@
 COME_BACK = 0.3
 # Seconds of a call whose caller names no limit and whose route is not known.
 DEFAULT_SECONDS = 10.0
+# Seconds after which a stopped node should be back: the rest of its end and its start.
+STOPPED_SECONDS = 1.0
+# How many times its usual time a call may take, with one in a hundred above; a node
+# that stops takes no call that would then outlast it.
+LONGEST = 4.0
 # Attempts that reach no upstream, at most: each costs a round trip only, but a fleet
 # that refuses should be told to the caller soon.
 FRUITLESS_MOST = 6
@@ -91,7 +97,13 @@
 
 
 class Entry:
-    """Serves the callers and the upstream of this VM."""
+    """Serves the callers and the upstream of this VM.
+
+    Attributes
+    ----------
+    closes_at : float
+        When this node ends; infinite until it is told to stop.
+    """
 
     def __init__(
         self,
@@ -115,6 +127,7 @@
         self.placing = Placing(zone)
         self.splitter = Splitter(rng)
         self.budgets = RepeatBudgets(repeats)
+        self.closes_at = float("inf")
         self.limits: dict[asyncio.Timeout, float] = {}
         self.local_calls = 0
         self.counts: Counter[tuple[str, str]] = Counter()
@@ -138,11 +151,13 @@
         left = self.time_left(request, route)
         if left <= 0:
             return self.refuse(request, "no-time", COME_BACK)
+        if self.too_late(route, arrived):
+            return self.refuse(request, "stopping", STOPPED_SECONDS, service)
         progress = Progress(
             self.forwarded(request),
             route,
             service,
-            arrived + left,
+            min(arrived + left, self.closes_at),
             arrived + route.objective,
         )
         self.budgets.of(service).first(arrived)
@@ -193,6 +208,16 @@
             return route.timeout
         return min(told, route.timeout)
 
+    def too_late(self, route: Route, now: float) -> bool:
+        """Return whether this node might end before a new call does.
+
+        A node that is told to stop goes on serving the callers that have not moved
+        away. One that took a long call in its last seconds would cut it at its end, and
+        the caller would not know whether it ran.
+        """
+        usual = self.placing.mean.get(route.name, FIRST_GUESS)
+        return now + LONGEST * usual > self.closes_at
+
     def forwarded(self, request: Request) -> Request:
         """Return the request as upstreams get it."""
         headers = end_to_end(request.headers, self.own_headers)
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -137,6 +137,8 @@
                 call.request, call.instance, call.deadline, call.idempotent
             )
             settle = 0.0
+            if self.upstream.told_load is not None:
+                self.admission.told_load(self.upstream.told_load, clock.now())
         finally:
             if settle:
                 loop = asyncio.get_running_loop()
--- a/sequoiaspoke/sidecar/names.py
+++ b/sequoiaspoke/sidecar/names.py
@@ -23,6 +23,8 @@
         Marks an answer as the upstream's own.
     not_run : str
         Marks an answer of an upstream that did not run the call.
+    load : str
+        Tells how many calls the upstream runs and queues, and its slots.
     """
 
     call_id: str = "x-request-id"
@@ -31,3 +33,4 @@
     caller_service: str = "x-caller-service"
     stamp: str = "x-upstream-stamp"
     not_run: str = "x-not-run"
+    load: str = "x-upstream-load"
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -16,8 +16,22 @@
     from sequoiaspoke.sidecar.names import HeaderNames
 
 
+def read_load(text: str) -> int | None:
+    """Return how many calls an upstream says it runs and queues."""
+    numbers = text.split(",")
+    if len(numbers) < 2 or not all(each.strip().isdigit() for each in numbers[:2]):
+        return None
+    return int(numbers[0]) + int(numbers[1])
+
+
 class Upstream:
-    """The upstream beside this node."""
+    """The upstream beside this node.
+
+    Attributes
+    ----------
+    told_load : int or None
+        Calls that it ran and queued by its last answer, if it tells.
+    """
 
     def __init__(self, host: str, port: int, names: HeaderNames) -> None:
         self.host = host
@@ -25,6 +39,7 @@
         self.names = names
         self.idle: list[ClientConnection] = []
         self.connects = 0
+        self.told_load: int | None = None
 
     async def call(
         self, request: Request, instance: str, deadline: float, idempotent: bool
@@ -63,6 +78,7 @@
 
     def judge(self, answer: Answer, seconds: float) -> Outcome:
         """Tell an answer from a refusal and from bytes that are not an answer."""
+        self.told_load = read_load(find_header(answer.headers, self.names.load))
         if find_header(answer.headers, self.names.not_run):
             return NotRun("upstream-refused", reached=True)
         if answer.status == 421:
--- a/sequoiaspoke/tests/test_mesh_core.py
+++ b/sequoiaspoke/tests/test_mesh_core.py
@@ -4,7 +4,13 @@
 
 from testtools import TestCase
 
-from sequoiaspoke.core.mesh.admission import QUEUE_PER_SLOT, Admission, Arrival, Turned
+from sequoiaspoke.core.mesh.admission import (
+    FOREIGN_SECONDS,
+    QUEUE_PER_SLOT,
+    Admission,
+    Arrival,
+    Turned,
+)
 from sequoiaspoke.core.mesh.directory import LAPSE_GRACE, Directory
 from sequoiaspoke.core.mesh.durations import FORGET_SECONDS, Durations
 from sequoiaspoke.core.mesh.ledger import KEPT_BYTES, KEPT_SECONDS, Ledger
@@ -224,6 +230,22 @@
         self.admission.finish(1, True, 0.1)
         self.assertEqual(self.run_next(), 3)
 
+    def test_calls_of_a_process_before_take_slots_too(self):
+        # A node is killed and starts again. Its upstream still runs the calls of the
+        # process before, and turns away what comes beside them.
+        self.admission = Admission(4)
+        for _ in range(4):
+            self.arrive()
+        self.run_next()
+        self.admission.told_load(4, 0.0)
+        self.assertEqual([self.run_next(), self.run_next()], [2, None])
+        self.assertEqual(self.run_next(FOREIGN_SECONDS), 3)
+
+    def test_one_call_tells_whether_a_full_upstream_has_room_again(self):
+        self.arrive()
+        self.admission.told_load(9, 0.0)
+        self.assertEqual(self.run_next(), 1)
+
     def test_the_urgent_go_first(self):
         for rank in (2, 2, 2, 0):
             self.arrive(rank=rank)
--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -33,6 +33,8 @@
 class FakeUpstream:
     """Runs each call until it is told to answer."""
 
+    told_load = None
+
     def __init__(self):
         self.runs = []
         self.gate = asyncio.Event()
--- a/sequoiaspoke/tests/test_sidecar_entry.py
+++ b/sequoiaspoke/tests/test_sidecar_entry.py
@@ -161,6 +161,28 @@
         self.assertEqual((status, len(sent)), (504, 1))
 
 
+class TestStopping(TestCase):
+    def play(self, usual):
+        async def run():
+            made = entry({"a": SERVED})
+            made.placing.mean["order"] = usual
+            made.closes_at = clock.now() + 1.0
+            return await made.handle(request("order")), made.sent
+
+        return asyncio.run(run())
+
+    def test_a_node_that_stops_takes_no_call_that_would_outlast_it(self):
+        # A node is told to stop, its last callers have not moved away yet, and a long
+        # call comes a second before its end. It is cut, and its caller does not know
+        # whether it ran.
+        answer, sent = self.play(usual=0.5)
+        self.assertEqual((answer.status, sent), (503, ()))
+
+    def test_a_node_that_stops_still_takes_short_calls(self):
+        answer, _ = self.play(usual=0.05)
+        self.assertEqual(answer.status, 200)
+
+
 class TestSuspended(TestCase):
     def test_callers_get_their_answer_when_the_vm_wakes(self):
         # The VM is suspended for a minute while a call is under way. Its clock for
