Weigh the bytes between zones, send joined upstreams a first call

Cause: one margin for every route kept short calls in a slow zone and sent large answers away; a node whose choice is faster than usual never tried an upstream that had joined.

--- a/sequoiaspoke/core/mesh/placing.py
+++ b/sequoiaspoke/core/mesh/placing.py
@@ -43,9 +43,10 @@
 # after how many seconds at least. Work varies by a half of its mean; beyond three times
 # lie the one call in a hundred that is long, and those whose upstream turned slow.
 PATIENCE, LEAST_PATIENCE = 3.0, 0.1
-# By how much less likely to be late an endpoint in another zone must be: what its
-# bytes cost in answers that are worth a third when late.
-ZONE_MARGIN = 0.12
+# By how much less likely to be late an endpoint in another zone must be, for each
+# thousand bytes that go there and back, and at least. Bytes between zones are paid for;
+# a call of two thousand bytes is sent away to spare one late answer in twelve.
+ZONE_MARGIN, LEAST_MARGIN = 0.04, 0.02
 
 
 @dataclass(frozen=True)
@@ -115,6 +116,7 @@
         self.zone = zone
         self.seen: dict[str, Seen] = {}
         self.mean: dict[str, float] = {}
+        self.size: dict[str, float] = {}
 
     def of(self, instance: str) -> Seen:
         """Return what is known of an endpoint."""
@@ -138,8 +140,16 @@
         if route:
             seen.by_route[route] = Told(news, now)
 
-    def answered(self, route: str, instance: str, seconds: float) -> None:
-        """Measure a call that its upstream finished in so many seconds."""
+    def answered(self, route: str, instance: str, seconds: float, size: int) -> None:
+        """Measure a call that its upstream finished.
+
+        Parameters
+        ----------
+        size : int
+            Bytes of the request's body and the answer's.
+        """
+        usual = self.size.get(route, size)
+        self.size[route] = usual + NEWEST * (size - usual)
         mean = self.mean.get(route, seconds)
         self.mean[route] = mean + NEWEST * (seconds - mean)
         self.of(instance).failing *= 1 - FAILURE_WEIGHT / 2
@@ -207,6 +217,8 @@
         near, near_time = None, float("inf")
         for endpoint in endpoints:
             is_cold = cold(endpoint.instance)
+            if self.unknown(endpoint):
+                return endpoint
             time = self.expected(route.name, endpoint, is_cold, now)
             if time < best_time:
                 best, best_time = endpoint, time
@@ -215,7 +227,21 @@
         if near is None:
             return best
         gain = late_chance(near_time, left) - late_chance(best_time, left)
-        return near if gain <= ZONE_MARGIN else best
+        return near if gain <= self.margin(route.name) else best
+
+    def margin(self, route: str) -> float:
+        """Return by how much less likely to be late another zone must be."""
+        return max(LEAST_MARGIN, ZONE_MARGIN * self.size.get(route, 0.0) / 1000)
+
+    def unknown(self, endpoint: Endpoint) -> bool:
+        """Return whether a first call should tell how an endpoint does.
+
+        An upstream that has just joined is expected to take the usual time, so a node
+        whose present choice is faster than usual would never send it a call.
+        """
+        seen = self.of(endpoint.instance)
+        near = endpoint.zone == self.zone
+        return near and not seen.by_route and not seen.mine and not seen.failing
 
     def retain(self, instances: Iterable[str]) -> None:
         """Forget endpoints that left."""
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -330,7 +330,7 @@
             self.placing.end(endpoint.instance)
         now = clock.now()
         self.placing.load(endpoint.instance, progress.route.name, news, now)
-        self.measure(progress.route, endpoint.instance, outcome, now)
+        self.measure(progress, endpoint.instance, outcome, now)
         return outcome
 
     async def call_here(self, call: HomeCall) -> Outcome:
@@ -358,14 +358,17 @@
                 self.placing.load(held.endpoint.instance, "", news, now)
 
     def measure(
-        self, route: Route, instance: str, outcome: Outcome, now: float
+        self, progress: Progress, instance: str, outcome: Outcome, now: float
     ) -> None:
         """Learn from what came of an attempt."""
         if isinstance(outcome, Answer):
             if outcome.status in TRY_ELSEWHERE:
                 self.placing.failed(instance, now)
             else:
-                self.placing.answered(route.name, instance, outcome.seconds)
+                size = len(progress.request.body) + len(outcome.body)
+                self.placing.answered(
+                    progress.route.name, instance, outcome.seconds, size
+                )
         elif isinstance(outcome, Unknown) or outcome.reached:
             self.placing.failed(instance, now)
 
--- a/sequoiaspoke/tests/test_mesh_core.py
+++ b/sequoiaspoke/tests/test_mesh_core.py
@@ -152,6 +152,30 @@
         self.tell("2", expected=0.2)
         self.assertEqual(self.choose(), "2")
 
+    def test_large_answers_stay_in_the_zone_longer_than_small_ones(self):
+        # Bytes between zones are paid for. A page of many kilobytes is not worth
+        # sending away for a few answers more on time; a short call is.
+        self.tell("1", expected=0.36)
+        self.tell("2", expected=0.2)
+        self.placing.answered("a", "1", 0.3, 500)
+        self.assertEqual(self.choose(), "2")
+        self.placing.size["a"] = 6000
+        self.assertEqual(self.choose(), "1")
+
+    def test_an_upstream_that_has_joined_gets_a_first_call(self):
+        # A new upstream is expected to take the usual time. A node whose choice is
+        # faster would never send it a call, and its slots stay empty.
+        joined = endpoint("3")
+        self.tell("1", expected=0.1)
+        self.tell("2", expected=0.1)
+        self.placing.answered("a", "1", 0.3, 500)
+        ends = (self.near, self.far, joined)
+        chosen = self.placing.choose(self.route, ends, lambda _: False, 1.0, 0.6)
+        self.assertEqual(chosen.instance, "3")
+        self.placing.begin("3")
+        chosen = self.placing.choose(self.route, ends, lambda _: False, 1.0, 0.6)
+        self.assertEqual(chosen.instance, "1")
+
     def test_calls_that_last_too_long_tell_of_a_slow_upstream(self):
         # An upstream turns twelve times slower. None of its calls has been answered
         # yet, so nothing was measured; those that go on being sent there all fail.
