Keep late calls from the slots of an overloaded upstream

Change: beyond one waiting call a slot, calls that would be late are told at once when to come back.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -8,7 +8,9 @@
 
 Under a standing overload a queue in order of arrival makes every answer late: each
 call waits the whole queue's length. Among calls of one priority those that can
-still be answered on time therefore go first, and the late ones take what is left.
+still be answered on time therefore go first, and no more late ones are let wait than
+keep every slot busy; the others are told at once when to come back. Of 400 calls
+that come twice as fast as they are served, 180 instead of 30 are answered on time.
 """
 
 from __future__ import annotations
@@ -24,6 +26,9 @@
 # Part of the expected time that must be left when a call is handed over; work varies,
 # and a call with half of its mean left still ends in time one time in ten.
 LEAST_LEFT = 0.5
+# Part of the expected time within which most calls end; work varies by a third to a
+# half of its mean.
+WITHIN = 1.3
 # Seconds for which the upstream's word on calls that are not ours counts; calls take
 # tenths of a second, so that it is soon out of date.
 FOREIGN_SECONDS = 0.5
@@ -36,6 +41,7 @@
 
     LEAVING = "leaving"
     QUEUE_FULL = "queue-full"
+    OVERLOADED = "overloaded"
     NO_TIME = "no-time"
 
 
@@ -126,6 +132,8 @@
         wait = self.wait_before(arrival, now)
         if now + wait + self.least(arrival, now) > arrival.deadline:
             return Refused(arrival, Turned.NO_TIME, max(wait, LEAST_WAIT))
+        if self.waiting >= self.slots and self.late(arrival, now + wait):
+            return Refused(arrival, Turned.OVERLOADED, max(wait, LEAST_WAIT))
         refused = self.make_room(arrival, wait, now)
         if refused is None or refused.arrival is not arrival:
             self.queue[arrival.ticket] = arrival
@@ -180,8 +188,12 @@
 
     def turn(self, arrival: Arrival, now: float) -> tuple[int, bool]:
         """Return what orders the calls that wait."""
-        expected = self.durations.expected(arrival.route, now)
-        return (arrival.rank, now + expected > arrival.on_time)
+        return (arrival.rank, self.late(arrival, now))
+
+    def late(self, arrival: Arrival, begin: float) -> bool:
+        """Return whether a call that begins at some time would be late."""
+        expected = self.durations.expected(arrival.route, begin)
+        return begin + WITHIN * expected > arrival.on_time
 
     def overdue(self, now: float) -> list[Refused]:
         """Take out the waiting calls that could not be answered any more."""
--- a/sequoiaspoke/tests/test_mesh_core.py
+++ b/sequoiaspoke/tests/test_mesh_core.py
@@ -278,7 +278,7 @@
     def test_a_call_that_cannot_end_in_time_is_refused_with_a_time(self):
         self.measure(1.0)
         for _ in range(6):
-            self.arrive(deadline=99)
+            self.arrive(on_time=99, deadline=99)
         self.run_next()
         refused = self.arrive(deadline=1.5)
         self.assertEqual(refused.reason, Turned.NO_TIME)
@@ -302,7 +302,8 @@
             while (ticket := self.run_next(now)) is not None:
                 running[ticket] = now + 0.2
         # Half of 400 calls fit; in order of arrival fewer than 30 were on time.
-        self.assertTrue(on_time > 140, on_time)
+        self.assertTrue(on_time > 170, on_time)
+        self.assertTrue(self.admission.waiting <= 6)
 
     def test_a_queue_full_of_patient_calls_has_room_for_an_urgent_one(self):
         # Archive pages fill the queue of an overloaded upstream. The short call that
