Keep a node up when it wakes as a call's timer runs out

Change: such timers are left alone, an error in the periodic work is logged and does not end the process, an address in use is a typed error.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -10,7 +10,7 @@
 
 from tornado.iostream import StreamClosedError
 
-from sequoiaspoke.errors import SettingsError
+from sequoiaspoke.errors import AddressInUseError, SettingsError
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.callerserver import CallerServer
 from sequoiaspoke.sidecar.entry import Entry
@@ -109,15 +109,26 @@
         self.peers.refresh()
         self.entry.placing.retain(self.state.directory.held)
 
+    def listen(self) -> None:
+        """Open the addresses of the settings."""
+        servers = (
+            (self.callers, self.settings.callers),
+            (self.links, self.settings.links),
+            (self.health, self.settings.health),
+        )
+        for server, (host, port) in servers:
+            try:
+                server.listen(port, host)
+            except OSError as error:
+                raise AddressInUseError(f"{host}:{port}: {error}") from error
+
     async def run(self) -> None:
         """Serve until the process is told to stop."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(signal.SIGINT, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.take_settings)
-        self.callers.listen(self.settings.callers[1], self.settings.callers[0])
-        self.links.listen(self.settings.links[1], self.settings.links[0])
-        self.health.listen(self.settings.health[1], self.settings.health[0])
+        self.listen()
         self.log.event(
             "start",
             node=self.settings.node,
@@ -132,7 +143,11 @@
         follower.add_done_callback(self.follower_ended)
         while not self.stopped.is_set():
             await asyncio.sleep(TICK_SECONDS)
-            self.tick()
+            try:
+                self.tick()
+            except Exception as error:
+                # One part's fault must not end the calls of all others.
+                self.crashed(error)
         follower.cancel()
         self.log.event("end", node=self.settings.node)
 
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -189,6 +189,9 @@
         """
         loop_now = asyncio.get_running_loop().time()
         for limit, deadline in self.limits.items():
+            if limit.expired():
+                # Its call is about to end; the timer cannot be set any more.
+                continue
             limit.reschedule(loop_now + max(0.0, deadline - now))
 
     def no_route(self, request: Request) -> Answer:
--- a/sequoiaspoke/tests/test_sidecar_entry.py
+++ b/sequoiaspoke/tests/test_sidecar_entry.py
@@ -160,6 +160,19 @@
         status, sent = asyncio.run(run())
         self.assertEqual((status, len(sent)), (504, 1))
 
+    def test_a_call_that_ends_as_the_vm_wakes_does_no_harm(self):
+        # The VM wakes just as the timer of a call runs out. Set right once more, the
+        # timer raises an error, and the process ended with all its calls.
+        async def run():
+            made = entry({"a": None})
+            call = asyncio.ensure_future(made.handle(request("order", left=1)))
+            while not any(limit.expired() for limit in made.limits):
+                await asyncio.sleep(0)
+            made.woke(clock.now() + 60)
+            return (await call).status
+
+        self.assertEqual(asyncio.run(run()), 504)
+
 
 class TestStopping(TestCase):
     def play(self, usual):
