Read on after a caller's last request, and close without a reset

Cause: read in review: a connection whose request asked for its close was not read any more, so a caller that left was not noticed and its call ran on; and the gentle close raised as the reader was still reading, so that unread bytes reset the connection with the last answer under way. A large head that came in one piece was not bounded.

Change: the reader goes on to the end; the close waits a second for the caller's; the size of an incomplete head is taken from its own bytes.

Measured: tests of each (the large head hung before).

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -31,6 +31,7 @@
     from sequoiaspoke.core.mesh.outcome import Answer
 
 READ_BYTES = 64 * 1024
+HEAD_END = b"\r\n\r\n"
 # Calls read ahead on one connection; a caller with more waits for answers first.
 READ_AHEAD = 64
 # Bytes of request bodies that this node holds for all callers; above, calls are
@@ -39,6 +40,8 @@
 # Bytes of answers that a caller has not read; beyond, its connection ends, as a
 # caller that stands still would fill this node's memory.
 UNREAD_BYTES = 16 << 20
+# Seconds that a caller has to close after its last answer.
+CLOSE_SECONDS = 1.0
 # Seconds after which a silent peer is probed, between probes, and until sent bytes
 # must be acknowledged; a dead connection is found in about two seconds.
 PROBE_AFTER, PROBE_EVERY, PROBES = 1, 1, 1
@@ -87,28 +90,35 @@
         self.body: list[bytes] = []
         self.body_size = 0
         self.head_size = 0
+        self.chunk_body = 0
+        self.head_began = False
         self.begun: float | None = None
         self.head_done = False
         self.too_large = 0
 
     async def run(self) -> None:
-        """Read until the caller leaves or the connection ends."""
+        """Read until the caller leaves.
+
+        Also after the last request: a caller that leaves is noticed by nothing else,
+        and its call would run on for nobody. What comes then is not looked at.
+        """
         try:
-            while not self.ending:
+            while True:
                 if len(self.pending) >= READ_AHEAD:
                     self.room.clear()
                     await self.room.wait()
                     continue
                 data = await self.stream.read_bytes(READ_BYTES, partial=True)
                 self.active = clock.now()
-                self.feed(data)
+                if not self.ending:
+                    self.feed(data)
         except StreamClosedError:
             self.abandon()
 
     def feed(self, data: bytes) -> None:
         """Take bytes of the caller."""
-        if not self.head_done:
-            self.head_size += len(data)
+        self.chunk_body = 0
+        self.head_began = False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -117,14 +127,26 @@
         except httptools.HttpParserError:
             self.refuse(400, "malformed request")
         else:
-            if not self.head_done and self.head_size > self.limits.header_bytes:
-                self.refuse(431, "headers too large")
+            if self.begun is not None and not self.head_done:
+                self.bound_head(data)
+
+    def bound_head(self, data: bytes) -> None:
+        """Refuse a head that is too large before it is complete."""
+        if self.head_began:
+            # Before it in this piece lie requests that are complete.
+            _, _, tail = data.rpartition(HEAD_END)
+            self.head_size = len(tail) - self.chunk_body
+        else:
+            self.head_size += len(data)
+        if self.head_size > self.limits.header_bytes:
+            self.refuse(431, "headers too large")
 
     # Called by the parser.
 
     def on_message_begin(self) -> None:
         """Begin a request."""
         self.reset_request()
+        self.head_began = True
         self.begun = clock.now()
 
     def on_url(self, data: bytes) -> None:
@@ -138,7 +160,6 @@
     def on_headers_complete(self) -> None:
         """Take the end of the head."""
         self.head_done = True
-        self.head_size = 0
         for name, value in self.headers:
             if name.lower() == "expect" and value.lower() == "100-continue":
                 self.write(CONTINUE)
@@ -146,6 +167,7 @@
     def on_body(self, data: bytes) -> None:
         """Take a piece of the body."""
         self.body_size += len(data)
+        self.chunk_body += len(data)
         if self.body_size > self.limits.body_bytes:
             self.too_large = 413
         elif self.server.body_bytes + self.body_size > BODY_BYTES:
@@ -245,16 +267,11 @@
         try:
             await self.stream.write(b"")
             self.stream.socket.shutdown(socket.SHUT_WR)
-            deadline = clock.now() + 1.0
-            while clock.now() < deadline:
-                await asyncio.wait_for(
-                    self.stream.read_bytes(READ_BYTES, partial=True), timeout=1.0
-                )
-        except (TimeoutError, StreamClosedError, OSError, AssertionError):
-            # The caller has closed, or had its second to do so.
-            pass
-        finally:
-            self.stream.close()
+            await asyncio.sleep(CLOSE_SECONDS)
+        except (StreamClosedError, OSError):
+            # The caller has closed before.
+            return
+        self.stream.close()
 
     def abandon(self) -> None:
         """Cancel the calls of a caller that has left."""
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -8,6 +8,7 @@
 from tornado.tcpserver import TCPServer
 
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
+from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.callerserver import READ_BYTES
 from sequoiaspoke.sidecar.frames import FrameStream, flatten, unflatten
@@ -55,6 +56,8 @@
 
     def take(self, frame: wire.Frame) -> None:
         """Take a frame."""
+        if frame.hello is None and self.peer is None:
+            raise MessageError("a frame before the greeting")
         if frame.call is not None:
             self.call(frame.call)
         elif frame.cancel is not None:
--- /dev/null
+++ b/sequoiaspoke/tests/test_callerserver.py
@@ -0,0 +1,145 @@
+"""Tests of the server for callers, over sockets of loopback."""
+
+import asyncio
+
+from testtools import TestCase
+from tornado.netutil import bind_sockets
+
+from sequoiaspoke.core.mesh.outcome import Answer
+from sequoiaspoke.sidecar.callerserver import READ_AHEAD, CallerServer
+
+WAIT = 20.0  # seconds; only a failing test waits so long
+
+
+class Handler:
+    """Answers with the request's target once it is told to."""
+
+    def __init__(self):
+        self.gate = asyncio.Event()
+        self.begun = []
+        self.cancelled = []
+
+    async def handle(self, request):
+        self.begun.append(request)
+        try:
+            await self.gate.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(request.target)
+            raise
+        return Answer(200, (), request.target.encode() + request.body)
+
+
+class TestCallerServer(TestCase):
+    def play(self, scenario):
+        async def run():
+            self.handler = Handler()
+            self.crashes = []
+            self.server = CallerServer(self.handler.handle, self.crashes.append)
+            (socket,) = bind_sockets(0, "127.0.0.1")
+            self.server.add_sockets([socket])
+            try:
+                async with asyncio.timeout(WAIT):
+                    reader, writer = await asyncio.open_connection(
+                        *socket.getsockname()[:2]
+                    )
+                    await scenario(reader, writer)
+                    writer.close()
+            finally:
+                self.server.stop()
+
+        asyncio.run(run())
+        self.assertEqual(self.crashes, [])
+
+    async def until(self, condition):
+        while not condition():
+            await asyncio.sleep(0.002)
+
+    def test_a_caller_that_leaves_is_noticed_whatever_its_request_said(self):
+        # A caller asks for the connection to be closed after its answer, and leaves
+        # before. Unnoticed, its call runs on for nobody.
+        for extra in ("", "Connection: close\r\n"):
+
+            async def scenario(reader, writer, extra=extra):
+                writer.write(f"GET /a HTTP/1.1\r\nHost: x\r\n{extra}\r\n".encode())
+                await self.until(lambda: self.handler.begun)
+                writer.close()
+                await self.until(lambda: self.handler.cancelled)
+
+            self.play(scenario)
+            self.assertEqual(self.handler.cancelled, ["/a"])
+
+    def test_the_last_answer_arrives_although_more_was_sent_behind_it(self):
+        # A node that stops ends a connection with its answer while the caller has just
+        # sent the next request. A reset would take the answer with it.
+        async def scenario(reader, writer):
+            self.server.closing = True
+            self.handler.gate.set()
+            writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+            await self.until(lambda: self.handler.begun)
+            writer.write(b"GET /b HTTP/1.1\r\nHost: x\r\n\r\n" * 3)
+            seen = await reader.read()
+            self.assertIn(b"Connection: close", seen)
+            self.assertTrue(seen.endswith(b"/a"))
+            self.assertEqual(len(self.handler.begun), 1)
+
+        self.play(scenario)
+
+    def test_bodies_come_whole_by_length_and_in_chunks(self):
+        async def scenario(reader, writer):
+            self.handler.gate.set()
+            head = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+            writer.write(head + b"Content-Length: 3\r\n\r\nabc")
+            writer.write(head + b"transfer-ENCODING: chunked\r\n\r\n2\r\nde\r\n")
+            writer.write(b"1;x=y\r\nf\r\n0\r\n\r\n")
+            await self.until(lambda: len(self.handler.begun) == 2)
+            bodies = [request.body for request in self.handler.begun]
+            self.assertEqual(bodies, [b"abc", b"def"])
+
+        self.play(scenario)
+
+    def test_a_smuggled_request_is_not_served(self):
+        # Two lengths: a proxy that takes the other one would run what is hidden in
+        # the body as a request of its own.
+        async def scenario(reader, writer):
+            writer.write(
+                b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n"
+            )
+            self.assertTrue((await reader.read()).startswith(b"HTTP/1.1 400"))
+            self.assertEqual(self.handler.begun, [])
+
+        self.play(scenario)
+
+    def test_a_caller_is_told_to_continue(self):
+        async def scenario(reader, writer):
+            self.handler.gate.set()
+            writer.write(
+                b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+                b"Expect: 100-continue\r\n\r\n"
+            )
+            self.assertIn(b" 100 ", await reader.readuntil(b"\r\n\r\n"))
+            writer.write(b"z")
+            self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\n"))
+
+        self.play(scenario)
+
+    def test_requests_read_ahead_are_bounded(self):
+        async def scenario(reader, writer):
+            one = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+            for _ in range(READ_AHEAD):
+                writer.write(one)
+                await asyncio.sleep(0)
+            await self.until(lambda: len(self.handler.begun) >= READ_AHEAD)
+            self.handler.gate.set()
+            for _ in range(READ_AHEAD):
+                await reader.readuntil(b"/a")
+
+        self.play(scenario)
+
+    def test_a_head_beyond_the_limit_is_refused(self):
+        async def scenario(reader, writer):
+            writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n")
+            writer.write(b"X-Long: " + b"y" * 20000)
+            self.assertTrue((await reader.read()).startswith(b"HTTP/1.1 431"))
+
+        self.play(scenario)
