Test calls to an upstream that misbehaves, and the bounds of the log

Change: each kind of broken, early, late, double and unframed answer over real sockets; a flood of lines and a reader that stands still; classes of tests are named as the older ones.

--- a/sequoiaspoke/tests/test_callerserver.py
+++ b/sequoiaspoke/tests/test_callerserver.py
@@ -29,7 +29,7 @@
         return Answer(200, (), request.target.encode() + request.body)
 
 
-class TestCallerServer(TestCase):
+class CallerServerTests(TestCase):
     def play(self, scenario):
         async def run():
             self.handler = Handler()
--- a/sequoiaspoke/tests/test_mesh_core.py
+++ b/sequoiaspoke/tests/test_mesh_core.py
@@ -34,7 +34,7 @@
     return Endpoint(instance, service, f"10.0.0.{instance}", 80, zone, slots, **fields)
 
 
-class TestRouteTable(TestCase):
+class RouteTableTests(TestCase):
     def table(self, *routes):
         return RouteTable(MeshConfig(1, routes, frozenset({"fleet"})))
 
@@ -56,7 +56,7 @@
         self.assertIsNone(self.table(route("/a/")).match("x.example", "/ab"))
 
 
-class TestDirectory(TestCase):
+class DirectoryTests(TestCase):
     def setUp(self):
         super().setUp()
         self.directory = Directory()
@@ -104,7 +104,7 @@
         self.assertEqual(self.serving(), {"1"})
 
 
-class TestRepeatBudget(TestCase):
+class RepeatBudgetTests(TestCase):
     def test_all_nodes_together_stay_within_the_allowance(self):
         # A service that fails every call makes each node repeat all it may.
         limits = RepeatLimits(ratio=0.2, slack=56, window=10)
@@ -126,7 +126,7 @@
         self.assertTrue(budget.spend(1, 10.1))
 
 
-class TestPlacing(TestCase):
+class PlacingTests(TestCase):
     def setUp(self):
         super().setUp()
         self.placing = Placing("akaki")
@@ -200,7 +200,7 @@
         self.assertEqual(self.choose(), "2")
 
 
-class TestSplit(TestCase):
+class SplitTests(TestCase):
     def test_parts_follow_their_weights_in_a_short_run(self):
         split = (WeightedService("a", 90), WeightedService("b", 10))
         splitter = Splitter(random.Random(1))
@@ -208,7 +208,7 @@
         self.assertEqual(chosen.count("b"), 20)
 
 
-class TestDurations(TestCase):
+class DurationsTests(TestCase):
     def test_a_slow_phase_is_forgotten(self):
         # An upstream was slow, calls were kept away, and it recovers. Were its old
         # figure kept, it would never get a call to show that.
@@ -227,7 +227,7 @@
         self.assertTrue(durations.strain(1.8) > 3)
 
 
-class TestAdmission(TestCase):
+class AdmissionTests(TestCase):
     def setUp(self):
         super().setUp()
         self.admission = Admission(2)
@@ -338,7 +338,7 @@
         self.assertEqual(self.admission.waiting, 0)
 
 
-class TestLedger(TestCase):
+class LedgerTests(TestCase):
     def test_a_call_is_known_while_it_may_be_asked_for_again(self):
         ledger = Ledger()
         ledger.begin("k")
--- a/sequoiaspoke/tests/test_mesh_property.py
+++ b/sequoiaspoke/tests/test_mesh_property.py
@@ -24,7 +24,7 @@
 ONCE_FAILED = (92, 93, 121, 125, 144, 243, 251, 266, 268, 297)
 
 
-class TestPromises(TestCase):
+class PromisesTests(TestCase):
     def hold(self, seeds):
         for seed in seeds:
             world = play(seed, self)
@@ -43,10 +43,10 @@
 
 
 for each in range(PARTS):
-    setattr(TestPromises, f"test_random_histories_{each}", part(each))
+    setattr(PromisesTests, f"test_random_histories_{each}", part(each))
 
 
-class TestSafeguards(TestCase):
+class SafeguardsTests(TestCase):
     """Each safeguard, switched off, is missed by some history."""
 
     def caught(self, words):
--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -98,7 +98,7 @@
             link.frames.close()
 
 
-class TestMeshLink(TestCase):
+class MeshLinkTests(TestCase):
     def play(self, scenario):
         async def run():
             world = LinkWorld()
--- a/sequoiaspoke/tests/test_sidecar_entry.py
+++ b/sequoiaspoke/tests/test_sidecar_entry.py
@@ -85,7 +85,7 @@
     return Request("GET", f"/{name}/1", headers, b"")
 
 
-class TestFinalAnswers(TestCase):
+class FinalAnswersTests(TestCase):
     def play(self, script, name, left=4000):
         async def run():
             self.entry = entry(script)
@@ -140,7 +140,7 @@
         self.assertEqual(asyncio.run(run()), (503, 404))
 
 
-class TestHedging(TestCase):
+class HedgingTests(TestCase):
     def test_a_second_endpoint_answers_beside_one_that_hangs(self):
         async def run():
             made = entry({"a": None, "b": None})
@@ -162,7 +162,7 @@
         self.assertEqual((status, len(sent)), (504, 1))
 
 
-class TestStopping(TestCase):
+class StoppingTests(TestCase):
     def play(self, usual):
         async def run():
             made = entry({"a": SERVED})
@@ -184,7 +184,7 @@
         self.assertEqual(answer.status, 200)
 
 
-class TestSuspended(TestCase):
+class SuspendedTests(TestCase):
     def test_callers_get_their_answer_when_the_vm_wakes(self):
         # The VM is suspended for a minute while a call is under way. Its clock for
         # timers stood still, so the timer still has its five seconds to go.
--- /dev/null
+++ b/sequoiaspoke/tests/test_sidecar_logs.py
@@ -0,0 +1,59 @@
+"""Tests of the sidecar's log: bounded, and never in the way."""
+
+import os
+
+from loguru import logger
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.outcome import Request
+from sequoiaspoke.node.logs import format_line
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.logs import LINES_A_SECOND, DroppingOutput, EventLog
+
+CALL = Request("GET", "/a", (("X-Request-Id", "c 1"),), b"")
+
+
+class EventLogTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.patch(clock, "now", lambda: self.now)
+        self.lines = []
+        logger.remove()
+        sink = logger.add(self.lines.append, format=format_line, colorize=False)
+        self.addCleanup(logger.remove, sink)
+        self.log = EventLog("x-request-id")
+
+    def test_a_line_names_the_call_and_what_decided(self):
+        self.log.call("call-refused", CALL, reason="no-time", left="0.1")
+        (line,) = self.lines
+        self.assertIn('event=call-refused id="c 1" reason=no-time left=0.1', line)
+
+    def test_a_flood_of_failures_is_bounded_and_said(self):
+        # Every call fails for a minute. Logged line by line, the log takes the
+        # processor that the calls need.
+        for _ in range(1000):
+            self.log.call("call-failed", CALL)
+        self.log.call("hedge", CALL)
+        self.assertEqual(len(self.lines), LINES_A_SECOND + 1)
+        self.now += 1
+        self.log.call("call-failed", CALL)
+        told = [line for line in self.lines if "lines-left-out" in line]
+        self.assertIn(f"kind=call-failed count={1000 - LINES_A_SECOND}", told[0])
+
+
+class DroppingOutputTests(TestCase):
+    def test_a_reader_that_stands_still_costs_lines_and_no_time(self):
+        # Whatever collects the lines hangs and its pipe fills. A write that waited for
+        # it would stop every call of the node.
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        output = DroppingOutput(writer)
+        for _ in range(3000):
+            output.write("x" * 100 + "\n")
+        self.assertTrue(output.dropped > 0)
+        os.read(reader, 1 << 16)
+        before = output.dropped
+        output.write("y\n")
+        self.assertEqual(output.dropped, before)
--- /dev/null
+++ b/sequoiaspoke/tests/test_sidecar_upstream.py
@@ -0,0 +1,192 @@
+"""Tests of calls to an upstream that misbehaves, over sockets of loopback."""
+
+import asyncio
+import socket
+import struct
+
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.names import HeaderNames
+from sequoiaspoke.sidecar.upstream import Upstream
+
+WAIT = 20.0  # seconds; only a failing test waits so long
+STAMP = "X-Upstream-Stamp: s\r\n"
+
+
+def answer(call_id, body="ok", status=200, headers=STAMP):
+    """Return the bytes of an upstream's answer."""
+    head = f"HTTP/1.1 {status} x\r\nX-Request-Id: {call_id}\r\n{headers}"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode()
+
+
+class RawUpstream:
+    """Answers the calls of each connection with the bytes that the test gives.
+
+    Attributes
+    ----------
+    replies : list
+        For each call a list of pieces; None resets the connection, ... closes it, and
+        a number waits so many seconds.
+    """
+
+    def __init__(self, replies):
+        self.replies = replies
+        self.requests = []
+        self.connections = 0
+        self.writers = []
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        self.writers.append(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = 0
+                for line in head.decode().lower().split("\r\n"):
+                    if line.startswith("content-length:"):
+                        length = int(line.split(":")[1])
+                replies = self.replies.pop(0)
+                if replies and replies[0] == "early":
+                    replies = replies[1:]
+                else:
+                    await reader.readexactly(length)
+                self.requests.append(head.decode())
+                for piece in replies:
+                    if piece is None:
+                        linger = struct.pack("ii", 1, 0)
+                        sock = writer.get_extra_info("socket")
+                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                        writer.transport.abort()
+                        return
+                    if piece is ...:
+                        writer.close()
+                        return
+                    if isinstance(piece, float):
+                        await asyncio.sleep(piece)
+                    else:
+                        writer.write(piece)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            # The node has closed the connection.
+            writer.close()
+
+
+class UpstreamTests(TestCase):
+    def play(self, *replies, bodies=None):
+        """Make a call for each reply in turn and return what came of each."""
+
+        async def run():
+            self.raw = RawUpstream([list(reply) for reply in replies])
+            server = await asyncio.start_server(self.raw.serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            self.upstream = Upstream("127.0.0.1", port, HeaderNames())
+            outcomes = []
+            async with asyncio.timeout(WAIT):
+                for number in range(len(replies)):
+                    body = bodies[number] if bodies else b""
+                    request = Request(
+                        "POST", "/a", (("X-Request-Id", f"c{number}"),), body
+                    )
+                    outcomes.append(
+                        await self.upstream.call(
+                            request, "i-1", clock.now() + WAIT, idempotent=True
+                        )
+                    )
+            for connection in self.upstream.idle:
+                connection.close()
+            server.close()
+            for writer in self.raw.writers:
+                writer.transport.abort()
+            # The loop takes two turns to let the connections go.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            return outcomes
+
+        return asyncio.run(run())
+
+    def test_connections_are_used_again(self):
+        outcomes = self.play([answer("c0")], [answer("c1")])
+        self.assertEqual([each.body for each in outcomes], [b"ok", b"ok"])
+        self.assertEqual(self.raw.connections, 1)
+        self.assertIn("x-instance: i-1", self.raw.requests[0])
+
+    def test_an_answer_cut_short_is_not_an_answer(self):
+        # The upstream says 10 bytes, sends 3 and is gone. Handed on, a caller would
+        # take a part for the whole.
+        cut = answer("c0", "0123456789")[:-7]
+        (outcome,) = self.play([cut, ...])
+        self.assertEqual(outcome, Unknown("connection-lost"))
+
+    def test_an_answer_without_a_length_ends_with_its_connection(self):
+        text = f"HTTP/1.1 200 x\r\nX-Request-Id: c0\r\n{STAMP}\r\nall of it".encode()
+        (outcome,) = self.play([text, ...])
+        self.assertEqual(outcome.body, b"all of it")
+
+    def test_an_answer_without_a_length_that_is_reset_is_not_complete(self):
+        text = f"HTTP/1.1 200 x\r\nX-Request-Id: c0\r\n{STAMP}\r\na part".encode()
+        (outcome,) = self.play([text, 0.1, None])
+        self.assertIsInstance(outcome, Unknown)
+
+    def test_a_second_answer_is_never_taken_for_the_next_call(self):
+        # The upstream answers twice, at once or when the next call is under way. The
+        # next caller would get the other's page.
+        twice = answer("c0") + answer("c0", "again")
+        first, second = self.play([twice], [answer("c1", "mine")])
+        self.assertEqual((first.body, second.body), (b"ok", b"mine"))
+        self.assertEqual(self.raw.connections, 2)
+
+    def test_a_late_second_answer_is_skipped(self):
+        late = answer("c0", "again") + answer("c1", "mine")
+        _, second = self.play([answer("c0")], [late])
+        self.assertEqual(second.body, b"mine")
+
+    def test_bytes_that_are_no_answer_are_not_handed_on(self):
+        (outcome,) = self.play([b"\x00garbage\r\n\r\n"])
+        self.assertEqual(outcome, Unknown("answer-malformed"))
+
+    def test_a_success_without_a_stamp_is_not_the_upstreams(self):
+        (outcome,) = self.play([answer("c0", headers="")])
+        self.assertEqual(outcome, Unknown("answer-unstamped"))
+
+    def test_an_answer_before_the_request_is_out_ends_the_connection(self):
+        # The upstream refuses a long call before it has read it. Kept, the connection
+        # would carry the next call behind the rest of that body.
+        body = b"x" * (8 << 20)
+        outcomes = self.play(
+            ["early", answer("c0", status=413), 0.2, ...],
+            [answer("c1")],
+            bodies=[body, b""],
+        )
+        self.assertEqual(outcomes[1].status, 200)
+        self.assertEqual(self.raw.connections, 2)
+
+    def test_what_the_upstream_did_not_run_is_told_as_not_run(self):
+        shed = answer("c0", status=503, headers="X-Not-Run: 1\r\n")
+        replaced = answer("c1", status=421, headers="")
+        outcomes = self.play([shed], [replaced])
+        self.assertEqual(
+            outcomes,
+            [
+                NotRun("upstream-refused", reached=True),
+                NotRun("instance-replaced", reached=True),
+            ],
+        )
+
+    def test_a_failure_of_the_upstream_is_handed_on(self):
+        (outcome,) = self.play([answer("c0", status=500)])
+        self.assertIsInstance(outcome, Answer)
+        self.assertEqual(outcome.status, 500)
+
+    def test_a_connection_that_the_upstream_closes_is_not_used_again(self):
+        closing = answer("c0", headers=STAMP + "Connection: close\r\n")
+        self.play([closing, ...], [answer("c1")])
+        self.assertEqual(self.raw.connections, 2)
+
+    def test_an_upstream_that_does_not_listen_has_not_run_the_call(self):
+        async def run():
+            upstream = Upstream("127.0.0.1", 1, HeaderNames())
+            request = Request("GET", "/a", (), b"")
+            return await upstream.call(request, "i", clock.now() + 5, True)
+
+        self.assertEqual(asyncio.run(run()), NotRun("upstream-unreachable"))
