Dial a home that failed or left until it answers

An entry that had found a link silent, or been told that its home was leaving, kept it out of its choice; without a call for it nobody dialled, so it stayed out for good, after each cut and each planned stop.

Change: such a link is dialled until its home answers.

--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -211,9 +211,13 @@
         self.lose_all("home-left")
 
     async def drive(self) -> None:
-        """Dial and read for as long as the link is needed."""
+        """Dial and read for as long as the link is needed.
+
+        A home that failed or left is dialled until it answers: its entry sends it no
+        calls until then, so that nothing else would tell that it is back.
+        """
         pause = REDIAL_FIRST
-        while (self.pending or self.kept) and not self.closed:
+        while (self.pending or self.kept or self.failing) and not self.closed:
             reason = await self.serve()
             if reason is None:
                 pause = REDIAL_FIRST
@@ -251,6 +255,8 @@
         reason = await self.frames.read(self.take)
         was_greeted, self.greeted = self.greeted, False
         self.tell_sign()
+        self.failing |= self.leaving
+        self.leaving = False
         self.frames = None
         if was_greeted:
             self.log.event("link-down", peer=self.address[0], reason=reason)
--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -227,6 +227,32 @@
 
         self.play(scenario)
 
+    def test_a_home_that_was_stopped_is_used_again_when_it_is_back(self):
+        # A home is stopped by plan and starts again while this entry has no call for it.
+        # Nobody would dial it, it would be taken to be leaving for good, and its
+        # callers here would be refused although it serves all others.
+        async def scenario(world):
+            world.upstream.gate.set()
+            await world.begin("/1")
+            world.home.leaving = True
+            world.server.announce_leaving()
+            await world.until(lambda: world.link.leaving)
+            await world.restart()
+            await world.until(lambda: not (world.link.leaving or world.link.failing))
+            self.assertEqual(world.link.incarnation, 8)
+
+        self.play(scenario)
+
+    def test_a_home_that_was_silent_is_used_again_when_it_answers(self):
+        async def scenario(world):
+            world.upstream.gate.set()
+            await world.begin("/1")
+            world.link.failing = True
+            world.link.frames.close()
+            await world.until(lambda: world.link.greeted and not world.link.failing)
+
+        self.play(scenario)
+
     def test_a_leaving_home_refuses_new_calls_and_finishes_the_others(self):
         async def scenario(world):
             call = world.begin()
