--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -228,8 +228,8 @@
         self.play(scenario)
 
     def test_a_home_that_was_stopped_is_used_again_when_it_is_back(self):
-        # A home is stopped by plan and starts again while this entry has no call for it.
-        # Nobody would dial it, it would be taken to be leaving for good, and its
+        # A home is stopped by plan and starts again while this entry has no call for
+        # it. Nobody would dial it, it would be taken to be leaving for good, and its
         # callers here would be refused although it serves all others.
         async def scenario(world):
             world.upstream.gate.set()
