Drop a constant and a property that nothing uses

Cause: the load told by homes became a wait, and a route always has a timeout; both names stayed behind. Change: they are removed; behaviour is the same.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -122,11 +122,6 @@
         """Return how many calls wait."""
         return len(self.queue)
 
-    @property
-    def occupied(self) -> int:
-        """Return how many calls run or wait."""
-        return self.running + self.waiting
-
     def arrive(self, arrival: Arrival, now: float) -> Refused | None:
         """Queue a call; return the one that is refused for it, if any."""
         wait = self.wait_before(arrival, now)
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -38,8 +38,6 @@
 # Seconds after which a caller that was refused may come back if nothing better is
 # known: time for a link to be opened or a node to start.
 COME_BACK = 0.3
-# Seconds of a call whose caller names no limit and whose route is not known.
-DEFAULT_SECONDS = 10.0
 # Seconds after which a stopped node should be back: the rest of its end and its start.
 STOPPED_SECONDS = 1.0
 # How many times its usual time a call may take, with one in a hundred above; a node
