--- a/sequoiaspoke/core/mesh/directory.py
+++ b/sequoiaspoke/core/mesh/directory.py
@@ -21,6 +21,9 @@
 # Seconds after the store's return for which a vanished entry stays: upstreams
 # that live have reported again within two, and reading takes a moment.
 LAPSE_GRACE = 2.2
+# Seconds for which an entry stays that a reader holds through a lapse: the reader tells
+# its end after LAPSE_GRACE, and this outlasts one that dies meanwhile.
+FOLLOWED_LAPSE = 4.4
 # Seconds for which an instance that left is remembered, so that late news from a
 # lagging node does not bring it back; beyond any drain and any lag of a peer.
 GONE_MEMORY = 60.0
@@ -34,6 +37,10 @@
     revision: int
     cold_until: float
 
+    def cold_left(self, now: float) -> float:
+        """Return how many more seconds the endpoint stays slow."""
+        return max(0.0, self.cold_until - now)
+
 
 class Directory:
     """The endpoints in force at this node.
@@ -46,6 +53,10 @@
         When to give up on the entries that vanished around an outage.
     gone : dict of str to tuple of int and float
         Revision of the removal of instances that left, and when it was learnt.
+    serial : int
+        Count of the changes made here; others are told those since a count.
+    marks : dict of str to int
+        The count at each instance's last change.
     """
 
     def __init__(self) -> None:
@@ -53,7 +64,8 @@
         self.lapsing: dict[str, float] = {}
         self.gone: dict[str, tuple[int, float]] = {}
         self.by_service: dict[str, tuple[Endpoint, ...]] = {}
-        self.revision = 0
+        self.serial = 0
+        self.marks: dict[str, int] = {}
         self.outage = False
         self.returned = float("-inf")
 
@@ -71,7 +83,7 @@
         self.lapsing.pop(endpoint.instance, None)
         cold_until = now + endpoint.cold_seconds
         self.held[endpoint.instance] = Held(endpoint, revision, cold_until)
-        self.rebuild()
+        self.mark(endpoint.instance)
         return True
 
     def remove(
@@ -87,6 +99,10 @@
         known = self.held.get(instance)
         if known is not None and known.revision > revision:
             return False
+        if known is None and self.gone.get(instance, (-1, 0.0))[0] >= revision:
+            # Told once more. Two nodes that tell each other of every change would
+            # otherwise do so for ever.
+            return False
         doubtful = not trusted and self.unwell(now)
         if known is not None and doubtful and not known.endpoint.draining:
             self.lapsing.setdefault(instance, self.grace_end(now))
@@ -116,8 +132,30 @@
         self.held.pop(instance, None)
         self.lapsing.pop(instance, None)
         self.gone[instance] = (revision, now)
+        self.mark(instance)
+
+    def mark(self, instance: str) -> None:
+        """Note a change."""
+        self.serial += 1
+        self.marks[instance] = self.serial
         self.rebuild()
 
+    def doubt(self, instances: Iterable[str], now: float) -> None:
+        """Take a reader's word that entries have vanished around an outage."""
+        for instance in instances:
+            if instance in self.held:
+                self.lapsing[instance] = now + FOLLOWED_LAPSE
+
+    def changed_since(self, serial: int) -> tuple[list[Held], list[tuple[str, int]]]:
+        """Return the entries taken, and the instances gone, since a count."""
+        held = [each for name, each in self.held.items() if self.marks[name] > serial]
+        gone = [
+            (name, revision)
+            for name, (revision, _) in self.gone.items()
+            if self.marks[name] > serial
+        ]
+        return held, gone
+
     def lost_store(self) -> None:
         """Note that the store does not answer."""
         self.outage = True
@@ -149,6 +187,7 @@
         for instance, (_, since) in list(self.gone.items()):
             if since + GONE_MEMORY < now:
                 del self.gone[instance]
+                del self.marks[instance]
         return due
 
     def rebuild(self) -> None:
@@ -163,6 +202,10 @@
         """Return the endpoints of a service that take new calls."""
         return self.by_service.get(service, ())
 
+    def all_serving(self) -> list[Endpoint]:
+        """Return the endpoints of all services that take new calls."""
+        return [each for group in self.by_service.values() for each in group]
+
     def cold(self, instance: str, now: float) -> bool:
         """Return whether an endpoint is still slow after its start."""
         held = self.held.get(instance)
--- /dev/null
+++ b/sequoiaspoke/core/mesh/knowledge.py
@@ -0,0 +1,42 @@
+"""What one node tells another of the platform."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.mesh.configdelta import ConfigDelta
+    from sequoiaspoke.core.mesh.model import Endpoint
+
+
+@dataclass(frozen=True)
+class Knowledge:
+    """What a node knows, or what has changed in it.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store up to which this goes.
+    as_of : float
+        When that was current, by the clock of the node that holds this.
+    whole : bool
+        Whether these are all endpoints; one that is not here has left.
+    endpoints : tuple of Endpoint and int
+        With the revision at which each was written.
+    gone : tuple of str and int
+        Instances that left, with the revision of that.
+    lapsing : tuple of str
+        Instances whose entries vanished around an outage of the store.
+    config : ConfigDelta or None
+        None if the configuration has not changed.
+    """
+
+    revision: int
+    as_of: float
+    whole: bool
+    endpoints: tuple[tuple[Endpoint, int], ...]
+    gone: tuple[tuple[str, int], ...]
+    lapsing: tuple[str, ...]
+    config: ConfigDelta | None
+    config_revision: int = 0
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -10,6 +10,7 @@
 
 from tornado.iostream import StreamClosedError
 
+from sequoiaspoke.core.mesh.reading import ReadingDuty
 from sequoiaspoke.errors import AddressInUseError, SettingsError
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.callerserver import CallerServer
@@ -23,6 +24,7 @@
 from sequoiaspoke.sidecar.logs import EventLog
 from sequoiaspoke.sidecar.metrics import SidecarMetrics
 from sequoiaspoke.sidecar.peers import Peers
+from sequoiaspoke.sidecar.spread import Spread
 from sequoiaspoke.sidecar.state import MeshState
 from sequoiaspoke.sidecar.upstream import Upstream
 
@@ -67,8 +69,16 @@
         self.upstream = Upstream(host, port, settings.names)
         self.home = Home(self.upstream, self.state.directory, self.log)
         identity = LinkIdentity(settings.links[0], settings.zone, self.incarnation)
+        self.duty = ReadingDuty(settings.links[0], settings.zone)
+        self.spread = Spread(self.state, self.duty, self.log)
         self.peers = Peers(
-            identity, settings.links[1], self.state, rng, self.log, TcpDialer()
+            identity,
+            settings.links[1],
+            self.state,
+            self.spread,
+            rng,
+            self.log,
+            TcpDialer(),
         )
         self.entry = Entry(
             settings.service,
@@ -82,14 +92,15 @@
             self.log,
         )
         self.callers = CallerServer(self.entry.handle, self.crashed)
-        self.links = LinkServer(self.home, self.state, self.incarnation, self.log)
+        self.links = LinkServer(self.home, self.spread, self.incarnation, self.log)
         self.metrics = SidecarMetrics(self, output)
         pages = HealthPages(settings.health_path, self.not_ready, self.metrics.page)
         self.health = CallerServer(pages.handle, self.crashed)
-        self.follower = Follower(store, self.state, rng)
+        self.follower = Follower(store, self.state, self.duty, rng)
         self.stopping: float | None = None
         self.stopped = asyncio.Event()
         self.ticked = clock.now()
+        self.acted_on = (0, 0)
 
     def crashed(self, error: BaseException) -> None:
         """Log an error that no code expected."""
@@ -102,6 +113,14 @@
         return "" if self.state.complete else "uninformed"
 
     def state_changed(self) -> None:
+        """Follow a change of what is known of the platform, or its confirmation."""
+        known = (self.state.directory.serial, self.state.version)
+        if known != self.acted_on:
+            self.acted_on = known
+            self.act_on_change()
+        self.spread.publish()
+
+    def act_on_change(self) -> None:
         """Follow a change of what is known of the platform."""
         if self.state.table is not None:
             self.callers.current_limits = self.state.table.config.limits
@@ -110,6 +129,13 @@
             if (endpoint.host, endpoint.port) == self.settings.upstream:
                 if endpoint.slots != self.home.admission.slots:
                     self.home.take_slots(endpoint.slots)
+        near = [
+            endpoint.host
+            for endpoint in self.state.directory.all_serving()
+            if endpoint.zone == self.settings.zone
+        ]
+        self.duty.take_hosts(near)
+        self.spread.follow_readers(self.peers)
         self.peers.refresh()
         self.entry.attempts.placing.retain(self.state.directory.held)
 
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -212,7 +212,7 @@
                 reason=outcome.reason,
                 again=decision,
                 left=f"{progress.deadline - clock.now():.3f}",
-                version=self.version(),
+                version=self.state.version,
                 age=f"{self.peers.age():.2f}",
             )
         return decision
@@ -260,7 +260,7 @@
             status=status,
             reason=reason,
             reached=progress.reached,
-            version=self.version(),
+            version=self.state.version,
             age=f"{self.peers.age():.2f}",
         )
         return own_answer(status, reason)
@@ -277,12 +277,7 @@
             status=503,
             reason=reason,
             retry_after=f"{retry_after:.3f}",
-            version=self.version(),
+            version=self.state.version,
             age=f"{self.peers.age():.2f}",
         )
         return own_answer(503, reason, retry_after)
-
-    def version(self) -> int:
-        """Return the version of the configuration in force."""
-        table = self.state.table
-        return table.config.version if table else 0
--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -5,29 +5,45 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.source import HistoryLostError, StoreError
 
 if TYPE_CHECKING:
     from random import Random
 
-    from sequoiaspoke.sidecar.source import ItemStore
+    from sequoiaspoke.core.mesh.reading import ReadingDuty
+    from sequoiaspoke.sidecar.source import Changes, ItemStore
     from sequoiaspoke.sidecar.state import MeshState
 
-# Seconds between attempts while the store fails, doubling up to the second; drawn at
-# random below it, so that nodes which lost it together do not return together.
-RETRY_FIRST, RETRY_MOST = 0.05, 0.5
+# Seconds between attempts while the store fails, doubling up to the second figure and
+# drawn at random below it, so that nodes which lost it together do not return together.
+# A node that reads for itself alone waits longer: its zone's readers tell it as soon
+# as one of them gets through, and 84 nodes that ask twice a second for the nine
+# seconds of an outage make 1,500 refused calls.
+RETRY_FIRST, RETRY_MOST, RETRY_ALONE = 0.05, 0.5, 2.0
 # Seconds after news before the next is asked for: in a storm of changes, several a
 # second, one read then brings several, and it is short against the two seconds in
 # which a version or a drain has to be acted on.
 GATHER_SECONDS = 0.35
+# Seconds between two questions whether the store still answers, while it has nothing
+# to tell. Others believe a reader for 1.4 s beyond its last confirmation.
+CONFIRM_SECONDS = 0.9
+# Questions without an answer after which the store is taken to be lost; one may fall
+# to a lost packet or a busy moment of this node.
+CONFIRM_FAILURES = 2
+# Seconds between two looks whether it has become this node's turn to read.
+DUTY_SECONDS = 0.1
 
 
 class Follower:
     """Keeps the state of a node up to date with the store."""
 
-    def __init__(self, store: ItemStore, state: MeshState, rng: Random) -> None:
+    def __init__(
+        self, store: ItemStore, state: MeshState, duty: ReadingDuty, rng: Random
+    ) -> None:
         self.store = store
         self.state = state
+        self.duty = duty
         self.rng = rng
         self.listed = False
         self.pause = RETRY_FIRST
@@ -36,6 +52,9 @@
         """Read everything once and then the changes, for ever."""
         while True:
             try:
+                if self.informed and not self.duty.must_read(clock.now()):
+                    await asyncio.sleep(DUTY_SECONDS)
+                    continue
                 await self.step()
                 self.pause = RETRY_FIRST
             except HistoryLostError as error:
@@ -48,12 +67,18 @@
                 # this node on what it knows now for good.
                 await self.failed("unexpected", repr(error))
 
+    @property
+    def informed(self) -> bool:
+        """Return whether everything is known, from the store or from another node."""
+        return self.listed or self.state.complete
+
     async def failed(self, code: str, reason: str) -> None:
         """Note a failure and wait before the next read."""
         self.state.store_failed(code, reason)
         self.listed = self.listed and code != "unexpected"
         await asyncio.sleep(self.pause * self.rng.uniform(0.5, 1.0))
-        self.pause = min(2 * self.pause, RETRY_MOST)
+        most = RETRY_MOST if self.duty.on_duty else RETRY_ALONE
+        self.pause = min(2 * self.pause, most)
 
     async def step(self) -> None:
         """Read once."""
@@ -61,7 +86,42 @@
             self.state.take_all(await self.store.read_all())
             self.listed = True
             return
-        changes = await self.store.wait_for_changes(self.state.revision)
+        changes = await self.changes()
         self.state.take_changes(changes)
         if changes.items:
             await asyncio.sleep(GATHER_SECONDS)
+
+    async def changes(self) -> Changes:
+        """Wait for changes, and have the store confirm meanwhile that it is there."""
+        wait = self.store.wait_for_changes(self.state.revision)
+        waiting = asyncio.ensure_future(wait)
+        failures = 0
+        expected = 0
+        try:
+            while True:
+                done, _ = await asyncio.wait({waiting}, timeout=CONFIRM_SECONDS)
+                if done:
+                    return waiting.result()
+                if not self.duty.must_read(clock.now()):
+                    continue
+                if self.state.revision < expected:
+                    # Open connections may go silent for good while new ones work.
+                    self.store.reconnect()
+                    raise StoreError("a change was not told")
+                try:
+                    expected = await self.confirm()
+                    failures = 0
+                except StoreError:
+                    failures += 1
+                    if failures >= CONFIRM_FAILURES:
+                        raise
+        finally:
+            waiting.cancel()
+
+    async def confirm(self) -> int:
+        """Have the store confirm that it can be read; return its revision."""
+        begun = clock.now()
+        revision = await self.store.confirm()
+        self.state.store_answered()
+        self.state.confirmed_as_of(begun)
+        return revision
--- a/sequoiaspoke/sidecar/gossip.py
+++ b/sequoiaspoke/sidecar/gossip.py
@@ -1,7 +1,8 @@
-"""What nodes tell each other of the platform.
+"""What the links between nodes need from whoever follows the platform.
 
 A node that the store turns away, for one as it starts, would know nobody and refuse its
-callers while the others know all it needs.
+callers while the others know all it needs; and the nodes of a zone let two of them
+read the store for all.
 """
 
 from __future__ import annotations
@@ -10,6 +11,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from sequoiaspoke.sidecar.frames import Frames
+    from sequoiaspoke.sidecar.linkclient import LinkClient
     from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 
@@ -21,13 +24,21 @@
         """Return whether this node lacks news that others may have."""
 
     @abstractmethod
-    def knowledge_for(self, config_revision: int) -> wire.Knowledge | None:
-        """Return what this node knows, or None if it knows nothing."""
+    def ask(self) -> wire.Ask:
+        """Return the question for what another node knows better."""
 
     @abstractmethod
-    def learn(self, knowledge: wire.Knowledge) -> None:
-        """Take what another node knows."""
+    def answer(self, ask: wire.Ask) -> wire.Knowledge | None:
+        """Return what this node knows, or None if that is no use to the other."""
 
     @abstractmethod
-    def config_revision(self) -> int:
-        """Return the revision of the configuration in force here."""
+    def learn(self, knowledge: wire.Knowledge) -> bool:
+        """Take what another node knows; return False if it has to tell all of it."""
+
+    @abstractmethod
+    def subscribe(self, frames: Frames, subscribe: wire.Subscribe) -> None:
+        """Tell another node what is known and every change from now on."""
+
+    @abstractmethod
+    def link_up(self, link: LinkClient) -> None:
+        """Note that a link of this node stands anew."""
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -37,6 +37,8 @@
 # never sent can go elsewhere at once, while a call sent into a link that is cut is in
 # doubt until its time is over.
 HEARD_LATELY, SIGN_SECONDS = 0.1, 0.25
+# Age in seconds of the knowledge of a node that has none.
+NOTHING_KNOWN = 1e6
 # Seconds between attempts to reach a home, doubling up to the second figure.
 REDIAL_FIRST, REDIAL_MOST = 0.1, 0.4
 
@@ -288,9 +290,9 @@
         elif frame.leaving is not None:
             self.leaving = True
         elif frame.ask is not None:
-            self.inform(frame.ask.config_revision)
-        elif frame.knowledge is not None:
-            self.gossip.learn(frame.knowledge)
+            self.inform(frame.ask)
+        elif frame.knowledge is not None and not self.gossip.learn(frame.knowledge):
+            self.ask()
 
     def tell_sign(self) -> None:
         """Tell those who wait for a sign to go on."""
@@ -298,17 +300,24 @@
         if sign is not None and not sign.done():
             sign.set_result(None)
 
-    def inform(self, config_revision: int) -> None:
-        """Tell the home what this node knows."""
-        knowledge = self.gossip.knowledge_for(config_revision)
-        if knowledge is not None and self.frames is not None:
-            self.frames.send(wire.Frame(knowledge=knowledge))
+    def inform(self, ask: wire.Ask) -> None:
+        """Tell the home what this node knows better."""
+        knowledge = self.gossip.answer(ask)
+        if knowledge is not None:
+            self.send(wire.Frame(knowledge=knowledge))
 
     def ask(self) -> None:
-        """Ask the home what it knows."""
+        """Ask the home what it knows better."""
+        self.send(wire.Frame(ask=self.gossip.ask()))
+
+    def subscribe(self, config_version: int) -> None:
+        """Ask the home for every change from now on."""
+        self.send(wire.Frame(subscribe=wire.Subscribe(config_version)))
+
+    def send(self, frame: wire.Frame) -> None:
+        """Send a frame if the link stands."""
         if self.frames is not None and self.greeted:
-            ask = wire.Ask(self.gossip.config_revision())
-            self.frames.send(wire.Frame(ask=ask))
+            self.frames.send(frame)
 
     def resolve(self, number: int, outcome: Outcome, news: wire.News | None) -> None:
         """Hand an outcome to the call that waits for it."""
@@ -333,7 +342,8 @@
         for pending in list(self.pending.values()):
             self.send_call(pending)
         if welcome.uninformed:
-            self.inform(0)
+            self.inform(wire.Ask(0, NOTHING_KNOWN))
+        self.gossip.link_up(self)
 
     def measure(self, sent: float, told: float) -> None:
         """Take the home's clock from its sign, if it came faster than others."""
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -49,11 +49,14 @@
         elif frame.hello is not None:
             self.hello(frame.hello)
         elif frame.ask is not None:
-            knowledge = self.server.gossip.knowledge_for(frame.ask.config_revision)
+            knowledge = self.server.gossip.answer(frame.ask)
             if knowledge is not None:
                 self.frames.send(wire.Frame(knowledge=knowledge))
+        elif frame.subscribe is not None:
+            self.server.gossip.subscribe(self.frames, frame.subscribe)
         elif frame.knowledge is not None:
-            self.server.gossip.learn(frame.knowledge)
+            if not self.server.gossip.learn(frame.knowledge):
+                self.frames.send(wire.Frame(ask=self.server.gossip.ask()))
 
     def hello(self, hello: wire.Hello) -> None:
         """Take the name of the other node; its older links end unread."""
--- a/sequoiaspoke/sidecar/metrics.py
+++ b/sequoiaspoke/sidecar/metrics.py
@@ -50,7 +50,7 @@
         gauges = {
             "running": lambda: home.admission.running,
             "waiting": lambda: home.admission.waiting,
-            "config_version": entry.version,
+            "config_version": lambda: state.version,
             "state_age_seconds": lambda: state.age(clock.now()),
             "endpoints": lambda: len(state.directory.held),
             "store_reads": lambda: node.follower.store.calls,
--- a/sequoiaspoke/sidecar/peers.py
+++ b/sequoiaspoke/sidecar/peers.py
@@ -16,6 +16,7 @@
     from sequoiaspoke.core.mesh.model import Endpoint
     from sequoiaspoke.core.mesh.placing import News
     from sequoiaspoke.sidecar.frames import Dialer
+    from sequoiaspoke.sidecar.gossip import Gossip
     from sequoiaspoke.sidecar.linkclient import LinkIdentity
     from sequoiaspoke.sidecar.logs import EventLog
     from sequoiaspoke.sidecar.state import MeshState
@@ -33,13 +34,20 @@
 
 
 class Peers:
-    """Links by the address of the other node."""
+    """Links by the address of the other node.
+
+    Attributes
+    ----------
+    followed : set of str
+        Nodes that read the store for this one; their links are held open.
+    """
 
     def __init__(
         self,
         identity: LinkIdentity,
         port: int,
         state: MeshState,
+        gossip: Gossip,
         rng: Random,
         log: EventLog,
         dialer: Dialer,
@@ -48,18 +56,20 @@
         self.dialer = dialer
         self.port = port
         self.state = state
+        self.gossip = gossip
         self.rng = rng
         self.log = log
         self.links: dict[str, LinkClient] = {}
         self.on_news: Callable[[str, News], None] = ignore_host_news
         self.asked = float("-inf")
+        self.followed: set[str] = set()
 
     def link(self, host: str) -> LinkClient:
         """Return the link to a node."""
         link = self.links.get(host)
         if link is None:
             link = LinkClient(
-                (host, self.port), self.identity, self.state, self.log, self.dialer
+                (host, self.port), self.identity, self.gossip, self.log, self.dialer
             )
             link.on_news = partial(self.on_news, host)
             self.links[host] = link
@@ -86,6 +96,7 @@
             and endpoint.host != self.identity.host
         }
         kept = set(rank(self.identity.host, sorted(near))[:KEPT_LINKS])
+        kept |= self.followed & hosts
         for host in kept:
             self.link(host)
         for host, link in self.links.items():
--- a/sequoiaspoke/sidecar/source.py
+++ b/sequoiaspoke/sidecar/source.py
@@ -63,6 +63,10 @@
         Raises StoreError, and HistoryLostError if everything has to be read anew.
         """
 
+    @abstractmethod
+    async def confirm(self) -> int:
+        """Return a revision that the store has reached; raise StoreError."""
+
     @abstractmethod
     def reconnect(self) -> None:
         """End what is under way, so that the next read begins anew."""
--- a/sequoiaspoke/sidecar/state.py
+++ b/sequoiaspoke/sidecar/state.py
@@ -3,28 +3,29 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.mesh.configdelta import ConfigHistory
 from sequoiaspoke.core.mesh.directory import Directory
+from sequoiaspoke.core.mesh.knowledge import Knowledge
 from sequoiaspoke.core.mesh.table import RouteTable
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.gossip import Gossip
 from sequoiaspoke.sidecar.source import ItemDecoder, ItemError, StoreItem
-from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sequoiaspoke.core.mesh.model import Endpoint
+    from sequoiaspoke.core.mesh.model import Endpoint, MeshConfig
     from sequoiaspoke.sidecar.logs import EventLog
     from sequoiaspoke.sidecar.source import Changes
 
-# Age in seconds from which news of other nodes is asked for: above the wait of one
-# read of the store and the time in which it is given up.
-STALE_SECONDS = 4.2
+# Age in seconds from which news of other nodes is asked for: above the time in which a
+# node notices that its readers are silent and reads for itself.
+STALE_SECONDS = 2.5
 
 
-class MeshState(Gossip):
+class MeshState:
     """The configuration and endpoints in force here.
 
     Attributes
@@ -33,6 +34,8 @@
         The newest configuration; it is replaced whole and never by an older one.
     as_of : float
         When the store, or a node that had read it, confirmed all this.
+    read_at : float
+        When this node had the last confirmation from the store itself.
     """
 
     def __init__(
@@ -43,10 +46,11 @@
         self.changed = changed
         self.directory = Directory()
         self.table: RouteTable | None = None
-        self.items: dict[str, StoreItem] = {}
-        self.config_item: StoreItem | None = None
+        self.history = ConfigHistory()
+        self.config_revision = 0
         self.revision = 0
         self.as_of = float("-inf")
+        self.read_at = float("-inf")
         self.counts: Counter[str] = Counter()
 
     def age(self, now: float) -> float:
@@ -62,6 +66,11 @@
         """Return whether calls can be decided at all."""
         return self.table is not None and bool(self.directory.held)
 
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force, 0 if there is none."""
+        return self.table.config.version if self.table else 0
+
     # From the store.
 
     def take_all(self, read: Changes) -> None:
@@ -76,15 +85,19 @@
                     endpoints.append((endpoint, item.revision))
             else:
                 self.take_item(item, now)
+        before = self.directory.serial
         self.directory.reconcile(endpoints, read.revision, now)
+        self.log_changes(before, "store")
         self.confirmed(read.revision, now)
 
     def take_changes(self, read: Changes) -> None:
         """Take what has changed in the store."""
         self.store_answered()
         now = clock.now()
+        before = self.directory.serial
         for item in newest_only(read.items):
             self.take_item(item, now)
+        self.log_changes(before, "store")
         self.confirmed(read.revision, now)
 
     def store_answered(self) -> None:
@@ -103,7 +116,12 @@
     def confirmed(self, revision: int, now: float) -> None:
         """Note up to which revision and as of when everything is known."""
         self.revision = max(self.revision, revision)
-        self.as_of = now
+        self.confirmed_as_of(now)
+
+    def confirmed_as_of(self, when: float) -> None:
+        """Note that the store answered, and that all it had to tell had come."""
+        self.as_of = max(self.as_of, when)
+        self.read_at = max(self.read_at, when)
         self.changed()
 
     # Items.
@@ -117,61 +135,71 @@
             self.take_removal(item, now)
         elif kind == ItemDecoder.ENDPOINT:
             endpoint = self.decode_endpoint(item)
-            if endpoint is not None and self.directory.put(
-                endpoint, item.revision, now
-            ):
-                self.log.event(
-                    "endpoint",
-                    instance=endpoint.instance,
-                    service=endpoint.service,
-                    draining=endpoint.draining,
-                    revision=item.revision,
-                )
+            if endpoint is not None:
+                self.directory.put(endpoint, item.revision, now)
 
     def take_removal(self, item: StoreItem, now: float) -> None:
         """Take the end of an endpoint's entry."""
         instance = self.decoder.instance(item.key)
         gone = self.directory.remove(instance, item.revision, now)
-        self.log.event(
-            "endpoint-gone" if gone else "endpoint-missing",
-            instance=instance,
-            revision=item.revision,
-        )
+        if not gone and instance in self.directory.lapsing:
+            self.log.event(
+                "endpoint-missing", instance=instance, revision=item.revision
+            )
+
+    def log_changes(self, serial: int, source: str) -> None:
+        """Log the endpoints that were taken and left since a count of changes."""
+        held, gone = self.directory.changed_since(serial)
+        for each in held:
+            self.log.event(
+                "endpoint",
+                instance=each.endpoint.instance,
+                service=each.endpoint.service,
+                draining=each.endpoint.draining,
+                revision=each.revision,
+                source=source,
+            )
+        for instance, revision in gone:
+            self.log.event(
+                "endpoint-gone", instance=instance, revision=revision, source=source
+            )
 
     def decode_endpoint(self, item: StoreItem) -> Endpoint | None:
-        """Return an item's endpoint and keep the item, or None if it is no use."""
+        """Return an item's endpoint, or None if it is no use."""
         assert item.value is not None
-        known = self.items.get(item.key)
-        if known is not None and known.revision > item.revision:
-            return None
         try:
-            endpoint = self.decoder.endpoint(item.key, item.value)
+            return self.decoder.endpoint(item.key, item.value)
         except ItemError as error:
             self.refused(item, error)
             return None
-        self.items[item.key] = item
-        return endpoint
 
     def take_config(self, item: StoreItem) -> None:
         """Take a configuration if it is newer and whole."""
         assert item.value is not None
-        if self.config_item is not None and item.revision <= self.config_item.revision:
+        if item.revision <= self.config_revision:
             return
         try:
             config = self.decoder.config(item.value)
         except ItemError as error:
             self.refused(item, error)
             return
-        if self.table is not None and config.version <= self.table.config.version:
+        if not self.newer(config.version):
             self.counts["config-old"] += 1
             return
-        self.table = RouteTable(config)
-        self.config_item = item
+        self.install(config)
+        self.config_revision = item.revision
+
+    def newer(self, version: int) -> bool:
+        """Return whether a version comes after the one in force."""
+        return self.table is None or version > self.table.config.version
+
+    def install(self, config: MeshConfig) -> None:
+        """Put a newer configuration into force."""
+        shared = self.history.install(config)
+        assert shared is not None
+        self.table = RouteTable(shared)
         self.counts["config-taken"] += 1
-        self.log.event(
-            "config", version=config.version, routes=len(config.routes),
-            revision=item.revision,
-        )  # fmt: skip
+        self.log.event("config", version=config.version, routes=len(config.routes))
 
     def refused(self, item: StoreItem, error: ItemError) -> None:
         """Count and log an item that cannot be used."""
@@ -184,65 +212,66 @@
             reason=str(error),
         )
 
-    # To and from other nodes.
+    # From other nodes.
 
-    def uninformed(self) -> bool:
-        """Return whether this node knows nothing yet."""
-        return not self.complete
+    def learn(self, knowledge: Knowledge, doubtful: bool) -> None:
+        """Take what another node knows; KeyError if its configuration has no base here.
 
-    def config_revision(self) -> int:
-        """Return the revision of the configuration in force."""
-        return self.config_item.revision if self.config_item else 0
+        Each item is taken only if it is newer than what is known of it.
 
-    def knowledge_for(self, config_revision: int) -> wire.Knowledge | None:
-        """Return the endpoints, and the configuration if it is newer."""
-        if not self.complete:
-            return None
-        held = self.directory.held
-        items = [
-            wire.Item(item.key, item.value, item.revision)
-            for item in self.items.values()
-            if self.decoder.instance(item.key) in held
-        ]
-        if self.config_item is not None and self.config_revision() > config_revision:
-            item = self.config_item
-            items.append(wire.Item(item.key, item.value, item.revision))
-        return wire.Knowledge(self.revision, self.age(clock.now()), items)
-
-    def learn(self, knowledge: wire.Knowledge) -> None:
-        """Take another node's knowledge if it is newer than what is known here."""
+        Parameters
+        ----------
+        doubtful : bool
+            Whether to take its word on entries that vanished around an outage.
+        """
         now = clock.now()
-        as_of = now - knowledge.age
-        if as_of <= self.as_of + 0.1:
-            return
-        endpoints = []
-        for told in knowledge.items:
-            item = StoreItem(told.key, told.value, told.revision)
-            if self.decoder.kind(item.key) == ItemDecoder.CONFIG:
-                self.take_config(item)
-                continue
-            endpoint = self.decode_endpoint(item)
-            if endpoint is not None:
-                endpoints.append((endpoint, item.revision))
-        self.directory.reconcile(endpoints, knowledge.revision, now, trusted=True)
+        if knowledge.config is not None and self.newer(knowledge.config.version):
+            self.install(self.history.apply(knowledge.config))
+            self.config_revision = knowledge.config_revision
+        directory = self.directory
+        before = directory.serial
+        if knowledge.whole:
+            directory.reconcile(
+                knowledge.endpoints, knowledge.revision, now, trusted=True
+            )
+        else:
+            for endpoint, revision in knowledge.endpoints:
+                directory.put(endpoint, revision, now)
+        for instance, revision in knowledge.gone:
+            directory.remove(instance, revision, now, trusted=True)
+        self.log_changes(before, "node")
+        if doubtful:
+            directory.doubt(knowledge.lapsing, now)
         self.revision = max(self.revision, knowledge.revision)
-        self.as_of = as_of
-        self.counts["learnt-from-node"] += 1
-        self.log.event(
-            "learnt-from-node",
-            age=f"{knowledge.age:.2f}",
-            revision=knowledge.revision,
-        )
+        self.as_of = max(self.as_of, knowledge.as_of)
         self.changed()
 
+    def knowledge(self, serial: int, version: int) -> Knowledge:
+        """Return what is known here beyond a count of changes and a version."""
+        held, gone = self.directory.changed_since(serial)
+        now = clock.now()
+        return Knowledge(
+            revision=self.revision,
+            as_of=self.as_of,
+            whole=serial == 0,
+            endpoints=tuple(
+                (
+                    replace(each.endpoint, cold_seconds=each.cold_left(now)),
+                    each.revision,
+                )
+                for each in held
+            ),
+            gone=tuple(gone),
+            lapsing=tuple(self.directory.lapsing),
+            config=self.history.since(version),
+            config_revision=self.config_revision,
+        )
+
     def tick(self, now: float) -> None:
         """Give up on entries that stayed missing after an outage."""
         for instance in self.directory.expire(now):
             self.log.event("endpoint-gone", instance=instance, reason="lapsed")
             self.changed()
-        held = self.directory.held
-        for key in [k for k in self.items if self.decoder.instance(k) not in held]:
-            del self.items[key]
 
 
 def newest_only(items: tuple[StoreItem, ...]) -> list[StoreItem]:
--- /dev/null
+++ b/sequoiaspoke/sidecar/wireknowledge.py
@@ -0,0 +1,162 @@
+"""Turn what nodes tell each other of the platform into messages and back."""
+
+from __future__ import annotations
+
+import zlib
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+from sequoiaspoke.core.mesh.configdelta import ConfigDelta
+from sequoiaspoke.core.mesh.knowledge import Knowledge
+from sequoiaspoke.core.mesh.model import CallerLimits, Endpoint, Route
+from sequoiaspoke.core.rules.model import WeightedService
+from sequoiaspoke.errors import MessageError
+from sequoiaspoke.wire.gen.meshlink import ttypes as wire
+
+# Largest configuration that is unpacked, in bytes; a whole one of 2,000 routes is
+# some 200 KB.
+CONFIG_BYTES = 16 << 20
+
+
+def pack(knowledge: Knowledge, now: float) -> wire.Knowledge:
+    """Return the message for what a node knows."""
+    config = None
+    if knowledge.config is not None:
+        config = pack_config(knowledge.config, knowledge.config_revision)
+    return wire.Knowledge(
+        revision=knowledge.revision,
+        age=now - knowledge.as_of,
+        whole=knowledge.whole,
+        endpoints=[pack_endpoint(*each) for each in knowledge.endpoints],
+        gone=[wire.Gone(*each) for each in knowledge.gone],
+        lapsing=list(knowledge.lapsing),
+        config=config,
+    )
+
+
+def unpack(message: wire.Knowledge, now: float) -> Knowledge:
+    """Return what a node knows from its message; raise MessageError."""
+    config, config_revision = None, 0
+    if message.config is not None:
+        config, config_revision = unpack_config(message.config)
+    return Knowledge(
+        revision=message.revision,
+        as_of=now - message.age,
+        whole=message.whole,
+        endpoints=tuple(unpack_endpoint(each) for each in message.endpoints),
+        gone=tuple((each.instance, each.revision) for each in message.gone),
+        lapsing=tuple(message.lapsing),
+        config=config,
+        config_revision=config_revision,
+    )
+
+
+def pack_endpoint(endpoint: Endpoint, revision: int) -> wire.Endpoint:
+    """Return the message for an endpoint."""
+    return wire.Endpoint(
+        endpoint.instance,
+        endpoint.service,
+        endpoint.host,
+        endpoint.port,
+        endpoint.zone,
+        endpoint.slots,
+        endpoint.draining,
+        endpoint.cold_seconds,
+        revision,
+    )
+
+
+def unpack_endpoint(message: wire.Endpoint) -> tuple[Endpoint, int]:
+    """Return an endpoint and its revision."""
+    endpoint = Endpoint(
+        message.instance,
+        message.service_name,
+        message.host,
+        message.port,
+        message.zone,
+        message.slots,
+        message.draining,
+        message.cold_seconds,
+    )
+    return endpoint, message.revision
+
+
+def pack_config(delta: ConfigDelta, revision: int) -> bytes:
+    """Return the compressed message for a change of the configuration."""
+    limits = delta.limits
+    message = wire.ConfigDelta(
+        delta.base,
+        delta.version,
+        revision,
+        [pack_route(route) for route in delta.routes],
+        list(delta.removed),
+        sorted(delta.services),
+        wire.Limits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout,
+            limits.idle_timeout,
+        ),
+    )
+    buffer = TMemoryBuffer()
+    message.write(TCompactProtocolAccelerated(buffer))
+    return zlib.compress(buffer.getvalue())
+
+
+def unpack_config(packed: bytes) -> tuple[ConfigDelta, int]:
+    """Return a change of the configuration and its revision; raise MessageError."""
+    message = wire.ConfigDelta()
+    try:
+        plain = zlib.decompressobj().decompress(packed, CONFIG_BYTES)
+        message.read(TCompactProtocolAccelerated(TMemoryBuffer(plain)))
+    except Exception as error:
+        # The decoder raises whatever the bytes provoke.
+        raise MessageError(f"configuration: {error!r}") from error
+    limits = message.limits
+    delta = ConfigDelta(
+        base=message.base,
+        version=message.version,
+        routes=tuple(unpack_route(route) for route in message.routes),
+        removed=tuple(message.removed),
+        services=frozenset(message.services),
+        limits=CallerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout,
+            limits.idle_timeout,
+        ),
+    )
+    return delta, message.revision
+
+
+def pack_route(route: Route) -> wire.Route:
+    """Return the message for a route."""
+    return wire.Route(
+        route.name,
+        route.host,
+        route.prefix,
+        route.idempotent,
+        route.timeout,
+        route.objective,
+        route.priority,
+        route.attempts,
+        [wire.Share(share.service, share.weight) for share in route.split],
+    )
+
+
+def unpack_route(message: wire.Route) -> Route:
+    """Return a route."""
+    return Route(
+        message.name,
+        message.host,
+        message.prefix,
+        message.idempotent,
+        message.timeout,
+        message.objective,
+        message.priority,
+        message.attempts,
+        tuple(
+            WeightedService(each.service_name, each.weight) for each in message.split
+        ),
+    )
--- a/sequoiaspoke/tests/meshsim.py
+++ b/sequoiaspoke/tests/meshsim.py
@@ -13,6 +13,7 @@
 
 from sequoiaspoke.core.mesh.model import Endpoint, MeshConfig, Route
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
+from sequoiaspoke.core.mesh.reading import ReadingDuty
 from sequoiaspoke.core.mesh.repeats import RepeatLimits
 from sequoiaspoke.core.mesh.table import RouteTable
 from sequoiaspoke.core.rules.model import WeightedService
@@ -26,6 +27,7 @@
 from sequoiaspoke.sidecar.names import HeaderNames
 from sequoiaspoke.sidecar.peers import Peers
 from sequoiaspoke.sidecar.source import Changes, ItemDecoder, StoreItem
+from sequoiaspoke.sidecar.spread import Spread
 from sequoiaspoke.sidecar.state import MeshState
 
 SERVICE = "fleet"
@@ -217,10 +219,11 @@
         self.state.table = RouteTable(config)
         self.home = Home(self.upstream, self.state.directory, log)
         self.home.admission.slots = SLOTS
-        self.server = LinkServer(self.home, self.state, self.incarnation, log)
+        spread = Spread(self.state, ReadingDuty(self.host, self.zone), log)
+        self.server = LinkServer(self.home, spread, self.incarnation, log)
         identity = LinkIdentity(self.host, self.zone, self.incarnation)
         dialer = SimDialer(world, self.host)
-        self.peers = Peers(identity, 1, self.state, rng, log, dialer)
+        self.peers = Peers(identity, 1, self.state, spread, rng, log, dialer)
         limits = RepeatLimits(RATIO, SLACK, WINDOW)
         self.entry = Entry(
             SERVICE, self.zone, HeaderNames(), self.state, self.home, self.peers,
--- /dev/null
+++ b/sequoiaspoke/tests/test_mesh_spread.py
@@ -0,0 +1,171 @@
+"""Tests of what nodes of a zone decide about reading and telling news."""
+
+from dataclasses import replace
+
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.configdelta import KEPT_VERSIONS, ConfigHistory
+from sequoiaspoke.core.mesh.directory import Directory
+from sequoiaspoke.core.mesh.model import CallerLimits, Endpoint, MeshConfig, Route
+from sequoiaspoke.core.mesh.reading import BELIEVED_SECONDS, READERS, ReadingDuty
+from sequoiaspoke.core.rules.model import WeightedService
+
+HOSTS = [f"10.0.0.{number}" for number in range(1, 29)]
+
+
+def route(number, timeout=4.0):
+    split = (WeightedService("fleet"),)
+    return Route(
+        f"r{number}", "x.example", f"/{number}/", True, timeout, 1.0, 1, 2, split
+    )
+
+
+def config(version, *routes):
+    return MeshConfig(version, routes, frozenset({"fleet"}), CallerLimits())
+
+
+def endpoint(instance, **fields):
+    return Endpoint(instance, "fleet", "10.0.0.9", 80, "akaki", 4, **fields)
+
+
+class ReadingDutyTests(TestCase):
+    def duties(self, hosts=HOSTS):
+        found = [ReadingDuty(host, "akaki") for host in hosts]
+        for duty in found:
+            duty.take_hosts(hosts)
+        return found
+
+    def test_two_nodes_of_a_zone_read(self):
+        duties = self.duties()
+        for duty in duties:
+            duty.heard(100.0)
+        reading = [duty for duty in duties if duty.must_read(100.5)]
+        self.assertEqual(len(reading), READERS)
+        self.assertEqual({duty.readers for duty in duties}, {duties[0].readers})
+
+    def test_a_node_that_knows_no_other_reads(self):
+        self.assertTrue(ReadingDuty("10.0.0.1", "akaki").must_read(5.0))
+
+    def test_a_node_whose_readers_fall_silent_reads_for_itself(self):
+        # Both readers of a zone are cut off from the store, and say nothing of it as
+        # they wait for an answer. A draining upstream would be sent calls until
+        # their wait is over.
+        duty = next(each for each in self.duties() if not each.on_duty)
+        duty.heard(100.0)
+        self.assertFalse(duty.must_read(99.99 + BELIEVED_SECONDS))
+        self.assertTrue(duty.must_read(100.0 + BELIEVED_SECONDS + 0.01))
+
+    def test_an_old_confirmation_does_not_take_back_a_newer_one(self):
+        duty = next(each for each in self.duties() if not each.on_duty)
+        duty.heard(100.0)
+        duty.heard(90.0)
+        self.assertFalse(duty.must_read(100.5))
+
+    def test_a_node_that_leaves_changes_at_most_its_own_place(self):
+        before = self.duties()[0].readers
+        after = self.duties([host for host in HOSTS if host != before[0]])[0].readers
+        self.assertEqual(after[0], before[1])
+
+
+class ConfigHistoryTests(TestCase):
+    def test_a_change_of_one_route_is_told_as_one_route(self):
+        history = ConfigHistory()
+        history.install(config(3, *(route(number) for number in range(1900))))
+        changed = [route(number) for number in range(1900)]
+        changed[7] = route(7, timeout=2.0)
+        history.install(config(5, *changed[:-1]))
+        delta = history.since(3)
+        self.assertEqual((delta.base, delta.version), (3, 5))
+        self.assertEqual(delta.routes, (route(7, timeout=2.0),))
+        self.assertEqual(delta.removed, ("r1899",))
+
+    def test_a_change_leads_another_node_to_the_same_version(self):
+        teller, learner = ConfigHistory(), ConfigHistory()
+        for history in (teller, learner):
+            history.install(config(3, route(1), route(2)))
+        newer = config(5, route(1, timeout=9.0), route(4))
+        teller.install(newer)
+        learner.install(learner.apply(teller.since(3)))
+        self.assertEqual(set(learner.newest.routes), set(newer.routes))
+        self.assertEqual(learner.newest.version, 5)
+        self.assertEqual(learner.newest.limits, newer.limits)
+
+    def test_a_change_from_a_version_that_was_never_here_is_an_error(self):
+        # Two readers of a zone see different versions of a storm of changes. Applied to
+        # another base than its own, a change would leave routes of neither version.
+        teller, learner = ConfigHistory(), ConfigHistory()
+        teller.install(config(3, route(1)))
+        teller.install(config(5, route(2)))
+        learner.install(config(4, route(3)))
+        self.assertRaises(KeyError, learner.apply, teller.since(3))
+        whole = teller.since(4)
+        self.assertEqual((whole.base, whole.routes), (0, (route(2),)))
+
+    def test_an_older_version_is_never_taken(self):
+        history = ConfigHistory()
+        history.install(config(5, route(1)))
+        self.assertIsNone(history.install(config(4, route(2))))
+        self.assertIsNone(history.install(config(5, route(2))))
+        self.assertEqual(history.newest.routes, (route(1),))
+
+    def test_unchanged_routes_are_held_once(self):
+        history = ConfigHistory()
+        history.install(config(1, route(1), route(2)))
+        history.install(config(2, route(1), route(2, timeout=1.0)))
+        first, second = history.versions[1].routes, history.versions[2].routes
+        self.assertTrue(first[0] is second[0])
+
+    def test_a_few_versions_are_kept(self):
+        history = ConfigHistory()
+        for version in range(1, 30):
+            history.install(config(version, route(version)))
+        self.assertEqual(len(history.versions), KEPT_VERSIONS)
+        self.assertEqual(history.since(2).base, 0)
+
+
+class ToldDirectoryTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.directory = Directory()
+
+    def test_changes_since_a_count_are_told(self):
+        self.directory.put(endpoint("i-1"), 5, 10.0)
+        count = self.directory.serial
+        self.directory.put(endpoint("i-2"), 6, 10.0)
+        self.directory.remove("i-1", 7, 10.0)
+        held, gone = self.directory.changed_since(count)
+        self.assertEqual([each.endpoint.instance for each in held], ["i-2"])
+        self.assertEqual(gone, [("i-1", 7)])
+
+    def test_what_is_told_twice_is_no_change(self):
+        # Two readers tell each other what they read. If an end that is known already
+        # counted as news, each would tell it the other again for ever, and the nodes of
+        # the zone would do nothing else.
+        self.directory.put(endpoint("i-1"), 5, 10.0)
+        self.directory.remove("i-1", 7, 10.0, trusted=True)
+        count = self.directory.serial
+        self.directory.remove("i-1", 7, 10.0, trusted=True)
+        self.directory.remove("i-1", 6, 10.0, trusted=True)
+        self.directory.put(endpoint("i-1"), 5, 10.0)
+        self.assertEqual(self.directory.serial, count)
+
+    def test_an_entry_that_a_reader_doubts_ends_if_nobody_tells_more(self):
+        # A reader holds an upstream through an outage in which its entry vanished, and
+        # dies before it gives the entry up. Nobody would ever tell its end.
+        self.directory.put(endpoint("i-1"), 5, 10.0)
+        self.directory.doubt(["i-1", "i-unknown"], 20.0)
+        self.assertEqual(self.directory.expire(22.0), [])
+        self.assertEqual(self.directory.expire(24.5), ["i-1"])
+        self.assertEqual(self.directory.serving("fleet"), ())
+
+    def test_a_doubted_entry_that_reports_again_stays(self):
+        self.directory.put(endpoint("i-1"), 5, 10.0)
+        self.directory.doubt(["i-1"], 20.0)
+        self.directory.put(replace(endpoint("i-1"), slots=9), 8, 21.0)
+        self.assertEqual(self.directory.expire(60.0), [])
+
+    def test_the_end_of_an_instance_is_forgotten_in_time(self):
+        self.directory.put(endpoint("i-1"), 5, 10.0)
+        self.directory.remove("i-1", 7, 10.0)
+        self.directory.expire(100.0)
+        self.assertEqual((self.directory.gone, self.directory.marks), ({}, {}))
--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -14,6 +14,7 @@
 from sequoiaspoke.sidecar.linkclient import HEARD_LATELY, LinkClient, LinkIdentity
 from sequoiaspoke.sidecar.linkserver import LinkServer
 from sequoiaspoke.sidecar.logs import EventLog
+from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 WAIT = 20.0  # seconds; only a failing test waits so long
 
@@ -22,14 +23,20 @@
     def uninformed(self):
         return False
 
-    def knowledge_for(self, config_revision):
+    def ask(self):
+        return wire.Ask(0, 0.0)
+
+    def answer(self, ask):
         return None
 
     def learn(self, knowledge):
+        return True
+
+    def subscribe(self, frames, subscribe):
         pass
 
-    def config_revision(self):
-        return 0
+    def link_up(self, link):
+        pass
 
 
 class FakeUpstream:
--- a/sequoiaspoke/tests/test_sidecar_entry.py
+++ b/sequoiaspoke/tests/test_sidecar_entry.py
@@ -7,6 +7,7 @@
 
 from sequoiaspoke.core.mesh.model import Endpoint, MeshConfig, Route
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
+from sequoiaspoke.core.mesh.reading import ReadingDuty
 from sequoiaspoke.core.mesh.repeats import RepeatLimits
 from sequoiaspoke.core.mesh.table import RouteTable
 from sequoiaspoke.core.rules.model import WeightedService
@@ -20,6 +21,7 @@
 from sequoiaspoke.sidecar.names import HeaderNames
 from sequoiaspoke.sidecar.peers import Peers
 from sequoiaspoke.sidecar.source import ItemDecoder
+from sequoiaspoke.sidecar.spread import Spread
 from sequoiaspoke.sidecar.state import MeshState
 
 WAIT = 20.0  # seconds; only a failing test waits so long
@@ -74,7 +76,9 @@
         state.directory.put(endpoint, 1, clock.now())
     home = Home(None, state.directory, log)
     rng = random.Random(3)
-    peers = Peers(LinkIdentity("10.0.9.9", "akaki", 1), 1, state, rng, log, TcpDialer())
+    identity = LinkIdentity("10.0.9.9", "akaki", 1)
+    spread = Spread(state, ReadingDuty("10.0.9.9", "akaki"), log)
+    peers = Peers(identity, 1, state, spread, rng, log, TcpDialer())
     limits = RepeatLimits(0.2, 500, 10)
     made = Entry("fleet", "akaki", names, state, home, peers, limits, rng, log)
     made.attempts = ScriptedAttempts(state, home, peers, limits, log)
--- a/sequoiaspoke/tests/test_sidecar_follower.py
+++ b/sequoiaspoke/tests/test_sidecar_follower.py
@@ -5,6 +5,7 @@
 
 from testtools import TestCase
 
+from sequoiaspoke.core.mesh.reading import ReadingDuty
 from sequoiaspoke.sidecar.follower import Follower
 from sequoiaspoke.sidecar.source import (
     Changes,
@@ -40,6 +41,9 @@
             raise line
         return line
 
+    async def confirm(self):
+        return 0
+
     def reconnect(self):
         pass
 
@@ -50,6 +54,7 @@
     def __init__(self):
         self.log = self
         self.revision = 0
+        self.complete = False
         self.told = []
 
     def event(self, kind, **pairs):
@@ -63,6 +68,12 @@
         self.revision = read.revision
         self.told.append("changes")
 
+    def store_answered(self):
+        pass
+
+    def confirmed_as_of(self, when):
+        pass
+
     def store_failed(self, code, reason):
         self.told.append(code)
 
@@ -73,7 +84,7 @@
 
         async def run():
             store, state = ScriptedStore(script), FakeState()
-            follower = Follower(store, state, random.Random(1))
+            follower = Follower(store, state, ReadingDuty("h", "z"), random.Random(1))
             task = asyncio.ensure_future(follower.run())
             async with asyncio.timeout(WAIT):
                 while store.script or len(store.reads) <= len(script):
--- /dev/null
+++ b/sequoiaspoke/tests/test_sidecar_spread.py
@@ -0,0 +1,295 @@
+"""Tests of what nodes tell each other of the platform."""
+
+import asyncio
+import random
+
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.model import Endpoint, MeshConfig, Route
+from sequoiaspoke.core.mesh.reading import ReadingDuty
+from sequoiaspoke.core.rules.model import WeightedService
+from sequoiaspoke.errors import MessageError
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.follower import CONFIRM_SECONDS, Follower
+from sequoiaspoke.sidecar.frames import Frames, decode, encode
+from sequoiaspoke.sidecar.logs import EventLog
+from sequoiaspoke.sidecar.source import (
+    Changes,
+    ItemDecoder,
+    ItemStore,
+    StoreError,
+    StoreItem,
+)
+from sequoiaspoke.sidecar.spread import Spread
+from sequoiaspoke.sidecar.state import MeshState
+from sequoiaspoke.sidecar.wireknowledge import unpack_config
+from sequoiaspoke.wire.gen.meshlink import ttypes as wire
+
+PARTS = (WeightedService("fleet", 90), WeightedService("new", 10))
+
+
+class Items(ItemDecoder):
+    """Items whose value is a number: of routes, or of slots."""
+
+    def kind(self, key):
+        return self.CONFIG if key == "config" else self.ENDPOINT
+
+    def instance(self, key):
+        return key
+
+    def endpoint(self, key, value):
+        host = f"10.0.0.{key[2:]}"
+        return Endpoint(key, "fleet", host, 80, "akaki", int(value), cold_seconds=2.5)
+
+    def config(self, value):
+        routes = tuple(
+            Route(f"r{n}", "x", f"/{n}/", n % 2 == 0, 4.0, 1.0, 1, 2, PARTS)
+            for n in range(int(value))
+        )
+        return MeshConfig(int(value), routes, frozenset({"fleet", "new"}))
+
+
+class Told(Frames):
+    """Hands every frame on at once, as the other node would read it."""
+
+    def __init__(self):
+        self.frames = []
+        self.learner = None
+
+    def send(self, frame):
+        frame = decode(encode(frame)[4:])
+        self.frames.append(frame)
+        if self.learner is not None and frame.knowledge is not None:
+            self.learner.spread.learn(frame.knowledge)
+
+    async def read(self, take):
+        return "closed"
+
+    def close(self):
+        self.closed = True
+
+
+class Node:
+    """What one node knows."""
+
+    def __init__(self, host):
+        log = EventLog("x-request-id")
+        log.allowed = lambda kind: False
+        self.duty = ReadingDuty(host, "akaki")
+        self.state = MeshState(Items(), log, self.changed)
+        self.spread = Spread(self.state, self.duty, log)
+
+    def changed(self):
+        self.spread.publish()
+
+    def read(self, revision, **items):
+        """Take items as the store would tell them."""
+        told = tuple(
+            StoreItem(key.replace("_", "-"), value and str(value).encode(), revision)
+            for key, value in items.items()
+        )
+        self.state.take_changes(Changes(told, revision))
+
+    def follow(self, reader):
+        """Subscribe to a reader."""
+        frames = Told()
+        frames.learner = self
+        reader.spread.subscribe(frames, wire.Subscribe(self.state.version))
+        return frames
+
+    def knows(self):
+        held = self.state.directory.held
+        return self.state.version, {name: held[name].endpoint.slots for name in held}
+
+
+class SpreadTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.time = 1000.0
+        self.patch(clock, "now", lambda: self.time)
+        self.reader, self.other = Node("10.0.0.1"), Node("10.0.0.2")
+        self.reader.read(10, config=3, i_1=4, i_2=4)
+
+    def test_a_subscriber_is_told_all_and_then_what_changes(self):
+        frames = self.other.follow(self.reader)
+        self.assertEqual(self.other.knows(), (3, {"i-1": 4, "i-2": 4}))
+        self.reader.read(12, config=5, i_3=9)
+        self.reader.read(13, i_1=None)
+        self.assertEqual(self.other.knows(), (5, {"i-2": 4, "i-3": 9}))
+        first, second, third = (frame.knowledge for frame in frames.frames)
+        self.assertTrue(first.whole and not second.whole)
+        self.assertEqual(len(second.endpoints), 1)
+        delta, _ = unpack_config(second.config)
+        self.assertEqual([each.name for each in delta.routes], ["r3", "r4"])
+        self.assertIsNone(third.config)
+        self.assertEqual(self.other.state.table.config, self.reader.state.table.config)
+
+    def test_a_confirmation_without_news_is_told(self):
+        frames = self.other.follow(self.reader)
+        self.time += 0.9
+        self.reader.state.confirmed_as_of(self.time)
+        self.assertEqual(len(frames.frames), 2)
+        self.assertEqual(self.other.duty.confirmed, self.time)
+        self.assertFalse(self.other.duty.must_read(self.time + 1.0))
+
+    def test_nothing_is_told_twice(self):
+        frames = self.other.follow(self.reader)
+        self.reader.spread.publish()
+        self.assertEqual(len(frames.frames), 1)
+
+    def test_what_is_learnt_is_no_confirmation_of_ones_own(self):
+        # Two nodes that follow each other must not confirm each other's knowledge: both
+        # would go on acting on it while the store has moved on.
+        back = self.reader.follow(self.other)
+        self.other.follow(self.reader)
+        self.time += 60.0
+        self.reader.spread.publish()
+        self.other.spread.publish()
+        self.assertTrue(self.other.duty.must_read(self.time))
+        self.assertEqual([f.knowledge.age < 1 for f in back.frames], [True])
+
+    def test_what_is_older_takes_nothing_back(self):
+        # A reader was cut off for a while and tells what it knows to a node that has
+        # followed the other reader. Taken as it comes, a version in force would be
+        # undone and an upstream that has left would be sent calls again.
+        lagging = Node("10.0.0.3")
+        lagging.read(10, config=3, i_1=4, i_2=4)
+        self.other.follow(self.reader)
+        self.reader.read(14, config=6, i_2=None)
+        self.reader.read(15, i_4=4)
+        before = self.other.knows()
+        self.other.follow(lagging)
+        self.assertEqual(self.other.knows(), before)
+        self.assertEqual(before, (6, {"i-1": 4, "i-4": 4}))
+
+    def test_a_change_of_another_version_is_asked_for_whole(self):
+        # The two readers saw different versions of a storm of changes.
+        self.other.read(11, config=4)
+        frames = Told()
+        self.reader.spread.subscribe(frames, wire.Subscribe(3))
+        self.reader.read(14, config=6)
+        change = frames.frames[-1].knowledge
+        self.assertFalse(self.other.spread.learn(change))
+        self.assertEqual(self.other.state.version, 4)
+        answer = self.reader.spread.answer(self.other.spread.ask())
+        self.assertTrue(self.other.spread.learn(answer))
+        self.assertEqual(self.other.state.version, 6)
+
+    def test_only_what_is_better_is_answered(self):
+        # While the store is away all nodes of a fleet ask each other twice a second.
+        self.other.follow(self.reader)
+        self.time += 10.0
+        self.assertIsNone(self.reader.spread.answer(self.other.spread.ask()))
+        self.reader.state.confirmed_as_of(self.time)
+        self.assertIsNotNone(self.reader.spread.answer(wire.Ask(3, 10.0)))
+
+    def test_an_upstream_that_a_reader_doubts_is_doubted(self):
+        self.other.follow(self.reader)
+        self.reader.state.store_failed("store-unavailable", "down")
+        self.time += 0.2
+        self.reader.read(14, i_1=None)
+        self.assertEqual(self.other.knows()[1], {"i-1": 4, "i-2": 4})
+        self.assertIn("i-1", self.other.state.directory.lapsing)
+        self.time += 3.0
+        self.reader.state.tick(self.time)
+        self.assertEqual(self.other.knows()[1], {"i-2": 4})
+
+    def test_how_long_an_upstream_stays_cold_is_told(self):
+        self.time += 2.0
+        self.other.follow(self.reader)
+        cold = self.other.state.directory.cold
+        self.assertTrue(cold("i-1", self.time + 0.4))
+        self.assertFalse(cold("i-1", self.time + 0.6))
+
+    def test_a_configuration_that_is_no_use_is_an_error(self):
+        for packed in (b"", b"x" * 40, b"x\x9c\x03\x00\x00\x00\x00\x01"):
+            self.assertRaises(MessageError, unpack_config, packed)
+
+
+class AnsweringStore(ItemStore):
+    """Never has news; answers or fails as it is told."""
+
+    def __init__(self):
+        self.failing = False
+        self.revision = 10
+        self.confirmed = 0
+        self.waits = 0
+        self.reconnected = 0
+
+    async def read_all(self):
+        return Changes((StoreItem("config", b"3", 10), StoreItem("i-1", b"4", 10)), 10)
+
+    async def wait_for_changes(self, after):
+        self.waits += 1
+        await asyncio.sleep(3600)
+
+    async def confirm(self):
+        if self.failing:
+            raise StoreError("no answer in time")
+        self.confirmed += 1
+        return self.revision
+
+    def reconnect(self):
+        self.reconnected += 1
+
+
+class ConfirmingTests(TestCase):
+    """A reader's questions while the store has nothing to tell."""
+
+    def play(self, scenario):
+        async def run():
+            node, store = Node("10.0.0.1"), AnsweringStore()
+            follower = Follower(store, node.state, node.duty, random.Random(1))
+            task = asyncio.ensure_future(follower.run())
+            try:
+                async with asyncio.timeout(30.0):
+                    await scenario(node, store)
+            finally:
+                task.cancel()
+
+        asyncio.run(run())
+
+    async def until_true(self, check):
+        while not check():
+            await asyncio.sleep(0.02)
+
+    def test_a_store_without_news_confirms(self):
+        async def scenario(node, store):
+            await self.until_true(lambda: store.confirmed >= 2)
+            self.assertTrue(node.state.age(clock.now()) < CONFIRM_SECONDS + 5.0)
+            self.assertEqual(store.waits, 1)
+
+        self.play(scenario)
+
+    def test_a_store_that_stops_answering_is_lost(self):
+        # A node is cut off from the store while it waits for changes. It would believe
+        # what it knows for as long as the wait may take.
+        async def scenario(node, store):
+            await self.until_true(lambda: store.confirmed >= 1)
+            store.failing = True
+            await self.until_true(lambda: node.state.directory.outage)
+            store.failing = False
+            await self.until_true(lambda: not node.state.directory.outage)
+
+        self.play(scenario)
+
+    def test_a_wait_that_misses_a_change_is_begun_anew(self):
+        # The connection on which a reader waits has gone silent for good, while new
+        # ones work: the store confirms that it is there and has news.
+        async def scenario(node, store):
+            await self.until_true(lambda: store.confirmed >= 1)
+            store.revision = 12
+            await self.until_true(lambda: store.reconnected)
+
+        self.play(scenario)
+
+    def test_a_node_whose_readers_confirm_does_not_read(self):
+        async def scenario(node, store):
+            await self.until_true(lambda: node.state.complete)
+            node.duty.take_hosts(["10.0.0.8", "10.0.0.9"])
+            node.duty.heard(clock.now() + 3600)
+            before = store.confirmed
+            await asyncio.sleep(3 * CONFIRM_SECONDS)
+            self.assertTrue(store.confirmed <= before + 1)
+
+        self.play(scenario)
--- a/sequoiaspoke/wire/gen/meshlink/ttypes.py
+++ b/sequoiaspoke/wire/gen/meshlink/ttypes.py
@@ -1140,17 +1140,513 @@
 class Ask(object):
     """
     Attributes:
-     - config_revision
+     - config_version
+     - age
+
+    """
+
+    __slots__ = (
+        'config_version',
+        'age',
+    )
+
+
+    def __init__(self, config_version=None, age=None,):
+        self.config_version = config_version
+        self.age = age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Ask')
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 1)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 2)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Subscribe(object):
+    """
+    Attributes:
+     - config_version
+
+    """
+
+    __slots__ = (
+        'config_version',
+    )
+
+
+    def __init__(self, config_version=None,):
+        self.config_version = config_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Subscribe')
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 1)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Endpoint(object):
+    """
+    Attributes:
+     - instance
+     - service_name
+     - host
+     - port
+     - zone
+     - slots
+     - draining
+     - cold_seconds
+     - revision
+
+    """
+
+    __slots__ = (
+        'instance',
+        'service_name',
+        'host',
+        'port',
+        'zone',
+        'slots',
+        'draining',
+        'cold_seconds',
+        'revision',
+    )
+
+
+    def __init__(self, instance=None, service_name=None, host=None, port=None, zone=None, slots=None, draining=None, cold_seconds=None, revision=None,):
+        self.instance = instance
+        self.service_name = service_name
+        self.host = host
+        self.port = port
+        self.zone = zone
+        self.slots = slots
+        self.draining = draining
+        self.cold_seconds = cold_seconds
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.draining = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.cold_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Endpoint')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 3)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 4)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 5)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 6)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.draining is not None:
+            oprot.writeFieldBegin('draining', TType.BOOL, 7)
+            oprot.writeBool(self.draining)
+            oprot.writeFieldEnd()
+        if self.cold_seconds is not None:
+            oprot.writeFieldBegin('cold_seconds', TType.DOUBLE, 8)
+            oprot.writeDouble(self.cold_seconds)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 9)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Gone(object):
+    """
+    Attributes:
+     - instance
+     - revision
+
+    """
+
+    __slots__ = (
+        'instance',
+        'revision',
+    )
+
+
+    def __init__(self, instance=None, revision=None,):
+        self.instance = instance
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Gone')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Share(object):
+    """
+    Attributes:
+     - service_name
+     - weight
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'weight',
+    )
+
+
+    def __init__(self, service_name=None, weight=None,):
+        self.service_name = service_name
+        self.weight = weight
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.weight = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Share')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.weight is not None:
+            oprot.writeFieldBegin('weight', TType.I32, 2)
+            oprot.writeI32(self.weight)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Route(object):
+    """
+    Attributes:
+     - name
+     - host
+     - prefix
+     - idempotent
+     - timeout
+     - objective
+     - priority
+     - attempts
+     - split
 
     """
 
     __slots__ = (
-        'config_revision',
+        'name',
+        'host',
+        'prefix',
+        'idempotent',
+        'timeout',
+        'objective',
+        'priority',
+        'attempts',
+        'split',
     )
 
 
-    def __init__(self, config_revision=None,):
-        self.config_revision = config_revision
+    def __init__(self, name=None, host=None, prefix=None, idempotent=None, timeout=None, objective=None, priority=None, attempts=None, split=None,):
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.idempotent = idempotent
+        self.timeout = timeout
+        self.objective = objective
+        self.priority = priority
+        self.attempts = attempts
+        self.split = split
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1162,8 +1658,54 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.config_revision = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.idempotent = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.timeout = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.objective = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.attempts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.split = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = Share()
+                        _elem19.read(iprot)
+                        self.split.append(_elem19)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1175,10 +1717,149 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Ask')
-        if self.config_revision is not None:
-            oprot.writeFieldBegin('config_revision', TType.I64, 1)
-            oprot.writeI64(self.config_revision)
+        oprot.writeStructBegin('Route')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 2)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.prefix is not None:
+            oprot.writeFieldBegin('prefix', TType.STRING, 3)
+            oprot.writeString(self.prefix.encode('utf-8') if sys.version_info[0] == 2 else self.prefix)
+            oprot.writeFieldEnd()
+        if self.idempotent is not None:
+            oprot.writeFieldBegin('idempotent', TType.BOOL, 4)
+            oprot.writeBool(self.idempotent)
+            oprot.writeFieldEnd()
+        if self.timeout is not None:
+            oprot.writeFieldBegin('timeout', TType.DOUBLE, 5)
+            oprot.writeDouble(self.timeout)
+            oprot.writeFieldEnd()
+        if self.objective is not None:
+            oprot.writeFieldBegin('objective', TType.DOUBLE, 6)
+            oprot.writeDouble(self.objective)
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 7)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.attempts is not None:
+            oprot.writeFieldBegin('attempts', TType.I32, 8)
+            oprot.writeI32(self.attempts)
+            oprot.writeFieldEnd()
+        if self.split is not None:
+            oprot.writeFieldBegin('split', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.split))
+            for iter20 in self.split:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Limits(object):
+    """
+    Attributes:
+     - header_bytes
+     - body_bytes
+     - header_timeout
+     - idle_timeout
+
+    """
+
+    __slots__ = (
+        'header_bytes',
+        'body_bytes',
+        'header_timeout',
+        'idle_timeout',
+    )
+
+
+    def __init__(self, header_bytes=None, body_bytes=None, header_timeout=None, idle_timeout=None,):
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.header_timeout = header_timeout
+        self.idle_timeout = idle_timeout
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.header_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.body_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.header_timeout = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.idle_timeout = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Limits')
+        if self.header_bytes is not None:
+            oprot.writeFieldBegin('header_bytes', TType.I32, 1)
+            oprot.writeI32(self.header_bytes)
+            oprot.writeFieldEnd()
+        if self.body_bytes is not None:
+            oprot.writeFieldBegin('body_bytes', TType.I32, 2)
+            oprot.writeI32(self.body_bytes)
+            oprot.writeFieldEnd()
+        if self.header_timeout is not None:
+            oprot.writeFieldBegin('header_timeout', TType.DOUBLE, 3)
+            oprot.writeDouble(self.header_timeout)
+            oprot.writeFieldEnd()
+        if self.idle_timeout is not None:
+            oprot.writeFieldBegin('idle_timeout', TType.DOUBLE, 4)
+            oprot.writeDouble(self.idle_timeout)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1205,26 +1886,38 @@
         return not (self == other)
 
 
-class Item(object):
+class ConfigDelta(object):
     """
     Attributes:
-     - key
-     - value
+     - base
+     - version
      - revision
+     - routes
+     - removed
+     - services
+     - limits
 
     """
 
     __slots__ = (
-        'key',
-        'value',
+        'base',
+        'version',
         'revision',
+        'routes',
+        'removed',
+        'services',
+        'limits',
     )
 
 
-    def __init__(self, key=None, value=None, revision=None,):
-        self.key = key
-        self.value = value
+    def __init__(self, base=None, version=None, revision=None, routes=None, removed=None, services=None, limits=None,):
+        self.base = base
+        self.version = version
         self.revision = revision
+        self.routes = routes
+        self.removed = removed
+        self.services = services
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1236,13 +1929,13 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.base = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.value = iprot.readBinary()
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -1250,6 +1943,43 @@
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.routes = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Route()
+                        _elem26.read(iprot)
+                        self.routes.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.removed = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.services.append(_elem38)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.limits = Limits()
+                    self.limits.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1259,19 +1989,44 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Item')
-        if self.key is not None:
-            oprot.writeFieldBegin('key', TType.STRING, 1)
-            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+        oprot.writeStructBegin('ConfigDelta')
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.I64, 1)
+            oprot.writeI64(self.base)
             oprot.writeFieldEnd()
-        if self.value is not None:
-            oprot.writeFieldBegin('value', TType.STRING, 2)
-            oprot.writeBinary(self.value)
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
             oprot.writeFieldEnd()
         if self.revision is not None:
             oprot.writeFieldBegin('revision', TType.I64, 3)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.routes is not None:
+            oprot.writeFieldBegin('routes', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.routes))
+            for iter39 in self.routes:
+                iter39.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.removed is not None:
+            oprot.writeFieldBegin('removed', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.removed))
+            for iter40 in self.removed:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.services))
+            for iter41 in self.services:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.STRUCT, 7)
+            self.limits.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1302,21 +2057,33 @@
     Attributes:
      - revision
      - age
-     - items
+     - whole
+     - endpoints
+     - gone
+     - lapsing
+     - config
 
     """
 
     __slots__ = (
         'revision',
         'age',
-        'items',
+        'whole',
+        'endpoints',
+        'gone',
+        'lapsing',
+        'config',
     )
 
 
-    def __init__(self, revision=None, age=None, items=None,):
+    def __init__(self, revision=None, age=None, whole=None, endpoints=None, gone=None, lapsing=None, config=None,):
         self.revision = revision
         self.age = age
-        self.items = items
+        self.whole = whole
+        self.endpoints = endpoints
+        self.gone = gone
+        self.lapsing = lapsing
+        self.config = config
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1338,16 +2105,47 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
                 if ftype == TType.LIST:
-                    self.items = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Item()
-                        _elem19.read(iprot)
-                        self.items.append(_elem19)
+                    self.endpoints = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Endpoint()
+                        _elem47.read(iprot)
+                        self.endpoints.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.gone = []
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = Gone()
+                        _elem53.read(iprot)
+                        self.gone.append(_elem53)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.lapsing = []
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lapsing.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.config = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1366,13 +2164,35 @@
             oprot.writeFieldBegin('age', TType.DOUBLE, 2)
             oprot.writeDouble(self.age)
             oprot.writeFieldEnd()
-        if self.items is not None:
-            oprot.writeFieldBegin('items', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter20 in self.items:
-                iter20.write(oprot)
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 3)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
+        if self.endpoints is not None:
+            oprot.writeFieldBegin('endpoints', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
+            for iter60 in self.endpoints:
+                iter60.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.gone))
+            for iter61 in self.gone:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.lapsing is not None:
+            oprot.writeFieldBegin('lapsing', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.lapsing))
+            for iter62 in self.lapsing:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.config is not None:
+            oprot.writeFieldBegin('config', TType.STRING, 7)
+            oprot.writeBinary(self.config)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1413,6 +2233,7 @@
      - leaving
      - ask
      - knowledge
+     - subscribe
 
     """
 
@@ -1429,10 +2250,11 @@
         'leaving',
         'ask',
         'knowledge',
+        'subscribe',
     )
 
 
-    def __init__(self, hello=None, welcome=None, call=None, answer=None, not_run=None, unknown=None, cancel=None, ping=None, pong=None, leaving=None, ask=None, knowledge=None,):
+    def __init__(self, hello=None, welcome=None, call=None, answer=None, not_run=None, unknown=None, cancel=None, ping=None, pong=None, leaving=None, ask=None, knowledge=None, subscribe=None,):
         self.hello = hello
         self.welcome = welcome
         self.call = call
@@ -1445,6 +2267,7 @@
         self.leaving = leaving
         self.ask = ask
         self.knowledge = knowledge
+        self.subscribe = subscribe
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1527,6 +2350,12 @@
                     self.knowledge.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.subscribe = Subscribe()
+                    self.subscribe.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1585,6 +2414,10 @@
             oprot.writeFieldBegin('knowledge', TType.STRUCT, 12)
             self.knowledge.write(oprot)
             oprot.writeFieldEnd()
+        if self.subscribe is not None:
+            oprot.writeFieldBegin('subscribe', TType.STRUCT, 13)
+            self.subscribe.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1695,21 +2528,81 @@
 all_structs.append(Ask)
 Ask.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'config_revision', None, None, ),  # 1
+    (1, TType.I64, 'config_version', None, None, ),  # 1
+    (2, TType.DOUBLE, 'age', None, None, ),  # 2
+)
+all_structs.append(Subscribe)
+Subscribe.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'config_version', None, None, ),  # 1
+)
+all_structs.append(Endpoint)
+Endpoint.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'host', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'port', None, None, ),  # 4
+    (5, TType.STRING, 'zone', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'slots', None, None, ),  # 6
+    (7, TType.BOOL, 'draining', None, None, ),  # 7
+    (8, TType.DOUBLE, 'cold_seconds', None, None, ),  # 8
+    (9, TType.I64, 'revision', None, None, ),  # 9
+)
+all_structs.append(Gone)
+Gone.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+)
+all_structs.append(Share)
+Share.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'weight', None, None, ),  # 2
+)
+all_structs.append(Route)
+Route.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'prefix', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'idempotent', None, None, ),  # 4
+    (5, TType.DOUBLE, 'timeout', None, None, ),  # 5
+    (6, TType.DOUBLE, 'objective', None, None, ),  # 6
+    (7, TType.I32, 'priority', None, None, ),  # 7
+    (8, TType.I32, 'attempts', None, None, ),  # 8
+    (9, TType.LIST, 'split', (TType.STRUCT, [Share, None], False), None, ),  # 9
+)
+all_structs.append(Limits)
+Limits.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'header_bytes', None, None, ),  # 1
+    (2, TType.I32, 'body_bytes', None, None, ),  # 2
+    (3, TType.DOUBLE, 'header_timeout', None, None, ),  # 3
+    (4, TType.DOUBLE, 'idle_timeout', None, None, ),  # 4
 )
-all_structs.append(Item)
-Item.thrift_spec = (
+all_structs.append(ConfigDelta)
+ConfigDelta.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'value', 'BINARY', None, ),  # 2
+    (1, TType.I64, 'base', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.LIST, 'routes', (TType.STRUCT, [Route, None], False), None, ),  # 4
+    (5, TType.LIST, 'removed', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.LIST, 'services', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.STRUCT, 'limits', [Limits, None], None, ),  # 7
 )
 all_structs.append(Knowledge)
 Knowledge.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.DOUBLE, 'age', None, None, ),  # 2
-    (3, TType.LIST, 'items', (TType.STRUCT, [Item, None], False), None, ),  # 3
+    (3, TType.BOOL, 'whole', None, None, ),  # 3
+    (4, TType.LIST, 'endpoints', (TType.STRUCT, [Endpoint, None], False), None, ),  # 4
+    (5, TType.LIST, 'gone', (TType.STRUCT, [Gone, None], False), None, ),  # 5
+    (6, TType.LIST, 'lapsing', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.STRING, 'config', 'BINARY', None, ),  # 7
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
@@ -1726,6 +2619,7 @@
     (10, TType.STRUCT, 'leaving', [Leaving, None], None, ),  # 10
     (11, TType.STRUCT, 'ask', [Ask, None], None, ),  # 11
     (12, TType.STRUCT, 'knowledge', [Knowledge, None], None, ),  # 12
+    (13, TType.STRUCT, 'subscribe', [Subscribe, None], None, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/sequoiaspoke/wire/meshlink.thrift
+++ b/sequoiaspoke/wire/meshlink.thrift
@@ -85,23 +85,82 @@
 struct Leaving {
 }
 
-// Asks for what the other node knows of the platform.
+// Asks for what the other node knows of the platform, if that is newer.
 struct Ask {
-  1: i64 config_revision,
+  1: i64 config_version,
+  // Seconds since what this node knows was current.
+  2: double age,
+}
+
+// Asks for every change from now on, after all that is known now.
+struct Subscribe {
+  1: i64 config_version,
+}
+
+struct Endpoint {
+  1: string instance,
+  2: string service_name,
+  3: string host,
+  4: i32 port,
+  5: string zone,
+  6: i32 slots,
+  7: bool draining,
+  8: double cold_seconds,
+  9: i64 revision,
+}
+
+struct Gone {
+  1: string instance,
+  2: i64 revision,
+}
+
+struct Share {
+  1: string service_name,
+  2: i32 weight,
+}
+
+struct Route {
+  1: string name,
+  2: string host,
+  3: string prefix,
+  4: bool idempotent,
+  5: double timeout,
+  6: double objective,
+  7: i32 priority,
+  8: i32 attempts,
+  9: list<Share> split,
+}
+
+struct Limits {
+  1: i32 header_bytes,
+  2: i32 body_bytes,
+  3: double header_timeout,
+  4: double idle_timeout,
 }
 
-struct Item {
-  1: string key,
-  2: binary value,
+// What differs between two versions; all of the newer one if base is 0.
+struct ConfigDelta {
+  1: i64 base,
+  2: i64 version,
   3: i64 revision,
+  4: list<Route> routes,
+  5: list<string> removed,
+  6: list<string> services,
+  7: Limits limits,
 }
 
-// Every endpoint, and the configuration if the other's is older.
 struct Knowledge {
   1: i64 revision,
   // Seconds since this was current.
   2: double age,
-  3: list<Item> items,
+  // Whether every endpoint is here; one that is not has left.
+  3: bool whole,
+  4: list<Endpoint> endpoints,
+  5: list<Gone> gone,
+  // Endpoints whose entries vanished around an outage of the store.
+  6: list<string> lapsing,
+  // A ConfigDelta, compressed.
+  7: optional binary config,
 }
 
 struct Frame {
@@ -117,4 +176,5 @@
   10: optional Leaving leaving,
   11: optional Ask ask,
   12: optional Knowledge knowledge,
+  13: optional Subscribe subscribe,
 }
