--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -40,6 +40,7 @@
     """Why a call was refused; each has a counter and is told to the entry."""
 
     LEAVING = "leaving"
+    INSTANCE_LEFT = "instance-left"
     QUEUE_FULL = "queue-full"
     OVERLOADED = "overloaded"
     NO_TIME = "no-time"
--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -25,6 +25,11 @@
 # second, one read then brings several, and it is short against the two seconds in
 # which a version or a drain has to be acted on.
 GATHER_SECONDS = 0.35
+# How many times as long as the last read took a node waits before it reads the
+# configuration again, and the seconds that this may be at most. A document of 1,900
+# routes takes half a second of a link of 2.5 Mbit/s; read again at once in a storm it
+# would leave nothing of the link to the calls.
+GATHER_READS, GATHER_MOST = 2.5, 1.0
 # Seconds between two questions whether the store still answers, while it has nothing
 # to tell. Others believe a reader for 1.4 s beyond its last confirmation.
 CONFIRM_SECONDS = 0.9
@@ -86,10 +91,27 @@
             self.state.take_all(await self.store.read_all())
             self.listed = True
             return
+        version = self.state.version
         changes = await self.changes()
         self.state.take_changes(changes)
         if changes.items:
             await asyncio.sleep(GATHER_SECONDS)
+        if self.state.version != version:
+            await self.outlast_storm()
+
+    async def outlast_storm(self) -> None:
+        """Read the newest version now and then until no other has come."""
+        version = None
+        while version != self.state.version:
+            version = self.state.version
+            begun = clock.now()
+            self.state.take_changes(await self.store.catch_up(self.state.revision))
+            pause = GATHER_READS * (clock.now() - begun)
+            pause = min(max(pause, GATHER_SECONDS), GATHER_MOST)
+            await asyncio.sleep(pause / 2)
+            # Others would take this node for silent, and read all of it themselves.
+            await self.confirm()
+            await asyncio.sleep(pause / 2)
 
     async def changes(self) -> Changes:
         """Wait for changes, and have the store confirm meanwhile that it is there."""
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -26,6 +26,10 @@
 # Seconds for which the slot of a cancelled call stays taken: the upstream drops the
 # call when it sees its connection close, and until then one more would be too many.
 SETTLE_SECONDS = 0.02
+# Seconds for which calls still go to an upstream after this node learnt that it leaves:
+# all of two seconds are allowed from the report on, and the news may have taken some
+# tenths to come here.
+LEAVING_QUEUE_SECONDS = 1.2
 # Retry-After of a node that is about to stop, in seconds.
 LEAVING_SECONDS = 0.3
 
@@ -76,6 +80,7 @@
         self.ledger = Ledger()
         self.calls: dict[Hashable, Running] = {}
         self.leaving = False
+        self.left_since: dict[str, float] = {}
         self.counts: Counter[str] = Counter()
 
     def submit(
@@ -113,7 +118,7 @@
         if self.leaving:
             return NotRun(Turned.LEAVING, LEAVING_SECONDS)
         if self.directory.left(call.instance):
-            return NotRun("instance-left")
+            return NotRun(Turned.INSTANCE_LEFT)
         return None
 
     def advance(self) -> None:
@@ -231,10 +236,27 @@
         """Give up on what has waited too long."""
         for refused in self.admission.overdue(now):
             self.give_up(refused)
+        self.empty_queue_of_leaver(now)
         self.ledger.expire(now)
         self.upstream.tick(now)
         self.advance()
 
+    def empty_queue_of_leaver(self, now: float) -> None:
+        """Refuse what still waits for an upstream that has been leaving for a while.
+
+        A long queue would otherwise reach it when it is about to exit, and its calls
+        would be broken off; now they can still go elsewhere.
+        """
+        waiting = list(self.admission.queue.values())
+        instances = {self.calls[each.ticket].call.instance for each in waiting}
+        left = {each for each in instances if self.directory.left(each)}
+        self.left_since = {each: self.left_since.get(each, now) for each in left}
+        for arrival in waiting:
+            since = self.left_since.get(self.calls[arrival.ticket].call.instance, now)
+            if now - since > LEAVING_QUEUE_SECONDS:
+                self.admission.cancel(arrival.ticket)
+                self.give_up(Refused(arrival, Turned.INSTANCE_LEFT, LEAVING_SECONDS))
+
     def take_slots(self, slots: int) -> None:
         """Take the platform's word on how many calls the upstream runs at once."""
         self.admission.slots = slots
--- a/sequoiaspoke/sidecar/source.py
+++ b/sequoiaspoke/sidecar/source.py
@@ -63,6 +63,13 @@
         Raises StoreError, and HistoryLostError if everything has to be read anew.
         """
 
+    @abstractmethod
+    async def catch_up(self, after: int) -> Changes:
+        """Return at once what has changed, of each item the newest state only.
+
+        Raises StoreError, and HistoryLostError if everything has to be read anew.
+        """
+
     @abstractmethod
     async def confirm(self) -> int:
         """Return a revision that the store has reached; raise StoreError."""
--- a/sequoiaspoke/tests/test_sidecar_follower.py
+++ b/sequoiaspoke/tests/test_sidecar_follower.py
@@ -41,6 +41,9 @@
             raise line
         return line
 
+    async def catch_up(self, after):
+        return Changes((), after)
+
     async def confirm(self):
         return 0
 
@@ -54,6 +57,7 @@
     def __init__(self):
         self.log = self
         self.revision = 0
+        self.version = 0
         self.complete = False
         self.told = []
 
@@ -98,6 +102,41 @@
         state, reads = self.follow(Changes((), 5), Changes((), 7))
         self.assertEqual((state.told, reads), (["all", "changes"], ["all", 5, 7]))
 
+    def test_in_a_storm_of_versions_only_the_newest_is_read(self):
+        # Versions come several a second, each a whole document. A wait for changes
+        # tells all of them; on a narrow link they would take the room of the calls.
+        class Storm(ScriptedStore):
+            def __init__(self):
+                super().__init__([Changes((), 5), Changes(("v1",), 6), Changes((), 9)])
+                self.versions = [8, 9, 9]
+                self.caught_up = []
+
+            async def catch_up(self, after):
+                self.caught_up.append(after)
+                version = self.versions.pop(0)
+                return Changes((f"v{version}",), version)
+
+        class Versions(FakeState):
+            def take_changes(self, read):
+                super().take_changes(read)
+                self.version = read.revision
+
+        async def run():
+            store, state = Storm(), Versions()
+            duty = ReadingDuty("h", "z")
+            task = asyncio.ensure_future(
+                Follower(store, state, duty, random.Random(1)).run()
+            )
+            async with asyncio.timeout(WAIT):
+                while len(store.reads) < 3:
+                    await asyncio.sleep(0.005)
+            task.cancel()
+            return store
+
+        store = asyncio.run(run())
+        self.assertEqual(store.caught_up, [6, 8, 9])
+        self.assertEqual(store.reads[:3], ["all", 5, 9])
+
     def test_a_store_that_fails_is_asked_again_where_it_was_left(self):
         state, reads = self.follow(Changes((), 5), StoreError("no answer"))
         self.assertEqual(state.told, ["all", "store-unavailable"])
--- a/sequoiaspoke/tests/test_sidecar_spread.py
+++ b/sequoiaspoke/tests/test_sidecar_spread.py
@@ -223,6 +223,9 @@
         self.waits += 1
         await asyncio.sleep(3600)
 
+    async def catch_up(self, after):
+        return Changes((), after)
+
     async def confirm(self):
         if self.failing:
             raise StoreError("no answer in time")
