--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	$(RUN) ruff check --fix .
 
 golden: $(VENV)/.ready
-	GOLDEN=write $(RUN) pytest -n 0 sequoiaspoke/tests
+	GOLDEN=write $(RUN) pytest -n 0 sequoiaspoke/tests platform/tests
 
 dist: $(VENV)/.ready
 	$(VENV)/bin/python tools/dist.py
--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -36,6 +36,22 @@
 LEAST_WAIT = 0.05
 
 
+# Places in the queue between two priorities, and how far ahead of its own a nested call
+# goes: before the fresh calls of the next more urgent one.
+RANK_STEP, NESTED_AHEAD = 2, 3
+
+
+def queue_rank(priority: int, nested: bool) -> int:
+    """Return the rank of a call among those that wait; the lowest goes first.
+
+    A nested call takes tens of milliseconds of a slot; refused, it fails its parent and
+    all that the parent's upstream has done so far. With billing short of slots, 1,700
+    of 3,400 bookings failed as their look-ups of a tariff waited behind charges, which
+    take three times as long each.
+    """
+    return RANK_STEP * priority - (NESTED_AHEAD if nested else 0)
+
+
 class Turned(StrEnum):
     """Why a call was refused; each has a counter and is told to the entry."""
 
@@ -57,7 +73,7 @@
     route : str
         Name under which durations are measured.
     rank : int
-        Priority of its route; 0 goes first.
+        Its place among the calls that wait; the lowest goes first.
     on_time : float
         Until when an answer is on time.
     deadline : float
--- a/sequoiaspoke/core/mesh/outcome.py
+++ b/sequoiaspoke/core/mesh/outcome.py
@@ -10,12 +10,19 @@
 
 @dataclass(frozen=True)
 class Request:
-    """A call as its caller sent it."""
+    """A call as its caller sent it.
+
+    Attributes
+    ----------
+    nested : bool
+        Whether an upstream makes it while it runs another call.
+    """
 
     method: str
     target: str
     headers: Headers
     body: bytes
+    nested: bool = False
 
     def header(self, name: str) -> str:
         """Return the value of a header, empty if it is not there."""
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -91,7 +91,7 @@
             rng,
             self.log,
         )
-        self.callers = CallerServer(self.entry.handle, self.crashed)
+        self.callers = CallerServer(self.entry.handle, self.crashed, host)
         self.links = LinkServer(self.home, self.spread, self.incarnation, self.log)
         self.metrics = SidecarMetrics(self, output)
         pages = HealthPages(settings.health_path, self.not_ready, self.metrics.page)
--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.mesh.admission import queue_rank
 from sequoiaspoke.core.mesh.outcome import Answer, Unknown
 from sequoiaspoke.core.mesh.placing import Placing
 from sequoiaspoke.core.mesh.repeats import RepeatBudgets
@@ -180,7 +181,7 @@
             progress.request,
             endpoint.instance,
             progress.route.name,
-            progress.route.priority,
+            queue_rank(progress.route.priority, progress.request.nested),
             progress.route.idempotent,
             progress.on_time,
             progress.deadline,
@@ -189,7 +190,7 @@
         try:
             if endpoint.host == self.peers.identity.host:
                 outcome = await self.call_here(call)
-                news = self.home.news(progress.route.name, progress.route.priority)
+                news = self.home.news(call.route, call.rank)
             else:
                 link = self.peers.link(endpoint.host)
                 outcome = await link.call(call)
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -57,9 +57,10 @@
 class CallerConnection:
     """A caller's connection."""
 
-    def __init__(self, stream: IOStream, server: CallerServer) -> None:
+    def __init__(self, stream: IOStream, server: CallerServer, nested: bool) -> None:
         self.stream = stream
         self.server = server
+        self.nested = nested
         self.limits = server.limits()
         self.pending: deque[Exchange] = deque()
         self.room = asyncio.Event()
@@ -172,6 +173,7 @@
             self.target.decode("latin-1"),
             tuple(self.headers),
             b"".join(self.body),
+            self.nested,
         )
         exchange = Exchange(request, keep)
         self.pending.append(exchange)
@@ -284,16 +286,20 @@
     ----------
     closing : bool
         Whether connections end with the answer that leaves them idle.
+    upstream_host : str
+        Address from which the upstream beside this node calls, empty if unknown.
     """
 
     def __init__(
         self,
         handle: Callable[[Request], Awaitable[Answer]],
         crashed: Callable[[BaseException], None],
+        upstream_host: str = "",
     ) -> None:
         super().__init__(max_buffer_size=4 << 20, read_chunk_size=READ_BYTES)
         self.handle = handle
         self.crashed = crashed
+        self.upstream_host = upstream_host
         self.connections: set[CallerConnection] = set()
         self.body_bytes = 0
         self.closing = False
@@ -303,10 +309,10 @@
         """Return what callers may do."""
         return self.current_limits
 
-    async def handle_stream(self, stream: IOStream, address: object) -> None:  # noqa: ARG002
+    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Serve a connection."""
         watch_for_silence(stream)
-        connection = CallerConnection(stream, self)
+        connection = CallerConnection(stream, self, address[0] == self.upstream_host)
         self.connections.add(connection)
         stream.set_close_callback(lambda: self.connections.discard(connection))
         await connection.run()
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import Counter
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from hdrh.histogram import HdrHistogram
@@ -173,7 +174,7 @@
         """Return the request as upstreams get it."""
         headers = end_to_end(request.headers, self.own_headers)
         headers += ((self.names.caller_service, self.service),)
-        return type(request)(request.method, request.target, headers, request.body)
+        return replace(request, headers=headers)
 
     # Attempts.
 
--- a/sequoiaspoke/tests/golden.py
+++ b/sequoiaspoke/tests/golden.py
@@ -16,9 +16,9 @@
 ROOT = Path(__file__).parents[2]
 
 
-def assert_golden(test: TestCase, name: str, text: str) -> None:
+def assert_golden(test: TestCase, name: str, text: str, folder: Path = GOLDEN) -> None:
     """Compare text with a golden file, or write the file."""
-    path = GOLDEN / name
+    path = folder / name
     if os.environ.get("GOLDEN") == "write":
         path.parent.mkdir(parents=True, exist_ok=True)
         path.write_text(text, encoding="utf-8")
--- a/sequoiaspoke/tests/test_callerserver.py
+++ b/sequoiaspoke/tests/test_callerserver.py
@@ -54,6 +54,21 @@
         while not condition():
             await asyncio.sleep(0.002)
 
+    def test_calls_of_the_upstream_beside_this_node_are_told_from_others(self):
+        # Callers are elsewhere; only the upstream calls from this VM's own address.
+        async def scenario(reader, writer):
+            writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+            await self.until(lambda: self.handler.begun)
+            self.server.upstream_host = "127.0.0.1"
+            _, other = await asyncio.open_connection(*writer.get_extra_info("peername"))
+            other.write(b"GET /b HTTP/1.1\r\nHost: x\r\n\r\n")
+            await self.until(lambda: len(self.handler.begun) == 2)
+            other.close()
+            nested = [request.nested for request in self.handler.begun]
+            self.assertEqual(nested, [False, True])
+
+        self.play(scenario)
+
     def test_a_caller_that_leaves_is_noticed_whatever_its_request_said(self):
         # A caller asks for the connection to be closed after its answer, and leaves
         # before. Unnoticed, its call runs on for nobody.
--- a/sequoiaspoke/tests/test_mesh_core.py
+++ b/sequoiaspoke/tests/test_mesh_core.py
@@ -1,6 +1,7 @@
 """Tests of a sidecar's decisions: routes, endpoints, repeats, placing, admission."""
 
 import random
+from collections import Counter
 
 from testtools import TestCase
 
@@ -10,6 +11,7 @@
     Admission,
     Arrival,
     Turned,
+    queue_rank,
 )
 from sequoiaspoke.core.mesh.directory import LAPSE_GRACE, Directory
 from sequoiaspoke.core.mesh.durations import FORGET_SECONDS, Durations
@@ -305,6 +307,44 @@
         self.assertTrue(on_time > 170, on_time)
         self.assertTrue(self.admission.waiting <= 6)
 
+    def play_billing(self, ahead):
+        """Return the share of look-ups and of charges served under an overload."""
+        self.admission = Admission(4)
+        seconds = {"charge": 0.15, "look": 0.055}
+        ranks = {"charge": queue_rank(0, False), "look": queue_rank(1, ahead)}
+        asked, served = Counter(), Counter()
+        running = {}
+        for step in range(4000):
+            now = step * 0.005
+            for ticket in [t for t, end in running.items() if end <= now]:
+                del running[ticket]
+                self.admission.finish(ticket, True, now)
+                served[ticket[0]] += 1
+            # Charges fill the slots by themselves, look-ups need a third of them.
+            for kind, every in (("charge", 7), ("look", 7)):
+                if step % every == 0:
+                    asked[kind] += 1
+                    arrival = Arrival(
+                        (kind, step), kind, ranks[kind], now + 0.5, now + 0.6
+                    )
+                    self.admission.arrive(arrival, now)
+            while True:
+                arrival, _ = self.admission.next(now)
+                if arrival is None:
+                    break
+                running[arrival.ticket] = now + seconds[arrival.route]
+        return {kind: served[kind] / asked[kind] for kind in asked}
+
+    def test_nested_calls_are_not_starved_by_urgent_ones(self):
+        # A service is short of slots for the urgent charges alone. The look-ups that
+        # bookings need there wait behind them until it is too late, and each fails a
+        # booking of twice a charge's work that is half done elsewhere.
+        before, after = self.play_billing(False), self.play_billing(True)
+        self.assertTrue(before["look"] < 0.3, before)
+        self.assertTrue(after["look"] > 0.95, after)
+        # Of the slots they leave room for 57 charges in 100.
+        self.assertTrue(after["charge"] > 0.54, after)
+
     def test_a_queue_full_of_patient_calls_has_room_for_an_urgent_one(self):
         # Archive pages fill the queue of an overloaded upstream. The short call that
         # an order needs from it is refused, and the whole order fails.
