--- a/sequoiaspoke/core/mesh/table.py
+++ b/sequoiaspoke/core/mesh/table.py
@@ -12,6 +12,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from sequoiaspoke.core.mesh.model import MeshConfig, Route
 
 
@@ -32,12 +34,17 @@
         target : str
             Request target: path and query.
         """
+        for _, route in self.candidates(host, target):
+            if route is not None:
+                return route
+        return None
+
+    def candidates(self, host: str, target: str) -> Iterator[tuple[str, Route | None]]:
+        """Yield the beginnings of a path, the longest first, each with its route."""
         name = host.partition(":")[0].lower()
         path = target.partition("?")[0]
         end = path.rfind("/")
         while end >= 0:
-            route = self.routes.get((name, path[: end + 1]))
-            if route is not None:
-                return route
+            prefix = path[: end + 1]
+            yield prefix, self.routes.get((name, prefix))
             end = path.rfind("/", 0, end)
-        return None
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -94,7 +94,9 @@
         self.callers = CallerServer(self.entry.handle, self.crashed, host)
         self.links = LinkServer(self.home, self.spread, self.incarnation, self.log)
         self.metrics = SidecarMetrics(self, output)
-        pages = HealthPages(settings.health_path, self.not_ready, self.metrics.page)
+        pages = HealthPages(
+            settings.health_path, self.not_ready, self.metrics.page, self.status
+        )
         self.health = CallerServer(pages.handle, self.crashed)
         self.follower = Follower(store, self.state, self.duty, rng)
         self.stopping: float | None = None
@@ -106,6 +108,12 @@
         """Log an error that no code expected."""
         self.log.event("crash", error=repr(error))
 
+    def status(self) -> bytes:
+        """Return the page for the operators' status command."""
+        from sequoiaspoke.sidecar.statuspage import status_page
+
+        return status_page(self)
+
     def not_ready(self) -> str:
         """Return why this node takes no callers, empty if it does."""
         if self.stopping is not None:
--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -93,6 +93,8 @@
             return
         version = self.state.version
         changes = await self.changes()
+        if changes is None:
+            return
         self.state.take_changes(changes)
         if changes.items:
             await asyncio.sleep(GATHER_SECONDS)
@@ -113,8 +115,11 @@
             await self.confirm()
             await asyncio.sleep(pause / 2)
 
-    async def changes(self) -> Changes:
-        """Wait for changes, and have the store confirm meanwhile that it is there."""
+    async def changes(self) -> Changes | None:
+        """Wait for changes, and have the store confirm meanwhile that it is there.
+
+        Return None if it has become the turn of others to read.
+        """
         wait = self.store.wait_for_changes(self.state.revision)
         waiting = asyncio.ensure_future(wait)
         failures = 0
@@ -125,7 +130,7 @@
                 if done:
                     return waiting.result()
                 if not self.duty.must_read(clock.now()):
-                    continue
+                    return None
                 if self.state.revision < expected:
                     # Open connections may go silent for good while new ones work.
                     self.store.reconnect()
--- a/sequoiaspoke/sidecar/healthserver.py
+++ b/sequoiaspoke/sidecar/healthserver.py
@@ -1,4 +1,4 @@
-"""Answer the platform's question whether this node takes callers, and its metrics."""
+"""Answer whether this node takes callers, its metrics and what it believes."""
 
 from __future__ import annotations
 
@@ -17,11 +17,16 @@
     """The pages on the health address."""
 
     def __init__(
-        self, path: str, ready: Callable[[], str], metrics: Callable[[], bytes]
+        self,
+        path: str,
+        ready: Callable[[], str],
+        metrics: Callable[[], bytes],
+        status: Callable[[], bytes],
     ) -> None:
         self.path = path
         self.ready = ready
         self.metrics = metrics
+        self.status = status
 
     async def handle(self, request: Request) -> Answer:
         """Return a page."""
@@ -29,6 +34,8 @@
         if path == "/metrics":
             kind = ("Content-Type", "text/plain; version=0.0.4")
             return Answer(200, (kind,), self.metrics())
+        if path == "/status":
+            return Answer(200, (("Content-Type", "application/json"),), self.status())
         if path != self.path:
             return own_answer(404, "no such page")
         reason = self.ready()
--- a/sequoiaspoke/sidecar/state.py
+++ b/sequoiaspoke/sidecar/state.py
@@ -51,6 +51,7 @@
         self.revision = 0
         self.as_of = float("-inf")
         self.read_at = float("-inf")
+        self.installed = 0.0
         self.counts: Counter[str] = Counter()
 
     def age(self, now: float) -> float:
@@ -198,6 +199,7 @@
         shared = self.history.install(config)
         assert shared is not None
         self.table = RouteTable(shared)
+        self.installed = clock.now()
         self.counts["config-taken"] += 1
         self.log.event("config", version=config.version, routes=len(config.routes))
 
--- /dev/null
+++ b/sequoiaspoke/sidecar/statuspage.py
@@ -0,0 +1,45 @@
+"""What a sidecar believes, for the operators' status command."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.sidecar import clock
+
+if TYPE_CHECKING:
+    from sequoiaspoke.sidecar.app import Sidecar
+
+
+def status_page(node: Sidecar) -> bytes:
+    """Return the node at a glance, with the names that the product's node uses."""
+    state, home, entry = node.state, node.home, node.entry
+    now = clock.now()
+    page = {
+        "name": node.settings.node,
+        "zone": node.settings.zone,
+        "target": node.settings.service,
+        "version": state.version,
+        "installed_at": time.time() - (now - state.installed),
+        "learnt_from": "store" if node.duty.must_read(now) else "readers",
+        "in_flight": home.admission.running,
+        "queued": home.admission.waiting,
+        "limit": home.admission.slots,
+        "ledger": len(home.ledger.calls),
+        "draining": node.stopping is not None,
+        "verified": not state.stale(now),
+        "calls": {
+            f"{service or 'no-route'}-{status}": count
+            for (service, status), count in entry.counts.items()
+        },
+        "refused": dict(entry.reasons),
+        "details": {
+            "age": f"{min(state.age(now), 1e6):.1f}s",
+            "endpoints": len(state.directory.held),
+            "readers": list(node.duty.readers),
+            "links": sum(link.greeted for link in node.peers.links.values()),
+            "store-reads": node.follower.store.calls,
+        },
+    }
+    return json.dumps(page, indent=2).encode()
