--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -102,6 +102,7 @@
         self.stopping: float | None = None
         self.stopped = asyncio.Event()
         self.ticked = clock.now()
+        self.loop_delay = 0.0
         self.acted_on = (0, 0)
 
     def crashed(self, error: BaseException) -> None:
@@ -142,7 +143,10 @@
             for endpoint in self.state.directory.all_serving()
             if endpoint.zone == self.settings.zone
         ]
+        readers = self.duty.readers
         self.duty.take_hosts(near)
+        if self.duty.readers != readers:
+            self.log.event("readers", hosts=",".join(self.duty.readers))
         self.spread.follow_readers(self.peers)
         self.peers.refresh()
         self.entry.attempts.placing.retain(self.state.directory.held)
@@ -202,6 +206,7 @@
             self.entry.woke(now)
             # Whatever was read before may be long out of date.
             self.follower.store.reconnect()
+        self.loop_delay = max(0.0, now - self.ticked - TICK_SECONDS)
         self.ticked = now
         self.home.tick(now)
         self.state.tick(now)
--- a/sequoiaspoke/sidecar/metrics.py
+++ b/sequoiaspoke/sidecar/metrics.py
@@ -17,6 +17,30 @@
     from sequoiaspoke.sidecar.logs import DroppingOutput
 
 
+PREFIX = "sequoiaspoke_sidecar"
+# Meaning and label of each counter.
+COUNTERS = {
+    "reasons": ("failed attempts, refusals and second attempts", "reason"),
+    "home": ("what became of calls at the home", "outcome"),
+    "state": ("versions taken, items refused, failures of the store", "event"),
+}
+LATENCY = ("call_seconds", "time to the final answer, as quantiles")
+GAUGES = {
+    "running": "calls at the upstream",
+    "waiting": "calls that wait for a slot",
+    "config_version": "version in force, 0 without one",
+    "state_age_seconds": "age of what is known of the platform",
+    "endpoints": "upstreams known",
+    "reads_store": "1 if this node reads the store, for others or for itself",
+    "subscribers": "nodes that this one tells of changes",
+    "links": "links to other nodes that stand",
+    "loop_delay_seconds": "how much too late the last look at the clock came",
+    "store_reads": "reads of the store so far",
+    "upstream_connects": "connections opened to the upstream so far",
+    "log_lines_dropped": "lines that nobody read",
+}
+
+
 class SidecarMetrics:
     """Counters and gauges of a sidecar's parts."""
 
@@ -38,25 +62,30 @@
         metrics = Metrics()
         node = self.sidecar
         home, entry, state = node.home, node.entry, node.state
-        prefix = "sequoiaspoke_sidecar"
-        metrics.count(
-            f"{prefix}_reasons", "Failed attempts and calls", "reason", entry.reasons
-        )
-        metrics.count(f"{prefix}_home", "Calls at the home", "outcome", home.counts)
-        metrics.count(f"{prefix}_state", "News of the platform", "event", state.counts)
-        metrics.latencies(
-            f"{prefix}_call_seconds", "Time to the final answer", entry.latency
-        )
+        counters = {
+            "reasons": entry.reasons,
+            "home": home.counts,
+            "state": state.counts,
+        }
+        for name, counter in counters.items():
+            meaning, label = COUNTERS[name]
+            metrics.count(f"{PREFIX}_{name}", meaning, label, counter)
+        name, meaning = LATENCY
+        metrics.latencies(f"{PREFIX}_{name}", meaning, entry.latency)
         gauges = {
             "running": lambda: home.admission.running,
             "waiting": lambda: home.admission.waiting,
             "config_version": lambda: state.version,
             "state_age_seconds": lambda: state.age(clock.now()),
             "endpoints": lambda: len(state.directory.held),
+            "reads_store": lambda: int(node.duty.must_read(clock.now())),
+            "subscribers": lambda: len(node.spread.subscribers),
+            "links": lambda: sum(x.greeted for x in node.peers.links.values()),
+            "loop_delay_seconds": lambda: node.loop_delay,
             "store_reads": lambda: node.follower.store.calls,
             "upstream_connects": lambda: node.upstream.connects,
             "log_lines_dropped": lambda: self.output.dropped,
         }
         for name, read in gauges.items():
-            metrics.gauge(f"{prefix}_{name}", name.replace("_", " "), read)
+            metrics.gauge(f"{PREFIX}_{name}", GAUGES[name], read)
         return metrics
--- a/sequoiaspoke/tests/test_sidecar_logs.py
+++ b/sequoiaspoke/tests/test_sidecar_logs.py
@@ -1,6 +1,7 @@
 """Tests of the sidecar's log: bounded, and never in the way."""
 
 import os
+import runpy
 
 from loguru import logger
 from testtools import TestCase
@@ -8,7 +9,9 @@
 from sequoiaspoke.core.mesh.outcome import Request
 from sequoiaspoke.node.logs import format_line
 from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.events import EVENTS
 from sequoiaspoke.sidecar.logs import LINES_A_SECOND, DroppingOutput, EventLog
+from sequoiaspoke.tests.golden import ROOT
 
 CALL = Request("GET", "/a", (("X-Request-Id", "c 1"),), b"")
 
@@ -57,3 +60,13 @@
         before = output.dropped
         output.write("y\n")
         self.assertEqual(output.dropped, before)
+
+
+class EventsTests(TestCase):
+    def test_every_event_that_is_logged_has_a_meaning(self):
+        # On call, an event that no page explains is a question at night.
+        reference = runpy.run_path(str(ROOT / "tools" / "reference.py"))
+        written = set(reference["event_pairs"]())
+        self.assertEqual(written - set(EVENTS), set())
+        # One is written without the log's methods.
+        self.assertEqual(set(EVENTS) - written, {"lines-left-out"})
