--- a/sequoiaspoke/core/mesh/outcome.py
+++ b/sequoiaspoke/core/mesh/outcome.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+# Reason of a call whose time was over before its upstream answered.
+TIMED_OUT = "timeout"
 # Name and value of each header, in their order.
 Headers = tuple[tuple[str, str], ...]
 
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -16,7 +16,7 @@
 
 from sequoiaspoke.core.mesh.admission import LEAST_WAIT
 from sequoiaspoke.core.mesh.durations import FIRST_GUESS
-from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
+from sequoiaspoke.core.mesh.outcome import TIMED_OUT, Answer, NotRun, Unknown
 from sequoiaspoke.core.routing.split import Splitter
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.attempts import TRY_ELSEWHERE, Attempts, Progress
@@ -149,6 +149,14 @@
             # The route may be in a version that has not come here yet.
             return self.refuse(request, "no-fresh-configuration", COME_BACK)
         self.counts["", "404"] += 1
+        self.log.call(
+            "no-route",
+            request,
+            host=request.header("host"),
+            target=request.target,
+            version=self.state.version,
+            age=f"{self.peers.age():.2f}",
+        )
         return own_answer(404, "no route")
 
     def time_left(self, request: Request, route: Route) -> float:
@@ -239,7 +247,9 @@
         if isinstance(last, Answer):
             return last
         if isinstance(last, Unknown):
-            return self.fail(progress, 502, last.reason)
+            # The home's clock may run out a moment before this node's.
+            status = 504 if last.reason == TIMED_OUT else 502
+            return self.fail(progress, status, last.reason)
         if progress.may_have_run:
             return self.fail(progress, 502, reason)
         if isinstance(last, NotRun):
@@ -249,7 +259,7 @@
 
     def timed_out(self, progress: Progress) -> Answer:
         """Answer a call whose time is over while an attempt was under way."""
-        return self.fail(progress, 504, "timeout")
+        return self.fail(progress, 504, TIMED_OUT)
 
     def fail(self, progress: Progress, status: int, reason: str) -> Answer:
         """Answer a call that may have run."""
--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -28,6 +28,7 @@
     "hedge": "a read is tried at a second endpoint beside a slow first one",
     "call-refused": "a caller was told that its call has not run, and when to return",
     "call-failed": "a caller was told that its call failed and may have run",
+    "no-route": "a caller was told 404: the version in force has no route for its call",
     "home-refused": "the node beside the upstream turned a call away",
     "home-failed": "the upstream gave no answer that could be used",
     "lines-left-out": "lines beyond the budget of the second before",
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -5,7 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown, find_header
+from sequoiaspoke.core.mesh.outcome import (
+    TIMED_OUT,
+    Answer,
+    NotRun,
+    Unknown,
+    find_header,
+)
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.httpclient import open_connection
 from sequoiaspoke.sidecar.httptext import end_to_end, request_text
@@ -67,7 +73,7 @@
             )
         except TimeoutError:
             connection.close()
-            return Unknown("timeout")
+            return Unknown(TIMED_OUT)
         except asyncio.CancelledError:
             connection.close()
             raise
--- a/sequoiaspoke/tests/test_sidecar_entry.py
+++ b/sequoiaspoke/tests/test_sidecar_entry.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from sequoiaspoke.core.mesh.model import Endpoint, MeshConfig, Route
-from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
+from sequoiaspoke.core.mesh.outcome import TIMED_OUT, Answer, NotRun, Request, Unknown
 from sequoiaspoke.core.mesh.reading import ReadingDuty
 from sequoiaspoke.core.mesh.repeats import RepeatLimits
 from sequoiaspoke.core.mesh.table import RouteTable
@@ -113,6 +113,12 @@
         answer = self.play({"a": SHED, "b": SHED}, "order")
         self.assertEqual((answer.status, len(self.entry.attempts.sent)), (503, 2))
 
+    def test_an_order_whose_time_ran_out_at_its_home_is_a_timeout(self):
+        # The home's clock runs out a moment before the entry's. Whichever it is, the
+        # caller hears the same.
+        answer = self.play({"a": Unknown(TIMED_OUT)}, "order")
+        self.assertEqual(answer.status, 504)
+
     def test_a_read_that_may_have_run_is_not_told_as_not_run(self):
         # The first attempt was lost and the second turned away. "Not run" would be
         # untrue, and a caller who counts runs would count one too few.
