--- a/sequoiaspoke/core/mesh/directory.py
+++ b/sequoiaspoke/core/mesh/directory.py
@@ -21,9 +21,11 @@
 # Seconds after the store's return for which a vanished entry stays: upstreams
 # that live have reported again within two, and reading takes a moment.
 LAPSE_GRACE = 2.2
-# Seconds for which an entry stays that a reader holds through a lapse: the reader tells
-# its end after LAPSE_GRACE, and this outlasts one that dies meanwhile.
-FOLLOWED_LAPSE = 4.4
+# Seconds without a confirmation by the store, to this node or to one that tells it,
+# from which the store is taken to have been away: upstreams report each 1.5 s and lapse
+# after three reports that were missed, so that a shorter absence lapses none. A
+# node that alone was cut off hears the others' confirmations all the while.
+LAPSE_GAP = 2.0
 # Seconds for which an instance that left is remembered, so that late news from a
 # lagging node does not bring it back; beyond any drain and any lag of a peer.
 GONE_MEMORY = 60.0
@@ -51,27 +53,46 @@
         By instance, those draining and those kept through a lapse included.
     lapsing : dict of str to float
         When to give up on the entries that vanished around an outage.
+    vanished : dict of str to int
+        Revision at which each of them vanished.
     gone : dict of str to tuple of int and float
         Revision of the removal of instances that left, and when it was learnt.
     serial : int
         Count of the changes made here; others are told those since a count.
     marks : dict of str to int
         The count at each instance's last change.
+    complete_to : int
+        Revision up to which every entry of the store is known here.
     """
 
     def __init__(self) -> None:
         self.held: dict[str, Held] = {}
         self.lapsing: dict[str, float] = {}
+        self.vanished: dict[str, int] = {}
         self.gone: dict[str, tuple[int, float]] = {}
         self.by_service: dict[str, tuple[Endpoint, ...]] = {}
         self.serial = 0
         self.marks: dict[str, int] = {}
+        self.complete_to = 0
         self.outage = False
         self.returned = float("-inf")
 
-    def put(self, endpoint: Endpoint, revision: int, now: float) -> bool:
-        """Take a published entry; return whether it changed anything."""
+    def put(
+        self, endpoint: Endpoint, revision: int, now: float, told: bool = False
+    ) -> bool:
+        """Take a published entry; return whether it changed anything.
+
+        Parameters
+        ----------
+        told : bool
+            Whether another node told it, which may know less than this one.
+        """
         known = self.held.get(endpoint.instance)
+        if told and known is None and revision <= self.complete_to:
+            # It was there once and has been removed since. A node that has just
+            # started and read the store does not remember the removal; taken from one
+            # that lags, the entry would stay for good.
+            return False
         if known is not None and known.revision >= revision:
             return False
         if self.gone.get(endpoint.instance, (0, 0.0))[0] >= revision:
@@ -81,6 +102,7 @@
             return False
         self.gone.pop(endpoint.instance, None)
         self.lapsing.pop(endpoint.instance, None)
+        self.vanished.pop(endpoint.instance, None)
         cold_until = now + endpoint.cold_seconds
         self.held[endpoint.instance] = Held(endpoint, revision, cold_until)
         self.mark(endpoint.instance)
@@ -106,6 +128,7 @@
         doubtful = not trusted and self.unwell(now)
         if known is not None and doubtful and not known.endpoint.draining:
             self.lapsing.setdefault(instance, self.grace_end(now))
+            self.vanished[instance] = revision
             return False
         self.forget(instance, revision, now)
         return known is not None
@@ -122,8 +145,8 @@
         changed = False
         for endpoint, written in listed:
             names.add(endpoint.instance)
-            changed |= self.put(endpoint, written, now)
-        for instance in list(self.held.keys() - names):
+            changed |= self.put(endpoint, written, now, told=trusted)
+        for instance in sorted(self.held.keys() - names):
             changed |= self.remove(instance, revision, now, trusted)
         return changed
 
@@ -131,6 +154,7 @@
         """Drop an endpoint and remember that it left."""
         self.held.pop(instance, None)
         self.lapsing.pop(instance, None)
+        self.vanished.pop(instance, None)
         self.gone[instance] = (revision, now)
         self.mark(instance)
 
@@ -140,12 +164,6 @@
         self.marks[instance] = self.serial
         self.rebuild()
 
-    def doubt(self, instances: Iterable[str], now: float) -> None:
-        """Take a reader's word that entries have vanished around an outage."""
-        for instance in instances:
-            if instance in self.held:
-                self.lapsing[instance] = now + FOLLOWED_LAPSE
-
     def changed_since(self, serial: int) -> tuple[list[Held], list[tuple[str, int]]]:
         """Return the entries taken, and the instances gone, since a count."""
         held = [each for name, each in self.held.items() if self.marks[name] > serial]
@@ -160,14 +178,22 @@
         """Note that the store does not answer."""
         self.outage = True
 
-    def reached_store(self, now: float) -> None:
-        """Note that the store answers."""
-        if not self.outage:
+    def reached_store(self, now: float, gap: float = float("inf")) -> None:
+        """Note that the store answers.
+
+        Parameters
+        ----------
+        gap : float
+            Seconds since it was last known to answer anybody.
+        """
+        away = gap > LAPSE_GAP
+        if not (self.outage or away):
             return
         self.outage = False
-        self.returned = now
+        if away:
+            self.returned = now
         for instance in self.lapsing:
-            self.lapsing[instance] = now + LAPSE_GRACE
+            self.lapsing[instance] = now + LAPSE_GRACE if away else now
 
     def unwell(self, now: float) -> bool:
         """Return whether a missing entry says little."""
@@ -183,7 +209,7 @@
         """Drop what stayed long enough; return the instances."""
         due = [name for name, until in self.lapsing.items() if until <= now]
         for instance in due:
-            self.forget(instance, self.held[instance].revision, now)
+            self.forget(instance, self.vanished[instance], now)
         for instance, (_, since) in list(self.gone.items()):
             if since + GONE_MEMORY < now:
                 del self.gone[instance]
@@ -202,10 +228,6 @@
         """Return the endpoints of a service that take new calls."""
         return self.by_service.get(service, ())
 
-    def all_serving(self) -> list[Endpoint]:
-        """Return the endpoints of all services that take new calls."""
-        return [each for group in self.by_service.values() for each in group]
-
     def cold(self, instance: str, now: float) -> bool:
         """Return whether an endpoint is still slow after its start."""
         held = self.held.get(instance)
--- a/sequoiaspoke/core/mesh/knowledge.py
+++ b/sequoiaspoke/core/mesh/knowledge.py
@@ -26,8 +26,9 @@
         With the revision at which each was written.
     gone : tuple of str and int
         Instances that left, with the revision of that.
-    lapsing : tuple of str
-        Instances whose entries vanished around an outage of the store.
+    lapsing : tuple of str and int
+        Instances whose entries vanished, with the revision, as the teller thought the
+        store to have been away; who is told judges by what it knows of the store.
     config : ConfigDelta or None
         None if the configuration has not changed.
     """
@@ -37,6 +38,6 @@
     whole: bool
     endpoints: tuple[tuple[Endpoint, int], ...]
     gone: tuple[tuple[str, int], ...]
-    lapsing: tuple[str, ...]
+    lapsing: tuple[tuple[str, int], ...]
     config: ConfigDelta | None
     config_revision: int = 0
--- a/sequoiaspoke/core/mesh/reading.py
+++ b/sequoiaspoke/core/mesh/reading.py
@@ -41,9 +41,18 @@
         self.readers: tuple[str, ...] = ()
         self.confirmed = float("-inf")
 
-    def take_hosts(self, hosts: Iterable[str]) -> None:
-        """Take the nodes of the zone."""
-        self.readers = tuple(rank(self.zone, sorted(set(hosts)))[:READERS])
+    def take_hosts(self, hosts: Iterable[str], leaving: Iterable[str] = ()) -> None:
+        """Take the nodes of the zone.
+
+        Parameters
+        ----------
+        leaving : iterable of str
+            Nodes beside upstreams that drain; they read if there are too few others.
+        """
+        staying = set(hosts)
+        order = rank(self.zone, sorted(staying))
+        order += rank(self.zone, sorted(set(leaving) - staying))
+        self.readers = tuple(order[:READERS])
 
     def heard(self, as_of: float) -> None:
         """Note that what is known here was current at some time."""
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import gc
-import random
 import signal
 from typing import TYPE_CHECKING
 
@@ -30,6 +29,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from random import Random
 
     from sequoiaspoke.sidecar.logs import DroppingOutput
     from sequoiaspoke.sidecar.settings import SidecarSettings
@@ -58,10 +58,10 @@
         decoder: ItemDecoder,
         reload: Callable[[], SidecarSettings],
         output: DroppingOutput,
+        rng: Random,
     ) -> None:
         self.settings = settings
         self.reload = reload
-        rng = random.Random()
         self.log = EventLog(settings.names.call_id)
         self.incarnation = rng.getrandbits(62)
         self.state = MeshState(decoder, self.log, self.state_changed)
@@ -139,12 +139,15 @@
                 if endpoint.slots != self.home.admission.slots:
                     self.home.take_slots(endpoint.slots)
         near = [
-            endpoint.host
-            for endpoint in self.state.directory.all_serving()
-            if endpoint.zone == self.settings.zone
+            held.endpoint
+            for held in self.state.directory.held.values()
+            if held.endpoint.zone == self.settings.zone
         ]
         readers = self.duty.readers
-        self.duty.take_hosts(near)
+        self.duty.take_hosts(
+            (each.host for each in near if not each.draining),
+            (each.host for each in near if each.draining),
+        )
         if self.duty.readers != readers:
             self.log.event("readers", hosts=",".join(self.duty.readers))
         self.spread.follow_readers(self.peers)
--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -36,6 +36,8 @@
 # Questions without an answer after which the store is taken to be lost; one may fall
 # to a lost packet or a busy moment of this node.
 CONFIRM_FAILURES = 2
+# Seconds for which a change that the store has may be on its way here.
+OVERDUE_SECONDS = 0.3
 # Seconds between two looks whether it has become this node's turn to read.
 DUTY_SECONDS = 0.1
 
@@ -126,7 +128,12 @@
         expected = 0
         try:
             while True:
-                done, _ = await asyncio.wait({waiting}, timeout=CONFIRM_SECONDS)
+                # At once, if the last confirmation is old: a node that begins to read
+                # for itself must not take its own start for an outage of the store.
+                pause = max(0.0, CONFIRM_SECONDS - self.state.age(clock.now()))
+                if self.state.revision < expected:
+                    pause = OVERDUE_SECONDS
+                done, _ = await asyncio.wait({waiting}, timeout=pause)
                 if done:
                     return waiting.result()
                 if not self.duty.must_read(clock.now()):
@@ -151,4 +158,5 @@
         revision = await self.store.confirm()
         self.state.store_answered()
         self.state.confirmed_as_of(begun)
+        self.pause = RETRY_FIRST
         return revision
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -134,7 +134,7 @@
         self.gossip = gossip
         self.incarnation = incarnation
         self.log = log
-        self.links: set[AcceptedLink] = set()
+        self.links: list[AcceptedLink] = []
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:  # noqa: ARG002
         """Serve a link over TCP."""
@@ -143,9 +143,9 @@
     async def serve(self, frames: Frames) -> None:
         """Serve a link."""
         link = AcceptedLink(frames, self)
-        self.links.add(link)
+        self.links.append(link)
         reason = await link.frames.read(link.take)
-        self.links.discard(link)
+        self.links.remove(link)
         if reason not in ("closed", "closed-here"):
             self.log.event("link-broken", peer=link.peer, reason=reason)
 
--- a/sequoiaspoke/sidecar/peers.py
+++ b/sequoiaspoke/sidecar/peers.py
@@ -84,7 +84,7 @@
         """Open and close links as endpoints come and go."""
         endpoints = [held.endpoint for held in self.state.directory.held.values()]
         hosts = {endpoint.host for endpoint in endpoints}
-        for host in self.links.keys() - hosts:
+        for host in sorted(self.links.keys() - hosts):
             link = self.links[host]
             if not link.pending:
                 link.close()
@@ -97,7 +97,7 @@
         }
         kept = set(rank(self.identity.host, sorted(near))[:KEPT_LINKS])
         kept |= self.followed & hosts
-        for host in kept:
+        for host in sorted(kept):
             self.link(host)
         for host, link in self.links.items():
             link.kept = host in kept
--- a/sequoiaspoke/sidecar/spread.py
+++ b/sequoiaspoke/sidecar/spread.py
@@ -118,7 +118,7 @@
                 revision=told.revision,
             )
         try:
-            self.state.learn(told, doubtful=not self.duty.on_duty)
+            self.state.learn(told)
         except KeyError:
             # Its change goes out from a version that this node never had.
             return False
@@ -134,7 +134,7 @@
         """Keep links to the zone's readers and subscribe to those that are new."""
         own = peers.identity.host
         readers = {host for host in self.duty.readers if host != own}
-        for host in readers - peers.followed:
+        for host in sorted(readers - peers.followed):
             link = peers.link(host)
             if link.greeted:
                 link.subscribe(self.state.version)
--- a/sequoiaspoke/sidecar/state.py
+++ b/sequoiaspoke/sidecar/state.py
@@ -51,6 +51,7 @@
         self.revision = 0
         self.as_of = float("-inf")
         self.read_at = float("-inf")
+        self.lost_at = float("-inf")
         self.installed = 0.0
         self.counts: Counter[str] = Counter()
 
@@ -101,24 +102,33 @@
         self.log_changes(before, "store")
         self.confirmed(read.revision, now)
 
-    def store_answered(self) -> None:
-        """Note that the store can be read."""
+    def store_answered(self, when: float | None = None) -> None:
+        """Note that the store can be read, by this node now or by another."""
+        now = clock.now()
+        when = now if when is None else when
         if self.directory.outage:
-            self.log.event("store-reached", age=f"{self.age(clock.now()):.1f}")
-        self.directory.reached_store(clock.now())
+            self.log.event("store-reached", age=f"{self.age(now):.1f}")
+        known_before = self.as_of > float("-inf")
+        self.directory.reached_store(when, when - self.as_of if known_before else 0.0)
 
     def store_failed(self, code: str, reason: str) -> None:
         """Note that the store cannot be read."""
         self.counts["store-failed"] += 1
         if not self.directory.outage:
             self.log.event("store-lost", code=code, reason=reason)
+        self.lost_at = clock.now()
         self.directory.lost_store()
 
     def confirmed(self, revision: int, now: float) -> None:
         """Note up to which revision and as of when everything is known."""
-        self.revision = max(self.revision, revision)
+        self.complete_to(revision)
         self.confirmed_as_of(now)
 
+    def complete_to(self, revision: int) -> None:
+        """Note up to which revision everything is known."""
+        self.revision = max(self.revision, revision)
+        self.directory.complete_to = self.revision
+
     def confirmed_as_of(self, when: float) -> None:
         """Note that the store answered, and that all it had to tell had come."""
         self.as_of = max(self.as_of, when)
@@ -216,20 +226,20 @@
 
     # From other nodes.
 
-    def learn(self, knowledge: Knowledge, doubtful: bool) -> None:
+    def learn(self, knowledge: Knowledge) -> None:
         """Take what another node knows; KeyError if its configuration has no base here.
 
         Each item is taken only if it is newer than what is known of it.
-
-        Parameters
-        ----------
-        doubtful : bool
-            Whether to take its word on entries that vanished around an outage.
         """
         now = clock.now()
         if knowledge.config is not None and self.newer(knowledge.config.version):
             self.install(self.history.apply(knowledge.config))
             self.config_revision = knowledge.config_revision
+        if knowledge.as_of > max(self.lost_at, self.as_of):
+            # The store answers others. A node that had lost it and then left reading to
+            # its readers would else doubt the next entry that vanishes, however much
+            # later, and go on sending calls to an upstream that has left.
+            self.store_answered(knowledge.as_of)
         directory = self.directory
         before = directory.serial
         if knowledge.whole:
@@ -238,13 +248,13 @@
             )
         else:
             for endpoint, revision in knowledge.endpoints:
-                directory.put(endpoint, revision, now)
+                directory.put(endpoint, revision, now, told=True)
         for instance, revision in knowledge.gone:
             directory.remove(instance, revision, now, trusted=True)
+        for instance, revision in knowledge.lapsing:
+            directory.remove(instance, revision, now)
         self.log_changes(before, "node")
-        if doubtful:
-            directory.doubt(knowledge.lapsing, now)
-        self.revision = max(self.revision, knowledge.revision)
+        self.complete_to(knowledge.revision)
         self.as_of = max(self.as_of, knowledge.as_of)
         self.changed()
 
@@ -264,7 +274,7 @@
                 for each in held
             ),
             gone=tuple(gone),
-            lapsing=tuple(self.directory.lapsing),
+            lapsing=tuple(self.directory.vanished.items()),
             config=self.history.since(version),
             config_revision=self.config_revision,
         )
--- a/sequoiaspoke/sidecar/wireknowledge.py
+++ b/sequoiaspoke/sidecar/wireknowledge.py
@@ -30,7 +30,7 @@
         whole=knowledge.whole,
         endpoints=[pack_endpoint(*each) for each in knowledge.endpoints],
         gone=[wire.Gone(*each) for each in knowledge.gone],
-        lapsing=list(knowledge.lapsing),
+        lapsing=[wire.Gone(*each) for each in knowledge.lapsing],
         config=config,
     )
 
@@ -46,7 +46,7 @@
         whole=message.whole,
         endpoints=tuple(unpack_endpoint(each) for each in message.endpoints),
         gone=tuple((each.instance, each.revision) for each in message.gone),
-        lapsing=tuple(message.lapsing),
+        lapsing=tuple((each.instance, each.revision) for each in message.lapsing),
         config=config,
         config_revision=config_revision,
     )
--- /dev/null
+++ b/sequoiaspoke/tests/spreadsim.py
@@ -0,0 +1,418 @@
+"""Sidecars that follow a store on a virtual clock, with faults drawn from a seed.
+
+Sidecars are put together as the program does it; the store, the connections between
+nodes and the loop's clock are played. One seed gives one history.
+"""
+
+import asyncio
+import random
+
+from sequoiaspoke.core.mesh.model import Endpoint, MeshConfig, Route
+from sequoiaspoke.core.rules.model import WeightedService
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.app import TICK_SECONDS, Sidecar
+from sequoiaspoke.sidecar.settings import SidecarSettings
+from sequoiaspoke.sidecar.source import (
+    Changes,
+    HistoryLostError,
+    ItemDecoder,
+    ItemStore,
+    StoreError,
+    StoreItem,
+)
+from sequoiaspoke.tests.meshsim import Pipe, PipeFrames, VirtualLoop
+
+ZONES = ("akaki", "bole")
+NODES_A_ZONE = 4
+# Within so many seconds a node acts on a change, if it and the store were calm from so
+# many seconds before on.
+ACT_SECONDS, CALM_SECONDS = 2.0, 3.0
+# Seconds after which a read, and a wait beyond its own length, are given up.
+READ_SECONDS, WAIT_SECONDS, CONFIRM_SECONDS = 1.5, 10.0, 0.6
+
+
+class Items(ItemDecoder):
+    """An endpoint's value is whether it drains, a configuration's its routes."""
+
+    def kind(self, key):
+        return self.CONFIG if key == "config" else self.ENDPOINT
+
+    def instance(self, key):
+        return key
+
+    def endpoint(self, key, value):
+        zone, host = key.split("/")[:2]
+        return Endpoint(key, "fleet", host, 80, zone, 4, draining=value == b"1")
+
+    def config(self, value):
+        version, *names = value.decode().split(",")
+        split = (WeightedService("fleet"),)
+        routes = tuple(
+            Route(name, "x", f"/{name}/", True, 4.0, 1.0, 1, 2, split) for name in names
+        )
+        return MeshConfig(int(version), routes, frozenset({"fleet"}))
+
+
+class SimStore:
+    """The store that all nodes read."""
+
+    def __init__(self):
+        self.items = {}
+        self.events = []
+        self.revision = 1
+        self.forgotten = 0
+        self.mode = "up"
+        self.changed = asyncio.Event()
+
+    def put(self, key, value):
+        self.revision += 1
+        item = StoreItem(key, value, self.revision)
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = item
+        self.events.append(item)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def since(self, after):
+        if after < self.forgotten:
+            raise HistoryLostError("forgotten")
+        return tuple(item for item in self.events if item.revision > after)
+
+
+class NodeStore(ItemStore):
+    """The store as one node reaches it."""
+
+    def __init__(self, world, host):
+        self.world, self.host = world, host
+
+    async def reach(self, seconds):
+        """Wait as a call over the network does; raise StoreError without an answer."""
+        await asyncio.sleep(self.world.delay())
+        store = self.world.store
+        if store.mode == "failing":
+            raise StoreError("status 503")
+        if store.mode == "silent" or self.host in self.world.cut_from_store:
+            await asyncio.sleep(seconds)
+            raise StoreError("no answer in time")
+
+    async def read_all(self):
+        await self.reach(READ_SECONDS)
+        store = self.world.store
+        return Changes(tuple(store.items.values()), store.revision)
+
+    async def wait_for_changes(self, after):
+        await self.reach(WAIT_SECONDS)
+        store = self.world.store
+        loop = asyncio.get_running_loop()
+        end = loop.time() + WAIT_SECONDS
+        while not store.since(after) and loop.time() < end:
+            try:
+                await asyncio.wait_for(store.changed.wait(), end - loop.time())
+            except TimeoutError:
+                break
+        await self.reach(READ_SECONDS)
+        return Changes(store.since(after), store.revision)
+
+    async def catch_up(self, after):
+        await self.reach(READ_SECONDS)
+        store = self.world.store
+        newest = {item.key: item for item in store.since(after)}
+        return Changes(tuple(newest.values()), store.revision)
+
+    async def confirm(self):
+        await self.reach(CONFIRM_SECONDS)
+        return self.world.store.revision
+
+    def reconnect(self):
+        pass
+
+
+class SimDialer:
+    """Dials nodes of the same world."""
+
+    def __init__(self, world, host):
+        self.world, self.host = world, host
+
+    async def dial(self, host, port):
+        await asyncio.sleep(self.world.delay())
+        if self.world.is_cut(self.host, host):
+            await asyncio.sleep(3600)
+        node = self.world.nodes[host]
+        if not node.up:
+            raise ConnectionRefusedError(host)
+        ends = (self.host, host)
+        there, back = Pipe(self.world, ends), Pipe(self.world, ends)
+        self.world.links.append((there, back))
+        node.spawn(node.sidecar.links.serve(PipeFrames(there, back)))
+        return PipeFrames(back, there)
+
+
+class SpreadNode:
+    """A sidecar that can be killed and started again."""
+
+    def __init__(self, world, host, zone):
+        self.world, self.host, self.zone = world, host, zone
+        # In order, so that one seed gives one history.
+        self.tasks = {}
+        self.start()
+
+    def start(self):
+        world = self.world
+        settings = SidecarSettings(
+            self.host, "fleet", self.zone, (self.host, 80), (self.host, 1),
+            (self.host, 2), (self.host, 3), ("store", 1),
+        )  # fmt: skip
+        self.sidecar = Sidecar(
+            settings, NodeStore(world, self.host), Items(), None, None, world.rng
+        )
+        self.sidecar.log.allowed = lambda kind: False
+        self.sidecar.peers.dialer = SimDialer(world, self.host)
+        self.up, self.since = True, world.now()
+        self.versions = []
+        self.spawn(self.sidecar.follower.run())
+        self.spawn(self.tick())
+
+    def spawn(self, work):
+        task = asyncio.ensure_future(work)
+        self.tasks[task] = None
+        task.add_done_callback(lambda _: self.tasks.pop(task, None))
+
+    async def tick(self):
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            self.sidecar.tick()
+            self.versions.append(self.sidecar.state.version)
+
+    def kill(self):
+        """End as a killed process does: nothing is said, connections reset."""
+        self.up = False
+        for link in list(self.sidecar.links.links):
+            link.frames.close()
+        for client in self.sidecar.peers.links.values():
+            client.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+
+class SpreadWorld:
+    """A store, the nodes that follow it, faults, and what was promised."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.store = SimStore()
+        self.links = []
+        self.cuts = set()
+        self.cut_from_store = set()
+        self.nodes = {}
+        self.harm = {"store": float("-inf")}
+        self.problems = []
+        self.checked = 0
+        self.version = 0
+        self.routes = [f"r{number}" for number in range(12)]
+
+    def start(self):
+        self.publish()
+        for zone in ZONES:
+            for number in range(NODES_A_ZONE):
+                host = f"{zone}-{number}"
+                self.store.put(f"{zone}/{host}/1", b"0")
+                self.nodes[host] = SpreadNode(self, host, zone)
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    def delay(self):
+        return self.rng.uniform(0.001, 0.01)
+
+    def is_cut(self, one, other):
+        return (one, other) in self.cuts or (other, one) in self.cuts
+
+    def hurt(self, name):
+        """Note that a node or the store is not calm at this moment."""
+        self.harm[name] = self.now()
+
+    # Changes.
+
+    def publish(self):
+        self.version += self.rng.randint(1, 4)
+        place = self.rng.randrange(len(self.routes))
+        self.routes[place] = f"r{self.rng.randrange(10**6)}"
+        text = ",".join([str(self.version), *self.routes])
+        self.store.put("config", text.encode())
+
+    def leave_or_join(self):
+        """Let an upstream drain, leave or start anew; return how to see it."""
+        host = self.rng.choice(list(self.nodes))
+        zone = host.split("-")[0]
+        here = [key for key in self.store.items if key.startswith(f"{zone}/{host}/")]
+        if not here:
+            key = f"{zone}/{host}/{self.rng.randrange(10**6)}"
+            self.store.put(key, b"0")
+            # It may have left again by the time of the check.
+            return lambda state: (
+                key in state.directory.held or state.directory.left(key)
+            )
+        if self.store.items[here[0]].value == b"0" and self.rng.random() < 0.5:
+            self.store.put(here[0], b"1")
+        else:
+            self.store.put(here[0], None)
+        return lambda state: state.directory.left(here[0])
+
+    async def changes(self, seconds):
+        end = self.now() + seconds
+        tasks = []
+        while self.now() < end:
+            await asyncio.sleep(self.rng.choice((0.06, 0.3, 1.0, 3.0)))
+            if self.store.mode != "up":
+                continue
+            if self.rng.random() < 0.6:
+                self.publish()
+                wanted = self.version
+                check = self.has_version(wanted)
+            else:
+                check = self.leave_or_join()
+            tasks.append(asyncio.ensure_future(self.acted_on(check)))
+        await asyncio.gather(*tasks)
+
+    def has_version(self, wanted):
+        return lambda state: state.version >= wanted
+
+    async def acted_on(self, check):
+        """Check that every calm node acts on a change in time."""
+        made = self.now()
+        await asyncio.sleep(ACT_SECONDS)
+        for host, node in self.nodes.items():
+            calm = made - CALM_SECONDS
+            if not node.up or node.since > calm or self.harm["store"] > calm:
+                continue
+            if host in self.cut_from_store or self.harm.get(host, 0.0) > calm:
+                continue
+            self.checked += 1
+            if not check(node.sidecar.state):
+                self.problems.append(f"{host}: change of {made:.2f} not acted on")
+
+    # Faults.
+
+    async def faults(self, seconds):
+        end = self.now() + seconds
+        choices = (
+            self.kill, self.kill_readers, self.cut_store, self.cut_store,
+            self.cut_node, self.silence, self.outage, self.forget,
+        )  # fmt: skip
+        tasks = []
+        while self.now() < end:
+            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+            tasks.append(asyncio.ensure_future(self.rng.choice(choices)()))
+        await asyncio.gather(*tasks)
+
+    async def kill(self):
+        count = self.rng.choice((1, 1, 2, 5))
+        await self.kill_these(self.rng.sample(list(self.nodes), count))
+
+    async def kill_readers(self):
+        zone = self.rng.choice(ZONES)
+        readers = {
+            host
+            for node in self.nodes.values()
+            if node.zone == zone
+            for host in node.sidecar.duty.readers
+        }
+        await self.kill_these(sorted(readers))
+
+    async def kill_these(self, hosts):
+        nodes = [self.nodes[host] for host in hosts if self.nodes[host].up]
+        for node in nodes:
+            node.kill()
+        await asyncio.sleep(self.rng.uniform(0.1, 3.0))
+        for node in nodes:
+            node.start()
+
+    async def cut_store(self):
+        """Cut some nodes off from the store, without a word."""
+        hosts = self.rng.sample(list(self.nodes), self.rng.choice((1, 2, 4)))
+        hosts = [host for host in hosts if host not in self.cut_from_store]
+        self.cut_from_store.update(hosts)
+        for host in hosts:
+            self.hurt(host)
+        await asyncio.sleep(self.rng.uniform(0.5, 8.0))
+        self.cut_from_store.difference_update(hosts)
+        for host in hosts:
+            self.hurt(host)
+
+    async def cut_node(self):
+        """Cut a node off from all other nodes; it still reaches the store."""
+        host = self.rng.choice(list(self.nodes))
+        pairs = {(host, other) for other in self.nodes if other != host}
+        pairs -= self.cuts
+        self.cuts |= pairs
+        await asyncio.sleep(self.rng.uniform(0.5, 8.0))
+        self.cuts -= pairs
+
+    async def silence(self):
+        """Let a few links lie dead without a word; for the rules a reset of all."""
+        for there, back in self.rng.sample(self.links, min(3, len(self.links))):
+            for pipe in (there, back):
+                pipe.push = lambda frame: None
+        for host in self.nodes:
+            self.hurt(host)
+
+    async def outage(self):
+        if self.store.mode != "up":
+            return
+        self.store.mode = self.rng.choice(("failing", "silent"))
+        self.hurt("store")
+        await asyncio.sleep(self.rng.uniform(0.3, 6.0))
+        self.store.mode = "up"
+        self.hurt("store")
+
+    async def forget(self):
+        self.store.forgotten = self.store.revision
+        self.store.events.clear()
+
+    # The whole.
+
+    async def play(self, seconds=40.0):
+        self.start()
+        await asyncio.sleep(5.0)
+        await asyncio.gather(self.changes(seconds), self.faults(seconds))
+        await asyncio.sleep(15.0)
+        self.judge()
+        for node in self.nodes.values():
+            node.kill()
+        # Tasks that were cancelled end in a few turns of the loop.
+        await asyncio.sleep(0.1)
+
+    def judge(self):
+        expected = set(self.store.items) - {"config"}
+        for host, node in self.nodes.items():
+            if node.versions != sorted(node.versions):
+                self.problems.append(f"{host}: went back to an older version")
+            state = node.sidecar.state
+            if state.version != self.version:
+                self.problems.append(f"{host}: ended with version {state.version}")
+            elif {route.name for route in state.table.config.routes} != set(
+                self.routes
+            ):
+                self.problems.append(f"{host}: ended with other routes")
+            if set(state.directory.held) != expected:
+                self.problems.append(f"{host}: ended with other endpoints")
+
+
+def play(seed, case, **options):
+    """Play a seed and return the world."""
+    loop = VirtualLoop()
+    case.patch(clock, "now", loop.time)
+    try:
+        asyncio.set_event_loop(loop)
+
+        async def run():
+            world = SpreadWorld(seed)
+            await world.play(**options)
+            return world
+
+        return loop.run_until_complete(run())
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
--- a/sequoiaspoke/tests/test_sidecar_follower.py
+++ b/sequoiaspoke/tests/test_sidecar_follower.py
@@ -72,6 +72,9 @@
         self.revision = read.revision
         self.told.append("changes")
 
+    def age(self, now):
+        return 0.0
+
     def store_answered(self):
         pass
 
--- a/sequoiaspoke/wire/gen/meshlink/ttypes.py
+++ b/sequoiaspoke/wire/gen/meshlink/ttypes.py
@@ -2136,7 +2136,8 @@
                     self.lapsing = []
                     (_etype57, _size54) = iprot.readListBegin()
                     for _i58 in range(_size54):
-                        _elem59 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _elem59 = Gone()
+                        _elem59.read(iprot)
                         self.lapsing.append(_elem59)
                     iprot.readListEnd()
                 else:
@@ -2184,9 +2185,9 @@
             oprot.writeFieldEnd()
         if self.lapsing is not None:
             oprot.writeFieldBegin('lapsing', TType.LIST, 6)
-            oprot.writeListBegin(TType.STRING, len(self.lapsing))
+            oprot.writeListBegin(TType.STRUCT, len(self.lapsing))
             for iter62 in self.lapsing:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config is not None:
@@ -2601,7 +2602,7 @@
     (3, TType.BOOL, 'whole', None, None, ),  # 3
     (4, TType.LIST, 'endpoints', (TType.STRUCT, [Endpoint, None], False), None, ),  # 4
     (5, TType.LIST, 'gone', (TType.STRUCT, [Gone, None], False), None, ),  # 5
-    (6, TType.LIST, 'lapsing', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (6, TType.LIST, 'lapsing', (TType.STRUCT, [Gone, None], False), None, ),  # 6
     (7, TType.STRING, 'config', 'BINARY', None, ),  # 7
 )
 all_structs.append(Frame)
--- a/sequoiaspoke/wire/meshlink.thrift
+++ b/sequoiaspoke/wire/meshlink.thrift
@@ -158,7 +158,7 @@
   4: list<Endpoint> endpoints,
   5: list<Gone> gone,
   // Endpoints whose entries vanished around an outage of the store.
-  6: list<string> lapsing,
+  6: list<Gone> lapsing,
   // A ConfigDelta, compressed.
   7: optional binary config,
 }
