Ask the store for its true revision while a wait has nothing to tell

Cause, from the readers' logs: the store dropped its history (platform_compact); waits heard nothing and were cut without a word, and the stale read that a reader asked with was seconds behind, so it confirmed an old revision. Change: the question is a read that is not stale; a revision that the wait did not bring within 0.2 s has everything read anew. The simulation plays the same fault.

--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -30,14 +30,15 @@
 # routes takes half a second of a link of 2.5 Mbit/s; read again at once in a storm it
 # would leave nothing of the link to the calls.
 GATHER_READS, GATHER_MOST = 2.5, 1.0
-# Seconds between two questions whether the store still answers, while it has nothing
-# to tell. Others believe a reader for 1.4 s beyond its last confirmation.
+# Seconds between two questions up to which revision the store has changed, while it has
+# nothing to tell. A change that a wait misses has to be acted on within 2 s; others
+# believe a reader for 1.4 s beyond its last confirmation.
 CONFIRM_SECONDS = 0.9
 # Questions without an answer after which the store is taken to be lost; one may fall
 # to a lost packet or a busy moment of this node.
 CONFIRM_FAILURES = 2
 # Seconds for which a change that the store has may be on its way here.
-OVERDUE_SECONDS = 0.3
+OVERDUE_SECONDS = 0.2
 # Seconds between two looks whether it has become this node's turn to read.
 DUTY_SECONDS = 0.1
 
@@ -139,9 +140,10 @@
                 if not self.duty.must_read(clock.now()):
                     return None
                 if self.state.revision < expected:
-                    # Open connections may go silent for good while new ones work.
+                    # A wait hears nothing while the store drops its history, and open
+                    # connections may go silent for good while new ones work.
                     self.store.reconnect()
-                    raise StoreError("a change was not told")
+                    raise HistoryLostError("a change was not told")
                 try:
                     expected = await self.confirm()
                     failures = 0
--- a/sequoiaspoke/sidecar/source.py
+++ b/sequoiaspoke/sidecar/source.py
@@ -72,7 +72,7 @@
 
     @abstractmethod
     async def confirm(self) -> int:
-        """Return a revision that the store has reached; raise StoreError."""
+        """Return the store's revision; raise StoreError."""
 
     @abstractmethod
     def reconnect(self) -> None:
--- a/sequoiaspoke/tests/spreadsim.py
+++ b/sequoiaspoke/tests/spreadsim.py
@@ -62,6 +62,8 @@
         self.revision = 1
         self.forgotten = 0
         self.mode = "up"
+        self.deaf = False
+        self.losses = 0
         self.changed = asyncio.Event()
 
     def put(self, key, value):
@@ -107,11 +109,18 @@
         store = self.world.store
         loop = asyncio.get_running_loop()
         end = loop.time() + WAIT_SECONDS
-        while not store.since(after) and loop.time() < end:
+        losses = store.losses
+        while store.deaf or (not store.since(after) and loop.time() < end):
             try:
                 await asyncio.wait_for(store.changed.wait(), end - loop.time())
             except TimeoutError:
                 break
+            if losses != store.losses:
+                # Cut without a word.
+                await asyncio.sleep(WAIT_SECONDS)
+                raise StoreError("no answer in time")
+            if store.deaf:
+                await asyncio.sleep(0.1)
         await self.reach(READ_SECONDS)
         return Changes(store.since(after), store.revision)
 
@@ -299,7 +308,7 @@
         end = self.now() + seconds
         choices = (
             self.kill, self.kill_readers, self.cut_store, self.cut_store,
-            self.cut_node, self.silence, self.outage, self.forget,
+            self.cut_node, self.silence, self.outage, self.forget, self.compact,
         )  # fmt: skip
         tasks = []
         while self.now() < end:
@@ -367,6 +376,16 @@
         self.store.mode = "up"
         self.hurt("store")
 
+    async def compact(self):
+        """Let waits hear nothing for a second, drop the history and cut them."""
+        if self.store.deaf:
+            return
+        self.store.deaf = True
+        await asyncio.sleep(1.0)
+        await self.forget()
+        self.store.losses += 1
+        self.store.deaf = False
+
     async def forget(self):
         self.store.forgotten = self.store.revision
         self.store.events.clear()
