--- a/sequoiaspoke/tests/meshsim.py
+++ b/sequoiaspoke/tests/meshsim.py
@@ -459,14 +459,19 @@
 
 
 def play(seed, case, **options):
-    """Play a seed and return the promises that were broken."""
+    """Play a seed and return the world."""
+    return play_world(lambda: MeshWorld(seed), case, **options)
+
+
+def play_world(make, case, **options):
+    """Make a world on a virtual clock, play it and return it."""
     loop = VirtualLoop()
     case.patch(clock, "now", loop.time)
     try:
         asyncio.set_event_loop(loop)
 
         async def run():
-            world = MeshWorld(seed)
+            world = make()
             await world.play(**options)
             return world
 
--- a/sequoiaspoke/tests/spreadsim.py
+++ b/sequoiaspoke/tests/spreadsim.py
@@ -9,7 +9,6 @@
 
 from sequoiaspoke.core.mesh.model import Endpoint, MeshConfig, Route
 from sequoiaspoke.core.rules.model import WeightedService
-from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.app import TICK_SECONDS, Sidecar
 from sequoiaspoke.sidecar.settings import SidecarSettings
 from sequoiaspoke.sidecar.source import (
@@ -20,7 +19,7 @@
     StoreError,
     StoreItem,
 )
-from sequoiaspoke.tests.meshsim import Pipe, PipeFrames, VirtualLoop
+from sequoiaspoke.tests.meshsim import Pipe, PipeFrames, play_world
 
 ZONES = ("akaki", "bole")
 NODES_A_ZONE = 4
@@ -421,17 +420,4 @@
 
 def play(seed, case, **options):
     """Play a seed and return the world."""
-    loop = VirtualLoop()
-    case.patch(clock, "now", loop.time)
-    try:
-        asyncio.set_event_loop(loop)
-
-        async def run():
-            world = SpreadWorld(seed)
-            await world.play(**options)
-            return world
-
-        return loop.run_until_complete(run())
-    finally:
-        asyncio.set_event_loop(None)
-        loop.close()
+    return play_world(lambda: SpreadWorld(seed), case, **options)
