Dial in both simulations by the same stand-in

Cause: spreadsim had a copy of meshsim's SimDialer that differed in one attribute's name. Change: its nodes name their link server as meshsim's do, and the copy is gone.

--- a/sequoiaspoke/tests/spreadsim.py
+++ b/sequoiaspoke/tests/spreadsim.py
@@ -19,7 +19,7 @@
     StoreError,
     StoreItem,
 )
-from sequoiaspoke.tests.meshsim import Pipe, PipeFrames, play_world
+from sequoiaspoke.tests.meshsim import SimDialer, play_world
 
 ZONES = ("akaki", "bole")
 NODES_A_ZONE = 4
@@ -137,26 +137,6 @@
         pass
 
 
-class SimDialer:
-    """Dials nodes of the same world."""
-
-    def __init__(self, world, host):
-        self.world, self.host = world, host
-
-    async def dial(self, host, port):
-        await asyncio.sleep(self.world.delay())
-        if self.world.is_cut(self.host, host):
-            await asyncio.sleep(3600)
-        node = self.world.nodes[host]
-        if not node.up:
-            raise ConnectionRefusedError(host)
-        ends = (self.host, host)
-        there, back = Pipe(self.world, ends), Pipe(self.world, ends)
-        self.world.links.append((there, back))
-        node.spawn(node.sidecar.links.serve(PipeFrames(there, back)))
-        return PipeFrames(back, there)
-
-
 class SpreadNode:
     """A sidecar that can be killed and started again."""
 
@@ -175,6 +155,7 @@
         self.sidecar = Sidecar(
             settings, NodeStore(world, self.host), Items(), None, None, world.rng
         )
+        self.server = self.sidecar.links
         self.sidecar.log.allowed = lambda kind: False
         self.sidecar.peers.dialer = SimDialer(world, self.host)
         self.up, self.since = True, world.now()
@@ -196,7 +177,7 @@
     def kill(self):
         """End as a killed process does: nothing is said, connections reset."""
         self.up = False
-        for link in list(self.sidecar.links.links):
+        for link in list(self.server.links):
             link.frames.close()
         for client in self.sidecar.peers.links.values():
             client.close()
