--- a/sequoiaspoke/commands/measure.py
+++ b/sequoiaspoke/commands/measure.py
@@ -10,6 +10,7 @@
 import dataclasses
 import json
 import signal
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
@@ -218,7 +219,48 @@
         print(json.dumps(dataclasses.asdict(measure_witnesses(size))))
 
 
+def cost(
+    *, sizes: tuple[int, ...] = (12, 90, 200, 500), calls: int = 4000, plot: str = ""
+) -> None:
+    """Measure a node's processor time by the size of its fleet; the last line is JSON.
+
+    Parameters
+    ----------
+    sizes : tuple[int, ...]
+        Nodes of each fleet, of which one is real.
+    calls : int
+        Calls of each kind at each size.
+    plot : str
+        File for a plot of the figures as SVG, empty for none.
+    """
+    from sequoiaspoke.measure.cost import measure_cost
+    from sequoiaspoke.measure.costreport import cost_plot, cost_table
+
+    found = run_measurement(measure_cost(sizes, calls))
+    print(cost_table(found))
+    if plot:
+        Path(plot).write_text(cost_plot(found), encoding="utf-8")
+    print(json.dumps([dataclasses.asdict(each) for each in found]))
+
+
+def cost_node(peers: int) -> None:
+    """Run the one real node of a cost measurement.
+
+    Parameters
+    ----------
+    peers : int
+        Nodes of its fleet.
+    """
+    import uvloop
+
+    from sequoiaspoke.measure.costnode import CostFleet, run_cost_node
+
+    uvloop.run(run_cost_node(CostFleet(peers)))
+
+
 COMMANDS = {
+    "cost": cost,
+    "cost-node": cost_node,
     "idempotency": idempotency,
     "witnesses": witnesses,
     "load": load,
--- a/sequoiaspoke/core/idempotency/assignment.py
+++ b/sequoiaspoke/core/idempotency/assignment.py
@@ -9,7 +9,8 @@
 from sequoiaspoke.core.rules.model import Comparison, Field, RouteTo
 
 if TYPE_CHECKING:
-    from sequoiaspoke.core.rules.model import Condition, Rule, WeightedService
+    from sequoiaspoke.core.rules.model import Condition, Rule
+    from sequoiaspoke.core.rules.weights import WeightedService
     from sequoiaspoke.core.snapshot.model import Snapshot
 
 HASH_RANGE = float(1 << 64)
--- a/sequoiaspoke/core/mesh/configdelta.py
+++ b/sequoiaspoke/core/mesh/configdelta.py
@@ -50,13 +50,19 @@
     return ConfigDelta(
         base=old.version if old else 0,
         version=new.version,
-        routes=tuple(each for each in new.routes if before.get(each.name) != each),
+        routes=tuple(each for each in new.routes if differs(before, each)),
         removed=tuple(name for name in before if name not in after),
         services=new.services,
         limits=new.limits,
     )
 
 
+def differs(before: dict[str, Route], route: Route) -> bool:
+    """Return whether a route is new or changed; most are one object with the old."""
+    known = before.get(route.name)
+    return known is not route and known != route
+
+
 def share_routes(old: MeshConfig | None, new: MeshConfig) -> MeshConfig:
     """Return the newer version with the older one's objects for unchanged routes.
 
@@ -69,7 +75,8 @@
     routes = []
     for route in new.routes:
         known = before.get(route.name)
-        routes.append(known if known is not None and known == route else route)
+        same = known is route or known == route
+        routes.append(known if same else route)
     return replace(new, routes=tuple(routes))
 
 
@@ -82,10 +89,17 @@
 
     def install(self, config: MeshConfig) -> MeshConfig | None:
         """Take a whole version if it is newer; return what is now in force of it."""
-        if self.newest is not None and config.version <= self.newest.version:
+        if not self.newer(config):
             return None
-        self.newest = share_routes(self.newest, config)
-        self.versions[config.version] = self.newest
+        return self.keep(share_routes(self.newest, config))
+
+    def newer(self, config: MeshConfig) -> bool:
+        """Return whether a version comes after all that were taken."""
+        return self.newest is None or config.version > self.newest.version
+
+    def keep(self, config: MeshConfig) -> MeshConfig:
+        """Take a newer version that shares what it can with those before."""
+        self.newest = self.versions[config.version] = config
         while len(self.versions) > KEPT_VERSIONS:
             del self.versions[min(self.versions)]
         return self.newest
@@ -100,7 +114,7 @@
         return difference(self.versions.get(version), self.newest)
 
     def apply(self, delta: ConfigDelta) -> MeshConfig:
-        """Return the version to which a delta leads; KeyError without its base."""
+        """Take the newer version to which a delta leads; KeyError without its base."""
         routes: dict[str, Route] = {}
         if delta.base:
             base = self.versions[delta.base]
@@ -108,6 +122,8 @@
         for name in delta.removed:
             routes.pop(name, None)
         routes.update((route.name, route) for route in delta.routes)
-        return MeshConfig(
+        config = MeshConfig(
             delta.version, tuple(routes.values()), delta.services, delta.limits
         )
+        # A delta's routes are those that differ; the others are the base's own.
+        return self.keep(config)
--- a/sequoiaspoke/core/mesh/directory.py
+++ b/sequoiaspoke/core/mesh/directory.py
@@ -20,7 +20,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.model import Departure, Published
@@ -75,6 +75,29 @@
     when: float
 
 
+@dataclass(frozen=True)
+class Group:
+    """The endpoints of a service that take new calls."""
+
+    endpoints: tuple[Endpoint, ...] = ()
+    by_zone: dict[str, tuple[Endpoint, ...]] = field(default_factory=dict)
+
+    @classmethod
+    def of(cls, endpoints: Iterable[Endpoint]) -> Group:
+        """Return endpoints as a group."""
+        found = tuple(endpoints)
+        zones = {endpoint.zone for endpoint in found}
+        by_zone = {zone: tuple(e for e in found if e.zone == zone) for zone in zones}
+        return cls(found, by_zone)
+
+    def in_zone(self, zone: str) -> tuple[Endpoint, ...]:
+        """Return those of a zone."""
+        return self.by_zone.get(zone, ())
+
+
+NOBODY = Group()
+
+
 class Directory:
     """The endpoints in force at this node.
 
@@ -102,7 +125,9 @@
         self.lapsing: dict[str, float] = {}
         self.vanished: dict[str, int] = {}
         self.gone: dict[str, Left] = {}
-        self.by_service: dict[str, tuple[Endpoint, ...]] = {}
+        self.groups: dict[str, Group] = {}
+        self.by_host: dict[str, tuple[Endpoint, ...]] = {}
+        self.grouped_at = 0
         self.serial = 0
         self.marks: dict[str, int] = {}
         self.complete_to = 0
@@ -241,7 +266,6 @@
         """Note a change."""
         self.serial += 1
         self.marks[instance] = self.serial
-        self.rebuild()
 
     def changed_since(self, serial: int) -> tuple[list[Held], list[Departure]]:
         """Return the entries taken, and the instances gone, since a count."""
@@ -296,23 +320,50 @@
         due = [name for name, until in self.lapsing.items() if until <= now]
         for instance in due:
             self.forget(instance, self.vanished[instance], now)
-        for instance, left in list(self.gone.items()):
-            if left.when + GONE_MEMORY < now:
-                del self.gone[instance]
-                del self.marks[instance]
+        # The first is the one that left first, but for a few that left again.
+        while self.gone:
+            instance, left = next(iter(self.gone.items()))
+            if left.when + GONE_MEMORY >= now:
+                break
+            del self.gone[instance]
+            del self.marks[instance]
         return due
 
-    def rebuild(self) -> None:
-        """Group the endpoints that take new calls by service."""
-        groups: dict[str, list[Endpoint]] = {}
+    def regroup(self) -> None:
+        """Group the endpoints anew if any has changed.
+
+        Only when they are asked for: a list of n entries would else be grouped n times.
+        """
+        if self.grouped_at == self.serial:
+            return
+        self.grouped_at = self.serial
+        services: dict[str, list[Endpoint]] = {}
+        hosts: dict[str, list[Endpoint]] = {}
         for held in self.held.values():
+            hosts.setdefault(held.endpoint.host, []).append(held.endpoint)
             if held.chosen:
-                groups.setdefault(held.endpoint.service, []).append(held.endpoint)
-        self.by_service = {name: tuple(group) for name, group in groups.items()}
+                services.setdefault(held.endpoint.service, []).append(held.endpoint)
+        self.groups = {name: Group.of(group) for name, group in services.items()}
+        self.by_host = {host: tuple(group) for host, group in hosts.items()}
+
+    def group(self, service: str) -> Group:
+        """Return the endpoints of a service that take new calls."""
+        self.regroup()
+        return self.groups.get(service, NOBODY)
 
     def serving(self, service: str) -> tuple[Endpoint, ...]:
         """Return the endpoints of a service that take new calls."""
-        return self.by_service.get(service, ())
+        return self.group(service).endpoints
+
+    def at_host(self, host: str) -> tuple[Endpoint, ...]:
+        """Return the endpoints on a VM, those that leave included."""
+        self.regroup()
+        return self.by_host.get(host, ())
+
+    def hosts(self) -> int:
+        """Return on how many VMs there are endpoints."""
+        self.regroup()
+        return len(self.by_host)
 
     def cold(self, instance: str, now: float) -> bool:
         """Return whether an endpoint is still slow after its start."""
@@ -334,9 +385,9 @@
     def at(self, host: str, port: int) -> Endpoint | None:
         """Return the endpoint at an address, the latest if entries of two stand."""
         found = [
-            held
-            for held in self.held.values()
-            if (held.endpoint.host, held.endpoint.port) == (host, port)
+            self.held[endpoint.instance]
+            for endpoint in self.at_host(host)
+            if endpoint.port == port
         ]
         latest = max(
             found, key=lambda held: (held.endpoint.born, held.revision), default=None
--- a/sequoiaspoke/core/mesh/knowledge.py
+++ b/sequoiaspoke/core/mesh/knowledge.py
@@ -33,9 +33,9 @@
 
     revision: int
     as_of: float
-    whole: bool
-    endpoints: tuple[Published, ...]
-    gone: tuple[Departure, ...]
-    lapsing: tuple[Departure, ...]
-    config: ConfigDelta | None
+    whole: bool = False
+    endpoints: tuple[Published, ...] = ()
+    gone: tuple[Departure, ...] = ()
+    lapsing: tuple[Departure, ...] = ()
+    config: ConfigDelta | None = None
     config_revision: int = 0
--- a/sequoiaspoke/core/mesh/ledger.py
+++ b/sequoiaspoke/core/mesh/ledger.py
@@ -77,7 +77,8 @@
 
     def expire(self, now: float) -> None:
         """Forget the calls that finished long ago."""
-        for key, finished in list(self.done.items()):
+        while self.done:
+            key, finished = next(iter(self.done.items()))
             if finished + KEPT_SECONDS > now:
                 return
             self.bytes -= self.calls.pop(key).size
--- a/sequoiaspoke/core/mesh/model.py
+++ b/sequoiaspoke/core/mesh/model.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from sequoiaspoke.core.rules.model import WeightedService
+    from sequoiaspoke.core.rules.weights import WeightedService
 
 
 @dataclass(frozen=True)
--- a/sequoiaspoke/core/mesh/placing.py
+++ b/sequoiaspoke/core/mesh/placing.py
@@ -165,12 +165,9 @@
         seen.failing = share + FAILURE_WEIGHT * (1 - share)
         seen.failed = now
 
-    def service_time(
-        self, route: str, start: Incarnation, cold: bool, now: float
-    ) -> float:
+    def service_time(self, route: str, seen: Seen, cold: bool, now: float) -> float:
         """Return the seconds that a call of a route takes at an endpoint."""
         usual = self.mean.get(route, FIRST_GUESS)
-        seen = self.of(start)
         told = seen.by_route.get(route)
         if told is None:
             usual = usual * COLD_FACTOR if cold else usual
@@ -182,12 +179,14 @@
     def patience(self, route: str, endpoint: Endpoint, now: float) -> float:
         """Return the seconds after which a call is tried at a second endpoint."""
         usual = self.mean.get(route, FIRST_GUESS)
-        wait = self.wait(route, endpoint, usual, now)
+        seen = self.of(endpoint.incarnation)
+        wait = self.wait(route, endpoint, seen, usual, now)
         return wait + max(LEAST_PATIENCE, PATIENCE * usual)
 
-    def wait(self, route: str, endpoint: Endpoint, service: float, now: float) -> float:
+    def wait(
+        self, route: str, endpoint: Endpoint, seen: Seen, service: float, now: float
+    ) -> float:
         """Return the seconds until a call would get a slot of an endpoint."""
-        seen = self.of(endpoint.incarnation)
         slots = max(1, endpoint.slots)
         wait = max(0, seen.mine + 1 - slots) * service / slots
         told = seen.by_route.get(route)
@@ -195,11 +194,12 @@
             return wait
         return max(wait, told.news.wait * told.trust(QUEUE_HALF_LIFE, now))
 
-    def expected(self, route: str, endpoint: Endpoint, cold: bool, now: float) -> float:
+    def expected(
+        self, route: str, endpoint: Endpoint, seen: Seen, cold: bool, now: float
+    ) -> float:
         """Return the seconds in which an endpoint would answer a call."""
-        seen = self.of(endpoint.incarnation)
-        service = self.service_time(route, endpoint.incarnation, cold, now)
-        wait = self.wait(route, endpoint, service, now)
+        service = self.service_time(route, seen, cold, now)
+        wait = self.wait(route, endpoint, seen, service, now)
         success = max(LEAST_SUCCESS, 1 - seen.failure_share(now))
         away = 0.0 if endpoint.zone == self.zone else ZONE_SECONDS
         return (wait + service) / success + away
@@ -222,10 +222,11 @@
         best, best_time = None, float("inf")
         near, near_time = None, float("inf")
         for endpoint in endpoints:
-            is_cold = cold(endpoint.instance)
-            if self.unknown(endpoint):
+            seen = self.of(endpoint.incarnation)
+            if self.unknown(endpoint, seen):
                 return endpoint
-            time = self.expected(route.name, endpoint, is_cold, now)
+            is_cold = cold(endpoint.instance)
+            time = self.expected(route.name, endpoint, seen, is_cold, now)
             if time < best_time:
                 best, best_time = endpoint, time
             if endpoint.zone == self.zone and time < near_time:
@@ -239,13 +240,12 @@
         """Return by how much less likely to be late another zone must be."""
         return ZONE_MARGIN * (HEAD_BYTES + self.size.get(route, 0.0)) / 1000
 
-    def unknown(self, endpoint: Endpoint) -> bool:
+    def unknown(self, endpoint: Endpoint, seen: Seen) -> bool:
         """Return whether a first call should tell how an endpoint does.
 
         An upstream that has just joined is expected to take the usual time, so a node
         whose present choice is faster than usual would never send it a call.
         """
-        seen = self.of(endpoint.incarnation)
         near = endpoint.zone == self.zone
         return near and not seen.by_route and not seen.mine and not seen.failing
 
--- a/sequoiaspoke/core/mesh/reading.py
+++ b/sequoiaspoke/core/mesh/reading.py
@@ -17,19 +17,33 @@
 from sequoiaspoke.core.idempotency.rendezvous import rank
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 # Nodes of a zone that read: one may die or be cut off without a gap.
 READERS = 2
-# Seconds for which a reader's confirmation is believed. A drain or a version has to be
-# acted on within 2 s; a read takes up to 0.2 s, a busy node some tenths. A reader
-# confirms every 0.9 s, so that one lost confirmation already counts.
+# Seconds within which a drain or a version has to be acted on where the platform says
+# nothing else. The times below are for this bound and grow with it: a fleet that
+# may take 3 s asks its store a third less often.
+USUAL_BOUND = 2.0
+# Seconds for which a reader's confirmation is believed; a read takes up to 0.2 s, a
+# busy node some tenths.
 BELIEVED_SECONDS = 1.4
+# Seconds between two confirmations by a reader, so that one lost already counts.
+CONFIRM_SECONDS = 0.9
+
+
+def ignore_change() -> None:
+    """Do nothing; until somebody waits for a change of the duty."""
 
 
 class ReadingDuty:
     """Whether this node reads the store.
 
+    Parameters
+    ----------
+    pace : float
+        By how much more time there is to act on a change than usual.
+
     Attributes
     ----------
     readers : tuple of str
@@ -38,14 +52,19 @@
         Readers to which this node has no link any more.
     confirmed : float
         As of when a reader last confirmed what this node knows.
+    on_change : callable
+        Told when this node may have to read sooner than its readers' silence says.
     """
 
-    def __init__(self, host: str, zone: str) -> None:
+    def __init__(self, host: str, zone: str, pace: float = 1.0) -> None:
         self.host = host
         self.zone = zone
+        self.believed_seconds = BELIEVED_SECONDS * pace
+        self.confirm_seconds = CONFIRM_SECONDS * pace
         self.readers: tuple[str, ...] = ()
         self.lost: set[str] = set()
         self.confirmed = float("-inf")
+        self.on_change: Callable[[], None] = ignore_change
 
     def take_hosts(self, hosts: Iterable[str], leaving: Iterable[str] = ()) -> None:
         """Take the nodes of the zone.
@@ -60,6 +79,7 @@
         order += rank(self.zone, sorted(set(leaving) - staying))
         self.readers = tuple(order[:READERS])
         self.lost.intersection_update(self.readers)
+        self.on_change()
 
     def heard(self, as_of: float) -> None:
         """Note that what is known here was current at some time."""
@@ -73,6 +93,7 @@
         """Note that the link to a node ended or could not be opened."""
         if host in self.readers:
             self.lost.add(host)
+            self.on_change()
 
     @property
     def on_duty(self) -> bool:
@@ -82,4 +103,9 @@
     def must_read(self, now: float) -> bool:
         """Return whether this node has to read the store now."""
         all_lost = bool(self.readers) and self.lost.issuperset(self.readers)
-        return self.on_duty or all_lost or now - self.confirmed > BELIEVED_SECONDS
+        return self.on_duty or all_lost or now > self.believed_until
+
+    @property
+    def believed_until(self) -> float:
+        """Return until when the readers' last confirmation is believed."""
+        return self.confirmed + self.believed_seconds
--- a/sequoiaspoke/core/routing/split.py
+++ b/sequoiaspoke/core/routing/split.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from sequoiaspoke.core.rules.model import WeightedService
+    from sequoiaspoke.core.rules.weights import WeightedService
 
 HASH_SPACE = 1 << 64
 
--- a/sequoiaspoke/core/rules/grammar.py
+++ b/sequoiaspoke/core/rules/grammar.py
@@ -17,8 +17,8 @@
     Redirect,
     Refuse,
     RouteTo,
-    WeightedService,
 )
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.errors import DeclarationsError, Problem
 
 NUMBER = re.compile(r"[0-9]{1,9}")
--- a/sequoiaspoke/core/rules/model.py
+++ b/sequoiaspoke/core/rules/model.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+# The codec of snapshots looks up the types of fields while it runs.
+from sequoiaspoke.core.rules.weights import WeightedService  # noqa: TC001
+
 
 class Comparison(Enum):
     """How a condition compares its value."""
@@ -44,14 +47,6 @@
     name: str = ""  # the header's or query parameter's name
 
 
-@dataclass(frozen=True)
-class WeightedService:
-    """A service and its share of a split."""
-
-    service: str
-    weight: int = 1
-
-
 @dataclass(frozen=True)
 class RouteTo:
     """Send the call to one of the services of a split."""
--- a/sequoiaspoke/core/rules/validate.py
+++ b/sequoiaspoke/core/rules/validate.py
@@ -33,8 +33,8 @@
         Condition,
         Rule,
         Service,
-        WeightedService,
     )
+    from sequoiaspoke.core.rules.weights import WeightedService
 
 MAX_TIMEOUT = 3600.0  # seconds; a longer call would outlive any planned stop
 MAX_ATTEMPTS = 10
--- a/sequoiaspoke/core/snapshot/codec.py
+++ b/sequoiaspoke/core/snapshot/codec.py
@@ -14,6 +14,7 @@
 
 from sequoiaspoke.core.rules import model as rules_model
 from sequoiaspoke.core.rules.names import is_ip_number
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.core.snapshot import model as snapshot_model
 from sequoiaspoke.core.snapshot.model import Head, VmList
 from sequoiaspoke.errors import DocumentError
@@ -33,7 +34,7 @@
 VM_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 STRICT_CLASSES = (
     rules_model.Condition,
-    rules_model.WeightedService,
+    WeightedService,
     rules_model.RouteTo,
     rules_model.Redirect,
     rules_model.Refuse,
--- a/sequoiaspoke/measure/keyedreport.py
+++ b/sequoiaspoke/measure/keyedreport.py
@@ -14,8 +14,8 @@
     RouteTo,
     Rule,
     Service,
-    WeightedService,
 )
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.measure.percentiles import Percentiles
 from sequoiaspoke.measure.plan import FleetPlan
 
--- a/sequoiaspoke/measure/plan.py
+++ b/sequoiaspoke/measure/plan.py
@@ -13,8 +13,8 @@
     RouteTo,
     Rule,
     Service,
-    WeightedService,
 )
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.core.snapshot.model import Vm, VmList
 from sequoiaspoke.core.snapshot.publish import Publication, make_publication
 from sequoiaspoke.core.spread.settings import SpreadSettings
--- a/sequoiaspoke/measure/rules.py
+++ b/sequoiaspoke/measure/rules.py
@@ -16,10 +16,10 @@
     RouteTo,
     Rule,
     Service,
-    WeightedService,
 )
 from sequoiaspoke.core.rules.reach import unreachable
 from sequoiaspoke.core.rules.validate import validate
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.core.snapshot.publish import make_publication
 
 if TYPE_CHECKING:
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -7,10 +7,8 @@
 import signal
 from typing import TYPE_CHECKING
 
-from tornado.iostream import StreamClosedError
-
-from sequoiaspoke.core.mesh.reading import ReadingDuty
-from sequoiaspoke.errors import AddressInUseError, SettingsError
+from sequoiaspoke.core.mesh.reading import USUAL_BOUND, ReadingDuty
+from sequoiaspoke.errors import SettingsError
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.callerserver import CallerServer
 from sequoiaspoke.sidecar.entry import Entry
@@ -35,10 +33,13 @@
     from sequoiaspoke.sidecar.settings import SidecarSettings
     from sequoiaspoke.sidecar.source import ItemDecoder, ItemStore
 
-# Seconds between two looks at what is overdue. Half a second is allowed for a final
-# answer after its time; each look costs some ten microseconds while
-# nothing waits.
-TICK_SECONDS = 0.1
+# Seconds between two looks at what is overdue, and while no call is under way. Half a
+# second is allowed for a final answer after its time. A node of a large fleet is idle
+# for most of the time, and a look that finds nothing costs a tenth of a call.
+TICK_SECONDS, REST_SECONDS = 0.1, 0.3
+# Seconds between two looks at the callers' connections: they idle and take their time
+# over a head for seconds, and there may be hundreds.
+CALLERS_SECONDS = 0.5
 # A look that comes this much too late means that the VM stood still.
 PAUSE_SECONDS = 1.0
 # Seconds for which a stopping node serves on although nobody waits: callers are moved
@@ -70,7 +71,9 @@
         self.home = Home(self.upstream, self.state.directory, self.log)
         self.home.expect_earlier_calls()
         identity = LinkIdentity(settings.links[0], settings.zone, self.incarnation)
-        self.duty = ReadingDuty(settings.links[0], settings.zone)
+        self.duty = ReadingDuty(
+            settings.links[0], settings.zone, settings.act_within / USUAL_BOUND
+        )
         self.spread = Spread(self.state, self.duty, self.log)
         self.peers = Peers(
             identity,
@@ -104,6 +107,8 @@
         self.stopped = asyncio.Event()
         self.ticked = clock.now()
         self.loop_delay = 0.0
+        self.tick_pause = 0.0
+        self.callers_looked_at = 0.0
         self.acted_on = (0, 0)
 
     def crashed(self, error: BaseException) -> None:
@@ -161,10 +166,7 @@
             (self.health, self.settings.health),
         )
         for server, (host, port) in servers:
-            try:
-                server.listen(port, host)
-            except OSError as error:
-                raise AddressInUseError(f"{host}:{port}: {error}") from error
+            server.listen(host, port)
 
     async def run(self) -> None:
         """Serve until the process is told to stop."""
@@ -181,17 +183,12 @@
             incarnation=self.incarnation,
         )
         # What was imported stays for ever; the collector need not look at it.
-        gc.collect()
         gc.freeze()
+        gc.enable()
         follower = asyncio.ensure_future(self.follower.run())
         follower.add_done_callback(self.follower_ended)
-        while not self.stopped.is_set():
-            await asyncio.sleep(TICK_SECONDS)
-            try:
-                self.tick()
-            except Exception as error:
-                # One part's fault must not end the calls of all others.
-                self.crashed(error)
+        self.tick_and_go_on()
+        await self.stopped.wait()
         follower.cancel()
         self.log.event("end", node=self.settings.node)
 
@@ -200,20 +197,40 @@
         if not task.cancelled() and task.exception() is not None:
             self.log.event("crash", error=repr(task.exception()))
 
+    def tick_and_go_on(self) -> None:
+        """Look at everything that time changes, again and again."""
+        try:
+            self.tick()
+        except Exception as error:
+            # One part's fault must not end the calls of all others.
+            self.crashed(error)
+        if not self.stopped.is_set():
+            pause = self.tick_pause = REST_SECONDS if self.at_rest else TICK_SECONDS
+            asyncio.get_running_loop().call_later(pause, self.tick_and_go_on)
+
+    @property
+    def at_rest(self) -> bool:
+        """Return whether no call is under way at this node and none of its links."""
+        busy = self.home.calls or self.peers.watched or self.stopping is not None
+        return not busy
+
     def tick(self) -> None:
         """Look at everything that time changes."""
         now = clock.now()
         if now - self.ticked > PAUSE_SECONDS:
             self.log.event("pause", seconds=f"{now - self.ticked:.2f}")
             self.entry.woke(now)
+            self.upstream.deadlines.woke(now)
             # Whatever was read before may be long out of date.
             self.follower.store.reconnect()
-        self.loop_delay = max(0.0, now - self.ticked - TICK_SECONDS)
+        self.loop_delay = max(0.0, now - self.ticked - self.tick_pause)
         self.ticked = now
         self.home.tick(now)
         self.state.tick(now)
         self.peers.tick(now)
-        self.callers.tick(now)
+        if now - self.callers_looked_at > CALLERS_SECONDS:
+            self.callers_looked_at = now
+            self.callers.tick(now)
         if self.stopping is not None:
             self.end_if_idle(now)
 
@@ -255,11 +272,3 @@
         busy = self.callers.busy() or bool(self.home.calls)
         if since > self.settings.drain or (since > LINGER_SECONDS and not busy):
             self.stopped.set()
-
-
-async def run_sidecar(sidecar: Sidecar) -> None:
-    """Run a sidecar to its end."""
-    try:
-        await sidecar.run()
-    except StreamClosedError as error:
-        sidecar.crashed(error)
--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.admission import queue_rank
@@ -12,10 +13,11 @@
 from sequoiaspoke.core.mesh.placing import Placing
 from sequoiaspoke.core.mesh.repeats import RepeatBudgets
 from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.home import HomeCall
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable
 
     from sequoiaspoke.core.mesh.model import Endpoint, Incarnation, Route
     from sequoiaspoke.core.mesh.outcome import Outcome, Request
@@ -26,8 +28,6 @@
     from sequoiaspoke.sidecar.peers import Peers
     from sequoiaspoke.sidecar.state import MeshState
 
-    Task = asyncio.Task[Outcome]
-
 # Statuses of an upstream after which a call that may run twice is tried elsewhere.
 TRY_ELSEWHERE = frozenset({500, 502, 503})
 
@@ -59,20 +59,82 @@
     fruitless: int = 0
     retry_after: float = float("inf")
     last: Outcome | None = None
+    race: Race | None = None
+    over: bool = False
+
+    def time_over(self) -> None:
+        """End the wait for an outcome, as the call's time is over."""
+        self.over = True
+        if self.race is not None:
+            self.race.give_up()
+
+
+class Attempt:
+    """One attempt, which is told its outcome once unless it is called off before.
+
+    Attributes
+    ----------
+    call_off : callable
+        Tells the home that nobody waits any more.
+    """
+
+    def __init__(
+        self, owner: Attempts, progress: Progress, endpoint: Endpoint, race: Race
+    ) -> None:
+        self.owner = owner
+        self.progress = progress
+        self.endpoint = endpoint
+        self.race = race
+        self.over = False
+        self.call_off: Callable[[], None] | None = None
+
+    def take(self, outcome: Outcome, news: News) -> None:
+        """Take what came of the attempt, and the home's word with it."""
+        if self.over:
+            return
+        self.over = True
+        self.owner.ended(self, outcome, news)
+        self.race.take(self, outcome)
+
+    def cancel(self) -> None:
+        """Call the attempt off."""
+        if self.over:
+            return
+        self.over = True
+        self.owner.placing.end(self.endpoint.incarnation)
+        if self.call_off is not None:
+            self.call_off()
+
 
+class Race:
+    """The attempts under way for one call.
+
+    The first answer that needs no repeat counts, or else the last outcome.
+    """
+
+    def __init__(self) -> None:
+        self.attempts: list[Attempt] = []
+        self.decided: asyncio.Future[tuple[Endpoint, Outcome]] = (
+            asyncio.get_running_loop().create_future()
+        )
 
-async def first_answer(
-    attempts: Mapping[Task, Endpoint],
-) -> tuple[Endpoint, Outcome]:
-    """Return the first answer that needs no repeat, or the last outcome."""
-    waiting = set(attempts)
-    while True:
-        done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        for task in done:
-            outcome = task.result()
-            good = isinstance(outcome, Answer) and outcome.status not in TRY_ELSEWHERE
-            if good or not waiting:
-                return attempts[task], outcome
+    def take(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Take what came of an attempt."""
+        if self.decided.done():
+            return
+        good = isinstance(outcome, Answer) and outcome.status not in TRY_ELSEWHERE
+        if good or all(each.over for each in self.attempts):
+            self.decided.set_result((attempt.endpoint, outcome))
+
+    def give_up(self) -> None:
+        """End the race undecided."""
+        if not self.decided.done():
+            self.decided.set_exception(TimeoutError())
+
+    def cancel(self) -> None:
+        """Call off whatever is still under way."""
+        for attempt in self.attempts:
+            attempt.cancel()
 
 
 class Attempts:
@@ -96,6 +158,7 @@
         self.home = home
         self.peers = peers
         self.log = log
+        self.deadlines = Deadlines()
         self.placing = Placing(peers.identity.zone)
         self.budgets = RepeatBudgets(repeats)
         self.reasons: Counter[str] = Counter()
@@ -110,17 +173,28 @@
     def choose(self, progress: Progress) -> Endpoint | None:
         """Return the endpoint of the next attempt."""
         now = clock.now()
-        serving = self.state.directory.serving(progress.service)
-        left = [each for each in serving if each.incarnation not in progress.tried]
-        usable = [each for each in left if self.usable(each)]
+        directory = self.state.directory
         return self.placing.choose(
             progress.route,
-            usable,
-            lambda instance: self.state.directory.cold(instance, now),
+            self.candidates(progress),
+            lambda instance: directory.cold(instance, now),
             now,
             progress.on_time - now,
         )
 
+    def candidates(self, progress: Progress) -> list[Endpoint]:
+        """Return the endpoints among which an attempt's is chosen."""
+        group = self.state.directory.group(progress.service)
+        return [each for each in group.endpoints if self.open_to(progress, each)]
+
+    def open_to(self, progress: Progress, endpoint: Endpoint) -> bool:
+        """Return whether a call may be tried at an endpoint."""
+        return endpoint.incarnation not in progress.tried and self.usable(endpoint)
+
+    def others_left(self, progress: Progress) -> bool:
+        """Return whether there is an endpoint that a call was not tried at."""
+        return bool(self.candidates(progress))
+
     def usable(self, endpoint: Endpoint) -> bool:
         """Return whether calls to an endpoint are worth a try."""
         if endpoint.host == self.peers.identity.host:
@@ -135,33 +209,39 @@
         An upstream that has just turned slow, or whose answer was lost, is known by
         nothing else; the call would wait for it until its time is over.
         """
-        if not progress.route.idempotent:
-            return endpoint, await self.attempt(progress, endpoint)
-        attempts = {asyncio.ensure_future(self.attempt(progress, endpoint)): endpoint}
+        if progress.over:
+            # Its time ran out between two attempts.
+            raise TimeoutError
+        race = progress.race = Race()
+        self.start(progress, endpoint, race)
+        hedge = None
+        if progress.route.idempotent and not race.decided.done():
+            now = clock.now()
+            delay = self.placing.patience(progress.route.name, endpoint, now)
+            hedge = self.deadlines.at(now + delay, partial(self.hedge, progress, race))
         try:
-            delay = self.placing.patience(progress.route.name, endpoint, clock.now())
-            await asyncio.wait(attempts, timeout=delay)
-            second = self.second_endpoint(progress, endpoint, attempts)
-            if second is not None:
-                task = asyncio.ensure_future(self.attempt(progress, second))
-                attempts[task] = second
-            return await first_answer(attempts)
+            return await race.decided
         finally:
-            for task in attempts:
-                task.cancel()
-
-    def second_endpoint(
-        self, progress: Progress, first: Endpoint, attempts: Iterable[Task]
-    ) -> Endpoint | None:
-        """Return where to try beside the first attempt, if that may be done."""
-        if any(task.done() for task in attempts):
-            return None
-        if progress.reached + 2 > progress.route.attempts:
-            return None
-        progress.tried.add(first.incarnation)
+            if hedge is not None:
+                hedge.cancel()
+            race.cancel()
+
+    def start(self, progress: Progress, endpoint: Endpoint, race: Race) -> None:
+        """Begin an attempt."""
+        attempt = Attempt(self, progress, endpoint, race)
+        race.attempts.append(attempt)
+        self.placing.begin(endpoint.incarnation)
+        self.begin(attempt)
+
+    def hedge(self, progress: Progress, race: Race) -> None:
+        """Try a call at a second endpoint beside the first, if that may be done."""
+        (first,) = race.attempts
+        if first.over or progress.reached + 2 > progress.route.attempts:
+            return
+        progress.tried.add(first.endpoint.incarnation)
         second = self.choose(progress)
         if second is None or not self.repeat(progress.service):
-            return None
+            return
         progress.reached += 1
         progress.may_have_run = True
         self.reasons["hedged"] += 1
@@ -169,14 +249,15 @@
             "hedge",
             progress.request,
             service=progress.service,
-            instance=first.instance,
+            instance=first.endpoint.instance,
             second=second.instance,
             left=f"{progress.deadline - clock.now():.3f}",
         )
-        return second
+        self.start(progress, second, race)
 
-    async def attempt(self, progress: Progress, endpoint: Endpoint) -> Outcome:
+    def begin(self, attempt: Attempt) -> None:
         """Have the home of an endpoint run the call."""
+        progress, endpoint = attempt.progress, attempt.endpoint
         call = HomeCall(
             progress.request,
             endpoint.incarnation,
@@ -186,45 +267,36 @@
             progress.on_time,
             progress.deadline,
         )
-        self.placing.begin(endpoint.incarnation)
-        try:
-            if endpoint.host == self.peers.identity.host:
-                outcome = await self.call_here(call)
-                news = self.home.news(call.route, call.rank)
-            else:
-                link = self.peers.link(endpoint.host)
-                outcome = await link.call(call)
-                news = link.news
-        finally:
-            self.placing.end(endpoint.incarnation)
-        now = clock.now()
-        self.placing.load(endpoint.incarnation, progress.route.name, news, now)
-        self.measure(progress, endpoint.incarnation, outcome, now)
-        return outcome
+        if endpoint.host == self.peers.identity.host:
+            self.begin_here(attempt, call)
+            return
+        link = self.peers.link(endpoint.host)
+        pending = link.submit(call, lambda outcome: attempt.take(outcome, link.news))
+        attempt.call_off = partial(link.withdraw, pending)
 
-    async def call_here(self, call: HomeCall) -> Outcome:
+    def begin_here(self, attempt: Attempt, call: HomeCall) -> None:
         """Have the home of this node run a call."""
         self.local_calls += 1
         key = ("here", self.local_calls)
-        future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        attempt.call_off = partial(self.home.cancel, key)
 
         def tell(outcome: Outcome) -> None:
-            if not future.done():
-                future.set_result(outcome)
+            attempt.take(outcome, self.home.news(call.route, call.rank))
 
         self.home.submit(key, call, tell)
-        try:
-            return await future
-        except asyncio.CancelledError:
-            self.home.cancel(key)
-            raise
+
+    def ended(self, attempt: Attempt, outcome: Outcome, news: News) -> None:
+        """Learn from what came of an attempt."""
+        start, now = attempt.endpoint.incarnation, clock.now()
+        self.placing.end(start)
+        self.placing.load(start, attempt.progress.route.name, news, now)
+        self.measure(attempt.progress, start, outcome, now)
 
     def heard(self, host: str, news: News) -> None:
         """Take a home's word that came without a call."""
         now = clock.now()
-        for held in self.state.directory.held.values():
-            if held.endpoint.host == host:
-                self.placing.load(held.endpoint.incarnation, "", news, now)
+        for endpoint in self.state.directory.at_host(host):
+            self.placing.load(endpoint.incarnation, "", news, now)
 
     def measure(
         self, progress: Progress, start: Incarnation, outcome: Outcome, now: float
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -10,25 +10,20 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections import deque
 from typing import TYPE_CHECKING
 
 import httptools
-from tornado.iostream import StreamClosedError
-from tornado.tcpserver import TCPServer
 
 from sequoiaspoke.core.mesh.model import CallerLimits
 from sequoiaspoke.core.mesh.outcome import Request
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.httptext import CONTINUE, answer_text, own_answer
-from sequoiaspoke.sidecar.sockets import READ_BYTES, unsent_bytes, watch_for_silence
+from sequoiaspoke.sidecar.sockets import Connection, ConnectionServer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from tornado.iostream import IOStream
-
     from sequoiaspoke.core.mesh.outcome import Answer
 
 HEAD_END = b"\r\n\r\n"
@@ -50,25 +45,31 @@
     def __init__(self, request: Request | None, keep: bool) -> None:
         self.request = request
         self.keep = keep
-        self.task: asyncio.Task[Answer] | None = None
+        self.task: asyncio.Task[None] | None = None
         self.answer: Answer | None = None
 
 
-class CallerConnection:
+class CallerConnection(Connection):
     """A caller's connection."""
 
-    def __init__(self, stream: IOStream, server: CallerServer, nested: bool) -> None:
-        self.stream = stream
+    def __init__(self, server: CallerServer) -> None:
+        super().__init__()
         self.server = server
-        self.nested = nested
+        self.nested = False
         self.limits = server.limits()
         self.pending: deque[Exchange] = deque()
-        self.room = asyncio.Event()
+        self.paused = False
         self.parser = httptools.HttpRequestParser(self)
         self.active = clock.now()
         self.ending = False
         self.reset_request()
 
+    def opened(self) -> None:
+        """Begin to serve."""
+        host, *_ = self.transport.get_extra_info("peername") or ("",)
+        self.nested = host == self.server.upstream_host
+        self.server.connections.add(self)
+
     def reset_request(self) -> None:
         """Begin to collect a request."""
         self.target = b""
@@ -82,24 +83,27 @@
         self.head_done = False
         self.too_large = 0
 
-    async def run(self) -> None:
-        """Read until the caller leaves.
+    def received(self, data: bytes) -> None:
+        """Take bytes of the caller.
 
         Also after the last request: a caller that leaves is noticed by nothing else,
         and its call would run on for nobody. What comes then is not looked at.
         """
-        try:
-            while True:
-                if len(self.pending) >= READ_AHEAD:
-                    self.room.clear()
-                    await self.room.wait()
-                    continue
-                data = await self.stream.read_bytes(READ_BYTES, partial=True)
-                self.active = clock.now()
-                if not self.ending:
-                    self.feed(data)
-        except StreamClosedError:
-            self.abandon()
+        self.active = clock.now()
+        if self.ending:
+            return
+        self.feed(data)
+        if len(self.pending) >= READ_AHEAD and not self.paused and not self.closed:
+            self.paused = True
+            self.transport.pause_reading()
+
+    def lost(self, error: Exception | None, ended_here: bool) -> None:  # noqa: ARG002
+        """Cancel the calls of a caller that has left."""
+        self.server.connections.discard(self)
+        for exchange in self.pending:
+            if exchange.task is not None:
+                exchange.task.cancel()
+        self.pending.clear()
 
     def feed(self, data: bytes) -> None:
         """Take bytes of the caller."""
@@ -186,8 +190,7 @@
             self.flush()
             return
         self.server.body_bytes += len(request.body)
-        exchange.task = asyncio.ensure_future(self.server.handle(request))
-        exchange.task.add_done_callback(lambda _: self.finished(exchange))
+        exchange.task = asyncio.ensure_future(self.serve(exchange, request))
 
     # Answers.
 
@@ -200,19 +203,16 @@
         self.ending = True
         self.flush()
 
-    def finished(self, exchange: Exchange) -> None:
-        """Take the answer of a call."""
-        assert exchange.task is not None
-        assert exchange.request is not None
-        self.server.body_bytes -= len(exchange.request.body)
-        if exchange.task.cancelled():
-            return
-        error = exchange.task.exception()
-        if error is not None:
+    async def serve(self, exchange: Exchange, request: Request) -> None:
+        """Have a call served and take its answer."""
+        try:
+            exchange.answer = await self.server.handle(request)
+        except Exception as error:
+            # One call's fault must not end the calls of all others.
             self.server.crashed(error)
             exchange.answer = own_answer(502, "internal error")
-        else:
-            exchange.answer = exchange.task.result()
+        finally:
+            self.server.body_bytes -= len(request.body)
         self.flush()
 
     def flush(self) -> None:
@@ -229,57 +229,39 @@
                 self.ending = True
                 self.finish()
                 return
-        self.room.set()
+        if self.paused and not self.closed and len(self.pending) < READ_AHEAD:
+            self.paused = False
+            self.transport.resume_reading()
 
     def write(self, data: bytes) -> None:
         """Send bytes unless the caller has left or does not read."""
-        if self.stream.closed():
-            return
-        if unsent_bytes(self.stream) > UNREAD_BYTES:
-            self.stream.close()
-            return
-        self.stream.write(data)
+        if self.unsent_bytes() > UNREAD_BYTES:
+            self.close()
+        else:
+            super().write(data)
 
     def finish(self) -> None:
-        """End the connection once everything is written."""
-        if not self.stream.closed():
-            asyncio.ensure_future(self.close_gently())
-
-    async def close_gently(self) -> None:
         """Stop sending, and read what still comes before closing.
 
         Closing with unread bytes resets the connection, and a reset can overtake the
         last answer: a caller with pipelined requests would lose it.
         """
-        try:
-            await self.stream.write(b"")
-            self.stream.socket.shutdown(socket.SHUT_WR)
-            await asyncio.sleep(CLOSE_SECONDS)
-        except (StreamClosedError, OSError):
-            # The caller has closed before.
-            return
-        self.stream.close()
-
-    def abandon(self) -> None:
-        """Cancel the calls of a caller that has left."""
-        for exchange in self.pending:
-            if exchange.task is not None:
-                exchange.task.cancel()
-        self.pending.clear()
-        self.server.connections.discard(self)
+        if not self.closed:
+            self.transport.write_eof()
+            asyncio.get_running_loop().call_later(CLOSE_SECONDS, self.close)
 
     def tick(self, now: float) -> None:
         """End what has idled or been incomplete for too long."""
-        if self.pending or self.stream.closed():
+        if self.pending or self.closed:
             return
         if self.begun is not None and not self.head_done:
             if now - self.begun > self.limits.header_timeout:
                 self.refuse(408, "headers took too long")
         elif now - self.active > self.limits.idle_timeout:
-            self.stream.close()
+            self.close()
 
 
-class CallerServer(TCPServer):
+class CallerServer(ConnectionServer):
     """Accepts callers.
 
     Attributes
@@ -296,7 +278,7 @@
         crashed: Callable[[BaseException], None],
         upstream_host: str = "",
     ) -> None:
-        super().__init__(max_buffer_size=4 << 20, read_chunk_size=READ_BYTES)
+        super().__init__()
         self.handle = handle
         self.crashed = crashed
         self.upstream_host = upstream_host
@@ -309,13 +291,9 @@
         """Return what callers may do."""
         return self.current_limits
 
-    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
-        """Serve a connection."""
-        watch_for_silence(stream)
-        connection = CallerConnection(stream, self, address[0] == self.upstream_host)
-        self.connections.add(connection)
-        stream.set_close_callback(lambda: self.connections.discard(connection))
-        await connection.run()
+    def connection(self) -> CallerConnection:
+        """Return what serves the next caller."""
+        return CallerConnection(self)
 
     def tick(self, now: float) -> None:
         """End connections that have idled for too long."""
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -10,21 +10,23 @@
 import asyncio
 from collections import Counter
 from dataclasses import replace
+from functools import cached_property
 from typing import TYPE_CHECKING
 
-from hdrh.histogram import HdrHistogram
-
 from sequoiaspoke.core.mesh.admission import LEAST_WAIT
 from sequoiaspoke.core.mesh.durations import FIRST_GUESS
 from sequoiaspoke.core.mesh.outcome import TIMED_OUT, Answer, NotRun, Unknown
 from sequoiaspoke.core.routing.split import Splitter
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.attempts import TRY_ELSEWHERE, Attempts, Progress
+from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.httptext import end_to_end, own_answer
 
 if TYPE_CHECKING:
     from random import Random
 
+    from hdrh.histogram import HdrHistogram
+
     from sequoiaspoke.core.mesh.model import Endpoint, Route
     from sequoiaspoke.core.mesh.outcome import Outcome, Request
     from sequoiaspoke.core.mesh.repeats import RepeatLimits
@@ -34,8 +36,6 @@
     from sequoiaspoke.sidecar.peers import Peers
     from sequoiaspoke.sidecar.state import MeshState
 
-    Task = asyncio.Task[Outcome]
-
 # Seconds after which a caller that was refused may come back if nothing better is
 # known: time for a link to be opened or a node to start.
 COME_BACK = 0.3
@@ -79,14 +79,23 @@
         self.log = log
         self.splitter = Splitter(rng)
         self.closes_at = float("inf")
-        self.limits: dict[asyncio.Timeout, float] = {}
+        self.deadlines = Deadlines()
         self.counts: Counter[tuple[str, str]] = Counter()
         self.reasons = self.attempts.reasons
-        self.latency = HdrHistogram(1, 3_600_000, 2)
         self.own_headers = frozenset(
             {names.time_left, names.instance, names.caller_service}
         )
 
+    @cached_property
+    def latency(self) -> HdrHistogram:
+        """Return the time to the final answers, in milliseconds.
+
+        Imported with the first call, as a node has to start soon.
+        """
+        from hdrh.histogram import HdrHistogram
+
+        return HdrHistogram(1, 3_600_000, 2)
+
     async def handle(self, request: Request) -> Answer:
         """Return the final answer to a call."""
         arrived = clock.now()
@@ -111,7 +120,7 @@
         )
         self.attempts.budgets.of(service).first(arrived)
         try:
-            answer = await self.in_time(progress, left)
+            answer = await self.in_time(progress)
         except TimeoutError:
             answer = self.timed_out(progress)
         except asyncio.CancelledError:
@@ -121,27 +130,17 @@
         self.latency.record_value(max(1, int((clock.now() - arrived) * 1000)))
         return answer
 
-    async def in_time(self, progress: Progress, left: float) -> Answer:
+    async def in_time(self, progress: Progress) -> Answer:
         """Serve a call; raise TimeoutError once its time is over."""
-        async with asyncio.timeout(min(left, self.closes_at - clock.now())) as limit:
-            self.limits[limit] = progress.deadline
-            try:
-                return await self.serve(progress)
-            finally:
-                del self.limits[limit]
+        limit = self.deadlines.at(progress.deadline, progress.time_over)
+        try:
+            return await self.serve(progress)
+        finally:
+            limit.cancel()
 
     def woke(self, now: float) -> None:
-        """Set the timers right after this VM stood still.
-
-        The loop's clock stood still with it. Callers would wait for their final answer
-        as long again as the VM was suspended.
-        """
-        loop_now = asyncio.get_running_loop().time()
-        for limit, deadline in self.limits.items():
-            if limit.expired():
-                # Its call is about to end; the timer cannot be set any more.
-                continue
-            limit.reschedule(loop_now + max(0.0, deadline - now))
+        """Answer the calls whose time ran out while this VM stood still."""
+        self.deadlines.woke(now)
 
     def stop_at(self, closes_at: float) -> None:
         """Answer every call by a time, at which this node is about to end.
@@ -152,12 +151,7 @@
         their callers never got them.
         """
         self.closes_at = closes_at
-        now, loop_now = clock.now(), asyncio.get_running_loop().time()
-        for limit, deadline in self.limits.items():
-            if deadline <= closes_at or limit.expired():
-                continue
-            self.limits[limit] = closes_at
-            limit.reschedule(loop_now + max(0.0, closes_at - now))
+        self.deadlines.cap(closes_at)
 
     def no_route(self, request: Request) -> Answer:
         """Answer a call that no route matches."""
@@ -251,7 +245,7 @@
             return False
         if progress.reached >= progress.route.attempts:
             return False
-        if self.attempts.choose(progress) is None:
+        if not self.attempts.others_left(progress):
             return False
         return self.attempts.repeat(progress.service)
 
--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -30,17 +30,13 @@
 # routes takes half a second of a link of 2.5 Mbit/s; read again at once in a storm it
 # would leave nothing of the link to the calls.
 GATHER_READS, GATHER_MOST = 2.5, 1.0
-# Seconds between two questions up to which revision the store has changed, while it has
-# nothing to tell. A change that a wait misses has to be acted on within 2 s; others
-# believe a reader for 1.4 s beyond its last confirmation.
-CONFIRM_SECONDS = 0.9
 # Questions without an answer after which the store is taken to be lost; one may fall
 # to a lost packet or a busy moment of this node.
 CONFIRM_FAILURES = 2
 # Seconds for which a change that the store has may be on its way here.
 OVERDUE_SECONDS = 0.2
-# Seconds between two looks whether it has become this node's turn to read.
-DUTY_SECONDS = 0.1
+# Seconds by which a timer may run early.
+TIMER_SECONDS = 0.002
 
 
 class Follower:
@@ -55,13 +51,15 @@
         self.rng = rng
         self.listed = False
         self.pause = RETRY_FIRST
+        self.duty_changed = asyncio.Event()
+        duty.on_change = self.duty_changed.set
 
     async def run(self) -> None:
         """Read everything once and then the changes, for ever."""
         while True:
             try:
                 if self.informed and not self.duty.must_read(clock.now()):
-                    await asyncio.sleep(DUTY_SECONDS)
+                    await self.rest()
                     continue
                 await self.step()
                 self.pause = RETRY_FIRST
@@ -80,6 +78,17 @@
         """Return whether everything is known, from the store or from another node."""
         return self.listed or self.state.complete
 
+    async def rest(self) -> None:
+        """Wait until it may have become this node's turn to read."""
+        self.duty_changed.clear()
+        left = self.duty.believed_until - clock.now()
+        try:
+            async with asyncio.timeout(max(0.0, left) + TIMER_SECONDS):
+                await self.duty_changed.wait()
+        except TimeoutError:
+            # The readers may have confirmed meanwhile; the caller looks.
+            return
+
     async def failed(self, code: str, reason: str) -> None:
         """Note a failure and wait before the next read."""
         self.state.store_failed(code, reason)
@@ -131,7 +140,8 @@
             while True:
                 # At once, if the last confirmation is old: a node that begins to read
                 # for itself must not take its own start for an outage of the store.
-                pause = max(0.0, CONFIRM_SECONDS - self.state.age(clock.now()))
+                age = self.state.age(clock.now())
+                pause = max(0.0, self.duty.confirm_seconds - age)
                 if self.state.revision < expected:
                     pause = OVERDUE_SECONDS
                 done, _ = await asyncio.wait({waiting}, timeout=pause)
--- a/sequoiaspoke/sidecar/frames.py
+++ b/sequoiaspoke/sidecar/frames.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-import socket
+import asyncio
 import struct
 from abc import ABC, abstractmethod
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
-from tornado.iostream import IOStream, StreamClosedError
 
 from sequoiaspoke.errors import MessageError
-from sequoiaspoke.sidecar.sockets import READ_BYTES, unsent_bytes, watch_for_silence
+from sequoiaspoke.sidecar.sockets import Connection
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 if TYPE_CHECKING:
@@ -27,11 +27,16 @@
 UNSENT_LIMIT = 16 << 20
 
 
+# Writes every frame, each into a buffer of its own; a new one costs as much as the
+# encoding itself.
+WRITER = TCompactProtocolAccelerated(TMemoryBuffer())
+
+
 def encode(frame: wire.Frame) -> bytes:
     """Return a frame with its length."""
-    buffer = TMemoryBuffer()
-    frame.write(TCompactProtocolAccelerated(buffer))
-    payload = buffer.getvalue()
+    WRITER.trans = TMemoryBuffer()
+    frame.write(WRITER)
+    payload = WRITER.trans.getvalue()
     return HEADER.pack(len(payload)) + payload
 
 
@@ -56,6 +61,18 @@
     return tuple(zip(flat[::2], flat[1::2], strict=True))
 
 
+class Prepared:
+    """A frame that goes to many nodes and is encoded once for all of them."""
+
+    def __init__(self, frame: wire.Frame) -> None:
+        self.frame = frame
+
+    @cached_property
+    def data(self) -> bytes:
+        """Return the frame with its length."""
+        return encode(self.frame)
+
+
 class Frames(ABC):
     """Frames to and from another node.
 
@@ -71,6 +88,10 @@
     def send(self, frame: wire.Frame) -> None:
         """Send a frame."""
 
+    def send_prepared(self, prepared: Prepared) -> None:
+        """Send a frame that goes to others, too."""
+        self.send(prepared.frame)
+
     @abstractmethod
     async def read(self, take: Callable[[wire.Frame], None]) -> str:
         """Hand on frames until the link ends; return why it did."""
@@ -93,67 +114,81 @@
 
     async def dial(self, host: str, port: int) -> Frames:
         """Open a link; raise OSError, ConnectionRefusedError if nothing listens."""
-        stream = IOStream(
-            socket.socket(), max_buffer_size=FRAME_LIMIT, read_chunk_size=READ_BYTES
-        )
-        try:
-            await stream.connect((host, port))
-        except StreamClosedError as error:
-            raise stream.error or OSError(str(error)) from error
-        except BaseException:
-            # Given up on; the socket must not stay open.
-            stream.close()
-            raise
-        return FrameStream(stream)
+        loop = asyncio.get_running_loop()
+        _, link = await loop.create_connection(TcpFrames, host, port)
+        return link
 
 
-class FrameStream(Frames):
-    """Frames over a stream."""
+class TcpFrames(Connection, Frames):
+    """Frames over a connection."""
 
-    def __init__(self, stream: IOStream) -> None:
-        self.stream = stream
-        self.buffer = bytearray()
-        watch_for_silence(stream)
+    def __init__(self) -> None:
+        super().__init__()
+        self.pieces: list[bytes] = []
+        self.size = 0
+        self.needed = HEADER.size
+        self.take: Callable[[wire.Frame], None] | None = None
+        self.reason = ""
+        self.ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
 
     def send(self, frame: wire.Frame) -> None:
         """Send a frame; a peer that does not read loses the link."""
-        if self.closed or self.stream.closed():
-            return
-        if unsent_bytes(self.stream) > UNSENT_LIMIT:
+        self.send_data(encode(frame))
+
+    def send_prepared(self, prepared: Prepared) -> None:
+        """Send a frame that goes to others, too."""
+        self.send_data(prepared.data)
+
+    def send_data(self, data: bytes) -> None:
+        """Send bytes, unless too many wait already."""
+        if self.unsent_bytes() > UNSENT_LIMIT:
             self.close()
-            return
-        self.stream.write(encode(frame))
+        else:
+            self.write(data)
 
     async def read(self, take: Callable[[wire.Frame], None]) -> str:
         """Hand on frames until the link ends; return why it did."""
+        self.take = take
+        self.cut()
         try:
-            while not self.closed:
-                self.buffer += await self.stream.read_bytes(READ_BYTES, partial=True)
-                self.cut(take)
-        except StreamClosedError:
-            return "closed"
-        except MessageError as error:
-            return str(error)
+            return await self.ended
         finally:
             self.close()
-        return "closed-here"
 
-    def cut(self, take: Callable[[wire.Frame], None]) -> None:
-        """Hand on the whole frames that have come."""
-        begin = 0
-        while len(self.buffer) - begin >= HEADER.size and not self.closed:
-            (length,) = HEADER.unpack_from(self.buffer, begin)
-            if length > FRAME_LIMIT:
-                raise MessageError(f"frame of {length} bytes")
-            end = begin + HEADER.size + length
-            if len(self.buffer) < end:
-                break
-            payload = bytes(memoryview(self.buffer)[begin + HEADER.size : end])
-            begin = end
-            take(decode(payload))
-        del self.buffer[:begin]
+    def received(self, data: bytes) -> None:
+        """Take bytes of the peer."""
+        self.pieces.append(data)
+        self.size += len(data)
+        if self.size >= self.needed and self.take is not None:
+            self.cut()
 
-    def close(self) -> None:
-        """End the link."""
-        self.closed = True
-        self.stream.close()
+    def cut(self) -> None:
+        """Hand on the whole frames that have come; end the link at one that is none."""
+        buffer = self.pieces[0] if len(self.pieces) == 1 else b"".join(self.pieces)
+        begin = 0
+        try:
+            while not self.closed:
+                self.needed = HEADER.size
+                if len(buffer) - begin < self.needed:
+                    break
+                (length,) = HEADER.unpack_from(buffer, begin)
+                if length > FRAME_LIMIT:
+                    raise MessageError(f"frame of {length} bytes")
+                self.needed += length
+                end = begin + self.needed
+                if len(buffer) < end:
+                    break
+                payload = buffer[begin + HEADER.size : end]
+                begin = end
+                self.take(decode(payload))
+        except MessageError as error:
+            self.reason = str(error)
+            self.close()
+        self.pieces = [buffer[begin:]]
+        self.size = len(buffer) - begin
+
+    def lost(self, error: Exception | None, ended_here: bool) -> None:  # noqa: ARG002
+        """Tell whoever reads why the link has ended."""
+        if not self.ended.done():
+            ended = "closed-here" if ended_here else "closed"
+            self.ended.set_result(self.reason or ended)
--- a/sequoiaspoke/sidecar/gossip.py
+++ b/sequoiaspoke/sidecar/gossip.py
@@ -35,6 +35,10 @@
     def learn(self, knowledge: wire.Knowledge) -> bool:
         """Take what another node knows; return False if it has to tell all of it."""
 
+    @abstractmethod
+    def confirmed(self, confirmed: wire.Confirmed) -> None:
+        """Take a reader's word that nothing has changed."""
+
     @abstractmethod
     def subscribe(self, frames: Frames, subscribe: wire.Subscribe) -> None:
         """Tell another node what is known and every change from now on."""
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -266,11 +266,14 @@
 
     def tick(self, now: float) -> None:
         """Give up on what has waited too long."""
+        self.ledger.expire(now)
+        self.upstream.tick(now)
+        if not self.admission.waiting:
+            self.left_since.clear()
+            return
         for refused in self.admission.overdue(now):
             self.give_up(refused)
         self.empty_queue_of_leaver(now)
-        self.ledger.expire(now)
-        self.upstream.tick(now)
         self.advance()
 
     def empty_queue_of_leaver(self, now: float) -> None:
--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -10,24 +10,24 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from typing import TYPE_CHECKING
 
 import httptools
-from tornado.iostream import IOStream, StreamClosedError
 
 from sequoiaspoke.core.mesh.outcome import (
     CONNECTION_LOST,
+    TIMED_OUT,
     Answer,
     Unknown,
     find_header,
 )
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.httptext import BODILESS
-from sequoiaspoke.sidecar.sockets import READ_BYTES, watch_for_silence
+from sequoiaspoke.sidecar.sockets import Connection
 
 if TYPE_CHECKING:
     from sequoiaspoke.core.mesh.outcome import Headers
+    from sequoiaspoke.sidecar.deadlines import Deadlines
 
 # Seconds for a connection to open; it goes over loopback or inside a data centre.
 CONNECT_SECONDS = 1.0
@@ -44,20 +44,21 @@
 
 
 async def open_connection(
-    address: tuple[str, int], call_header: str
+    address: tuple[str, int], call_header: str, deadlines: Deadlines
 ) -> ClientConnection | None:
     """Open a connection; None if the server does not accept one."""
-    stream = IOStream(socket.socket(), read_chunk_size=READ_BYTES)
+    connecting = asyncio.get_running_loop().create_connection(
+        lambda: ClientConnection(call_header, deadlines), *address
+    )
     try:
-        await asyncio.wait_for(stream.connect(address), CONNECT_SECONDS)
-    except (TimeoutError, StreamClosedError, OSError):
-        stream.close()
+        async with asyncio.timeout(CONNECT_SECONDS):
+            _, connection = await connecting
+    except (TimeoutError, OSError):
         return None
-    watch_for_silence(stream)
-    return ClientConnection(stream, call_header)
+    return connection
 
 
-class ClientConnection:
+class ClientConnection(Connection):
     """One connection to a server.
 
     Attributes
@@ -66,9 +67,10 @@
         Whether anything of an answer has come since the last request.
     """
 
-    def __init__(self, stream: IOStream, call_header: str) -> None:
-        self.stream = stream
+    def __init__(self, call_header: str, deadlines: Deadlines) -> None:
+        super().__init__()
         self.call_header = call_header
+        self.deadlines = deadlines
         self.waiting: asyncio.Future[Answer | Unknown] | None = None
         self.call_id = ""
         self.head_only = False
@@ -78,7 +80,6 @@
         self.idle_seconds = IDLE_SECONDS
         self.begin_answer()
         self.parser = httptools.HttpResponseParser(self)
-        self.reader = asyncio.ensure_future(self.read())
 
     def begin_answer(self) -> None:
         """Begin to collect an answer."""
@@ -88,25 +89,21 @@
         self.size = 0
         self.until_close = False
 
-    async def read(self) -> None:
-        """Read until the server closes, also while no call waits."""
+    def received(self, data: bytes) -> None:
+        """Take bytes of the server, also while no call waits."""
+        if self.waiting is None:
+            # Nothing is due here.
+            self.close()
+            return
         try:
-            while True:
-                data = await self.stream.read_bytes(READ_BYTES, partial=True)
-                if self.waiting is None:
-                    # Nothing is due here.
-                    self.tainted = True
-                    break
-                self.parser.feed_data(data)
-        except StreamClosedError:
-            self.closed_by_server()
+            self.parser.feed_data(data)
         except httptools.HttpParserError:
             self.fail("answer-malformed")
-        self.close()
+            self.close()
 
-    def closed_by_server(self) -> None:
+    def lost(self, error: Exception | None, ended_here: bool) -> None:  # noqa: ARG002
         """Take the end of the connection."""
-        if self.until_close and self.stream.error is None:
+        if self.until_close and error is None:
             self.complete()
         self.fail(CONNECTION_LOST)
 
@@ -177,26 +174,44 @@
             if name == "timeout" and value.isdigit():
                 self.idle_seconds = max(0.3, int(value) - IDLE_MARGIN)
 
-    async def exchange(self, text: bytes, call_id: str, head: bool) -> Answer | Unknown:
-        """Send a request and return what came back."""
+    async def exchange(
+        self, text: bytes, call_id: str, head: bool, deadline: float
+    ) -> Answer | Unknown:
+        """Send a request and return what came back by a time.
+
+        A call that is cancelled or whose time is over leaves the connection closed: its
+        answer would be taken for that to the next call.
+        """
         self.call_id = call_id
         self.head_only = head
         self.answering = False
         self.waiting = asyncio.get_running_loop().create_future()
-        sent = self.stream.write(text)
+        limit = self.deadlines.at(deadline, self.timed_out)
+        self.write(text)
+        if self.closed:
+            self.fail(CONNECTION_LOST)
         try:
             outcome = await self.waiting
+        except asyncio.CancelledError:
+            self.close()
+            raise
         finally:
+            limit.cancel()
             self.waiting = None
-        if not sent.done():
+        if self.unsent_bytes():
             # Answered before it was sent whole: the rest would be read as a request.
             self.tainted = True
         self.used = clock.now()
         return outcome
 
+    def timed_out(self) -> None:
+        """Give the call up whose time is over."""
+        self.fail(TIMED_OUT)
+        self.close()
+
     def usable(self, idempotent: bool, now: float) -> bool:
         """Return whether the next call may take this connection."""
-        if self.tainted or self.stream.closed():
+        if self.tainted or self.closed:
             return False
         limit = (
             self.idle_seconds if idempotent else min(self.idle_seconds, FRESH_SECONDS)
@@ -204,6 +219,6 @@
         return now - self.used < limit
 
     def close(self) -> None:
-        """End the connection; an server drops the call that runs on it."""
+        """End the connection; a server drops the call that runs on it."""
         self.tainted = True
-        self.stream.close()
+        super().close()
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -53,20 +53,28 @@
 
 
 class Pending:
-    """A call under way at another node."""
+    """A call under way at another node.
 
-    def __init__(self, number: int, call: HomeCall) -> None:
+    Attributes
+    ----------
+    sent_to : int or None
+        The incarnation of the home that it was sent to.
+    """
+
+    def __init__(
+        self, number: int, call: HomeCall, tell: Callable[[Outcome], None]
+    ) -> None:
         self.number = number
         self.call = call
-        self.future: asyncio.Future[Outcome] = (
-            asyncio.get_running_loop().create_future()
-        )
+        self.tell = tell
+        self.over = False
         self.sent_to: int | None = None
 
     def resolve(self, outcome: Outcome) -> None:
         """Hand over what came of the call."""
-        if not self.future.done():
-            self.future.set_result(outcome)
+        if not self.over:
+            self.over = True
+            self.tell(outcome)
 
 
 class LinkIdentity:
@@ -89,6 +97,8 @@
 
     Attributes
     ----------
+    watched : set of LinkClient
+        To which it adds itself while something is awaited on it, to be looked after.
     kept : bool
         Whether the link is held open without calls.
     failing : bool
@@ -104,8 +114,10 @@
         gossip: Gossip,
         log: EventLog,
         dialer: Dialer,
+        watched: set[LinkClient] | None = None,
     ) -> None:
         self.dialer = dialer
+        self.watched = set() if watched is None else watched
         self.address = address
         self.identity = identity
         self.gossip = gossip
@@ -124,56 +136,77 @@
         self.pinged = 0.0
         self.offset = 0.0
         self.round_trip = float("inf")
-        self.sign: asyncio.Future[None] | None = None
+        self.unsent: list[Pending] = []
+        self.sign_due: asyncio.TimerHandle | None = None
+        self.waited_since = 0.0
         self.driver: asyncio.Task[None] | None = None
         self.wake = asyncio.Event()
 
     # Calls.
 
-    async def call(self, call: HomeCall) -> Outcome:
-        """Have the home run a call; cancelling it cancels it there."""
-        if self.greeted and not await self.stands():
-            return NotRun("link-silent")
-        # Only now, as a link that is opened anew sends all that is pending: a call
-        # that still waited for a sign would be told as not run after it was sent.
-        pending = Pending(self.identity.number(), call)
+    def submit(self, call: HomeCall, tell: Callable[[Outcome], None]) -> Pending:
+        """Have the home run a call and tell what came of it, once."""
+        pending = Pending(self.identity.number(), call, tell)
+        if self.greeted and not call.idempotent and self.doubtful():
+            self.unsent.append(pending)
+            self.ask_for_sign()
+        else:
+            self.begin(pending)
+        return pending
+
+    def begin(self, pending: Pending) -> None:
+        """Send a call, or have it sent once the link stands.
+
+        Only once there was a sign where one is needed, as a link that is opened anew
+        sends all that is pending: a call that still waited for a sign would be told as
+        not run after it was sent.
+        """
+        if not self.pending:
+            self.waited_since = clock.now()
         self.pending[pending.number] = pending
-        try:
-            if self.greeted:
-                self.send_call(pending)
-            else:
-                self.open()
-            return await pending.future
-        except asyncio.CancelledError:
-            if self.frames is not None and pending.sent_to is not None:
-                self.frames.send(wire.Frame(cancel=wire.Cancel(pending.number)))
-            raise
-        finally:
-            self.pending.pop(pending.number, None)
-
-    async def stands(self) -> bool:
-        """Return whether the home was heard lately or answers now.
-
-        If the link ends meanwhile the call may wait for the next.
+        self.watched.add(self)
+        if self.greeted:
+            self.send_call(pending)
+        else:
+            self.open()
+
+    def withdraw(self, pending: Pending) -> None:
+        """Tell the home that nobody waits for a call any more."""
+        pending.over = True
+        if self.pending.pop(pending.number, None) is None:
+            return
+        if self.frames is not None and pending.sent_to is not None:
+            self.frames.send(wire.Frame(cancel=wire.Cancel(pending.number)))
+
+    def doubtful(self) -> bool:
+        """Return whether the home was not heard lately.
+
+        A call that may run once only is then sent after a sign. One that may run again
+        is sent at once, and elsewhere if it takes too long: in a large fleet most links
+        are silent for seconds, and a sign is another round trip and two frames.
         """
-        now = clock.now()
-        if now - self.heard < HEARD_LATELY:
-            return True
-        if self.sign is None:
-            self.sign = asyncio.get_running_loop().create_future()
-            self.ping(now)
-        try:
-            await asyncio.wait_for(asyncio.shield(self.sign), SIGN_SECONDS)
-        except TimeoutError:
-            self.failing = True
-            if self.frames is not None:
-                self.frames.close()
-            return False
-        return True
+        return clock.now() - self.heard >= HEARD_LATELY
+
+    def ask_for_sign(self) -> None:
+        """Ask the home for a sign, and give it up if none comes soon."""
+        if self.sign_due is None:
+            loop = asyncio.get_running_loop()
+            self.sign_due = loop.call_later(SIGN_SECONDS, self.no_sign)
+            self.ping(clock.now())
+
+    def no_sign(self) -> None:
+        """Give the link up, and the calls that were not sent on it."""
+        self.sign_due = None
+        self.failing = True
+        if self.frames is not None:
+            self.frames.close()
+        unsent, self.unsent = self.unsent, []
+        for pending in unsent:
+            pending.resolve(NotRun("link-silent"))
 
     def send_call(self, pending: Pending) -> None:
         """Send a call on the link that stands."""
-        if pending.future.done():
+        if pending.over:
             # Given up on just now, for one as it was sent to an earlier incarnation of
             # the home: sent again it would run twice.
             return
@@ -211,6 +244,8 @@
             self.frames.close()
         if self.driver is not None:
             self.driver.cancel()
+        if self.sign_due is not None:
+            self.sign_due.cancel()
         self.lose_all("home-left")
 
     async def drive(self) -> None:
@@ -243,6 +278,7 @@
             refused = isinstance(error, ConnectionRefusedError)
             self.unreachable("refused" if refused else type(error).__name__)
             return "unreachable"
+        self.watched.add(self)
         dialled = clock.now()
         identity = self.identity
         hello = wire.Hello(
@@ -287,6 +323,8 @@
         elif frame.pong is not None:
             self.measure(frame.pong.sent, frame.pong.clock)
             self.on_news(read_news(frame.pong.news))
+        elif frame.confirmed is not None:
+            self.gossip.confirmed(frame.confirmed)
         elif frame.welcome is not None:
             self.welcome(frame.welcome)
         elif frame.leaving is not None:
@@ -297,10 +335,18 @@
             self.ask()
 
     def tell_sign(self) -> None:
-        """Tell those who wait for a sign to go on."""
-        sign, self.sign = self.sign, None
-        if sign is not None and not sign.done():
-            sign.set_result(None)
+        """Send the calls that waited for a sign.
+
+        If the link has ended meanwhile they wait for the next.
+        """
+        if self.sign_due is None:
+            return
+        self.sign_due.cancel()
+        self.sign_due = None
+        unsent, self.unsent = self.unsent, []
+        for pending in unsent:
+            if not pending.over:
+                self.begin(pending)
 
     def inform(self, ask: wire.Ask) -> None:
         """Tell the home what this node knows better."""
@@ -325,7 +371,7 @@
         """Hand an outcome to the call that waits for it."""
         if news is not None:
             self.news = read_news(news)
-        pending = self.pending.get(number)
+        pending = self.pending.pop(number, None)
         if pending is not None:
             pending.resolve(outcome)
 
@@ -370,21 +416,32 @@
         self.failing = True
         for pending in list(self.pending.values()):
             if pending.sent_to is None:
-                pending.resolve(NotRun("home-unreachable"))
+                self.fail(pending, NotRun("home-unreachable"))
             elif pending.call.idempotent or reason == "refused":
-                pending.resolve(Unknown("home-unreachable"))
+                self.fail(pending, Unknown("home-unreachable"))
+
+    def fail(self, pending: Pending, outcome: Outcome) -> None:
+        """Give a call up."""
+        self.pending.pop(pending.number, None)
+        pending.resolve(outcome)
 
     def lose_sent(self, reason: str) -> None:
         """Fail the calls that an earlier incarnation of the home was sent."""
         for pending in list(self.pending.values()):
             if pending.sent_to is not None:
-                pending.resolve(Unknown(reason))
+                self.fail(pending, Unknown(reason))
 
     def lose_all(self, reason: str) -> None:
         """Fail every call."""
         self.lose_sent(reason)
-        for pending in list(self.pending.values()):
-            pending.resolve(NotRun(reason))
+        for pending in [*self.pending.values(), *self.unsent]:
+            self.fail(pending, NotRun(reason))
+        self.unsent.clear()
+
+    @property
+    def at_rest(self) -> bool:
+        """Return whether nothing is awaited of the home."""
+        return not self.pending and (self.greeted or self.frames is None)
 
     def tick(self, now: float) -> None:
         """Ask a silent home for a sign, and give it up if none comes."""
@@ -396,7 +453,7 @@
             return
         if not self.pending:
             return
-        silent = now - self.heard
+        silent = now - max(self.heard, self.waited_since)
         if silent > SILENT_AFTER and now - self.pinged < SILENT_AFTER:
             self.failing = True
             self.frames.close()
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -2,22 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
-from tornado.tcpserver import TCPServer
-
 from sequoiaspoke.core.mesh.model import Incarnation
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.frames import FrameStream, flatten, unflatten
+from sequoiaspoke.sidecar.frames import TcpFrames, flatten, unflatten
 from sequoiaspoke.sidecar.home import HomeCall
-from sequoiaspoke.sidecar.sockets import READ_BYTES
+from sequoiaspoke.sidecar.sockets import ConnectionServer
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 if TYPE_CHECKING:
-    from tornado.iostream import IOStream
-
     from sequoiaspoke.core.mesh.outcome import Outcome
     from sequoiaspoke.core.mesh.placing import News
     from sequoiaspoke.sidecar.frames import Frames
@@ -124,22 +121,27 @@
     return wire.News(news.strain, news.expected, news.wait)
 
 
-class LinkServer(TCPServer):
+class LinkServer(ConnectionServer):
     """Accepts links of other nodes."""
 
     def __init__(
         self, home: Home, gossip: Gossip, incarnation: int, log: EventLog
     ) -> None:
-        super().__init__(max_buffer_size=64 << 20, read_chunk_size=READ_BYTES)
+        super().__init__()
         self.home = home
         self.gossip = gossip
         self.incarnation = incarnation
         self.log = log
         self.links: list[AcceptedLink] = []
-
-    async def handle_stream(self, stream: IOStream, address: object) -> None:  # noqa: ARG002
-        """Serve a link over TCP."""
-        await self.serve(FrameStream(stream))
+        self.serving: set[asyncio.Task[None]] = set()
+
+    def connection(self) -> TcpFrames:
+        """Return the frames of the next link, which is served."""
+        frames = TcpFrames()
+        serving = asyncio.ensure_future(self.serve(frames))
+        self.serving.add(serving)
+        serving.add_done_callback(self.serving.discard)
+        return frames
 
     async def serve(self, frames: Frames) -> None:
         """Serve a link."""
--- a/sequoiaspoke/sidecar/peers.py
+++ b/sequoiaspoke/sidecar/peers.py
@@ -38,6 +38,8 @@
 
     Attributes
     ----------
+    watched : set of LinkClient
+        Links on which something is awaited.
     followed : set of str
         Nodes that read the store for this one; their links are held open.
     """
@@ -60,6 +62,7 @@
         self.rng = rng
         self.log = log
         self.links: dict[str, LinkClient] = {}
+        self.watched: set[LinkClient] = set()
         self.on_news: Callable[[str, News], None] = ignore_host_news
         self.asked = float("-inf")
         self.followed: set[str] = set()
@@ -69,7 +72,12 @@
         link = self.links.get(host)
         if link is None:
             link = LinkClient(
-                (host, self.port), self.identity, self.gossip, self.log, self.dialer
+                (host, self.port),
+                self.identity,
+                self.gossip,
+                self.log,
+                self.dialer,
+                self.watched,
             )
             link.on_news = partial(self.on_news, host)
             self.links[host] = link
@@ -106,8 +114,10 @@
 
     def tick(self, now: float) -> None:
         """Look after the links and ask for news if what is known is old."""
-        for link in self.links.values():
+        for link in list(self.watched):
             link.tick(now)
+            if link.at_rest:
+                self.watched.discard(link)
         if self.state.stale(now) and now - self.asked > ASK_EVERY:
             self.asked = now
             self.ask()
@@ -121,8 +131,7 @@
 
     def nodes(self) -> int:
         """Return how many nodes the endpoints stand for."""
-        held = self.state.directory.held.values()
-        return max(1, len({entry.endpoint.host for entry in held}))
+        return max(1, self.state.directory.hosts())
 
     def age(self) -> float:
         """Return the age of what is known here, in seconds."""
--- a/sequoiaspoke/sidecar/settings.py
+++ b/sequoiaspoke/sidecar/settings.py
@@ -28,6 +28,8 @@
         here need that long to be moved away, and the upstream runs on.
     drain : float
         Seconds after a termination signal at which the process ends at the latest.
+    act_within : float
+        Seconds within which a new version or the leaving of an upstream is acted on.
     """
 
     node: str
@@ -41,5 +43,6 @@
     health_path: str = "/ready"
     leave_after: float = 1.8
     drain: float = 5.0
+    act_within: float = 2.0
     repeats: RepeatLimits = field(default_factory=RepeatLimits)
     names: HeaderNames = field(default_factory=HeaderNames)
--- a/sequoiaspoke/sidecar/spread.py
+++ b/sequoiaspoke/sidecar/spread.py
@@ -11,7 +11,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.mesh.knowledge import Knowledge
 from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.frames import Prepared
 from sequoiaspoke.sidecar.gossip import Gossip
 from sequoiaspoke.sidecar.wireknowledge import pack, unpack
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
@@ -85,7 +87,7 @@
         if not state.complete:
             return
         # Most have been told the same, and packing is the dear part.
-        packed: dict[tuple[int, int], wire.Knowledge] = {}
+        packed: dict[tuple[int, int], Prepared] = {}
         now = clock.now()
         for each in self.subscribers:
             has = (each.serial, each.version)
@@ -93,10 +95,23 @@
             if not news and each.confirmed >= state.read_at:
                 continue
             if has not in packed:
-                packed[has] = pack(state.knowledge(*has), now)
+                packed[has] = Prepared(self.frame_since(*has, now))
             each.serial, each.version = state.directory.serial, state.version
             each.confirmed = state.read_at
-            each.frames.send(wire.Frame(knowledge=packed[has]))
+            each.frames.send_prepared(packed[has])
+
+    def frame_since(self, serial: int, version: int, now: float) -> wire.Frame:
+        """Return the frame that tells what is new since a count and a version.
+
+        Mostly there is nothing but the store's word that it is so, which a subscriber
+        hears twice a second.
+        """
+        state = self.state
+        same = (serial, version) == (state.directory.serial, state.version)
+        if same and serial and not state.directory.vanished:
+            confirmed = wire.Confirmed(state.revision, now - state.as_of)
+            return wire.Frame(confirmed=confirmed)
+        return wire.Frame(knowledge=pack(state.knowledge(serial, version), now))
 
     # As one who learns.
 
@@ -125,6 +140,12 @@
         self.duty.heard(told.as_of)
         return True
 
+    def confirmed(self, confirmed: wire.Confirmed) -> None:
+        """Take the store's word, by a reader, that all it has told is all there is."""
+        as_of = clock.now() - confirmed.age
+        self.state.learn(Knowledge(confirmed.revision, as_of))
+        self.duty.heard(as_of)
+
     def link_up(self, link: LinkClient) -> None:
         """Subscribe to a reader whose link stands anew."""
         self.duty.link_up(link.address[0])
--- a/sequoiaspoke/sidecar/state.py
+++ b/sequoiaspoke/sidecar/state.py
@@ -239,7 +239,11 @@
         """Put a newer configuration into force."""
         shared = self.history.install(config)
         assert shared is not None
-        self.table = RouteTable(shared)
+        self.put_in_force(shared)
+
+    def put_in_force(self, config: MeshConfig) -> None:
+        """Decide calls by a version from now on."""
+        self.table = RouteTable(config)
         self.installed = clock.now()
         self.counts["config-taken"] += 1
         self.log.event("config", version=config.version, routes=len(config.routes))
@@ -269,7 +273,7 @@
         """
         now = clock.now()
         if knowledge.config is not None and self.newer(knowledge.config.version):
-            self.install(self.history.apply(knowledge.config))
+            self.put_in_force(self.history.apply(knowledge.config))
             self.config_revision = knowledge.config_revision
         if knowledge.as_of > max(self.lost_at, self.as_of):
             # The store answers others. A node that had lost it and then left reading to
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.outcome import (
     CONNECTION_LOST,
     RESET_AT_ONCE,
-    TIMED_OUT,
     Answer,
     NotRun,
     Unknown,
@@ -16,6 +14,7 @@
 )
 from sequoiaspoke.core.mesh.slots import Load
 from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.httpclient import FRESH_SECONDS, open_connection
 from sequoiaspoke.sidecar.httptext import end_to_end, request_text
 
@@ -25,9 +24,13 @@
     from sequoiaspoke.sidecar.names import HeaderNames
 
 
-# A call whose connection is reset this soon (seconds) was turned away by a full
-# upstream; one that was run and whose answer was lost takes the time of its work.
-RESET_SECONDS = 0.02
+# A call whose connection is reset within this part of a usual call's time was turned
+# away by a full upstream: one that was run, and whose answer was lost, takes the time
+# of its work, which is less than a quarter of the mean for few calls. Never sooner than
+# so many seconds, which a busy VM may need to see a reset.
+RESET_PART, RESET_SECONDS = 0.25, 0.02
+# Weight of the newest call in the usual time.
+NEWEST = 0.05
 
 
 def read_load(text: str) -> Load | None:
@@ -46,15 +49,19 @@
     ----------
     told_load : Load or None
         What it said of its load with the last answer, until that is taken.
+    usual_seconds : float
+        Time in which it usually answers.
     """
 
     def __init__(self, host: str, port: int, names: HeaderNames) -> None:
         self.host = host
         self.port = port
         self.names = names
+        self.deadlines = Deadlines()
         self.idle: list[ClientConnection] = []
         self.connects = 0
         self.told_load: Load | None = None
+        self.usual_seconds = 0.0
 
     async def call(
         self, request: Request, instance: str, deadline: float, idempotent: bool
@@ -74,26 +81,22 @@
         )
         call_id = request.header(self.names.call_id)
         text = request_text(request, extra)
-        if connection.stream.closed():
+        if connection.closed:
             return NotRun("connection-closed")
         begun = clock.now()
-        try:
-            outcome = await asyncio.wait_for(
-                connection.exchange(text, call_id, request.method == "HEAD"), left
-            )
-        except TimeoutError:
-            connection.close()
-            return Unknown(TIMED_OUT)
-        except asyncio.CancelledError:
-            connection.close()
-            raise
+        outcome = await connection.exchange(
+            text, call_id, request.method == "HEAD", deadline
+        )
         self.release(connection)
         seconds = clock.now() - begun
         if isinstance(outcome, Unknown):
             # A connection that idled for long may have been forgotten.
-            full = seconds < RESET_SECONDS and idle < FRESH_SECONDS
+            soon = max(RESET_SECONDS, RESET_PART * self.usual_seconds)
+            full = seconds < soon and idle < FRESH_SECONDS
             silent = outcome.reason == CONNECTION_LOST and not connection.answering
             return Unknown(RESET_AT_ONCE) if full and silent else outcome
+        usual = self.usual_seconds or seconds
+        self.usual_seconds = usual + NEWEST * (seconds - usual)
         return self.judge(outcome, seconds)
 
     def judge(self, answer: Answer, seconds: float) -> Outcome:
@@ -125,11 +128,13 @@
     async def connect(self) -> ClientConnection | None:
         """Open a connection; None if the upstream does not accept one."""
         self.connects += 1
-        return await open_connection((self.host, self.port), self.names.call_id)
+        return await open_connection(
+            (self.host, self.port), self.names.call_id, self.deadlines
+        )
 
     def release(self, connection: ClientConnection) -> None:
         """Keep a connection for the next call, or close it."""
-        if connection.tainted or connection.stream.closed():
+        if connection.tainted or connection.closed:
             connection.close()
             return
         self.idle.append(connection)
@@ -142,7 +147,6 @@
 
     def tick(self, now: float) -> None:
         """Close connections that will not be used again."""
-        for connection in list(self.idle):
-            if not connection.usable(idempotent=True, now=now):
-                self.idle.remove(connection)
-                connection.close()
+        # The last used are last; the first is the first that is too old.
+        while self.idle and not self.idle[0].usable(idempotent=True, now=now):
+            self.idle.pop(0).close()
--- a/sequoiaspoke/sidecar/wireknowledge.py
+++ b/sequoiaspoke/sidecar/wireknowledge.py
@@ -16,7 +16,7 @@
     Published,
     Route,
 )
-from sequoiaspoke.core.rules.model import WeightedService
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
--- a/sequoiaspoke/tests/fleet.py
+++ b/sequoiaspoke/tests/fleet.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field, replace
 
 from sequoiaspoke.core.rules.model import Endpoint, RouteTo, Rule, Service
-from sequoiaspoke.core.rules.model import WeightedService as To
+from sequoiaspoke.core.rules.weights import WeightedService as To
 from sequoiaspoke.core.snapshot import codec
 from sequoiaspoke.core.snapshot.model import Vm, VmList
 from sequoiaspoke.core.snapshot.publish import make_publication
--- a/sequoiaspoke/tests/meshsim.py
+++ b/sequoiaspoke/tests/meshsim.py
@@ -16,7 +16,7 @@
 from sequoiaspoke.core.mesh.reading import ReadingDuty
 from sequoiaspoke.core.mesh.repeats import RepeatLimits
 from sequoiaspoke.core.mesh.table import RouteTable
-from sequoiaspoke.core.rules.model import WeightedService
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.entry import Entry
 from sequoiaspoke.sidecar.frames import Dialer, Frames
--- a/sequoiaspoke/tests/rule_strategies.py
+++ b/sequoiaspoke/tests/rule_strategies.py
@@ -13,8 +13,8 @@
     RequestHead,
     RouteTo,
     Rule,
-    WeightedService,
 )
+from sequoiaspoke.core.rules.weights import WeightedService
 
 NAMES = st.sampled_from(["x-a", "x-b"])
 WORDS = st.sampled_from(["a", "b", "ab", ""])
--- a/sequoiaspoke/tests/spreadsim.py
+++ b/sequoiaspoke/tests/spreadsim.py
@@ -8,7 +8,7 @@
 import random
 
 from sequoiaspoke.core.mesh.model import Endpoint, Incarnation, MeshConfig, Route
-from sequoiaspoke.core.rules.model import WeightedService
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.sidecar.app import TICK_SECONDS, Sidecar
 from sequoiaspoke.sidecar.settings import SidecarSettings
 from sequoiaspoke.sidecar.source import (
--- a/sequoiaspoke/tests/test_codec.py
+++ b/sequoiaspoke/tests/test_codec.py
@@ -13,8 +13,8 @@
     RouteTo,
     Rule,
     Service,
-    WeightedService,
 )
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.core.snapshot import codec
 from sequoiaspoke.core.snapshot.publish import make_publication
 from sequoiaspoke.errors import DocumentError
--- a/sequoiaspoke/tests/test_measure.py
+++ b/sequoiaspoke/tests/test_measure.py
@@ -9,6 +9,8 @@
 from sequoiaspoke.core.snapshot.codec import DOCUMENT_LIMIT
 from sequoiaspoke.errors import MeasureError
 from sequoiaspoke.measure.bench import Totals
+from sequoiaspoke.measure.cost import measure_cost
+from sequoiaspoke.measure.costreport import FIGURES, cost_plot, cost_table
 from sequoiaspoke.measure.faults import Pause, make_fault
 from sequoiaspoke.measure.percentiles import Percentiles
 from sequoiaspoke.measure.plan import FleetPlan
@@ -74,6 +76,23 @@
         self.assertGreater(report.rss_mb_per_node, 0)
 
 
+class MeasureCostTests(TestCase):
+    def test_everything_is_measured_and_shown_for_each_size(self):
+        # For correctness only: what it costs depends on the machine.
+        found = asyncio.run(measure_cost((3, 7), 40))
+        self.assertEqual([each.peers for each in found], [3, 7])
+        for each in found:
+            for name in FIGURES:
+                self.assertTrue(getattr(each, name) > 0, name)
+        lines = cost_table(found).splitlines()
+        self.assertEqual([line.split()[0] for line in lines][1:], ["3", "7", "power"])
+        self.assertEqual(cost_plot(found).count("<polyline"), len(FIGURES))
+
+    def test_sizes_that_cannot_be_measured_are_refused(self):
+        for sizes in ((0,), (2,), (4000,)):
+            self.assertRaises(MeasureError, asyncio.run, measure_cost(sizes, 40))
+
+
 class ProcessTests(TestCase):
     def test_a_process_starts_tells_its_ports_and_ends_as_it_is_told(self):
         async def test(path):
--- a/sequoiaspoke/tests/test_mesh_core.py
+++ b/sequoiaspoke/tests/test_mesh_core.py
@@ -27,7 +27,7 @@
 from sequoiaspoke.core.mesh.slots import FOREIGN_SECONDS, Load
 from sequoiaspoke.core.mesh.table import RouteTable
 from sequoiaspoke.core.routing.split import Splitter
-from sequoiaspoke.core.rules.model import WeightedService
+from sequoiaspoke.core.rules.weights import WeightedService
 
 SPLIT = (WeightedService("fleet"),)
 
--- a/sequoiaspoke/tests/test_mesh_incarnations.py
+++ b/sequoiaspoke/tests/test_mesh_incarnations.py
@@ -16,7 +16,7 @@
 )
 from sequoiaspoke.core.mesh.outcome import Answer, Request, Unknown
 from sequoiaspoke.core.mesh.placing import News, Placing
-from sequoiaspoke.core.rules.model import WeightedService
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.home import Home, HomeCall
 from sequoiaspoke.sidecar.logs import EventLog
--- a/sequoiaspoke/tests/test_mesh_property.py
+++ b/sequoiaspoke/tests/test_mesh_property.py
@@ -91,7 +91,7 @@
         self.caught("repeats for")
 
     def test_final_answers_come_in_time(self):
-        async def patient(self, progress, left):
+        async def patient(self, progress):
             return await self.serve(progress)
 
         self.patch(Entry, "in_time", patient)
--- a/sequoiaspoke/tests/test_mesh_spread.py
+++ b/sequoiaspoke/tests/test_mesh_spread.py
@@ -15,7 +15,7 @@
     Route,
 )
 from sequoiaspoke.core.mesh.reading import BELIEVED_SECONDS, READERS, ReadingDuty
-from sequoiaspoke.core.rules.model import WeightedService
+from sequoiaspoke.core.rules.weights import WeightedService
 
 HOSTS = [f"10.0.0.{number}" for number in range(1, 29)]
 
--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -34,6 +34,9 @@
     def learn(self, knowledge):
         return True
 
+    def confirmed(self, confirmed):
+        pass
+
     def subscribe(self, frames, subscribe):
         pass
 
@@ -90,7 +93,14 @@
         call = HomeCall(
             request, Incarnation("i-1"), "r", 0, idempotent, now + 5, now + 30
         )
-        return asyncio.ensure_future(self.link.call(call))
+        told = asyncio.get_running_loop().create_future()
+        pending = self.link.submit(
+            call, lambda outcome: told.done() or told.set_result(outcome)
+        )
+        told.add_done_callback(
+            lambda told: self.link.withdraw(pending) if told.cancelled() else None
+        )
+        return told
 
     async def until(self, condition):
         async with asyncio.timeout(WAIT):
--- a/sequoiaspoke/tests/test_processes.py
+++ b/sequoiaspoke/tests/test_processes.py
@@ -14,8 +14,8 @@
     Field,
     RouteTo,
     Rule,
-    WeightedService,
 )
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.core.snapshot import codec
 from sequoiaspoke.core.snapshot.publish import HEAD_DOCUMENT
 from sequoiaspoke.measure.bench import Bench
--- a/sequoiaspoke/tests/test_routing.py
+++ b/sequoiaspoke/tests/test_routing.py
@@ -25,7 +25,8 @@
 )
 from sequoiaspoke.core.routing.settings import RoutingSettings
 from sequoiaspoke.core.routing.split import Splitter
-from sequoiaspoke.core.rules.model import CallPolicy, Endpoint, WeightedService
+from sequoiaspoke.core.rules.model import CallPolicy, Endpoint
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.errors import (
     ConnectError,
     ConnectionLostError,
--- a/sequoiaspoke/tests/test_rules.py
+++ b/sequoiaspoke/tests/test_rules.py
@@ -22,12 +22,12 @@
     RouteTo,
     Rule,
     Service,
-    WeightedService,
 )
 from sequoiaspoke.core.rules.parse import parse_declarations
 from sequoiaspoke.core.rules.reach import covers, unreachable
 from sequoiaspoke.core.rules.request import make_request_head, normal_path
 from sequoiaspoke.core.rules.validate import validate
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.errors import DeclarationsError
 from sequoiaspoke.tests.rule_strategies import REQUESTS, rule_lists
 
--- a/sequoiaspoke/tests/test_sidecar_entry.py
+++ b/sequoiaspoke/tests/test_sidecar_entry.py
@@ -8,10 +8,11 @@
 
 from sequoiaspoke.core.mesh.model import Endpoint, MeshConfig, Route
 from sequoiaspoke.core.mesh.outcome import TIMED_OUT, Answer, NotRun, Request, Unknown
+from sequoiaspoke.core.mesh.placing import News
 from sequoiaspoke.core.mesh.reading import ReadingDuty
 from sequoiaspoke.core.mesh.repeats import RepeatLimits
 from sequoiaspoke.core.mesh.table import RouteTable
-from sequoiaspoke.core.rules.model import WeightedService
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.attempts import Attempts
 from sequoiaspoke.sidecar.callerserver import CallerServer
@@ -52,12 +53,13 @@
     script = {}
     sent = ()
 
-    async def attempt(self, progress, endpoint):
-        self.sent += (endpoint.instance,)
-        outcome = self.script[endpoint.instance]
-        if outcome is None:
-            await asyncio.sleep(3600)
-        return outcome
+    def begin(self, attempt):
+        instance = attempt.endpoint.instance
+        self.sent += (instance,)
+        outcome = self.script[instance]
+        if outcome is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(attempt.take, outcome, News())
 
 
 def route(name, idempotent):
@@ -271,7 +273,7 @@
         async def run():
             made = entry({"a": None})
             call = asyncio.ensure_future(made.handle(request("order", left=1)))
-            while not any(limit.expired() for limit in made.limits):
+            while not made.attempts.sent or made.deadlines.heap:
                 await asyncio.sleep(0)
             made.woke(clock.now() + 60)
             return (await call).status
--- a/sequoiaspoke/tests/test_sidecar_spread.py
+++ b/sequoiaspoke/tests/test_sidecar_spread.py
@@ -6,11 +6,11 @@
 from testtools import TestCase
 
 from sequoiaspoke.core.mesh.model import Endpoint, MeshConfig, Route
-from sequoiaspoke.core.mesh.reading import ReadingDuty
-from sequoiaspoke.core.rules.model import WeightedService
+from sequoiaspoke.core.mesh.reading import CONFIRM_SECONDS, ReadingDuty
+from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.follower import CONFIRM_SECONDS, Follower
+from sequoiaspoke.sidecar.follower import Follower
 from sequoiaspoke.sidecar.frames import Frames, decode, encode
 from sequoiaspoke.sidecar.logs import EventLog
 from sequoiaspoke.sidecar.source import (
@@ -59,8 +59,12 @@
     def send(self, frame):
         frame = decode(encode(frame)[4:])
         self.frames.append(frame)
-        if self.learner is not None and frame.knowledge is not None:
+        if self.learner is None:
+            return
+        if frame.knowledge is not None:
             self.learner.spread.learn(frame.knowledge)
+        elif frame.confirmed is not None:
+            self.learner.spread.confirmed(frame.confirmed)
 
     async def read(self, take):
         return "closed"
@@ -137,6 +141,28 @@
         self.reader.spread.publish()
         self.assertEqual(len(frames.frames), 1)
 
+    def test_that_nothing_has_changed_is_told_in_a_few_bytes(self):
+        # Each node hears it twice a second from its readers, and does little else
+        # while no call comes.
+        frames = self.other.follow(self.reader)
+        self.time += 0.9
+        self.reader.read(10)
+        confirmed = frames.frames[-1].confirmed
+        self.assertEqual((confirmed.revision, confirmed.age), (10, 0.0))
+        self.assertTrue(len(encode(frames.frames[-1])) < 30)
+        self.assertEqual(self.other.state.as_of, self.time)
+        self.assertFalse(self.other.duty.must_read(self.time + 1.0))
+
+    def test_a_confirmation_tells_of_entries_that_may_be_gone(self):
+        # An upstream's entry vanished as the store came back. Until it is known whether
+        # it is gone for good, all subscribers are told again and again.
+        frames = self.other.follow(self.reader)
+        self.reader.state.store_failed("store-unavailable", "down")
+        self.time += 10.0
+        self.reader.read(11, i_2=None)
+        self.reader.read(11)
+        self.assertEqual(len(frames.frames[-1].knowledge.lapsing), 1)
+
     def test_what_is_learnt_is_no_confirmation_of_ones_own(self):
         # Two nodes that follow each other must not confirm each other's knowledge: both
         # would go on acting on it while the store has moved on.
--- a/sequoiaspoke/tests/test_snapshot.py
+++ b/sequoiaspoke/tests/test_snapshot.py
@@ -3,7 +3,7 @@
 from testtools import ExpectedException, TestCase
 
 from sequoiaspoke.core.rules.model import Endpoint, RouteTo, Rule, Service
-from sequoiaspoke.core.rules.model import WeightedService as To
+from sequoiaspoke.core.rules.weights import WeightedService as To
 from sequoiaspoke.core.snapshot import codec
 from sequoiaspoke.core.snapshot.gate import Verdict
 from sequoiaspoke.core.snapshot.holder import SnapshotHolder
--- a/sequoiaspoke/wire/gen/meshlink/ttypes.py
+++ b/sequoiaspoke/wire/gen/meshlink/ttypes.py
@@ -2279,6 +2279,86 @@
         return not (self == other)
 
 
+class Confirmed(object):
+    """
+    Attributes:
+     - revision
+     - age
+
+    """
+
+    __slots__ = (
+        'revision',
+        'age',
+    )
+
+
+    def __init__(self, revision=None, age=None,):
+        self.revision = revision
+        self.age = age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Confirmed')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 2)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -2295,6 +2375,7 @@
      - ask
      - knowledge
      - subscribe
+     - confirmed
 
     """
 
@@ -2312,10 +2393,11 @@
         'ask',
         'knowledge',
         'subscribe',
+        'confirmed',
     )
 
 
-    def __init__(self, hello=None, welcome=None, call=None, answer=None, not_run=None, unknown=None, cancel=None, ping=None, pong=None, leaving=None, ask=None, knowledge=None, subscribe=None,):
+    def __init__(self, hello=None, welcome=None, call=None, answer=None, not_run=None, unknown=None, cancel=None, ping=None, pong=None, leaving=None, ask=None, knowledge=None, subscribe=None, confirmed=None,):
         self.hello = hello
         self.welcome = welcome
         self.call = call
@@ -2329,6 +2411,7 @@
         self.ask = ask
         self.knowledge = knowledge
         self.subscribe = subscribe
+        self.confirmed = confirmed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2417,6 +2500,12 @@
                     self.subscribe.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.confirmed = Confirmed()
+                    self.confirmed.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2479,6 +2568,10 @@
             oprot.writeFieldBegin('subscribe', TType.STRUCT, 13)
             self.subscribe.write(oprot)
             oprot.writeFieldEnd()
+        if self.confirmed is not None:
+            oprot.writeFieldBegin('confirmed', TType.STRUCT, 14)
+            self.confirmed.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2670,6 +2763,12 @@
     (6, TType.LIST, 'lapsing', (TType.STRUCT, [Gone, None], False), None, ),  # 6
     (7, TType.STRING, 'config', 'BINARY', None, ),  # 7
 )
+all_structs.append(Confirmed)
+Confirmed.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.DOUBLE, 'age', None, None, ),  # 2
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2686,6 +2785,7 @@
     (11, TType.STRUCT, 'ask', [Ask, None], None, ),  # 11
     (12, TType.STRUCT, 'knowledge', [Knowledge, None], None, ),  # 12
     (13, TType.STRUCT, 'subscribe', [Subscribe, None], None, ),  # 13
+    (14, TType.STRUCT, 'confirmed', [Confirmed, None], None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/sequoiaspoke/wire/meshlink.thrift
+++ b/sequoiaspoke/wire/meshlink.thrift
@@ -171,6 +171,13 @@
   7: optional binary config,
 }
 
+// The store confirmed that nothing has changed beyond what the subscriber was told.
+struct Confirmed {
+  1: i64 revision,
+  // Seconds since it did.
+  2: double age,
+}
+
 struct Frame {
   1: optional Hello hello,
   2: optional Welcome welcome,
@@ -185,4 +192,5 @@
   11: optional Ask ask,
   12: optional Knowledge knowledge,
   13: optional Subscribe subscribe,
+  14: optional Confirmed confirmed,
 }
