Let no reader vouch for what it knows while it has news to read

A reader that gathers a storm asks the store for its revision between two reads, and took any answer for a word that what it knew was all there is; its subscribers then denied routes of the version to be read. A node denied routes until its knowledge was 2.5 s old, where 2 s are allowed at times. Change: an answer with a newer revision says only that the store answers and the reader reads; subscribers are told both ages. A route is denied only by what is at most three quarters of the bound old.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -42,6 +42,9 @@
 CALLERS_SECONDS = 0.5
 # A look that comes this much too late means that the VM stood still.
 PAUSE_SECONDS = 1.0
+# Part of the time in which a version has to be in force after which a node that was not
+# confirmed denies no route.
+DENY_PART = 0.75
 # Seconds for which a stopping node serves on although nobody waits: callers are moved
 # away after two questions a second apart have found it not ready.
 LINGER_SECONDS = 2.6
@@ -66,6 +69,7 @@
         self.log = EventLog(settings.names.call_id)
         self.incarnation = rng.getrandbits(62)
         self.state = MeshState(decoder, self.log, self.state_changed)
+        self.state.deny_after = DENY_PART * settings.act_within
         host, port = settings.upstream
         self.upstream = Upstream(host, port, settings.names)
         self.home = Home(self.upstream, self.state.directory, self.log)
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -155,8 +155,7 @@
 
     def no_route(self, request: Request) -> Answer:
         """Answer a call that no route matches."""
-        if self.state.stale(clock.now()):
-            # The route may be in a version that has not come here yet.
+        if self.state.may_lack_a_route(clock.now()):
             return self.refuse(request, "no-fresh-configuration", COME_BACK)
         self.counts["", "404"] += 1
         self.log.call(
--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -140,8 +140,8 @@
             while True:
                 # At once, if the last confirmation is old: a node that begins to read
                 # for itself must not take its own start for an outage of the store.
-                age = self.state.age(clock.now())
-                pause = max(0.0, self.duty.confirm_seconds - age)
+                since = clock.now() - self.state.answered_at
+                pause = max(0.0, self.duty.confirm_seconds - since)
                 if self.state.revision < expected:
                     pause = OVERDUE_SECONDS
                 done, _ = await asyncio.wait({waiting}, timeout=pause)
@@ -169,6 +169,10 @@
         begun = clock.now()
         revision = await self.store.confirm()
         self.state.store_answered()
-        self.state.confirmed_as_of(begun)
+        if revision > self.state.revision:
+            # There are news that this node has not read. Others hear that it reads.
+            self.state.answered_with_news(begun)
+        else:
+            self.state.confirmed_as_of(begun)
         self.pause = RETRY_FIRST
         return revision
--- a/sequoiaspoke/sidecar/spread.py
+++ b/sequoiaspoke/sidecar/spread.py
@@ -109,7 +109,9 @@
         state = self.state
         same = (serial, version) == (state.directory.serial, state.version)
         if same and serial and not state.directory.vanished:
-            confirmed = wire.Confirmed(state.revision, now - state.as_of)
+            confirmed = wire.Confirmed(
+                state.revision, now - state.as_of, now - state.answered_at
+            )
             return wire.Frame(confirmed=confirmed)
         return wire.Frame(knowledge=pack(state.knowledge(serial, version), now))
 
@@ -141,10 +143,11 @@
         return True
 
     def confirmed(self, confirmed: wire.Confirmed) -> None:
-        """Take the store's word, by a reader, that all it has told is all there is."""
-        as_of = clock.now() - confirmed.age
-        self.state.learn(Knowledge(confirmed.revision, as_of))
-        self.duty.heard(as_of)
+        """Take a reader's word that it has read nothing since it last told."""
+        now = clock.now()
+        self.state.heard_of_store(now - confirmed.answered_age)
+        self.state.learn(Knowledge(confirmed.revision, now - confirmed.age))
+        self.duty.heard(now - confirmed.answered_age)
 
     def link_up(self, link: LinkClient) -> None:
         """Subscribe to a reader whose link stands anew."""
--- a/sequoiaspoke/sidecar/state.py
+++ b/sequoiaspoke/sidecar/state.py
@@ -24,6 +24,10 @@
 # Age in seconds from which news of other nodes is asked for: above the time in which a
 # node notices that its readers are silent and reads for itself.
 STALE_SECONDS = 2.5
+# Age in seconds from which this node denies no route, unless it is told its bound:
+# below the 2 s in which a version has to be in force, above the second or so between
+# two confirmations of a reader.
+DENY_SECONDS = 1.5
 # Keys for which it is remembered that their item was refused; a store that is read anew
 # tells it again. Beyond, all are forgotten, which costs a line each.
 REFUSED_KEYS = 1000
@@ -39,9 +43,14 @@
     table : RouteTable or None
         The newest configuration; it is replaced whole and never by an older one.
     as_of : float
-        When the store, or a node that had read it, confirmed all this.
+        When the store, or a node that had read it, confirmed that this is all it has.
+    answered_at : float
+        When the store last answered this node, or one that told it, if with news that
+        are not read yet.
     read_at : float
-        When this node had the last confirmation from the store itself.
+        When the store last answered this node itself.
+    deny_after : float
+        Age in seconds from which a route that is not known may be too new.
     """
 
     def __init__(
@@ -56,6 +65,8 @@
         self.config_revision = 0
         self.revision = 0
         self.as_of = float("-inf")
+        self.answered_at = float("-inf")
+        self.deny_after = DENY_SECONDS
         self.read_at = float("-inf")
         self.lost_at = float("-inf")
         self.installed = 0.0
@@ -70,6 +81,15 @@
         """Return whether news may have been missed."""
         return self.age(now) > STALE_SECONDS
 
+    def may_lack_a_route(self, now: float) -> bool:
+        """Return whether a route may be in force that has not come here yet.
+
+        A caller of such a route that is told there is none gives up for good. In a
+        storm of versions on narrow links one was 2.8 s on its way to a node that
+        denied it, as its readers had meanwhile been answered by the store.
+        """
+        return self.age(now) > self.deny_after
+
     def members(self) -> list[Endpoint]:
         """Return the endpoints whose nodes take part in the mesh.
 
@@ -131,8 +151,10 @@
         when = now if when is None else when
         if self.directory.outage:
             self.log.event("store-reached", age=f"{self.age(now):.1f}")
-        known_before = self.as_of > float("-inf")
-        self.directory.reached_store(when, when - self.as_of if known_before else 0.0)
+        known_before = self.answered_at > float("-inf")
+        gap = when - self.answered_at if known_before else 0.0
+        self.answered_at = max(self.answered_at, when)
+        self.directory.reached_store(when, gap)
 
     def store_failed(self, code: str, reason: str) -> None:
         """Note that the store cannot be read."""
@@ -155,6 +177,11 @@
     def confirmed_as_of(self, when: float) -> None:
         """Note that the store answered, and that all it had to tell had come."""
         self.as_of = max(self.as_of, when)
+        self.answered_with_news(when)
+
+    def answered_with_news(self, when: float) -> None:
+        """Note that the store answered, whether or not it has news."""
+        self.answered_at = max(self.answered_at, when)
         self.read_at = max(self.read_at, when)
         self.changed()
 
@@ -275,11 +302,7 @@
         if knowledge.config is not None and self.newer(knowledge.config.version):
             self.put_in_force(self.history.apply(knowledge.config))
             self.config_revision = knowledge.config_revision
-        if knowledge.as_of > max(self.lost_at, self.as_of):
-            # The store answers others. A node that had lost it and then left reading to
-            # its readers would else doubt the next entry that vanishes, however much
-            # later, and go on sending calls to an upstream that has left.
-            self.store_answered(knowledge.as_of)
+        self.heard_of_store(knowledge.as_of)
         directory = self.directory
         before = directory.serial
         if knowledge.whole:
@@ -298,6 +321,16 @@
         self.as_of = max(self.as_of, knowledge.as_of)
         self.changed()
 
+    def heard_of_store(self, when: float) -> None:
+        """Note that the store answered another node at a time.
+
+        A node that had lost it and then left reading to its readers would else doubt
+        the next entry that vanishes, however much later, and go on sending calls to an
+        upstream that has left.
+        """
+        if when > max(self.lost_at, self.answered_at):
+            self.store_answered(when)
+
     def knowledge(self, serial: int, version: int) -> Knowledge:
         """Return what is known here beyond a count of changes and a version."""
         held, gone = self.directory.changed_since(serial)
--- a/sequoiaspoke/tests/test_sidecar_follower.py
+++ b/sequoiaspoke/tests/test_sidecar_follower.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 
 from sequoiaspoke.core.mesh.reading import ReadingDuty
+from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.follower import Follower
 from sequoiaspoke.sidecar.source import (
     Changes,
@@ -72,8 +73,9 @@
         self.revision = read.revision
         self.told.append("changes")
 
-    def age(self, now):
-        return 0.0
+    @property
+    def answered_at(self):
+        return clock.now()
 
     def store_answered(self):
         pass
--- a/sequoiaspoke/tests/test_sidecar_spread.py
+++ b/sequoiaspoke/tests/test_sidecar_spread.py
@@ -153,6 +153,22 @@
         self.assertEqual(self.other.state.as_of, self.time)
         self.assertFalse(self.other.duty.must_read(self.time + 1.0))
 
+    def test_a_reader_that_has_news_to_read_does_not_vouch_for_what_it_knows(self):
+        # Versions come several a second, and a reader on a narrow link reads the newest
+        # once a second. Meanwhile it asks the store for its revision. Taken for a word
+        # on what it knew, a caller of a route in the version to be read was told 2.8 s
+        # after its acknowledgement that there is no such route, and gave up for good.
+        self.other.follow(self.reader)
+        for _ in range(4):
+            self.time += 0.5
+            self.reader.state.answered_with_news(self.time)
+        self.assertFalse(self.other.duty.must_read(self.time + 1.0))
+        self.assertEqual(self.other.state.as_of, 1000.0)
+        self.assertTrue(self.other.state.may_lack_a_route(self.time))
+        self.time += 0.1
+        self.reader.read(11)
+        self.assertFalse(self.other.state.may_lack_a_route(self.time))
+
     def test_a_confirmation_tells_of_entries_that_may_be_gone(self):
         # An upstream's entry vanished as the store came back. Until it is known whether
         # it is gone for good, all subscribers are told again and again.
--- a/sequoiaspoke/wire/gen/meshlink/ttypes.py
+++ b/sequoiaspoke/wire/gen/meshlink/ttypes.py
@@ -2284,18 +2284,21 @@
     Attributes:
      - revision
      - age
+     - answered_age
 
     """
 
     __slots__ = (
         'revision',
         'age',
+        'answered_age',
     )
 
 
-    def __init__(self, revision=None, age=None,):
+    def __init__(self, revision=None, age=None, answered_age=None,):
         self.revision = revision
         self.age = age
+        self.answered_age = answered_age
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2316,6 +2319,11 @@
                     self.age = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.answered_age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2334,6 +2342,10 @@
             oprot.writeFieldBegin('age', TType.DOUBLE, 2)
             oprot.writeDouble(self.age)
             oprot.writeFieldEnd()
+        if self.answered_age is not None:
+            oprot.writeFieldBegin('answered_age', TType.DOUBLE, 3)
+            oprot.writeDouble(self.answered_age)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2768,6 +2780,7 @@
     None,  # 0
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.DOUBLE, 'age', None, None, ),  # 2
+    (3, TType.DOUBLE, 'answered_age', None, None, ),  # 3
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/sequoiaspoke/wire/meshlink.thrift
+++ b/sequoiaspoke/wire/meshlink.thrift
@@ -171,11 +171,13 @@
   7: optional binary config,
 }
 
-// The store confirmed that nothing has changed beyond what the subscriber was told.
+// Nothing has changed at this node beyond what the subscriber was told.
 struct Confirmed {
   1: i64 revision,
-  // Seconds since it did.
+  // Seconds since that was all that the store had.
   2: double age,
+  // Seconds since the store last answered this node, if with news that are not read yet.
+  3: double answered_age,
 }
 
 struct Frame {
