--- a/sequoiaspoke/measure/cost.py
+++ b/sequoiaspoke/measure/cost.py
@@ -37,10 +37,11 @@
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.frames import TcpDialer
 from sequoiaspoke.sidecar.home import HomeCall
-from sequoiaspoke.sidecar.linkclient import LinkClient, LinkIdentity
+from sequoiaspoke.sidecar.linkclient import LinkClient
 from sequoiaspoke.sidecar.linkserver import LinkServer
 from sequoiaspoke.sidecar.logs import EventLog
 from sequoiaspoke.sidecar.names import HeaderNames
+from sequoiaspoke.sidecar.pending import LinkIdentity
 from sequoiaspoke.sidecar.spread import Spread
 from sequoiaspoke.sidecar.state import MeshState
 
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -16,11 +16,11 @@
 from sequoiaspoke.sidecar.frames import TcpDialer
 from sequoiaspoke.sidecar.healthserver import HealthPages
 from sequoiaspoke.sidecar.home import Home
-from sequoiaspoke.sidecar.linkclient import LinkIdentity
 from sequoiaspoke.sidecar.linkserver import LinkServer
 from sequoiaspoke.sidecar.logs import EventLog
 from sequoiaspoke.sidecar.metrics import SidecarMetrics
 from sequoiaspoke.sidecar.peers import Peers
+from sequoiaspoke.sidecar.pending import LinkIdentity
 from sequoiaspoke.sidecar.spread import Spread
 from sequoiaspoke.sidecar.state import MeshState
 from sequoiaspoke.sidecar.upstream import Upstream
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -18,9 +18,10 @@
 from sequoiaspoke.core.mesh.outcome import TIMED_OUT, Answer, NotRun, Unknown
 from sequoiaspoke.core.routing.split import Splitter
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.attempts import TRY_ELSEWHERE, Attempts, Progress
+from sequoiaspoke.sidecar.attempts import Attempts
 from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.httptext import end_to_end, own_answer
+from sequoiaspoke.sidecar.race import TRY_ELSEWHERE, Progress
 
 if TYPE_CHECKING:
     from random import Random
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -15,6 +15,7 @@
 from sequoiaspoke.core.mesh.placing import News
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.frames import flatten, unflatten
+from sequoiaspoke.sidecar.pending import Pending
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 if TYPE_CHECKING:
@@ -25,6 +26,7 @@
     from sequoiaspoke.sidecar.gossip import Gossip
     from sequoiaspoke.sidecar.home import HomeCall
     from sequoiaspoke.sidecar.logs import EventLog
+    from sequoiaspoke.sidecar.pending import LinkIdentity
 
 # Seconds for a connection and for the greeting on it. Zones lie milliseconds apart;
 # a home that is busy answers in tenths.
@@ -52,46 +54,6 @@
     """Do nothing; for links whose news nobody uses."""
 
 
-class Pending:
-    """A call under way at another node.
-
-    Attributes
-    ----------
-    sent_to : int or None
-        The incarnation of the home that it was sent to.
-    """
-
-    def __init__(
-        self, number: int, call: HomeCall, tell: Callable[[Outcome], None]
-    ) -> None:
-        self.number = number
-        self.call = call
-        self.tell = tell
-        self.over = False
-        self.sent_to: int | None = None
-
-    def resolve(self, outcome: Outcome) -> None:
-        """Hand over what came of the call."""
-        if not self.over:
-            self.over = True
-            self.tell(outcome)
-
-
-class LinkIdentity:
-    """What this node says of itself on each link it opens."""
-
-    def __init__(self, host: str, zone: str, incarnation: int) -> None:
-        self.host = host
-        self.zone = zone
-        self.incarnation = incarnation
-        self.count = 0
-
-    def number(self) -> int:
-        """Return the number of the next call; never one twice."""
-        self.count += 1
-        return self.count
-
-
 class LinkClient:
     """The link to one home.
 
--- a/sequoiaspoke/sidecar/peers.py
+++ b/sequoiaspoke/sidecar/peers.py
@@ -17,8 +17,8 @@
     from sequoiaspoke.core.mesh.placing import News
     from sequoiaspoke.sidecar.frames import Dialer
     from sequoiaspoke.sidecar.gossip import Gossip
-    from sequoiaspoke.sidecar.linkclient import LinkIdentity
     from sequoiaspoke.sidecar.logs import EventLog
+    from sequoiaspoke.sidecar.pending import LinkIdentity
     from sequoiaspoke.sidecar.state import MeshState
 
 # Links held open without calls, to nodes of the own zone: by them a node that starts
--- /dev/null
+++ b/sequoiaspoke/sidecar/pending.py
@@ -0,0 +1,51 @@
+"""Calls that an entry has under way at another node, and how they are numbered."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sequoiaspoke.core.mesh.outcome import Outcome
+    from sequoiaspoke.sidecar.home import HomeCall
+
+
+class Pending:
+    """A call under way at another node.
+
+    Attributes
+    ----------
+    sent_to : int or None
+        The incarnation of the home that it was sent to.
+    """
+
+    def __init__(
+        self, number: int, call: HomeCall, tell: Callable[[Outcome], None]
+    ) -> None:
+        self.number = number
+        self.call = call
+        self.tell = tell
+        self.over = False
+        self.sent_to: int | None = None
+
+    def resolve(self, outcome: Outcome) -> None:
+        """Hand over what came of the call."""
+        if not self.over:
+            self.over = True
+            self.tell(outcome)
+
+
+class LinkIdentity:
+    """What this node says of itself on each link it opens."""
+
+    def __init__(self, host: str, zone: str, incarnation: int) -> None:
+        self.host = host
+        self.zone = zone
+        self.incarnation = incarnation
+        self.count = 0
+
+    def number(self) -> int:
+        """Return the number of the next call; never one twice."""
+        self.count += 1
+        return self.count
--- a/sequoiaspoke/tests/meshsim.py
+++ b/sequoiaspoke/tests/meshsim.py
@@ -21,11 +21,11 @@
 from sequoiaspoke.sidecar.entry import Entry
 from sequoiaspoke.sidecar.frames import Dialer, Frames
 from sequoiaspoke.sidecar.home import Home
-from sequoiaspoke.sidecar.linkclient import LinkIdentity
 from sequoiaspoke.sidecar.linkserver import LinkServer
 from sequoiaspoke.sidecar.logs import EventLog
 from sequoiaspoke.sidecar.names import HeaderNames
 from sequoiaspoke.sidecar.peers import Peers
+from sequoiaspoke.sidecar.pending import LinkIdentity
 from sequoiaspoke.sidecar.source import Changes, ItemDecoder, StoreItem
 from sequoiaspoke.sidecar.spread import Spread
 from sequoiaspoke.sidecar.state import MeshState
--- a/sequoiaspoke/tests/test_mesh_property.py
+++ b/sequoiaspoke/tests/test_mesh_property.py
@@ -13,7 +13,8 @@
 from sequoiaspoke.core.mesh.outcome import NotRun, Unknown
 from sequoiaspoke.core.mesh.repeats import RepeatBudget
 from sequoiaspoke.sidecar.entry import Entry
-from sequoiaspoke.sidecar.linkclient import LinkClient, Pending
+from sequoiaspoke.sidecar.linkclient import LinkClient
+from sequoiaspoke.sidecar.pending import Pending
 from sequoiaspoke.tests.meshsim import play
 
 SEEDS = int(os.environ.get("MESH_SEEDS", "160"))
--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -12,9 +12,10 @@
 from sequoiaspoke.sidecar.frames import TcpDialer
 from sequoiaspoke.sidecar.gossip import Gossip
 from sequoiaspoke.sidecar.home import SETTLE_SECONDS, Home, HomeCall
-from sequoiaspoke.sidecar.linkclient import HEARD_LATELY, LinkClient, LinkIdentity
+from sequoiaspoke.sidecar.linkclient import HEARD_LATELY, LinkClient
 from sequoiaspoke.sidecar.linkserver import LinkServer
 from sequoiaspoke.sidecar.logs import EventLog
+from sequoiaspoke.sidecar.pending import LinkIdentity
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 WAIT = 20.0  # seconds; only a failing test waits so long
--- a/sequoiaspoke/tests/test_sidecar_entry.py
+++ b/sequoiaspoke/tests/test_sidecar_entry.py
@@ -19,10 +19,10 @@
 from sequoiaspoke.sidecar.entry import Entry
 from sequoiaspoke.sidecar.frames import TcpDialer
 from sequoiaspoke.sidecar.home import Home
-from sequoiaspoke.sidecar.linkclient import LinkIdentity
 from sequoiaspoke.sidecar.logs import EventLog
 from sequoiaspoke.sidecar.names import HeaderNames
 from sequoiaspoke.sidecar.peers import Peers
+from sequoiaspoke.sidecar.pending import LinkIdentity
 from sequoiaspoke.sidecar.source import ItemDecoder
 from sequoiaspoke.sidecar.spread import Spread
 from sequoiaspoke.sidecar.state import MeshState
