Take a node whose link is not known for as narrow as the narrowest known

Cause: read once more, each node knew its own rate first and took all others for nothing: in a zone of equal links each would have read for itself until it was told. Change: an unknown rate counts as the least known one; a node tells its own with those of the readers. Measured: tests of a zone of equal links and of one with two wide ones.

--- a/sequoiaspoke/core/mesh/reading.py
+++ b/sequoiaspoke/core/mesh/reading.py
@@ -108,8 +108,9 @@
 
     @property
     def reader_rates(self) -> dict[str, float]:
-        """Return the rates by which the readers were chosen."""
-        return {host: self.link_rates.get(host, 0.0) for host in self.readers}
+        """Return the rates of the readers and this node, as far as they are known."""
+        told = {*self.readers, self.host}
+        return {host: self.link_rates[host] for host in told & self.link_rates.keys()}
 
     def choose(self) -> None:
         """Choose the readers: those with the widest links, and of equals by hash.
@@ -124,9 +125,14 @@
         self.on_change()
 
     def by_rate(self, hosts: Iterable[str]) -> list[str]:
-        """Return nodes, the one with the widest link first."""
+        """Return nodes, the one with the widest link first.
+
+        One that is not known counts as the narrowest that is. Taken for less, each node
+        of a zone whose links are all alike would read for itself until it was told.
+        """
         order = rank(self.zone, sorted(hosts))
-        return sorted(order, key=lambda host: -self.link_rates.get(host, 0.0))
+        narrowest = min(self.link_rates.values())
+        return sorted(order, key=lambda host: -self.link_rates.get(host, narrowest))
 
     def heard(self, as_of: float) -> None:
         """Note that what is known here was current at some time."""
--- a/sequoiaspoke/tests/test_mesh_spread.py
+++ b/sequoiaspoke/tests/test_mesh_spread.py
@@ -62,6 +62,17 @@
         self.assertFalse(duty.must_read(99.99 + BELIEVED_SECONDS))
         self.assertTrue(duty.must_read(100.0 + BELIEVED_SECONDS + 0.01))
 
+    def test_nodes_whose_links_are_alike_read_by_hash_from_the_start(self):
+        # Each knows its own link first. Had it preferred itself for that, every node
+        # that starts would read for itself until it is told of the others.
+        hosts = [f"10.0.0.{number}" for number in range(8)]
+        duties = [ReadingDuty(host, "akaki", 1.0, 1000.0) for host in hosts]
+        for duty in duties:
+            duty.take_hosts(hosts)
+        self.assertEqual(len({duty.readers for duty in duties}), 1)
+        for duty in duties:
+            self.assertFalse(duty.learn_rates(dict.fromkeys(hosts, 1000.0)))
+
     def test_the_nodes_with_the_widest_links_read(self):
         # Of 20 nodes two have links of 50 Mbit/s, the others of 2.5. A reader on one of
         # these takes 1.4 s for each version of 3,300 routes, and calls were decided by
