--- a/sequoiaspoke/measure/cost.py
+++ b/sequoiaspoke/measure/cost.py
@@ -19,7 +19,6 @@
 from tornado.netutil import bind_sockets
 
 from sequoiaspoke.core.mesh.outcome import Answer, Request
-from sequoiaspoke.core.mesh.placing import News
 from sequoiaspoke.core.mesh.reading import ReadingDuty
 from sequoiaspoke.errors import MeasureError
 from sequoiaspoke.measure.costnode import (
@@ -33,20 +32,25 @@
     CostFleet,
     FleetDecoder,
 )
+from sequoiaspoke.measure.costplayed import (
+    BODY_BYTES,
+    PlayedHome,
+    PlayedUpstream,
+    QuietLog,
+)
 from sequoiaspoke.measure.processes import Process
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.frames import TcpDialer
 from sequoiaspoke.sidecar.home import HomeCall
 from sequoiaspoke.sidecar.linkclient import LinkClient
 from sequoiaspoke.sidecar.linkserver import LinkServer
-from sequoiaspoke.sidecar.logs import EventLog
 from sequoiaspoke.sidecar.names import HeaderNames
 from sequoiaspoke.sidecar.pending import LinkIdentity
 from sequoiaspoke.sidecar.spread import Spread
 from sequoiaspoke.sidecar.state import MeshState
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Hashable
+    from collections.abc import Awaitable, Callable
 
     from sequoiaspoke.core.mesh.model import MeshConfig
     from sequoiaspoke.core.mesh.outcome import Outcome
@@ -55,9 +59,6 @@
 START_SECONDS, POLL = 30.0, 0.02
 # Callers of the real node, each with one call at a time.
 CALLERS = 8
-# Bytes of an answer's body; most of the users' answers have some hundred to a few
-# thousand.
-BODY_BYTES = 1000
 # Seconds in which the idle node is watched, and between two confirmations of a reader.
 IDLE_SECONDS, CONFIRM_SECONDS = 5.0, 0.9
 # Routes of the large configuration, and how often it changes.
@@ -99,59 +100,6 @@
     config_change: float
 
 
-class PlayedHome:
-    """A home that answers each call at once."""
-
-    leaving = False
-
-    def __init__(self) -> None:
-        headers = (("Content-Type", "text/plain"), ("X-Upstream-Stamp", "s"))
-        self.answer = Answer(200, headers, b"x" * BODY_BYTES, 0.01)
-
-    def submit(
-        self,
-        key: Hashable,  # noqa: ARG002
-        call: HomeCall,  # noqa: ARG002
-        tell: Callable[[Outcome], None],
-    ) -> None:
-        """Answer a call."""
-        tell(self.answer)
-
-    def cancel(self, key: Hashable) -> None:
-        """Do nothing: every call has its answer."""
-
-    def news(self, route: str = "", rank: int = 0) -> News:  # noqa: ARG002
-        """Return that there is no load."""
-        return News(1.0, 0.01, 0.0)
-
-
-class PlayedUpstream(asyncio.Protocol):
-    """Answers each request at once; requests have no body and come one by one."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the connection."""
-        self.transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        """Answer a request with its id."""
-        call_id = b""
-        for line in data.split(b"\r\n"):
-            if line.lower().startswith(b"x-request-id:"):
-                call_id = line.partition(b":")[2].strip()
-        head = b"HTTP/1.1 200 OK\r\nX-Upstream-Stamp: s\r\nX-Request-Id: %b\r\n"
-        self.transport.write(
-            head % call_id + b"Content-Length: 1000\r\n\r\n" + b"x" * BODY_BYTES
-        )
-
-
-class QuietLog(EventLog):
-    """A log of which nothing is written: what is played here is not of interest."""
-
-    def allowed(self, kind: str) -> bool:  # noqa: ARG002
-        """Return that there is no room."""
-        return False
-
-
 class CostBench:
     """A fleet of one real node, and what is played for it."""
 
--- a/sequoiaspoke/tests/test_sidecar_follower.py
+++ b/sequoiaspoke/tests/test_sidecar_follower.py
@@ -113,6 +113,16 @@
         state, reads = self.follow(Changes((), 5), Changes((), 7))
         self.assertEqual((state.told, reads), (["all", "changes"], ["all", 5, 7]))
 
+    async def follow_until_third_read(self, store, state):
+        """Follow a store until it is asked for changes a second time."""
+        duty = ReadingDuty("h", "z")
+        follower = Follower(store, state, duty, random.Random(1))
+        task = asyncio.ensure_future(follower.run())
+        async with asyncio.timeout(WAIT):
+            while len(store.reads) < 3:
+                await asyncio.sleep(0.005)
+        task.cancel()
+
     def test_an_upstream_that_leaves_is_noticed_between_two_reads_of_a_storm(self):
         # Versions come several a second, each 250 KB on a link of 2.5 Mbit/s: a read
         # and the pause after it take 2 s. An upstream that leaves in the pause was sent
@@ -134,14 +144,7 @@
 
         async def run():
             store, state = Storm([Changes((), 5), Changes(("v6",), 6)]), Versions()
-            duty = ReadingDuty("h", "z")
-            task = asyncio.ensure_future(
-                Follower(store, state, duty, random.Random(1)).run()
-            )
-            async with asyncio.timeout(WAIT):
-                while len(store.reads) < 3:
-                    await asyncio.sleep(0.005)
-            task.cancel()
+            await self.follow_until_third_read(store, state)
             return state.told
 
         told = asyncio.run(run())
@@ -179,15 +182,8 @@
                 self.version = read.revision
 
         async def run():
-            store, state = Storm(), Versions()
-            duty = ReadingDuty("h", "z")
-            task = asyncio.ensure_future(
-                Follower(store, state, duty, random.Random(1)).run()
-            )
-            async with asyncio.timeout(WAIT):
-                while len(store.reads) < 3:
-                    await asyncio.sleep(0.005)
-            task.cancel()
+            store = Storm()
+            await self.follow_until_third_read(store, Versions())
             return store
 
         store = asyncio.run(run())
