Give messages of calls, waits for a sign and the watch on cold starts modules of their own

Cause: linkclient.py had 435 lines and three jobs; linkserver.py wrote the other half of the same messages; home.py grew to 414 lines with the cold starts.

Change: wirecalls.py packs and unpacks calls, outcomes and news for both sides, signs.py holds calls until a silent home gives a sign, coldwatch.py finds out whether the upstream is cold.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -155,7 +155,7 @@
             self.callers.current_limits = self.state.table.config.limits
             service = self.state.table.config.services.get(self.settings.service)
             if service is not None:
-                self.home.take_service(service, self.settings.cold)
+                self.home.cold_watch.take_service(service, self.settings.cold)
         own = self.state.directory.at(*self.settings.upstream)
         if own is not None:
             self.home.take_endpoint(own)
--- a/sequoiaspoke/sidecar/frames.py
+++ b/sequoiaspoke/sidecar/frames.py
@@ -18,7 +18,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sequoiaspoke.core.mesh.outcome import Headers
 
 HEADER = struct.Struct("!I")
 # Above the largest body that an upstream's answer or a request may have.
@@ -51,16 +50,6 @@
     return frame
 
 
-def flatten(headers: Headers) -> list[str]:
-    """Return names and values in turn."""
-    return [text for pair in headers for text in pair]
-
-
-def unflatten(flat: list[str]) -> Headers:
-    """Return names with their values."""
-    return tuple(zip(flat[::2], flat[1::2], strict=True))
-
-
 class Prepared:
     """A frame that goes to many nodes and is encoded once for all of them."""
 
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -14,14 +14,14 @@
 from sequoiaspoke.core.mesh.placing import News
 from sequoiaspoke.core.mesh.slots import SETTLE_SECONDS
 from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.coldwatch import ColdWatch
 from sequoiaspoke.sidecar.upstream import UNREACHABLE
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Hashable
 
-    from sequoiaspoke.core.mesh.coldstart import ColdLimits, ColdStart
     from sequoiaspoke.core.mesh.directory import Directory
-    from sequoiaspoke.core.mesh.model import Endpoint, Incarnation, Service
+    from sequoiaspoke.core.mesh.model import Endpoint, Incarnation
     from sequoiaspoke.core.mesh.outcome import Outcome, Request
     from sequoiaspoke.core.mesh.slots import Load
     from sequoiaspoke.sidecar.logs import EventLog
@@ -38,9 +38,6 @@
 # Retry-After of a node whose zone is evacuated, in seconds; a caller gets it only if no
 # other zone has served its call.
 EVACUATED_SECONDS = 0.3
-# Seconds for the answer to the question whether the upstream is cold, and between two
-# such questions.
-ASK_SECONDS, ASK_PAUSE = 0.5, 0.2
 
 
 @dataclass(frozen=True)
@@ -97,10 +94,8 @@
         self.leaving = False
         self.evacuated = False
         self.taken_back_at = 0
-        self.service: Service | None = None
-        self.asking: asyncio.Task[None] | None = None
-        self.asked = float("-inf")
-        self.entry_revision = 0
+        cold_start = self.admission.cold_start
+        self.cold_watch = ColdWatch(cold_start, upstream, log, self.advance)
         self.incarnation: Incarnation | None = None
         self.load: Load | None = None
         self.left_since: dict[Incarnation, float] = {}
@@ -146,13 +141,8 @@
     def expect_earlier_calls(self) -> None:
         """Reckon with calls that a process before this one sent to the upstream."""
         self.admission.upstream.heard = False
-        self.cold_start.expect_earlier_calls(clock.STARTED)
-        self.cold_start.doubt(clock.STARTED)
-
-    @property
-    def cold_start(self) -> ColdStart:
-        """Return how cold the upstream is."""
-        return self.admission.cold_start
+        self.admission.cold_start.expect_earlier_calls(clock.STARTED)
+        self.cold_watch.doubt(clock.STARTED)
 
     def unwanted(self, call: HomeCall) -> NotRun | None:
         """Return why no call may be taken now, whatever the load."""
@@ -211,7 +201,7 @@
             self.admission.refused_by_upstream(load, now)
         elif isinstance(outcome, NotRun) and outcome.reason == UNREACHABLE:
             # It may be starting anew, and cold when it can be reached again.
-            self.doubt_cold(now)
+            self.cold_watch.doubt(now)
         elif isinstance(outcome, Unknown) and outcome.reason == RESET_AT_ONCE:
             self.admission.turned_away(now)
 
@@ -305,7 +295,7 @@
         """Give up on what has waited too long."""
         self.ledger.expire(now)
         self.upstream.tick(now)
-        self.ask_if_cold(now)
+        self.cold_watch.ask_if_due(now)
         if not self.admission.waiting:
             self.left_since.clear()
             return
@@ -332,8 +322,6 @@
                 self.admission.cancel(arrival.ticket)
                 self.give_up(Refused(arrival, Turned.INSTANCE_LEFT, LEAVING_SECONDS))
 
-    # Evacuations and cold starts.
-
     def evacuate(self, evacuated: bool, ended_at: int) -> None:
         """Send nothing to the upstream while its zone is evacuated.
 
@@ -343,6 +331,7 @@
             Revision of the store at which the zone was last taken back.
         """
         before, self.evacuated = self.evacuated, evacuated
+        self.cold_watch.held_back = evacuated
         taken_back, self.taken_back_at = ended_at > self.taken_back_at, ended_at
         now = clock.now()
         if evacuated and not before:
@@ -353,39 +342,7 @@
                 self.give_up(Refused(arrival, Turned.ZONE_EVACUATED, EVACUATED_SECONDS))
         elif taken_back:
             # Maybe this node never heard that it was empty, for it was only a moment.
-            self.doubt_cold(now)
-
-    def doubt_cold(self, now: float) -> None:
-        """Take the upstream for cold until it tells whether it is."""
-        seconds = self.service.cold_seconds if self.service else 0.0
-        self.cold_start.doubt(now, seconds)
-        self.ask_if_cold(now)
-
-    def ask_if_cold(self, now: float) -> None:
-        """Ask an upstream that is in doubt; it may be warm and bear all calls."""
-        due = now - self.asked >= ASK_PAUSE and self.asking is None
-        if not due or self.evacuated or not self.cold_start.doubted(now):
-            return
-        if self.service is not None and self.service.health_path:
-            self.asked = now
-            self.asking = asyncio.ensure_future(self.ask_cold(self.service.health_path))
-
-    async def ask_cold(self, path: str) -> None:
-        """Ask the upstream how long it stays cold."""
-        try:
-            seconds = await self.upstream.ask_cold(path, clock.now() + ASK_SECONDS)
-        finally:
-            self.asking = None
-        if seconds is None:
-            return
-        self.cold_start.told(seconds, clock.now())
-        self.log.event("upstream-cold", seconds=f"{seconds:.2f}", source="health")
-        self.advance()
-
-    def take_service(self, service: Service, limits: ColdLimits) -> None:
-        """Take what the operators say of the service of the upstream."""
-        self.service = service
-        self.cold_start.most = limits.most(service.cold_rate)
+            self.cold_watch.doubt(now)
 
     def take_endpoint(self, endpoint: Endpoint) -> None:
         """Take what the platform says of the upstream beside this node."""
@@ -402,9 +359,8 @@
             self.admission.restarted()
             self.upstream.forget_connections()
         held = self.directory.held.get(endpoint.instance)
-        if held is not None and held.revision != self.entry_revision:
-            self.entry_revision = held.revision
-            self.cold_start.published(held.cold_until)
+        if held is not None:
+            self.cold_watch.take_entry(held)
         if endpoint.slots != self.admission.upstream.published:
             self.take_slots(endpoint.slots)
 
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -11,11 +11,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
+from sequoiaspoke.core.mesh.outcome import NotRun, Unknown
 from sequoiaspoke.core.mesh.placing import News
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.frames import flatten, unflatten
 from sequoiaspoke.sidecar.pending import Pending
+from sequoiaspoke.sidecar.signs import SignWait
+from sequoiaspoke.sidecar.wirecalls import pack_call, unpack_news, unpack_outcome
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 if TYPE_CHECKING:
@@ -35,21 +36,14 @@
 # sign and then given up on.
 PING_AFTER, SILENT_AFTER = 0.3, 0.9
 # A link that was heard on within so many seconds is taken to stand. On an older one
-# the home is asked for a sign before a call is sent, and given so long for it: what was
-# never sent can go elsewhere at once, while a call sent into a link that is cut is in
-# doubt until its time is over.
-HEARD_LATELY, SIGN_SECONDS = 0.1, 0.25
+# the home is asked for a sign before a call is sent that may run once only.
+HEARD_LATELY = 0.1
 # Age in seconds of the knowledge of a node that has none.
 NOTHING_KNOWN = 1e6
 # Seconds between attempts to reach a home, doubling up to the second figure.
 REDIAL_FIRST, REDIAL_MOST = 0.1, 0.4
 
 
-def read_news(news: wire.News) -> News:
-    """Return a home's word from what came over the link."""
-    return News(news.strain, news.expected, news.wait)
-
-
 def ignore_news(news: News) -> None:
     """Do nothing; for links whose news nobody uses."""
 
@@ -98,8 +92,7 @@
         self.pinged = 0.0
         self.offset = 0.0
         self.round_trip = float("inf")
-        self.unsent: list[Pending] = []
-        self.sign_due: asyncio.TimerHandle | None = None
+        self.signs = SignWait(self.no_sign)
         self.waited_since = 0.0
         self.driver: asyncio.Task[None] | None = None
         self.wake = asyncio.Event()
@@ -110,8 +103,8 @@
         """Have the home run a call and tell what came of it, once."""
         pending = Pending(self.identity.number(), call, tell)
         if self.greeted and not call.idempotent and self.doubtful():
-            self.unsent.append(pending)
-            self.ask_for_sign()
+            if self.signs.hold(pending):
+                self.ping(clock.now())
         else:
             self.begin(pending)
         return pending
@@ -149,20 +142,11 @@
         """
         return clock.now() - self.heard >= HEARD_LATELY
 
-    def ask_for_sign(self) -> None:
-        """Ask the home for a sign, and give it up if none comes soon."""
-        if self.sign_due is None:
-            loop = asyncio.get_running_loop()
-            self.sign_due = loop.call_later(SIGN_SECONDS, self.no_sign)
-            self.ping(clock.now())
-
-    def no_sign(self) -> None:
+    def no_sign(self, unsent: list[Pending]) -> None:
         """Give the link up, and the calls that were not sent on it."""
-        self.sign_due = None
         self.failing = True
         if self.frames is not None:
             self.frames.close()
-        unsent, self.unsent = self.unsent, []
         for pending in unsent:
             pending.resolve(NotRun("link-silent"))
 
@@ -172,24 +156,9 @@
             # Given up on just now, for one as it was sent to an earlier incarnation of
             # the home: sent again it would run twice.
             return
-        call = pending.call
         pending.sent_to = self.incarnation
-        message = wire.Call(
-            number=pending.number,
-            instance=call.incarnation.instance,
-            born=call.incarnation.born,
-            route=call.route,
-            method=call.request.method,
-            target=call.request.target,
-            headers=flatten(call.request.headers),
-            body=call.request.body,
-            on_time=call.on_time + self.offset,
-            deadline=call.deadline + self.offset,
-            rank=call.rank,
-            idempotent=call.idempotent,
-        )
         assert self.frames is not None
-        self.frames.send(wire.Frame(call=message))
+        self.frames.send(pack_call(pending.call, pending.number, self.offset))
 
     # The link.
 
@@ -206,8 +175,6 @@
             self.frames.close()
         if self.driver is not None:
             self.driver.cancel()
-        if self.sign_due is not None:
-            self.sign_due.cancel()
         self.lose_all("home-left")
 
     async def drive(self) -> None:
@@ -270,21 +237,12 @@
         """Take a frame."""
         self.heard = clock.now()
         self.tell_sign()
-        if frame.answer is not None:
-            told = frame.answer
-            answer = Answer(
-                told.status, unflatten(told.headers), told.body or b"", told.seconds
-            )
-            self.resolve(told.number, answer, told.news)
-        elif frame.not_run is not None:
-            refused = frame.not_run
-            outcome = NotRun(refused.reason, refused.retry_after, refused.reached)
-            self.resolve(refused.number, outcome, refused.news)
-        elif frame.unknown is not None:
-            self.resolve(frame.unknown.number, Unknown(frame.unknown.reason), None)
+        outcome = unpack_outcome(frame)
+        if outcome is not None:
+            self.resolve(*outcome)
         elif frame.pong is not None:
             self.measure(frame.pong.sent, frame.pong.clock)
-            self.on_news(read_news(frame.pong.news))
+            self.on_news(unpack_news(frame.pong.news))
         elif frame.confirmed is not None:
             self.gossip.confirmed(frame.confirmed, self.offset)
         elif frame.welcome is not None:
@@ -302,14 +260,8 @@
 
         If the link has ended meanwhile they wait for the next.
         """
-        if self.sign_due is None:
-            return
-        self.sign_due.cancel()
-        self.sign_due = None
-        unsent, self.unsent = self.unsent, []
-        for pending in unsent:
-            if not pending.over:
-                self.begin(pending)
+        for pending in self.signs.release():
+            self.begin(pending)
 
     def inform(self, ask: wire.Ask) -> None:
         """Tell the home what this node knows better."""
@@ -335,10 +287,10 @@
         if self.frames is not None and self.greeted:
             self.frames.send(frame)
 
-    def resolve(self, number: int, outcome: Outcome, news: wire.News | None) -> None:
+    def resolve(self, number: int, outcome: Outcome, news: News | None) -> None:
         """Hand an outcome to the call that waits for it."""
         if news is not None:
-            self.news = read_news(news)
+            self.news = news
         pending = self.pending.pop(number, None)
         if pending is not None:
             pending.resolve(outcome)
@@ -402,9 +354,8 @@
     def lose_all(self, reason: str) -> None:
         """Fail every call."""
         self.lose_sent(reason)
-        for pending in [*self.pending.values(), *self.unsent]:
+        for pending in [*self.pending.values(), *self.signs.release()]:
             self.fail(pending, NotRun(reason))
-        self.unsent.clear()
 
     @property
     def at_rest(self) -> bool:
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -5,21 +5,18 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.mesh.model import Incarnation
-from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.frames import TcpFrames, flatten, unflatten
-from sequoiaspoke.sidecar.home import HomeCall
+from sequoiaspoke.sidecar.frames import TcpFrames
 from sequoiaspoke.sidecar.sockets import ConnectionServer
+from sequoiaspoke.sidecar.wirecalls import pack_news, pack_outcome, unpack_call
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 if TYPE_CHECKING:
     from sequoiaspoke.core.mesh.outcome import Outcome
-    from sequoiaspoke.core.mesh.placing import News
     from sequoiaspoke.sidecar.frames import Frames
     from sequoiaspoke.sidecar.gossip import Gossip
-    from sequoiaspoke.sidecar.home import Home
+    from sequoiaspoke.sidecar.home import Home, HomeCall
     from sequoiaspoke.sidecar.logs import EventLog
 
 
@@ -43,7 +40,7 @@
         elif frame.cancel is not None:
             self.server.home.cancel((self.peer, frame.cancel.number))
         elif frame.ping is not None:
-            news = wire_news(self.server.home.news())
+            news = pack_news(self.server.home.news())
             pong = wire.Pong(frame.ping.sent, clock.now(), news)
             self.frames.send(wire.Frame(pong=pong))
         elif frame.hello is not None:
@@ -79,19 +76,7 @@
 
     def call(self, call: wire.Call) -> None:
         """Take a call."""
-        number = call.number
-        request = Request(
-            call.method, call.target, unflatten(call.headers), call.body or b""
-        )
-        home_call = HomeCall(
-            request,
-            Incarnation(call.instance, call.born),
-            call.route,
-            call.rank,
-            call.idempotent,
-            call.on_time,
-            call.deadline,
-        )
+        number, home_call = call.number, unpack_call(call)
         self.server.home.submit(
             (self.peer, number),
             home_call,
@@ -100,30 +85,8 @@
 
     def tell(self, number: int, call: HomeCall, outcome: Outcome) -> None:
         """Send what came of a call."""
-        news = wire_news(self.server.home.news(call.route, call.rank))
-        if isinstance(outcome, Answer):
-            answer = wire.Answer(
-                number,
-                outcome.status,
-                flatten(outcome.headers),
-                outcome.body,
-                outcome.seconds,
-                news,
-            )
-            frame = wire.Frame(answer=answer)
-        elif isinstance(outcome, NotRun):
-            refusal = wire.NotRun(
-                number, outcome.reason, outcome.retry_after, outcome.reached, news
-            )
-            frame = wire.Frame(not_run=refusal)
-        else:
-            frame = wire.Frame(unknown=wire.Unknown(number, outcome.reason))
-        self.frames.send(frame)
-
-
-def wire_news(news: News) -> wire.News:
-    """Return a home's word as it goes over the link."""
-    return wire.News(news.strain, news.expected, news.wait)
+        news = self.server.home.news(call.route, call.rank)
+        self.frames.send(pack_outcome(number, outcome, news))
 
 
 class LinkServer(ConnectionServer):
--- a/sequoiaspoke/tests/test_mesh_coldstart.py
+++ b/sequoiaspoke/tests/test_mesh_coldstart.py
@@ -190,7 +190,7 @@
             self.directory.put(ENDPOINT, 5, self.time)
             self.home = Home(self.upstream, self.directory, log)
             self.home.take_slots(9)
-            self.home.take_service(SERVICE, LIMITS)
+            self.home.cold_watch.take_service(SERVICE, LIMITS)
             self.told = {}
             await scenario()
 
