--- a/sequoiaspoke/sidecar/statuspage.py
+++ b/sequoiaspoke/sidecar/statuspage.py
@@ -16,6 +16,7 @@
     """Return the node at a glance, with the names that the product's node uses."""
     state, home, entry = node.state, node.home, node.entry
     now = clock.now()
+    cold = home.admission.cold_start
     page = {
         "name": node.settings.node,
         "zone": node.settings.zone,
@@ -37,6 +38,10 @@
         "details": {
             "age": f"{min(state.age(now), 1e6):.1f}s",
             "endpoints": len(state.directory.held),
+            "evacuated-zones": sorted(state.evacuations.zones),
+            "cold": f"{max(0.0, cold.cold_until - now):.1f}s",
+            "cold-in-doubt": cold.doubted(now),
+            "cold-bound": cold.most,
             "readers": list(node.duty.readers),
             "links": sum(link.greeted for link in node.peers.links.values()),
             "store-reads": node.follower.store.calls,
