Split lapses, grouping and the log of changes from the directory and the state

Change: lapses.py, grouping.py and changelog.py; who asked the directory for an outage asks its lapses. No behaviour changed.

The tests of mesh, sidecar, simulations and platform pass with names changed where they moved, assertions unchanged.

--- a/sequoiaspoke/core/mesh/directory.py
+++ b/sequoiaspoke/core/mesh/directory.py
@@ -1,11 +1,6 @@
 """Keep the endpoints that the platform publishes, through its outages.
 
-The platform drops the entry of an upstream that has been silent, also while the
-store is away and the upstream cannot report. Taken at its word, a store that
-returns after an outage would empty whole services of upstreams that run well,
-until each has reported again. So an entry that vanishes during an outage or just
-after it stays for a while; one that is still missing then is gone. An entry
-that vanishes from a healthy store is gone at once.
+An entry that vanishes around an outage of the store stays for a while (`lapses.py`).
 
 An upstream may start again under its name, and what was sent before may be written or
 told late. So the time of the start goes first and the revision second: nothing of an
@@ -23,27 +18,20 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.mesh.held import NOBODY, Group, Held, Left
+from sequoiaspoke.core.mesh.grouping import Grouping
+from sequoiaspoke.core.mesh.held import Held, Left
+from sequoiaspoke.core.mesh.lapses import Lapses
 from sequoiaspoke.core.mesh.model import Departure
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from sequoiaspoke.core.mesh.held import Group
     from sequoiaspoke.core.mesh.model import Endpoint, Incarnation, Published
 
-# Seconds after the store's return for which a vanished entry stays: upstreams
-# that live have reported again within two, and reading takes a moment.
-LAPSE_GRACE = 2.2
-# Seconds without a confirmation by the store, to this node or to one that tells it,
-# from which the store is taken to have been away: upstreams report each 1.5 s and lapse
-# after three reports that were missed, so that a shorter absence lapses none. A
-# node that alone was cut off hears the others' confirmations all the while.
-LAPSE_GAP = 2.0
 # Seconds for which an instance that left is remembered, so that late news from a
 # lagging node does not bring it back; beyond any drain and any lag of a peer.
 GONE_MEMORY = 60.0
-# Count of changes at which no grouping was made yet.
-NEVER_GROUPED = -1
 
 
 class Directory:
@@ -54,10 +42,8 @@
     held : dict of str to Held
         By instance; those draining, those kept through a lapse and those whose entry
         cannot be read included.
-    lapsing : dict of str to float
-        When to give up on the entries that vanished around an outage.
-    vanished : dict of str to int
-        Revision at which each of them vanished.
+    lapses : Lapses
+        Which of them are kept although they vanished around an outage.
     gone : dict of str to Left
         The instances that left.
     serial : int
@@ -66,24 +52,18 @@
         The count at each instance's last change.
     complete_to : int
         Revision up to which every entry of the store is known here.
-    closed_zones : frozenset of str
-        Zones whose endpoints get no new calls.
+    grouping : Grouping
+        The same endpoints by service and by VM.
     """
 
     def __init__(self) -> None:
         self.held: dict[str, Held] = {}
-        self.lapsing: dict[str, float] = {}
-        self.vanished: dict[str, int] = {}
+        self.lapses = Lapses()
         self.gone: dict[str, Left] = {}
-        self.groups: dict[str, Group] = {}
-        self.by_host: dict[str, tuple[Endpoint, ...]] = {}
-        self.grouped_at = NEVER_GROUPED
+        self.grouping = Grouping()
         self.serial = 0
         self.marks: dict[str, int] = {}
         self.complete_to = 0
-        self.closed_zones: frozenset[str] = frozenset()
-        self.outage = False
-        self.returned = float("-inf")
 
     def put(
         self,
@@ -112,8 +92,7 @@
         if left is not None and not left.departure.allows(endpoint, revision):
             return False
         self.gone.pop(endpoint.instance, None)
-        self.lapsing.pop(endpoint.instance, None)
-        self.vanished.pop(endpoint.instance, None)
+        self.lapses.drop(endpoint.instance)
         cold_until = now + endpoint.cold_seconds
         self.held[endpoint.instance] = Held(endpoint, revision, readable, cold_until)
         self.mark(endpoint.instance)
@@ -125,8 +104,7 @@
         if known is None or known.revision >= revision:
             return False
         self.held[instance] = replace(known, revision=revision, readable=False)
-        self.lapsing.pop(instance, None)
-        self.vanished.pop(instance, None)
+        self.lapses.drop(instance)
         self.mark(instance)
         return True
 
@@ -148,10 +126,9 @@
             # Told once more. Two nodes that tell each other of every change would
             # otherwise do so for ever.
             return False
-        doubtful = not trusted and self.unwell(now)
+        doubtful = not trusted and self.lapses.unwell(now)
         if known is not None and doubtful and not known.endpoint.draining:
-            self.lapsing.setdefault(instance, self.grace_end(now))
-            self.vanished[instance] = revision
+            self.lapses.keep(instance, revision, now)
             return False
         self.forget(instance, revision, now)
         return known is not None
@@ -188,8 +165,7 @@
     def forget(self, instance: str, revision: int, now: float) -> None:
         """Drop an endpoint and remember that it left."""
         known = self.held.pop(instance, None)
-        self.lapsing.pop(instance, None)
-        self.vanished.pop(instance, None)
+        self.lapses.drop(instance)
         self.gone[instance] = Left(self.departure(instance, known, revision), now)
         self.mark(instance)
 
@@ -232,45 +208,14 @@
         """Return the entries that vanished and are kept for now."""
         return [
             self.departure(name, self.held[name], revision)
-            for name, revision in self.vanished.items()
+            for name, revision in self.lapses.vanished.items()
         ]
 
-    def lost_store(self) -> None:
-        """Note that the store does not answer."""
-        self.outage = True
-
-    def reached_store(self, now: float, gap: float = float("inf")) -> None:
-        """Note that the store answers.
-
-        Parameters
-        ----------
-        gap : float
-            Seconds since it was last known to answer anybody.
-        """
-        away = gap > LAPSE_GAP
-        if not (self.outage or away):
-            return
-        self.outage = False
-        if away:
-            self.returned = now
-        for instance in self.lapsing:
-            self.lapsing[instance] = now + LAPSE_GRACE if away else now
-
-    def unwell(self, now: float) -> bool:
-        """Return whether a missing entry says little."""
-        return self.outage or now < self.returned + LAPSE_GRACE
-
-    def grace_end(self, now: float) -> float:
-        """Return until when an entry that vanishes now stays."""
-        if self.outage:
-            return float("inf")
-        return max(now, self.returned + LAPSE_GRACE)
-
     def expire(self, now: float) -> list[str]:
         """Drop what stayed long enough; return the instances."""
-        due = [name for name, until in self.lapsing.items() if until <= now]
+        due = self.lapses.due(now)
         for instance in due:
-            self.forget(instance, self.vanished[instance], now)
+            self.forget(instance, self.lapses.vanished[instance], now)
         # The first is the one that left first, but for a few that left again.
         while self.gone:
             instance, left = next(iter(self.gone.items()))
@@ -280,32 +225,14 @@
             del self.marks[instance]
         return due
 
-    def close_zones(self, zones: frozenset[str]) -> None:
-        """Choose no endpoints of some zones, and those of all others again."""
-        self.closed_zones = zones
-        self.grouped_at = NEVER_GROUPED
-
-    def regroup(self) -> None:
-        """Group the endpoints anew if any has changed.
-
-        Only when they are asked for: a list of n entries would else be grouped n times.
-        """
-        if self.grouped_at == self.serial:
-            return
-        self.grouped_at = self.serial
-        services: dict[str, list[Endpoint]] = {}
-        hosts: dict[str, list[Endpoint]] = {}
-        for held in self.held.values():
-            hosts.setdefault(held.endpoint.host, []).append(held.endpoint)
-            if held.chosen and held.endpoint.zone not in self.closed_zones:
-                services.setdefault(held.endpoint.service, []).append(held.endpoint)
-        self.groups = {name: Group.of(group) for name, group in services.items()}
-        self.by_host = {host: tuple(group) for host, group in hosts.items()}
+    def grouped(self) -> Grouping:
+        """Return the endpoints by service and by VM."""
+        self.grouping.refresh(self.held, self.serial)
+        return self.grouping
 
     def group(self, service: str) -> Group:
         """Return the endpoints of a service that take new calls."""
-        self.regroup()
-        return self.groups.get(service, NOBODY)
+        return self.grouped().service(service)
 
     def serving(self, service: str) -> tuple[Endpoint, ...]:
         """Return the endpoints of a service that take new calls."""
@@ -313,13 +240,11 @@
 
     def at_host(self, host: str) -> tuple[Endpoint, ...]:
         """Return the endpoints on a VM, those that leave included."""
-        self.regroup()
-        return self.by_host.get(host, ())
+        return self.grouped().hosts.get(host, ())
 
     def hosts(self) -> int:
         """Return on how many VMs there are endpoints."""
-        self.regroup()
-        return len(self.by_host)
+        return len(self.grouped().hosts)
 
     def cold(self, instance: str, now: float) -> bool:
         """Return whether an endpoint is still slow after its start."""
--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -106,7 +106,7 @@
         directory = self.state.directory
         if progress.tried or directory.serving(progress.service):
             return "no-endpoint"
-        return "zones-evacuated" if directory.closed_zones else "no-endpoint"
+        return "zones-evacuated" if directory.grouping.closed_zones else "no-endpoint"
 
     def others_left(self, progress: Progress) -> bool:
         """Return whether there is an endpoint that a call was not tried at."""
--- a/sequoiaspoke/sidecar/state.py
+++ b/sequoiaspoke/sidecar/state.py
@@ -12,8 +12,8 @@
 from sequoiaspoke.core.mesh.knowledge import Knowledge
 from sequoiaspoke.core.mesh.model import Published
 from sequoiaspoke.core.mesh.table import RouteTable
-from sequoiaspoke.core.routing.split import hash_of
 from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.changelog import log_endpoints, log_evacuations
 from sequoiaspoke.sidecar.items import ItemReader
 from sequoiaspoke.sidecar.source import ItemDecoder, StoreItem
 
@@ -31,9 +31,6 @@
 # below the 2 s in which a version has to be in force, above the second or so between
 # two confirmations of a reader.
 DENY_SECONDS = 1.5
-# Endpoints of one change that have a line each; of more, as a node learns of at its
-# start, one line tells how many and a digest that is the same at every node.
-MOST_LINES = 8
 
 
 class MeshState:
@@ -135,7 +132,7 @@
         before = self.directory.serial
         self.directory.reconcile(endpoints, read.revision, now, unreadable=unreadable)
         self.end_evacuations(read)
-        self.log_changes(before, "store")
+        log_endpoints(self.log, self.directory, before, "store")
         self.confirmed(read.revision, now)
 
     def take_changes(self, read: Changes) -> None:
@@ -146,7 +143,7 @@
         for item in newest_only(read.items):
             self.take_item(item, now)
         self.end_evacuations(read)
-        self.log_changes(before, "store")
+        log_endpoints(self.log, self.directory, before, "store")
         self.confirmed(read.revision, now)
 
     def take_endpoints(self, read: Changes, begun: float) -> None:
@@ -158,7 +155,7 @@
         before = self.directory.serial
         for item in newest_only(read.items):
             self.take_item(item, clock.now())
-        self.log_changes(before, "store")
+        log_endpoints(self.log, self.directory, before, "store")
         self.answered(read.revision, begun)
 
     def answered(self, revision: int, when: float) -> None:
@@ -173,20 +170,20 @@
         """Note that the store can be read, by this node now or by another."""
         now = clock.now()
         when = now if when is None else when
-        if self.directory.outage:
+        if self.directory.lapses.outage:
             self.log.event("store-reached", age=f"{self.age(now):.1f}")
         known_before = self.answered_at > float("-inf")
         gap = when - self.answered_at if known_before else 0.0
         self.answered_at = max(self.answered_at, when)
-        self.directory.reached_store(when, gap)
+        self.directory.lapses.reached_store(when, gap)
 
     def store_failed(self, code: str, reason: str) -> None:
         """Note that the store cannot be read."""
         self.counts["store-failed"] += 1
-        if not self.directory.outage:
+        if not self.directory.lapses.outage:
             self.log.event("store-lost", code=code, reason=reason)
         self.lost_at = clock.now()
-        self.directory.lost_store()
+        self.directory.lapses.lost_store()
 
     def confirmed(self, revision: int, now: float) -> None:
         """Note up to which revision and as of when everything is known."""
@@ -251,62 +248,21 @@
 
     def apply_evacuations(self, source: str) -> None:
         """Act on the evacuations in force, and log what changed."""
-        before, zones = self.directory.closed_zones, self.evacuations.zones
-        if zones == before:
-            return
-        self.directory.close_zones(zones)
-        for zone in sorted(zones - before):
-            # There are none if nobody knows a zone of that name.
-            held = self.directory.held.values()
-            endpoints = sum(each.endpoint.zone == zone for each in held)
-            self.log.event(
-                "zone-evacuated", zone=zone, endpoints=endpoints, source=source
-            )
-        for zone in sorted(before - zones):
-            self.log.event("zone-taken-back", zone=zone, source=source)
+        grouping, zones = self.directory.grouping, self.evacuations.zones
+        before = grouping.closed_zones
+        if zones != before:
+            grouping.close_zones(zones)
+            log_evacuations(self.log, self.directory, before, source)
 
     def take_removal(self, item: StoreItem, now: float) -> None:
         """Take the end of an endpoint's entry."""
         instance = self.decoder.instance(item.key)
         gone = self.directory.remove(instance, item.revision, now)
-        if not gone and instance in self.directory.lapsing:
+        if not gone and instance in self.directory.lapses.until:
             self.log.event(
                 "endpoint-missing", instance=instance, revision=item.revision
             )
 
-    def log_changes(self, serial: int, source: str) -> None:
-        """Log the endpoints that were taken and left since a count of changes."""
-        held, gone = self.directory.changed_since(serial)
-        if len(held) + len(gone) > MOST_LINES:
-            names = (f"{e.endpoint.instance}/{e.endpoint.born}" for e in held)
-            self.log.event(
-                "endpoints",
-                taken=len(held),
-                gone=len(gone),
-                digest=f"{hash_of(*sorted(names)):016x}",
-                source=source,
-            )
-            return
-        for each in held:
-            self.log.event(
-                "endpoint",
-                instance=each.endpoint.instance,
-                born=each.endpoint.born,
-                service=each.endpoint.service,
-                draining=each.endpoint.draining,
-                readable=each.readable,
-                revision=each.revision,
-                source=source,
-            )
-        for each in gone:
-            self.log.event(
-                "endpoint-gone",
-                instance=each.instance,
-                born=each.born,
-                revision=each.revision,
-                source=source,
-            )
-
     def take_config(self, item: StoreItem) -> None:
         """Take a configuration if it is newer and whole."""
         if item.revision <= self.config_revision:
@@ -365,7 +321,7 @@
         if knowledge.evacuations is not None:
             self.evacuations.take_list(knowledge.evacuations, knowledge.revision)
             self.apply_evacuations("node")
-        self.log_changes(before, "node")
+        log_endpoints(self.log, self.directory, before, "node")
         self.complete_to(knowledge.revision)
         self.as_of = max(self.as_of, knowledge.as_of)
         self.changed()
--- a/sequoiaspoke/tests/spreadsim.py
+++ b/sequoiaspoke/tests/spreadsim.py
@@ -443,7 +443,7 @@
                 self.problems.append(f"{host}: ended with other routes")
             if set(state.directory.held) != expected:
                 self.problems.append(f"{host}: ended with other endpoints")
-            if state.directory.closed_zones != zones:
+            if state.directory.grouping.closed_zones != zones:
                 self.problems.append(f"{host}: ended with other evacuations")
 
 
@@ -484,7 +484,7 @@
                 if item.key == EVACUATE + zone and item.revision > revision
             ]
             forgotten = self.store.forgotten > revision
-            known = zone in state.directory.closed_zones
+            known = zone in state.directory.grouping.closed_zones
             return bool(later) or forgotten or known == expected
 
         return check
--- a/sequoiaspoke/tests/test_mesh_core.py
+++ b/sequoiaspoke/tests/test_mesh_core.py
@@ -12,8 +12,9 @@
     Turned,
     queue_rank,
 )
-from sequoiaspoke.core.mesh.directory import LAPSE_GRACE, Directory
+from sequoiaspoke.core.mesh.directory import Directory
 from sequoiaspoke.core.mesh.durations import FORGET_SECONDS, Durations
+from sequoiaspoke.core.mesh.lapses import LAPSE_GRACE
 from sequoiaspoke.core.mesh.ledger import KEPT_BYTES, KEPT_SECONDS, Ledger
 from sequoiaspoke.core.mesh.model import (
     Endpoint,
@@ -84,8 +85,8 @@
         # The store is away, upstreams cannot report, and their entries run out. On its
         # return the store lists none. Taken at its word, every call would be refused
         # although all upstreams serve.
-        self.directory.lost_store()
-        self.directory.reached_store(10.0)
+        self.directory.lapses.lost_store()
+        self.directory.lapses.reached_store(10.0)
         self.directory.reconcile([], 9, 10.0)
         self.assertEqual(self.serving(), {"1", "2"})
         self.directory.put(endpoint("1"), 10, 11.0)
@@ -94,7 +95,7 @@
 
     def test_an_upstream_known_to_leave_does_not_stay_through_an_outage(self):
         self.directory.put(endpoint("1", draining=True), 7, 0.0)
-        self.directory.lost_store()
+        self.directory.lapses.lost_store()
         self.directory.remove("1", 8, 1.0)
         self.assertEqual(self.serving(), {"2"})
 
@@ -108,7 +109,7 @@
         self.assertEqual(self.serving(), set())
 
     def test_another_nodes_healthy_view_removes_at_once(self):
-        self.directory.lost_store()
+        self.directory.lapses.lost_store()
         self.directory.reconcile([Published(endpoint("1"), 5)], 9, 1.0, trusted=True)
         self.assertEqual(self.serving(), {"1"})
 
--- a/sequoiaspoke/tests/test_mesh_spread.py
+++ b/sequoiaspoke/tests/test_mesh_spread.py
@@ -5,7 +5,8 @@
 from testtools import TestCase
 
 from sequoiaspoke.core.mesh.configdelta import KEPT_VERSIONS, ConfigHistory
-from sequoiaspoke.core.mesh.directory import LAPSE_GAP, Directory
+from sequoiaspoke.core.mesh.directory import Directory
+from sequoiaspoke.core.mesh.lapses import LAPSE_GAP
 from sequoiaspoke.core.mesh.model import (
     CallerLimits,
     Departure,
@@ -220,25 +221,25 @@
 
     def test_a_vanished_entry_stays_while_the_store_was_away_for_all(self):
         self.directory.put(endpoint("i-1"), 5, 10.0)
-        self.directory.reached_store(20.0, LAPSE_GAP + 1.0)
+        self.directory.lapses.reached_store(20.0, LAPSE_GAP + 1.0)
         self.directory.remove("i-1", 7, 20.1)
-        self.assertEqual(self.directory.vanished, {"i-1": 7})
+        self.assertEqual(self.directory.lapses.vanished, {"i-1": 7})
         self.assertEqual(self.directory.expire(22.0), [])
         self.assertEqual(self.directory.expire(22.3), ["i-1"])
         self.assertEqual(self.directory.gone["i-1"].departure.revision, 7)
 
     def test_a_vanished_entry_that_reports_again_stays(self):
         self.directory.put(endpoint("i-1"), 5, 10.0)
-        self.directory.lost_store()
+        self.directory.lapses.lost_store()
         self.directory.remove("i-1", 7, 20.0)
         self.directory.put(replace(endpoint("i-1"), slots=9), 8, 21.0)
-        self.directory.reached_store(21.0)
+        self.directory.lapses.reached_store(21.0)
         self.assertEqual(self.directory.expire(60.0), [])
 
     def test_a_node_that_alone_lost_the_store_doubts_nothing_after_it(self):
         self.directory.put(endpoint("i-1"), 5, 10.0)
-        self.directory.lost_store()
-        self.directory.reached_store(20.0, LAPSE_GAP - 1.0)
+        self.directory.lapses.lost_store()
+        self.directory.lapses.reached_store(20.0, LAPSE_GAP - 1.0)
         self.directory.remove("i-1", 7, 20.1)
         self.assertEqual(self.directory.serving("fleet"), ())
 
--- a/sequoiaspoke/tests/test_sidecar_spread.py
+++ b/sequoiaspoke/tests/test_sidecar_spread.py
@@ -10,6 +10,7 @@
 from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import clock, spread
+from sequoiaspoke.sidecar.changelog import log_endpoints
 from sequoiaspoke.sidecar.follower import Follower
 from sequoiaspoke.sidecar.frames import Frames, decode, encode
 from sequoiaspoke.sidecar.logs import EventLog
@@ -152,7 +153,7 @@
         self.assertEqual([each["taken"] for each in many], [20, 22])
         self.assertEqual([kind for kind, _ in lines if kind == "endpoint"], [])
         again = self.reader.state
-        again.log_changes(0, "again")
+        log_endpoints(again.log, again.directory, 0, "again")
         self.assertEqual(lines[-1][1]["digest"], many[1]["digest"])
 
     def test_nothing_is_told_twice(self):
@@ -350,7 +351,7 @@
         self.other.state.store_failed("store-unavailable", "down")
         self.time += 1.0
         self.reader.state.confirmed_as_of(self.time)
-        self.assertFalse(self.other.state.directory.outage)
+        self.assertFalse(self.other.state.directory.lapses.outage)
         for _ in range(60):
             self.time += 0.9
             self.reader.state.confirmed_as_of(self.time)
@@ -437,9 +438,9 @@
         async def scenario(node, store):
             await self.until_true(lambda: store.confirmed >= 1)
             store.failing = True
-            await self.until_true(lambda: node.state.directory.outage)
+            await self.until_true(lambda: node.state.directory.lapses.outage)
             store.failing = False
-            await self.until_true(lambda: not node.state.directory.outage)
+            await self.until_true(lambda: not node.state.directory.lapses.outage)
 
         self.play(scenario)
 
