Play what befalls zones on a virtual clock, as a measuring command

Change: `measure mesh` plays one service with the program's entries, homes and bound on cold upstreams; five scenarios, a table over seeds.

--- a/sequoiaspoke/commands/measure.py
+++ b/sequoiaspoke/commands/measure.py
@@ -258,12 +258,30 @@
     uvloop.run(run_cost_node(CostFleet(peers)))
 
 
+def mesh(*, seeds: int = 3, scenarios: tuple[str, ...] = ()) -> None:
+    """Play what befalls zones on a virtual clock; the last line is JSON.
+
+    Parameters
+    ----------
+    seeds : int
+        Plays of each scenario.
+    scenarios : tuple[str, ...]
+        Names of the scenarios, none for all.
+    """
+    from sequoiaspoke.measure.meshreport import measure_mesh, mesh_table
+
+    found = measure_mesh(scenarios, seeds)
+    print(mesh_table(found))
+    print(json.dumps([dataclasses.asdict(each) for each in found]))
+
+
 COMMANDS = {
     "cost": cost,
     "cost-node": cost_node,
     "idempotency": idempotency,
     "witnesses": witnesses,
     "load": load,
+    "mesh": mesh,
     "rules": rules,
     "spread": spread,
     "hop": hop,
