--- a/sequoiaspoke/tests/meshsim.py
+++ b/sequoiaspoke/tests/meshsim.py
@@ -10,6 +10,7 @@
 import random
 import selectors
 from collections import Counter, defaultdict
+from typing import ClassVar
 
 from sequoiaspoke.core.mesh.model import Endpoint, MeshConfig, Route, Service
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
@@ -227,7 +228,7 @@
         self.peers = Peers(identity, 1, self.state, spread, rng, log, dialer)
         limits = RepeatLimits(RATIO, SLACK, WINDOW)
         self.entry = Entry(
-            SERVICE, {}, HeaderNames(), self.state, self.home, self.peers,
+            SERVICE, world.regions, HeaderNames(), self.state, self.home, self.peers,
             limits, rng, log,
         )  # fmt: skip
         self.up = True
@@ -279,6 +280,9 @@
 class MeshWorld:
     """Nodes, callers and faults, and what was promised to the callers."""
 
+    # Region of each zone; of none is anything known.
+    regions: ClassVar[dict[str, str]] = {}
+
     def __init__(self, seed, nodes=4):
         self.rng = random.Random(seed)
         self.log = EventLog("x-request-id")
--- /dev/null
+++ b/sequoiaspoke/tests/test_mesh_regions.py
@@ -0,0 +1,74 @@
+"""Calls of routes that are bound to regions, on a virtual clock."""
+
+from dataclasses import replace
+from functools import partial
+
+from testtools import TestCase
+
+from sequoiaspoke.sidecar.attempts import Attempts
+from sequoiaspoke.sidecar.linkclient import LinkClient
+from sequoiaspoke.tests.meshsim import MeshWorld, play_world
+
+SEEDS = range(6)
+HOME, ELSEWHERE = "south", "north"
+
+
+class BoundMesh(MeshWorld):
+    """A mesh of two zones in two regions, whose routes are bound to one of them."""
+
+    regions = {"z0": HOME, "z1": ELSEWHERE}
+    bound = frozenset({HOME})
+
+    def route(self, name):
+        return replace(super().route(name), regions=self.bound)
+
+
+class NowhereMesh(BoundMesh):
+    """The same with routes that are bound to a region that has no zone."""
+
+    bound = frozenset({"west"})
+
+
+class RegionTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.sent_to = []
+        submit = LinkClient.submit
+
+        def noted(link, call, tell):
+            self.sent_to.append((link.identity.host, link.address[0]))
+            return submit(link, call, tell)
+
+        self.patch(LinkClient, "submit", noted)
+
+    def play(self, mesh, seed):
+        """Play a mesh; return it and the regions where calls ran and were sent."""
+        self.sent_to.clear()
+        world = play_world(partial(mesh, seed), self)
+        self.assertEqual((seed, world.problems), (seed, []))
+        ran = {
+            world.regions[world.endpoints[instance].zone]
+            for arrivals in world.arrivals.values()
+            for instance, _ in arrivals
+        }
+        sent = {world.regions[world.zone_of(host)] for _, host in self.sent_to}
+        return world, ran, sent
+
+    def test_calls_run_and_bodies_go_where_the_route_allows_it(self):
+        # Nodes are killed and cut off, upstreams turn slow, shed and lose answers, and
+        # each time another region has room. Its law does not allow these calls there.
+        for seed in SEEDS:
+            world, ran, sent = self.play(BoundMesh, seed)
+            self.assertEqual((ran, sent), ({HOME}, {HOME}))
+            self.assertTrue(any(a.status == 200 for a in world.answers.values()))
+
+    def test_calls_that_may_run_nowhere_are_refused_as_not_run(self):
+        world, ran, sent = self.play(NowhereMesh, 1)
+        self.assertEqual((ran, sent), (set(), set()))
+        self.assertEqual({a.status for a in world.answers.values()}, {503})
+
+    def test_without_the_guard_they_go_elsewhere(self):
+        # The safeguard switched off.
+        self.patch(Attempts, "allowed", lambda self, route, endpoint: True)
+        _, ran, _ = self.play(BoundMesh, 1)
+        self.assertIn(ELSEWHERE, ran)
