--- a/sequoiaspoke/tests/spreadsim.py
+++ b/sequoiaspoke/tests/spreadsim.py
@@ -447,49 +447,6 @@
                 self.problems.append(f"{host}: ended with other evacuations")
 
 
-class EvacuationWorld(SpreadWorld):
-    """A world in which zones are evacuated and taken back as well.
-
-    They are drawn apart, so that all else is as in the world without.
-    """
-
-    def __init__(self, seed):
-        super().__init__(seed)
-        self.evacuation_rng = random.Random(f"evacuations {seed}")
-
-    async def changes(self, seconds):
-        await asyncio.gather(super().changes(seconds), self.evacuations(seconds))
-
-    async def evacuations(self, seconds):
-        end = self.now() + seconds
-        tasks = []
-        while self.now() < end:
-            await asyncio.sleep(self.evacuation_rng.choice((0.05, 0.5, 2.0, 6.0)))
-            if self.store.mode != "up":
-                continue
-            zone = self.evacuation_rng.choice(ZONES)
-            begins = EVACUATE + zone not in self.store.items
-            self.store.put(EVACUATE + zone, b"{}" if begins else None)
-            check = self.is_evacuated(zone, self.store.revision, begins)
-            tasks.append(asyncio.ensure_future(self.acted_on(check)))
-        await asyncio.gather(*tasks)
-
-    def is_evacuated(self, zone, revision, expected):
-        """Return how to see a change, unless another has followed it."""
-
-        def check(state):
-            later = [
-                item
-                for item in self.store.events
-                if item.key == EVACUATE + zone and item.revision > revision
-            ]
-            forgotten = self.store.forgotten > revision
-            known = zone in state.directory.grouping.closed_zones
-            return bool(later) or forgotten or known == expected
-
-        return check
-
-
 def play(seed, case, world=SpreadWorld, **options):
     """Play a seed and return the world."""
     return play_world(lambda: world(seed), case, **options)
--- a/sequoiaspoke/tests/test_evacuation_sim.py
+++ b/sequoiaspoke/tests/test_evacuation_sim.py
@@ -5,61 +5,12 @@
 from testtools import TestCase
 
 from sequoiaspoke.sidecar.source import Changes
-from sequoiaspoke.tests.spreadsim import (
-    CALM_SECONDS,
-    EVACUATE,
-    ZONES,
-    NodeStore,
-    SpreadWorld,
-    play,
-)
+from sequoiaspoke.tests.evacuationsim import OrderedWorld
+from sequoiaspoke.tests.spreadsim import EVACUATE, ZONES, NodeStore, play
 
 AKAKI, BOLE = ZONES
 
 
-class OrderedWorld(SpreadWorld):
-    """A world in which only what a test orders happens."""
-
-    def __init__(self, seed, orders):
-        super().__init__(seed)
-        self.orders = orders
-        self.checks = []
-
-    async def changes(self, seconds):
-        await self.orders(self)
-        await asyncio.gather(*self.checks)
-        self.checks.clear()
-
-    async def faults(self, seconds):
-        pass
-
-    def empty(self, zone):
-        self.write(zone, b"{}", True)
-
-    def take_back(self, zone):
-        self.write(zone, None, False)
-
-    def write(self, zone, value, expected):
-        """Write or delete an order and check that every calm node acts on it."""
-        self.store.put(EVACUATE + zone, value)
-
-        def check(state):
-            newest = self.store.items.get(EVACUATE + zone)
-            changed = (newest is not None) != expected
-            return (
-                changed or (zone in state.directory.grouping.closed_zones) == expected
-            )
-
-        self.checks.append(asyncio.ensure_future(self.acted_on(check)))
-
-    def readers(self, zone):
-        nodes = [node for node in self.nodes.values() if node.zone == zone]
-        return sorted({host for node in nodes for host in node.sidecar.duty.readers})
-
-    async def rest(self):
-        await asyncio.sleep(CALM_SECONDS + 1.0)
-
-
 async def order_in_a_storm(world):
     """Empty and take back zones while versions come ten times a second."""
     for number in range(40):
--- a/sequoiaspoke/tests/test_mesh_evacuation.py
+++ b/sequoiaspoke/tests/test_mesh_evacuation.py
@@ -15,7 +15,8 @@
 from sequoiaspoke.sidecar.logs import EventLog
 from sequoiaspoke.sidecar.source import Changes, StoreItem
 from sequoiaspoke.sidecar.state import MeshState
-from sequoiaspoke.tests.spreadsim import EVACUATE, EvacuationWorld, Items, play
+from sequoiaspoke.tests.evacuationsim import EvacuationWorld
+from sequoiaspoke.tests.spreadsim import EVACUATE, Items, play
 from sequoiaspoke.tests.test_sidecar_home import ENDPOINT, HeldUpstream
 
 SEEDS = range(16)
