Log the rate limit and the departure that an upstream reports

Upstreams may name a rate limit in their answers, and say that they leave. No node read either, so that logs and metrics could not tell whether a limit was unknown, applied by each node alone or bypassed. What an upstream reports is parsed in one module; an answer of another upstream at the same address (421) counts for neither. Calls are sent as before.

--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -40,6 +40,7 @@
     from sequoiaspoke.sidecar.homecall import HomeCall
     from sequoiaspoke.sidecar.logs import EventLog
     from sequoiaspoke.sidecar.upstream import Upstream
+    from sequoiaspoke.sidecar.upstreamreport import UpstreamReport
 
 # Slots assumed until the platform publishes a number; every upstream has at least one.
 INITIAL_SLOTS = 1
@@ -65,6 +66,10 @@
         Current incarnation of the upstream, as last published by the platform.
     last_load : Load or None
         Load that the upstream reported with the last outcome, for the log.
+    rate_limit : float or None
+        Calls per second that the upstream takes by its last report; None if unlimited.
+    leaving_incarnation : Incarnation or None
+        Incarnation that last reported that it leaves.
     """
 
     def __init__(self, upstream: Upstream, directory: Directory, log: EventLog) -> None:
@@ -88,6 +93,8 @@
         )
         self.incarnation: Incarnation | None = None
         self.last_load: Load | None = None
+        self.rate_limit: float | None = None
+        self.leaving_incarnation: Incarnation | None = None
         self.outage_log = OutageLog(log)
         self.leaving_upstreams = LeavingUpstreams(directory.is_leaving)
         self.counts: Counter[str] = Counter()
@@ -208,7 +215,7 @@
                 partial(self.record_sent, key, call),
             )
             outcome = await self.crash_detector.classify(key, outcome)
-            self.apply_load(outcome)
+            self.apply_report(call.incarnation, outcome)
             if isinstance(outcome, Answer):
                 self.crash_guard.answered(call.incarnation, call.request)
         finally:
@@ -232,11 +239,13 @@
             self.abandon(key)
             self.finish(key, Unknown("cancelled"))
 
-    def apply_load(self, outcome: Outcome) -> None:
-        """Update admission from the reported load, or from the kind of failure."""
-        load, self.upstream.reported_load = self.upstream.reported_load, None
-        self.last_load = load
+    def apply_report(self, incarnation: Incarnation, outcome: Outcome) -> None:
+        """Update admission from the report, or from the kind of failure."""
+        report, self.upstream.report = self.upstream.report, None
+        load = self.last_load = report.load if report else None
         now = clock.now()
+        if report is not None and not report.replaced:
+            self.log_report(incarnation, report)
         self.outage_log.record(outcome, now)
         if isinstance(outcome, Answer):
             self.admission.record_answer(load, now)
@@ -248,6 +257,27 @@
         elif isinstance(outcome, Unknown) and outcome.reason == RESET_AT_ONCE:
             self.admission.record_reset(now)
 
+    def log_report(self, incarnation: Incarnation, report: UpstreamReport) -> None:
+        """Log a changed rate limit, and the first announcement that it leaves."""
+        if report.invalid_rate_limit:
+            self.log.event(
+                "upstream-limit-refused",
+                instance=incarnation.instance,
+                limit=report.invalid_rate_limit,
+            )
+        elif report.rate_limit != self.rate_limit:
+            self.rate_limit = report.rate_limit
+            self.log.event(
+                "upstream-limit",
+                instance=incarnation.instance,
+                limit="none" if report.rate_limit is None else report.rate_limit,
+                running=self.admission.running,
+                waiting=self.admission.waiting,
+            )
+        if report.leaving and incarnation != self.leaving_incarnation:
+            self.leaving_incarnation = incarnation
+            self.log.event("upstream-leaving", instance=incarnation.instance)
+
     def free_slot(self, key: Hashable, answered: bool) -> None:
         """Release a call's slot and start the next call."""
         self.admission.finish(key, answered, clock.now())
--- a/sequoiaspoke/sidecar/names.py
+++ b/sequoiaspoke/sidecar/names.py
@@ -27,6 +27,10 @@
         Number of calls that the upstream runs and queues, and of its slots.
     cold : str
         Milliseconds for which the upstream stays cold, sent with a health answer.
+    rate_limit : str
+        Calls per second that the upstream takes from all nodes together.
+    leaving : str
+        Marks an answer of an upstream that is about to stop.
     """
 
     call_id: str = "x-request-id"
@@ -37,3 +41,5 @@
     not_run: str = "x-not-run"
     load: str = "x-upstream-load"
     cold: str = "x-upstream-cold-ms"
+    rate_limit: str = "x-upstream-rate-limit"
+    leaving: str = "x-upstream-leaving"
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -12,11 +12,11 @@
     Unknown,
     find_header,
 )
-from sequoiaspoke.core.mesh.slots import Load
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.httpclient import FRESH_SECONDS, connect, open_connection
 from sequoiaspoke.sidecar.httptext import encode_request, end_to_end
+from sequoiaspoke.sidecar.upstreamreport import parse_milliseconds, parse_report
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,6 +24,7 @@
     from sequoiaspoke.core.mesh.outcome import Outcome, Request
     from sequoiaspoke.sidecar.httpclient import ClientConnection
     from sequoiaspoke.sidecar.names import HeaderNames
+    from sequoiaspoke.sidecar.upstreamreport import UpstreamReport
 
 
 # A connection that is reset within this fraction of the average call time was refused
@@ -37,20 +38,6 @@
 NEWEST_WEIGHT = 0.05
 
 
-def parse_load(text: str) -> Load | None:
-    """Return the load in the value of a load header, None if it is malformed."""
-    parts = [part.strip() for part in text.split(",")]
-    # Numbers of seven or more digits are not plausible as counts of calls.
-    if len(parts) < 2 or not all(p.isdecimal() and len(p) < 7 for p in parts):
-        return None
-    return Load(*(int(part) for part in parts[:3]))
-
-
-def parse_milliseconds(text: str) -> float:
-    """Return the seconds of a header in milliseconds, 0 if it is malformed."""
-    return int(text) / 1000 if text.isdecimal() and len(text) < 9 else 0.0
-
-
 class Upstream:
     """Client of the upstream beside this node.
 
@@ -60,8 +47,8 @@
         Connections that may be reused, the last used at the end.
     connects : int
         Number of connections opened so far.
-    reported_load : Load or None
-        Load reported with the last answer, until the home reads it.
+    report : UpstreamReport or None
+        Report with the last answer, until the home reads it.
     average_seconds : float
         Moving average of the time from sending a call to its answer.
     """
@@ -73,7 +60,7 @@
         self.deadlines = Deadlines()
         self.idle: list[ClientConnection] = []
         self.connects = 0
-        self.reported_load: Load | None = None
+        self.report: UpstreamReport | None = None
         self.average_seconds = 0.0
 
     async def call(
@@ -145,10 +132,11 @@
 
     def classify(self, answer: Answer, seconds: float) -> Outcome:
         """Return the outcome of a call by the status and headers of its answer."""
-        self.reported_load = parse_load(find_header(answer.headers, self.names.load))
+        replaced = answer.status == 421
+        self.report = parse_report(answer.headers, self.names, replaced)
         if find_header(answer.headers, self.names.not_run):
             return NotRun("upstream-refused", from_upstream=True)
-        if answer.status == 421:
+        if replaced:
             return NotRun("instance-replaced", from_upstream=True)
         success = 200 <= answer.status < 300
         if success and not find_header(answer.headers, self.names.stamp):
--- a/sequoiaspoke/tests/crashsim.py
+++ b/sequoiaspoke/tests/crashsim.py
@@ -46,7 +46,7 @@
 class CrashingUpstream:
     """An upstream that some requests crash and that restarts after it."""
 
-    reported_load = None
+    report = None
 
     def __init__(self, world, host, zone):
         self.world, self.host, self.zone = world, host, zone
--- a/sequoiaspoke/tests/meshsim.py
+++ b/sequoiaspoke/tests/meshsim.py
@@ -154,7 +154,7 @@
 class SimUpstream:
     """An upstream that keeps running while its node is killed."""
 
-    reported_load = None
+    report = None
 
     def __init__(self, world, instance):
         self.world, self.instance = world, instance
--- a/sequoiaspoke/tests/test_mesh_coldstart.py
+++ b/sequoiaspoke/tests/test_mesh_coldstart.py
@@ -159,7 +159,7 @@
 class ReportingUpstream:
     """Answers calls at once and reports its cold time in health checks."""
 
-    reported_load = None
+    report = None
 
     def __init__(self):
         self.cold_seconds = 0.0
--- a/sequoiaspoke/tests/test_mesh_incarnations.py
+++ b/sequoiaspoke/tests/test_mesh_incarnations.py
@@ -230,7 +230,7 @@
 class RestartingUpstream:
     """Runs calls until it is restarted, which aborts them."""
 
-    reported_load = None
+    report = None
 
     def __init__(self):
         self.ran = []
--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -58,7 +58,7 @@
 class FakeUpstream:
     """Runs each call until its gate is opened."""
 
-    reported_load = None
+    report = None
 
     def __init__(self):
         self.runs = []
--- a/sequoiaspoke/tests/test_sidecar_home.py
+++ b/sequoiaspoke/tests/test_sidecar_home.py
@@ -21,7 +21,7 @@
 class BlockingUpstream:
     """Answers calls only once its gate is opened."""
 
-    reported_load = None
+    report = None
 
     def __init__(self):
         self.ran = []
--- /dev/null
+++ b/sequoiaspoke/tests/test_sidecar_upstreamreport.py
@@ -0,0 +1,98 @@
+"""Tests of what an upstream reports about itself."""
+
+import asyncio
+
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.directory import Directory
+from sequoiaspoke.core.mesh.model import Incarnation
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.home import Home
+from sequoiaspoke.sidecar.homecall import HomeCall
+from sequoiaspoke.sidecar.logs import EventLog
+from sequoiaspoke.sidecar.names import HeaderNames
+from sequoiaspoke.sidecar.upstream import Upstream
+from sequoiaspoke.sidecar.upstreamreport import (
+    UpstreamReport,
+    parse_rate_limit,
+    parse_report,
+)
+
+LIMIT, LEAVING = "X-Upstream-Rate-Limit", "X-Upstream-Leaving"
+INVALID_LIMITS = ("-1", "nan", "inf", "-inf", "1e999", "1e7", "six", "6,4", "1_0", "٦")
+
+
+class UpstreamReportTests(TestCase):
+    def parse(self, *headers):
+        return parse_report(headers, HeaderNames())
+
+    def test_an_answer_without_headers_reports_nothing(self):
+        self.assertEqual(self.parse(), UpstreamReport())
+
+    def test_a_limit_is_a_decimal_number_of_calls_per_second(self):
+        for text, limit in (("6.4", 6.4), (" 14 ", 14.0), ("0", 0.0)):
+            report = UpstreamReport(rate_limit=limit)
+            self.assertEqual(self.parse((LIMIT, text)), report)
+
+    def test_an_invalid_limit_is_kept_as_text(self):
+        for text in INVALID_LIMITS:
+            self.assertIsNone(parse_rate_limit(text))
+            self.assertEqual(self.parse((LIMIT, text)).invalid_rate_limit, text)
+
+    def test_only_the_mark_announces_that_an_upstream_leaves(self):
+        for text, leaving in (("1", True), ("0", False), ("", False)):
+            self.assertEqual(self.parse((LEAVING, text)).leaving, leaving)
+
+    def test_an_answer_of_another_upstream_is_marked(self):
+        upstream = Upstream("127.0.0.1", 1, HeaderNames())
+        outcome = upstream.classify(Answer(421, ((LIMIT, "2"),), b""), 0.1)
+        self.assertEqual(outcome, NotRun("instance-replaced", from_upstream=True))
+        self.assertTrue(upstream.report.replaced)
+
+
+class ReportingUpstream:
+    """Answers each call at once with the next report."""
+
+    def __init__(self, reports):
+        self.reports = list(reports)
+        self.report = None
+
+    async def call(self, request, instance, deadline, idempotent, on_send):
+        on_send()
+        self.report = self.reports.pop(0)
+        return Answer(200, (), b"")
+
+
+class ReportLogTests(TestCase):
+    def events_of(self, *reports):
+        """Return the logged events of calls that are answered with reports."""
+        events = []
+
+        async def run():
+            log = EventLog("x-request-id")
+            log.event = lambda kind, **pairs: events.append((kind, pairs.get("limit")))
+            home = Home(ReportingUpstream(reports), Directory(), log)
+            for number in range(len(reports)):
+                until = clock.now() + 9
+                request = Request("GET", "/a", (), b"")
+                call = HomeCall(request, Incarnation("i"), "r", 0, True, until, until)
+                home.submit(number, call, lambda outcome: None)
+                await asyncio.sleep(0.01)
+
+        asyncio.run(run())
+        return events
+
+    def test_a_limit_is_logged_when_it_changes(self):
+        reports = (UpstreamReport(rate_limit=each) for each in (6.4, 6.4, 2.0, None))
+        expected = [("upstream-limit", each) for each in (6.4, 2.0, "none")]
+        self.assertEqual(self.events_of(*reports), expected)
+
+    def test_an_invalid_limit_is_logged(self):
+        report = UpstreamReport(invalid_rate_limit="six")
+        expected = [("upstream-limit-refused", "six")]
+        self.assertEqual(self.events_of(report), expected)
+
+    def test_a_leaving_upstream_is_logged_once(self):
+        report = UpstreamReport(leaving=True)
+        self.assertEqual(self.events_of(report, report), [("upstream-leaving", None)])
