--- a/sequoiaspoke/tests/crashsim.py
+++ b/sequoiaspoke/tests/crashsim.py
@@ -109,9 +109,10 @@
     """A sidecar beside an upstream that keeps running when the sidecar is killed."""
 
     decoder = CrashItems
+    upstream_class = CrashingUpstream
 
     def __init__(self, world, host, zone):
-        self.upstream = CrashingUpstream(world, host, zone)
+        self.upstream = self.upstream_class(world, host, zone)
         super().__init__(world, host, zone)
 
     def start(self):
@@ -131,6 +132,7 @@
     """
 
     nodes_per_zone = 3
+    node_class = CrashNode
 
     def __init__(self, seed, zones=("akaki", "bole")):
         super().__init__(seed)
@@ -148,7 +150,7 @@
         for zone in self.zones:
             for number in range(self.nodes_per_zone):
                 host = f"{zone}-{number}"
-                self.nodes[host] = CrashNode(self, host, zone)
+                self.nodes[host] = self.node_class(self, host, zone)
 
     def record_run(self, request, upstream):
         self.runs[request.target].append(self.now())
--- /dev/null
+++ b/sequoiaspoke/tests/limitsim.py
@@ -0,0 +1,131 @@
+"""Simulation of whole sidecars beside upstreams that name a rate limit or leave."""
+
+import asyncio
+from collections import defaultdict
+
+from sequoiaspoke.sidecar.upstreamreport import UpstreamReport
+from sequoiaspoke.tests.crashsim import CrashingUpstream, CrashNode, CrashWorld
+
+# Seconds from the first naming of a limit until it must be kept, the period over which
+# calls are counted, and what that period allows beyond the limit.
+GRACE_SECONDS, PERIOD_SECONDS = 3.0, 4.0
+LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5
+# Seconds after which no new call may reach an upstream that has said that it leaves.
+DRAIN_SECONDS = 2.0
+
+
+class LimitedUpstream(CrashingUpstream):
+    """An upstream that reports a rate limit, or that it leaves.
+
+    Attributes
+    ----------
+    limit : float or None
+        Calls per second that it takes; it still runs any further ones.
+    leaving : bool
+        Whether it reports that it leaves, which the store is not told.
+    """
+
+    report = None
+
+    def __init__(self, world, host, zone):
+        self.limit, self.leaving = None, False
+        super().__init__(world, host, zone)
+
+    async def call(self, request, instance, deadline, idempotent, on_send):
+        outcome = await super().call(request, instance, deadline, idempotent, on_send)
+        self.report = UpstreamReport(rate_limit=self.limit, leaving=self.leaving)
+        return outcome
+
+    def name_limit(self, limit):
+        """Name a limit from now on; None lifts it."""
+        self.limit = limit
+        self.world.limits[self.instance].append((self.world.now(), limit))
+
+    def leave(self):
+        """Say in all answers from now on that this upstream leaves."""
+        self.leaving = True
+        self.world.left_at[self.instance] = self.world.now()
+
+
+class LimitNode(CrashNode):
+    """A sidecar beside an upstream that may name a limit."""
+
+    upstream_class = LimitedUpstream
+
+
+class LimitWorld(CrashWorld):
+    """A world that counts the calls at each upstream.
+
+    Attributes
+    ----------
+    arrivals : dict of str to list of float
+        When calls reached each upstream, by instance.
+    limits : dict of str to list of tuple of float and float
+        When each upstream named which limit.
+    left_at : dict of str to float
+        When each upstream first said that it leaves.
+    answers : list of Answer
+        The final answers to all calls.
+    """
+
+    node_class = LimitNode
+
+    def __init__(self, seed, zones=("akaki", "bole")):
+        super().__init__(seed, zones)
+        self.arrivals = defaultdict(list)
+        self.limits = defaultdict(list)
+        self.left_at = {}
+        self.answers = []
+
+    def upstream(self, host):
+        return self.nodes[host].upstream
+
+    def record_run(self, request, upstream):
+        super().record_run(request, upstream)
+        self.arrivals[upstream.instance].append(self.now())
+
+    async def attempt(self, target, left, zone):
+        answer = await super().attempt(target, left, zone)
+        if answer is not None:
+            self.answers.append((self.now(), answer))
+        return answer
+
+    def arrived(self, instance, since, until):
+        """Return the number of calls that reached an upstream in a time span."""
+        return sum(since <= when < until for when in self.arrivals[instance])
+
+    async def restart_node(self, host, seconds):
+        """Kill a node and start it again after some seconds."""
+        self.nodes[host].kill()
+        await asyncio.sleep(seconds)
+        self.nodes[host].start()
+
+    # Final checks.
+
+    def check_final_state(self):
+        super().check_final_state()
+        for instance, named in self.limits.items():
+            self.check_limit(instance, named)
+        for instance, when in self.left_at.items():
+            late = self.arrived(instance, when + DRAIN_SECONDS, self.now())
+            if late:
+                self.problems.append(f"{instance}: {late} calls after it left")
+
+    def check_limit(self, instance, named):
+        """Check every period in which the same limit was in force for long enough."""
+        ends = [when for when, _ in named[1:]] + [self.now()]
+        for (begun, limit), end in zip(named, ends, strict=True):
+            if limit is None:
+                continue
+            allowed = LIMIT_FACTOR * PERIOD_SECONDS * limit + LIMIT_SLACK
+            for since in self.arrivals[instance]:
+                until = min(since + PERIOD_SECONDS, end)
+                if since < begun + GRACE_SECONDS or since >= end:
+                    continue
+                count = self.arrived(instance, since, until)
+                if count > allowed:
+                    self.problems.append(
+                        f"{instance}: {count} calls in {PERIOD_SECONDS:g} s from "
+                        f"{since:.2f}, {allowed:g} allowed by a limit of {limit}"
+                    )
+                    break
