--- a/sequoiaspoke/tests/test_mesh_ratelimit.py
+++ b/sequoiaspoke/tests/test_mesh_ratelimit.py
@@ -35,3 +35,16 @@
             await asyncio.gather(world.vary_requests(15.0, 60.0), name_limit())
 
         self.check_seeds(scenario)
+
+
+class LeavingUpstreamTests(LimitCase):
+    def test_an_upstream_that_says_it_leaves_gets_no_new_calls(self):
+        # Guards against a drain that is announced in answers only.
+        async def scenario(world):
+            async def leave():
+                await asyncio.sleep(2.0)
+                world.upstream(HOST).leave()
+
+            await asyncio.gather(world.vary_requests(8.0, 60.0), leave())
+
+        self.check_seeds(scenario)
