Keep the rate limit that an upstream names

Cause: no node read the limit. The home, through which all calls to an upstream pass, counted its slots only: 18 at once are some 70 calls a second.

Why this works: the home is the only way to its upstream, so one token bucket there holds the limit for all entries, whatever each of them knows. Its wait is part of the load report and of each refusal, so that entries choose another home and callers get a time that holds. A limit ends with an answer to a call that was sent after it was last named, or with the process that named it; a health check asks while no call is answered, as with a limit of zero. An invalid limit is logged and changes nothing.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -19,6 +19,7 @@
 
 from sequoiaspoke.core.mesh.coldstart import ColdStart
 from sequoiaspoke.core.mesh.durations import Durations
+from sequoiaspoke.core.mesh.ratelimit import RateLimit
 from sequoiaspoke.core.mesh.slots import Load, Slots
 
 # Maximum number of queued calls per slot. In a longer queue even the shortest calls
@@ -60,6 +61,7 @@
     UPSTREAM_FULL = "upstream-full"
     ZONE_EVACUATED = "zone-evacuated"
     HELD_BACK = "held-back"
+    RATE_LIMITED = "rate-limited"
 
 
 @dataclass(frozen=True)
@@ -119,6 +121,7 @@
         self.suspects: set[object] = set()
         self.upstream_slots = Slots(slots)
         self.cold_start = ColdStart()
+        self.rate_limit = RateLimit()
         self.queue: dict[object, Arrival] = {}
         self.durations = Durations()
 
@@ -141,9 +144,12 @@
 
     def free_slots(self, now: float) -> int:
         """Return the number of further calls that the upstream can run."""
-        free = self.upstream_slots.free(self.running, now)
-        cold_limit = self.cold_start.remaining(now)
-        return free if cold_limit is None else min(free, cold_limit)
+        limits = (
+            self.upstream_slots.free(self.running, now),
+            self.cold_start.remaining(now),
+            self.rate_limit.remaining(self.running, now),
+        )
+        return min(limit for limit in limits if limit is not None)
 
     @property
     def running(self) -> int:
@@ -160,13 +166,16 @@
         if self.would_be_reset(arrival, now):
             return self.refuse_full(arrival)
         wait = max(self.queue_wait(arrival, now), self.suspect_wait(arrival, now))
-        if now + wait + self.min_duration(arrival, now) > arrival.deadline:
-            return Refused(arrival, RefusalReason.NO_TIME, max(wait, MIN_RETRY_AFTER))
         ahead = sum(each.rank <= arrival.rank for each in self.queue.values())
-        if ahead >= self.slots and self.would_be_late(arrival, now + wait):
-            return Refused(
-                arrival, RefusalReason.OVERLOADED, max(wait, MIN_RETRY_AFTER)
-            )
+        limited = self.rate_limit.wait(ahead, now) > 0
+        if now + wait + self.min_duration(arrival, now) > arrival.deadline:
+            reason = RefusalReason.RATE_LIMITED if limited else RefusalReason.NO_TIME
+            return Refused(arrival, reason, max(wait, MIN_RETRY_AFTER))
+        # A single queued call is enough to use up a rate limit.
+        enough = 1 if limited else self.slots
+        if ahead >= enough and self.would_be_late(arrival, now + wait):
+            reason = RefusalReason.RATE_LIMITED if limited else RefusalReason.OVERLOADED
+            return Refused(arrival, reason, max(wait, MIN_RETRY_AFTER))
         refused = self.make_room(arrival, wait, now)
         if refused is None or refused.arrival is not arrival:
             self.queue[arrival.ticket] = arrival
@@ -215,7 +224,11 @@
             if waiting.rank <= rank:
                 work += self.durations.expected(waiting.route, now)
                 ahead += 1
-        return max(work / max(1, self.slots), self.cold_start.wait(ahead, now))
+        return max(
+            work / max(1, self.slots),
+            self.cold_start.wait(ahead, now),
+            self.rate_limit.wait(ahead, now),
+        )
 
     def next(self, now: float) -> tuple[Arrival | None, list[Refused]]:
         """Return the call to send now, if any, and the refusals of overdue calls."""
@@ -235,6 +248,7 @@
         del self.queue[arrival.ticket]
         self.durations.begin(arrival.ticket, arrival.route, now)
         self.cold_start.begin(arrival.ticket)
+        self.rate_limit.take(now)
         return arrival, refused
 
     def may_run_now(self, arrival: Arrival) -> bool:
@@ -298,3 +312,4 @@
         self.durations.reset()
         self.upstream_slots.restarted()
         self.cold_start.restarted()
+        self.rate_limit.forget()
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -169,7 +169,7 @@
             self.callers.current_limits = self.state.table.config.limits
             service = self.state.table.config.services.get(self.settings.service)
             if service is not None:
-                self.home.cold_monitor.set_service(service, self.settings.cold)
+                self.home.health_monitor.set_service(service, self.settings.cold)
         endpoint = self.state.directory.at_address(*self.settings.upstream)
         if endpoint is not None:
             self.home.update_endpoint(endpoint)
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -23,9 +23,9 @@
 )
 from sequoiaspoke.core.mesh.slots import CANCEL_SECONDS
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.coldmonitor import ColdMonitor
 from sequoiaspoke.sidecar.crashdetector import CrashDetector, SentCall
 from sequoiaspoke.sidecar.crashguard import CrashGuard
+from sequoiaspoke.sidecar.healthmonitor import HealthMonitor
 from sequoiaspoke.sidecar.homecall import ActiveCall
 from sequoiaspoke.sidecar.outagelog import OutageLog
 from sequoiaspoke.sidecar.upstream import UNREACHABLE
@@ -66,8 +66,8 @@
         Current incarnation of the upstream, as last published by the platform.
     last_load : Load or None
         Load that the upstream reported with the last outcome, for the log.
-    rate_limit : float or None
-        Calls per second that the upstream takes by its last report; None if unlimited.
+    previous_incarnation : Incarnation or None
+        The one before the current one; late answers of it say nothing about that one.
     leaving_incarnation : Incarnation or None
         Incarnation that last reported that it leaves.
     """
@@ -82,8 +82,9 @@
         self.leaving = False
         self.evacuated = False
         self.evacuation_ended_at = 0
-        cold_start = self.admission.cold_start
-        self.cold_monitor = ColdMonitor(cold_start, upstream, log, self.dispatch)
+        self.health_monitor = HealthMonitor(
+            self.admission, upstream, log, self.apply_health_report, self.dispatch
+        )
         self.crash_guard = CrashGuard(directory, log)
         self.crash_guard.on_change = self.apply_quarantine
         self.crash_detector = CrashDetector(
@@ -93,7 +94,7 @@
         )
         self.incarnation: Incarnation | None = None
         self.last_load: Load | None = None
-        self.rate_limit: float | None = None
+        self.previous_incarnation: Incarnation | None = None
         self.leaving_incarnation: Incarnation | None = None
         self.outage_log = OutageLog(log)
         self.leaving_upstreams = LeavingUpstreams(directory.is_leaving)
@@ -146,11 +147,12 @@
     def expect_earlier_calls(self) -> None:
         """Allow for calls that a previous process of this node sent to the upstream.
 
-        They may still run there, and the upstream may be cold.
+        They may still run there, and the upstream may be cold or limit its calls.
         """
+        self.admission.rate_limit.forget()
         self.admission.upstream_slots.has_answered = False
         self.admission.cold_start.expect_earlier_calls(clock.STARTED)
-        self.cold_monitor.assume_cold(clock.STARTED)
+        self.health_monitor.assume_cold(clock.STARTED)
 
     def find_refusal(self, call: HomeCall) -> NotRun | None:
         """Return why a call is refused regardless of load, None if it is not."""
@@ -212,10 +214,10 @@
                 call.incarnation.instance,
                 call.deadline,
                 call.idempotent,
-                partial(self.record_sent, key, call),
+                partial(self.record_sent, key, running),
             )
             outcome = await self.crash_detector.classify(key, outcome)
-            self.apply_report(call.incarnation, outcome)
+            self.apply_outcome(running, outcome)
             if isinstance(outcome, Answer):
                 self.crash_guard.answered(call.incarnation, call.request)
         finally:
@@ -227,9 +229,10 @@
                 self.free_slot(key, isinstance(outcome, Answer))
                 self.finish(key, outcome)
 
-    def record_sent(self, key: Hashable, call: HomeCall) -> None:
+    def record_sent(self, key: Hashable, running: ActiveCall) -> None:
         """Record that a call is being sent to the upstream."""
-        self.admission.send(key, clock.now())
+        call, running.sent_at = running.call, clock.now()
+        self.admission.send(key, running.sent_at)
         sent = SentCall(call.request, call.incarnation, self.suspected(call))
         self.crash_detector.call_sent(key, sent)
 
@@ -239,44 +242,65 @@
             self.abandon(key)
             self.finish(key, Unknown("cancelled"))
 
-    def apply_report(self, incarnation: Incarnation, outcome: Outcome) -> None:
-        """Update admission from the report, or from the kind of failure."""
+    def apply_outcome(self, running: ActiveCall, outcome: Outcome) -> None:
+        """Update admission from the upstream's report, or from the kind of failure."""
         report, self.upstream.report = self.upstream.report, None
         load = self.last_load = report.load if report else None
         now = clock.now()
-        if report is not None and not report.replaced:
-            self.log_report(incarnation, report)
         self.outage_log.record(outcome, now)
+        if report is not None and not report.replaced:
+            self.apply_report(running.call.incarnation, report, running.sent_at)
         if isinstance(outcome, Answer):
             self.admission.record_answer(load, now)
         elif isinstance(outcome, NotRun) and outcome.from_upstream:
             self.admission.record_refusal(load, now)
         elif outcome.reason in (UNREACHABLE, UPSTREAM_CRASHED):
             # The upstream may be restarting, and is then cold once it is reachable.
-            self.cold_monitor.assume_cold(now)
+            self.health_monitor.assume_cold(now)
         elif isinstance(outcome, Unknown) and outcome.reason == RESET_AT_ONCE:
             self.admission.record_reset(now)
 
-    def log_report(self, incarnation: Incarnation, report: UpstreamReport) -> None:
-        """Log a changed rate limit, and the first announcement that it leaves."""
+    def apply_health_report(
+        self, instance: str, report: UpstreamReport, sent_at: float
+    ) -> None:
+        """Apply what the upstream reports with the answer to a health check."""
+        incarnation = self.incarnation
+        if incarnation is not None and instance in ("", incarnation.instance):
+            self.apply_report(incarnation, report, sent_at)
+
+    def apply_report(
+        self, incarnation: Incarnation, report: UpstreamReport, sent_at: float
+    ) -> None:
+        """Apply the rate limit that an incarnation of the upstream reports.
+
+        Parameters
+        ----------
+        sent_at : float
+            When the answered call was sent.
+        """
+        if report.leaving and incarnation != self.leaving_incarnation:
+            self.leaving_incarnation = incarnation
+            self.log.event("upstream-leaving", instance=incarnation.instance)
+        if incarnation == self.previous_incarnation:
+            return
         if report.invalid_rate_limit:
             self.log.event(
                 "upstream-limit-refused",
                 instance=incarnation.instance,
                 limit=report.invalid_rate_limit,
             )
-        elif report.rate_limit != self.rate_limit:
-            self.rate_limit = report.rate_limit
+            return
+        rate_limit = self.admission.rate_limit
+        before = rate_limit.rate
+        rate_limit.record(report.rate_limit, sent_at, clock.now())
+        if rate_limit.rate != before:
             self.log.event(
                 "upstream-limit",
                 instance=incarnation.instance,
-                limit="none" if report.rate_limit is None else report.rate_limit,
+                limit="none" if rate_limit.rate is None else rate_limit.rate,
                 running=self.admission.running,
                 waiting=self.admission.waiting,
             )
-        if report.leaving and incarnation != self.leaving_incarnation:
-            self.leaving_incarnation = incarnation
-            self.log.event("upstream-leaving", instance=incarnation.instance)
 
     def free_slot(self, key: Hashable, answered: bool) -> None:
         """Release a call's slot and start the next call."""
@@ -372,7 +396,7 @@
         """Expire old outcomes and connections, and refuse overdue calls."""
         self.ledger.expire(now)
         self.upstream.tick(now)
-        self.cold_monitor.probe_if_due(now)
+        self.health_monitor.probe_if_due(now)
         if not self.admission.waiting:
             self.leaving_upstreams.clear()
             return
@@ -406,7 +430,7 @@
             Revision of the store at which the last evacuation of the zone ended.
         """
         was_evacuated, self.evacuated = self.evacuated, evacuated
-        self.cold_monitor.paused = evacuated
+        self.health_monitor.paused = evacuated
         ended, self.evacuation_ended_at = ended_at > self.evacuation_ended_at, ended_at
         now = clock.now()
         if evacuated and not was_evacuated:
@@ -421,7 +445,7 @@
                 )
         elif ended:
             # The evacuation may have been too short for this node to see its start.
-            self.cold_monitor.assume_cold(now)
+            self.health_monitor.assume_cold(now)
 
     def update_endpoint(self, endpoint: Endpoint) -> None:
         """Apply what the platform publishes of the upstream beside this node."""
@@ -434,6 +458,7 @@
                 born=endpoint.born,
                 before=previous.instance,
             )
+            self.previous_incarnation = previous
             # Measurements belong to the previous incarnation. Idle connections lead to
             # a process that has ended: a call that is not idempotent, sent on one and
             # reset, would have an unknown outcome.
@@ -441,7 +466,7 @@
             self.upstream.close_idle_connections()
         record = self.directory.records.get(endpoint.instance)
         if record is not None:
-            self.cold_monitor.update_from_endpoint(record)
+            self.health_monitor.update_from_endpoint(record)
         if endpoint.slots != self.admission.upstream_slots.published:
             self.set_slots(endpoint.slots)
 
--- a/sequoiaspoke/sidecar/homecall.py
+++ b/sequoiaspoke/sidecar/homecall.py
@@ -43,9 +43,12 @@
     ----------
     on_outcome : callable
         Called with the outcome unless the call was cancelled.
+    sent_at : float
+        When it was sent to the upstream.
     """
 
     call: HomeCall
     on_outcome: Callable[[Outcome], None]
     task: asyncio.Task[None] | None = None
     cancelled: bool = False
+    sent_at: float = float("-inf")
--- a/sequoiaspoke/sidecar/metrics.py
+++ b/sequoiaspoke/sidecar/metrics.py
@@ -12,6 +12,7 @@
 from sequoiaspoke.sidecar import clock
 
 if TYPE_CHECKING:
+    from sequoiaspoke.core.mesh.ratelimit import RateLimit
     from sequoiaspoke.node.metrics import Metrics
     from sequoiaspoke.sidecar.app import Sidecar
     from sequoiaspoke.sidecar.logs import DroppingOutput
@@ -47,6 +48,11 @@
 }
 
 
+def rate_limit_gauge(limit: RateLimit) -> float:
+    """Return the calls a second that an upstream takes, -1 without a limit."""
+    return -1.0 if limit.rate is None else limit.rate
+
+
 class SidecarMetrics:
     """Publishes counters and gauges of a sidecar's parts."""
 
--- a/sequoiaspoke/sidecar/names.py
+++ b/sequoiaspoke/sidecar/names.py
@@ -27,6 +27,8 @@
         Number of calls that the upstream runs and queues, and of its slots.
     cold : str
         Milliseconds for which the upstream stays cold, sent with a health answer.
+    health_instance : str
+        Instance that answers a health check.
     rate_limit : str
         Calls per second that the upstream takes from all nodes together.
     leaving : str
@@ -41,5 +43,6 @@
     not_run: str = "x-not-run"
     load: str = "x-upstream-load"
     cold: str = "x-upstream-cold-ms"
+    health_instance: str = "x-instance-id"
     rate_limit: str = "x-upstream-rate-limit"
     leaving: str = "x-upstream-leaving"
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -16,7 +16,7 @@
 from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.httpclient import FRESH_SECONDS, connect, open_connection
 from sequoiaspoke.sidecar.httptext import encode_request, end_to_end
-from sequoiaspoke.sidecar.upstreamreport import parse_milliseconds, parse_report
+from sequoiaspoke.sidecar.upstreamreport import parse_health, parse_report
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,7 +24,7 @@
     from sequoiaspoke.core.mesh.outcome import Outcome, Request
     from sequoiaspoke.sidecar.httpclient import ClientConnection
     from sequoiaspoke.sidecar.names import HeaderNames
-    from sequoiaspoke.sidecar.upstreamreport import UpstreamReport
+    from sequoiaspoke.sidecar.upstreamreport import HealthAnswer, UpstreamReport
 
 
 # A connection that is reset within this fraction of the average call time was refused
@@ -113,11 +113,8 @@
         self.average_seconds = average + NEWEST_WEIGHT * (seconds - average)
         return self.classify(outcome, seconds)
 
-    async def query_cold_seconds(self, path: str, deadline: float) -> float | None:
-        """Ask the health check for how many seconds the upstream stays cold.
-
-        Returns None if the upstream gives no answer or refuses the check.
-        """
+    async def check_health(self, path: str, deadline: float) -> HealthAnswer | None:
+        """Make a health check; return None if the upstream gives no answer."""
         connection = self.take_idle(idempotent=True) or await self.connect()
         if connection is None:
             return None
@@ -126,9 +123,7 @@
         self.release(connection)
         if not isinstance(outcome, Answer):
             return None
-        if find_header(outcome.headers, self.names.not_run):
-            return None
-        return parse_milliseconds(find_header(outcome.headers, self.names.cold))
+        return parse_health(outcome.headers, self.names)
 
     def classify(self, answer: Answer, seconds: float) -> Outcome:
         """Return the outcome of a call by the status and headers of its answer."""
--- a/sequoiaspoke/sidecar/upstreamreport.py
+++ b/sequoiaspoke/sidecar/upstreamreport.py
@@ -44,6 +44,34 @@
     replaced: bool = False
 
 
+@dataclass(frozen=True)
+class HealthAnswer:
+    """An answer to a health check.
+
+    Attributes
+    ----------
+    instance : str
+        Instance that answered, empty if not reported.
+    cold_seconds : float or None
+        Seconds for which it stays cold; None if it refused the check.
+    """
+
+    instance: str
+    cold_seconds: float | None
+    report: UpstreamReport
+
+
+def parse_health(headers: Headers, names: HeaderNames) -> HealthAnswer:
+    """Return an answer to a health check from its headers."""
+    cold_seconds = parse_milliseconds(find_header(headers, names.cold))
+    refused = find_header(headers, names.not_run)
+    return HealthAnswer(
+        find_header(headers, names.health_instance),
+        None if refused else cold_seconds,
+        parse_report(headers, names),
+    )
+
+
 def parse_report(
     headers: Headers, names: HeaderNames, replaced: bool = False
 ) -> UpstreamReport:
