Send no calls to an upstream that says in its answers that it leaves

What callers would see: calls reach an upstream until it exits, and those that run then are lost.

Cause: only the store's entry counted as a drain; no node read the answers' header.

Why this works: the home marks the start of the upstream in its own directory and refuses what is not sent; each entry does the same with an answer that it passes on or a refusal for this reason. So an entry holds to it by itself, while the store is away and after a restart of the home. A drain of a start is never taken back by a later report, now also where starts have no time and each has an instance name of its own, and counts whatever the order of the reports.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -55,6 +55,7 @@
 
     LEAVING = "leaving"
     INSTANCE_LEFT = "instance-left"
+    INSTANCE_LEAVING = "instance-leaving"
     QUEUE_FULL = "queue-full"
     OVERLOADED = "overloaded"
     NO_TIME = "no-time"
--- a/sequoiaspoke/core/mesh/directory.py
+++ b/sequoiaspoke/core/mesh/directory.py
@@ -93,6 +93,8 @@
         self.departures.pop(endpoint.instance, None)
         self.lapses.drop(endpoint.instance)
         cold_until = now + endpoint.cold_seconds
+        if known is not None and known.endpoint.born == endpoint.born:
+            revision = max(revision, known.revision)
         self.records[endpoint.instance] = EndpointRecord(
             endpoint, revision, readable, cold_until
         )
@@ -109,6 +111,31 @@
         self.note_change(instance)
         return True
 
+    def mark_draining(self, incarnation: Incarnation) -> bool:
+        """Record that an incarnation has said itself that it leaves.
+
+        Its entry may not show it: it is changed later, at another place or not at all.
+        Return whether that was not known yet.
+        """
+        instance = incarnation.instance
+        known = self.records.get(instance)
+        departed = self.departures.get(instance)
+        if known is not None:
+            if known.endpoint.born != incarnation.born or known.endpoint.draining:
+                return False
+            endpoint = replace(known.endpoint, draining=True)
+            self.records[instance] = replace(known, endpoint=endpoint)
+        elif departed is not None:
+            departure = departed.departure
+            if departure.born != incarnation.born or departure.drained:
+                return False
+            departure = replace(departure, drained=True)
+            self.departures[instance] = replace(departed, departure=departure)
+        else:
+            return False
+        self.note_change(instance)
+        return True
+
     def remove(
         self, instance: str, revision: int, now: float, trusted: bool = False
     ) -> bool:
@@ -281,6 +308,16 @@
         departed = self.departures.get(incarnation.instance)
         return departed is not None and departed.departure.born >= incarnation.born
 
+    def is_draining(self, incarnation: Incarnation) -> bool:
+        """Return whether an incarnation has announced that it leaves."""
+        record = self.records.get(incarnation.instance)
+        if record is not None:
+            return record.endpoint.draining and record.endpoint.born == incarnation.born
+        departed = self.departures.get(incarnation.instance)
+        if departed is None or departed.departure.born != incarnation.born:
+            return False
+        return departed.departure.drained
+
     def at_address(self, host: str, port: int) -> Endpoint | None:
         """Return the endpoint at an address, the latest if several entries name it."""
         found = [
--- a/sequoiaspoke/core/mesh/records.py
+++ b/sequoiaspoke/core/mesh/records.py
@@ -28,9 +28,11 @@
         """Return whether an entry of the same instance replaces this one."""
         if endpoint.born != self.endpoint.born:
             return endpoint.born > self.endpoint.born
-        # A late report of the same incarnation does not revoke its drain.
-        returns = self.endpoint.draining and not endpoint.draining
-        return revision > self.revision and not returns
+        # An incarnation that drains never returns, so its drain counts whatever the
+        # order of the reports.
+        if endpoint.draining != self.endpoint.draining:
+            return endpoint.draining
+        return revision > self.revision
 
     def cold_remaining(self, now: float) -> float:
         """Return how many more seconds the endpoint stays cold."""
--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.idempotency.rendezvous import rank
-from sequoiaspoke.core.mesh.admission import queue_rank
+from sequoiaspoke.core.mesh.admission import RefusalReason, queue_rank
 from sequoiaspoke.core.mesh.balancer import Balancer
 from sequoiaspoke.core.mesh.outcome import Answer, Unknown
 from sequoiaspoke.core.mesh.retrybudget import RetryBudgets
@@ -16,6 +16,7 @@
 from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.homecall import HomeCall
 from sequoiaspoke.sidecar.race import RETRYABLE_STATUSES, Attempt, Race
+from sequoiaspoke.sidecar.upstreamreport import is_leaving
 
 if TYPE_CHECKING:
     from sequoiaspoke.core.mesh.balancer import LoadReport
@@ -24,6 +25,7 @@
     from sequoiaspoke.core.mesh.retrybudget import RetryLimits
     from sequoiaspoke.sidecar.home import Home
     from sequoiaspoke.sidecar.logs import EventLog
+    from sequoiaspoke.sidecar.names import HeaderNames
     from sequoiaspoke.sidecar.peers import Peers
     from sequoiaspoke.sidecar.race import Progress
     from sequoiaspoke.sidecar.state import MeshState
@@ -47,12 +49,14 @@
         peers: Peers,
         retry_limits: RetryLimits,
         regions: dict[str, str],
+        names: HeaderNames,
         log: EventLog,
     ) -> None:
         self.state = state
         self.home = home
         self.peers = peers
         self.regions = regions
+        self.leaving_header = names.leaving
         self.log = log
         self.deadlines = Deadlines()
         self.balancer = Balancer(peers.identity.zone)
@@ -248,6 +252,16 @@
         self.balancer.end(incarnation)
         self.balancer.record_load(incarnation, attempt.progress.route.name, report, now)
         self.record_outcome(attempt.progress, incarnation, outcome, now)
+        self.note_departure(incarnation, outcome)
+
+    def note_departure(self, incarnation: Incarnation, outcome: Outcome) -> None:
+        """Choose an upstream no more that says, or whose home says, that it leaves."""
+        if isinstance(outcome, Answer):
+            leaving = is_leaving(outcome.headers, self.leaving_header)
+        else:
+            leaving = outcome.reason == RefusalReason.INSTANCE_LEAVING
+        if leaving and self.state.directory.mark_draining(incarnation):
+            self.log.event("upstream-leaving", instance=incarnation.instance)
 
     def attempt_cancelled(self, attempt: Attempt) -> None:
         """Note that an attempt was cancelled."""
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -78,7 +78,7 @@
         self.names = names
         self.state = state
         self.peers = peers
-        self.attempts = Attempts(state, home, peers, retry_limits, regions, log)
+        self.attempts = Attempts(state, home, peers, retry_limits, regions, names, log)
         self.log = log
         self.splitter = Splitter(rng)
         self.closes_at = float("inf")
--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -29,7 +29,7 @@
     "upstream-cold": "the upstream beside this node reported how long it stays cold",
     "upstream-limit": "the upstream beside this node named or lifted a rate limit",
     "upstream-limit-refused": "a rate limit is no valid number; the last one stays",
-    "upstream-leaving": "the upstream beside this node answered that it leaves",
+    "upstream-leaving": "an upstream said in an answer that it leaves",
     "store-lost": "the store does not answer",
     "store-reached": "the store answers again",
     "store-history-lost": "the store lost changes; all items are read again",
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -68,8 +68,6 @@
         Load that the upstream reported with the last outcome, for the log.
     previous_incarnation : Incarnation or None
         The one before the current one; late answers of it say nothing about that one.
-    leaving_incarnation : Incarnation or None
-        Incarnation that last reported that it leaves.
     """
 
     def __init__(self, upstream: Upstream, directory: Directory, log: EventLog) -> None:
@@ -95,7 +93,6 @@
         self.incarnation: Incarnation | None = None
         self.last_load: Load | None = None
         self.previous_incarnation: Incarnation | None = None
-        self.leaving_incarnation: Incarnation | None = None
         self.outage_log = OutageLog(log)
         self.leaving_upstreams = LeavingUpstreams(directory.is_leaving)
         self.counts: Counter[str] = Counter()
@@ -162,13 +159,19 @@
             self.counts[RefusalReason.ZONE_EVACUATED] += 1
             return NotRun(RefusalReason.ZONE_EVACUATED, EVACUATED_RETRY_AFTER)
         if self.directory.is_leaving(call.incarnation):
-            return NotRun(RefusalReason.INSTANCE_LEFT)
+            return NotRun(self.departure_reason(call.incarnation))
         seconds = self.held_seconds(call)
         if seconds:
             self.counts[RefusalReason.HELD_BACK] += 1
             return NotRun(RefusalReason.HELD_BACK, seconds)
         return None
 
+    def departure_reason(self, incarnation: Incarnation) -> RefusalReason:
+        """Return why an incarnation that is leaving or gone gets no calls."""
+        if self.directory.is_draining(incarnation):
+            return RefusalReason.INSTANCE_LEAVING
+        return RefusalReason.INSTANCE_LEFT
+
     def suspected(self, call: HomeCall) -> bool:
         """Return whether a call's request is suspected of crashing an upstream."""
         return self.crash_guard.suspected_at(call.incarnation, call.request)
@@ -271,15 +274,14 @@
     def apply_report(
         self, incarnation: Incarnation, report: UpstreamReport, sent_at: float
     ) -> None:
-        """Apply the rate limit that an incarnation of the upstream reports.
+        """Apply the rate limit and the departure that an incarnation reports.
 
         Parameters
         ----------
         sent_at : float
             When the answered call was sent.
         """
-        if report.leaving and incarnation != self.leaving_incarnation:
-            self.leaving_incarnation = incarnation
+        if report.leaving and self.directory.mark_draining(incarnation):
             self.log.event("upstream-leaving", instance=incarnation.instance)
         if incarnation == self.previous_incarnation:
             return
@@ -415,11 +417,11 @@
         incarnations = {self.calls[each.ticket].call.incarnation for each in waiting}
         overdue = self.leaving_upstreams.overdue(incarnations, now)
         for arrival in waiting:
-            if self.calls[arrival.ticket].call.incarnation in overdue:
+            incarnation = self.calls[arrival.ticket].call.incarnation
+            if incarnation in overdue:
                 self.admission.cancel(arrival.ticket)
-                self.refuse(
-                    Refused(arrival, RefusalReason.INSTANCE_LEFT, LEAVING_RETRY_AFTER)
-                )
+                reason = self.departure_reason(incarnation)
+                self.refuse(Refused(arrival, reason, LEAVING_RETRY_AFTER))
 
     def set_evacuated(self, evacuated: bool, ended_at: int) -> None:
         """Set whether the zone is evacuated; while it is, the upstream gets no calls.
--- a/sequoiaspoke/sidecar/upstreamreport.py
+++ b/sequoiaspoke/sidecar/upstreamreport.py
@@ -82,11 +82,16 @@
         parse_load(find_header(headers, names.load)),
         rate_limit,
         limit_text[:MAX_RATE_TEXT] if rate_limit is None else "",
-        find_header(headers, names.leaving).strip() == LEAVING_MARK,
+        is_leaving(headers, names.leaving),
         replaced,
     )
 
 
+def is_leaving(headers: Headers, name: str) -> bool:
+    """Return whether an answer announces that its upstream leaves."""
+    return find_header(headers, name).strip() == LEAVING_MARK
+
+
 def parse_rate_limit(text: str) -> float | None:
     """Return a rate limit in calls per second, None if it is missing or malformed."""
     if not text.isascii() or len(text) > MAX_RATE_TEXT or "_" in text:
--- a/sequoiaspoke/tests/test_mesh_incarnations.py
+++ b/sequoiaspoke/tests/test_mesh_incarnations.py
@@ -95,6 +95,34 @@
         self.assertFalse(self.directory.put(OLD, 9, 2.0))
         self.assertEqual(self.serving(), [])
 
+    def test_a_drained_upstream_without_a_start_time_is_not_restored(self):
+        # Guards against a late report where each start has an instance name of its own.
+        unknown = replace(OTHER, born=0)
+        self.directory.put(unknown, 6, 0.0)
+        self.assertTrue(self.directory.mark_draining(unknown.incarnation))
+        self.directory.remove("i-2", 7, 1.0)
+        self.assertFalse(self.directory.put(unknown, 9, 2.0))
+
+    def test_a_drain_counts_whatever_the_order_of_the_reports(self):
+        # Guards against a drain that is reported with an older revision.
+        self.assertTrue(self.directory.put(OLD, 9, 1.0))
+        self.assertTrue(self.directory.put(replace(OLD, draining=True), 7, 1.0, True))
+        self.assertEqual(self.serving(), [])
+        self.assertFalse(self.directory.put(OLD, 12, 1.0))
+
+    def test_only_the_incarnation_that_leaves_is_marked(self):
+        self.assertFalse(self.directory.mark_draining(NEW.incarnation))
+        self.assertEqual(self.serving(), [OLD.incarnation])
+        self.assertTrue(self.directory.mark_draining(OLD.incarnation))
+        self.assertFalse(self.directory.mark_draining(OLD.incarnation))
+        self.assertTrue(self.directory.is_draining(OLD.incarnation))
+
+    def test_a_departed_upstream_that_was_leaving_is_not_restored(self):
+        # Guards against an answer that arrives after the removal of its entry.
+        self.directory.remove("i-1", 7, 1.0)
+        self.assertTrue(self.directory.mark_draining(OLD.incarnation))
+        self.assertFalse(self.directory.put(OLD, 9, 2.0))
+
     def test_a_lapsed_entry_may_be_written_again_by_its_incarnation(self):
         self.directory.remove("i-1", 7, 1.0)
         self.assertTrue(self.directory.put(OLD, 9, 2.0))
