--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -52,6 +52,9 @@
 # Seconds before its end by which a stopping node should have answered all calls.
 ANSWER_MARGIN_SECONDS = 0.2
 
+# Characters of a new header's value that are logged.
+MAX_HEADER_TEXT = 64
+
 
 class Sidecar:
     """The parts of one sidecar process and their life cycle."""
@@ -73,6 +76,7 @@
         self.state.max_no_route_age = NO_ROUTE_AGE_FRACTION * settings.act_within
         host, port = settings.upstream
         self.upstream = Upstream(host, port, settings.names)
+        self.upstream.new_headers.on_new = self.log_new_header
         self.home = Home(self.upstream, self.state.directory, self.log)
         self.home.expect_earlier_calls()
         identity = LinkIdentity(settings.links[0], settings.zone, self.incarnation)
@@ -137,6 +141,10 @@
         """Log an unhandled exception."""
         self.log.event("crash", error=repr(error))
 
+    def log_new_header(self, name: str, value: str) -> None:
+        """Log a header that the upstream's answers had not had before."""
+        self.log.event("upstream-header", name=name, value=value[:MAX_HEADER_TEXT])
+
     def status(self) -> bytes:
         """Return the page that the status command reads."""
         from sequoiaspoke.sidecar.statuspage import status_page
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -16,6 +16,7 @@
 from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.httpclient import FRESH_SECONDS, connect, open_connection
 from sequoiaspoke.sidecar.httptext import encode_request, end_to_end
+from sequoiaspoke.sidecar.newheaders import NewHeaders
 from sequoiaspoke.sidecar.upstreamreport import parse_health, parse_report
 
 if TYPE_CHECKING:
@@ -49,6 +50,8 @@
         Number of connections opened so far.
     report : UpstreamReport or None
         Report with the last answer, until the home reads it.
+    new_headers : NewHeaders
+        Header names of its answers.
     average_seconds : float
         Moving average of the time from sending a call to its answer.
     """
@@ -62,6 +65,7 @@
         self.connects = 0
         self.report: UpstreamReport | None = None
         self.average_seconds = 0.0
+        self.new_headers = NewHeaders()
 
     async def call(
         self,
@@ -127,6 +131,7 @@
 
     def classify(self, answer: Answer, seconds: float) -> Outcome:
         """Return the outcome of a call by the status and headers of its answer."""
+        self.new_headers.record(answer.headers)
         replaced = answer.status == 421
         self.report = parse_report(answer.headers, self.names, replaced)
         if find_header(answer.headers, self.names.not_run):
--- a/sequoiaspoke/tests/test_sidecar_upstreamreport.py
+++ b/sequoiaspoke/tests/test_sidecar_upstreamreport.py
@@ -12,6 +12,7 @@
 from sequoiaspoke.sidecar.homecall import HomeCall
 from sequoiaspoke.sidecar.logs import EventLog
 from sequoiaspoke.sidecar.names import HeaderNames
+from sequoiaspoke.sidecar.newheaders import MAX_NAMES, NewHeaders
 from sequoiaspoke.sidecar.upstream import Upstream
 from sequoiaspoke.sidecar.upstreamreport import (
     UpstreamReport,
@@ -109,3 +110,18 @@
     def test_an_upstream_that_has_left_gets_no_further_calls(self):
         report = UpstreamReport(leaving=True)
         self.assertEqual(self.events_of(report, report), [("upstream-leaving", None)])
+
+
+class NewHeadersTests(TestCase):
+    def test_each_header_name_is_reported_once(self):
+        found, headers = [], NewHeaders()
+        headers.on_new = lambda name, value: found.append((name, value))
+        headers.record((("A", "1"), ("B", "2")))
+        headers.record((("A", "3"), ("C", "4")))
+        self.assertEqual(found, [("A", "1"), ("B", "2"), ("C", "4")])
+
+    def test_the_number_of_remembered_names_is_limited(self):
+        found, headers = [], NewHeaders()
+        headers.on_new = lambda name, value: found.append(name)
+        headers.record(tuple((f"X-{number}", "") for number in range(3 * MAX_NAMES)))
+        self.assertEqual(len(found), MAX_NAMES)
