Read the headers of a limit and a departure under any prefix

So the end of the name decides, whatever stands before it. A limit also outlasts single answers that lack it: it ends a second after it was last named, not with the first such answer.

--- a/sequoiaspoke/core/mesh/outcome.py
+++ b/sequoiaspoke/core/mesh/outcome.py
@@ -115,3 +115,11 @@
         if key.lower() == name:
             return value
     return ""
+
+
+def find_suffixed_header(headers: Headers, suffix: str) -> str:
+    """Return the first value of a header with any prefix, given its lower-case end."""
+    for key, value in headers:
+        if key.lower().endswith(suffix):
+            return value
+    return ""
--- a/sequoiaspoke/core/mesh/ratelimit.py
+++ b/sequoiaspoke/core/mesh/ratelimit.py
@@ -4,9 +4,10 @@
 all its calls pass through the node beside it, that node applies the limit for the
 whole mesh, with a token bucket. Further calls wait or are refused as not run.
 
-A limit holds until an answer no longer names it. Answers may arrive in another order
-than they were made, so one without a limit counts only if its call was sent after the
-last answer that named one. A node that has just started, or beside an upstream that
+A limit holds until answers no longer name it. They may arrive in another order than
+they were made, so one without a limit counts only if its call was sent after the last
+answer that named one, and only some time after that: a single answer, such as that of
+a failed call, may lack it. A node that has just started, or beside an upstream that
 has, does not know the limit and sends only a few calls until the first answer.
 """
 
@@ -16,6 +17,8 @@
 BURST_SECONDS = 0.5
 # Calls at once while the limit is not known.
 FIRST_CALLS = 4
+# Seconds without a naming after which an answer without a limit ends it.
+NAMING_SECONDS = 1.0
 # Seconds without an answer after which a limit may have changed unnoticed.
 RECHECK_SECONDS = 1.0
 # Seconds assumed until an upstream that takes no calls at all takes one again.
@@ -60,7 +63,7 @@
         self.known = True
         self.reported_at = now
         if rate is None:
-            if sent_at >= self.named_at:
+            if sent_at >= self.named_at and now - self.named_at >= NAMING_SECONDS:
                 self.rate = None
             return
         self.named_at = now
--- a/sequoiaspoke/sidecar/names.py
+++ b/sequoiaspoke/sidecar/names.py
@@ -30,9 +30,10 @@
     health_instance : str
         Instance that answers a health check.
     rate_limit : str
-        Calls per second that the upstream takes from all nodes together.
+        Calls per second that the upstream takes from all nodes together; any prefix
+        may stand before the name.
     leaving : str
-        Marks an answer of an upstream that is about to stop.
+        Marks an answer of an upstream that is about to stop; as for `rate_limit`.
     """
 
     call_id: str = "x-request-id"
@@ -44,5 +45,5 @@
     load: str = "x-upstream-load"
     cold: str = "x-upstream-cold-ms"
     health_instance: str = "x-instance-id"
-    rate_limit: str = "x-upstream-rate-limit"
-    leaving: str = "x-upstream-leaving"
+    rate_limit: str = "upstream-rate-limit"
+    leaving: str = "upstream-leaving"
--- a/sequoiaspoke/sidecar/upstreamreport.py
+++ b/sequoiaspoke/sidecar/upstreamreport.py
@@ -6,7 +6,7 @@
 from math import isfinite
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.mesh.outcome import find_header
+from sequoiaspoke.core.mesh.outcome import find_header, find_suffixed_header
 from sequoiaspoke.core.mesh.slots import Load
 
 if TYPE_CHECKING:
@@ -76,7 +76,7 @@
     headers: Headers, names: HeaderNames, replaced: bool = False
 ) -> UpstreamReport:
     """Return the report in the headers of an answer."""
-    limit_text = find_header(headers, names.rate_limit).strip()
+    limit_text = find_suffixed_header(headers, names.rate_limit).strip()
     rate_limit = parse_rate_limit(limit_text)
     return UpstreamReport(
         parse_load(find_header(headers, names.load)),
@@ -87,9 +87,9 @@
     )
 
 
-def is_leaving(headers: Headers, name: str) -> bool:
+def is_leaving(headers: Headers, suffix: str) -> bool:
     """Return whether an answer announces that its upstream leaves."""
-    return find_header(headers, name).strip() == LEAVING_MARK
+    return find_suffixed_header(headers, suffix).strip() == LEAVING_MARK
 
 
 def parse_rate_limit(text: str) -> float | None:
