Log the store's era and configurations that are dropped for their revision

No line told whether the store had come back from an older copy of itself, or that a configuration was read and dropped as its revision was lower than that of the one in force. The era, a header of the store's answers, rises each time (store-restored); config-dropped gives both revisions; new header names of the store's answers are logged once (store-header). What is taken stays the same.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -76,7 +76,9 @@
         self.state.max_no_route_age = NO_ROUTE_AGE_FRACTION * settings.act_within
         host, port = settings.upstream
         self.upstream = Upstream(host, port, settings.names)
-        self.upstream.new_headers.on_new = self.log_new_header
+        self.upstream.new_headers.on_new = self.log_upstream_header
+        if store.new_headers is not None:
+            store.new_headers.on_new = self.log_store_header
         self.home = Home(self.upstream, self.state.directory, self.log)
         self.home.expect_earlier_calls()
         identity = LinkIdentity(settings.links[0], settings.zone, self.incarnation)
@@ -141,10 +143,14 @@
         """Log an unhandled exception."""
         self.log.event("crash", error=repr(error))
 
-    def log_new_header(self, name: str, value: str) -> None:
+    def log_upstream_header(self, name: str, value: str) -> None:
         """Log a header that the upstream's answers had not had before."""
         self.log.event("upstream-header", name=name, value=value[:MAX_HEADER_TEXT])
 
+    def log_store_header(self, name: str, value: str) -> None:
+        """Log a header that the store's answers had not had before."""
+        self.log.event("store-header", name=name, value=value[:MAX_HEADER_TEXT])
+
     def status(self) -> bytes:
         """Return the page that the status command reads."""
         from sequoiaspoke.sidecar.statuspage import status_page
--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -113,7 +113,9 @@
     async def read_once(self) -> None:
         """Read all items if there is no snapshot yet, else the next changes."""
         if not self.has_snapshot:
-            self.state.apply_snapshot(await self.store.read_all())
+            read = await self.store.read_all()
+            self.state.record_era(self.store.era)
+            self.state.apply_snapshot(read)
             self.has_snapshot = True
             return
         version = self.state.version
--- a/sequoiaspoke/sidecar/state.py
+++ b/sequoiaspoke/sidecar/state.py
@@ -39,6 +39,8 @@
     ----------
     table : RouteTable or None
         The configuration in force; replaced as a whole and never by an older one.
+    era : int
+        Era of the store when it last answered this node.
     as_of : float
         When this state was last known to be all that the store has, confirmed by the
         store or by a node that reads it.
@@ -66,6 +68,7 @@
         self.history = ConfigHistory()
         self.config_revision = 0
         self.revision = 0
+        self.era = 0
         self.as_of = float("-inf")
         self.answered_at = float("-inf")
         self.max_no_route_age = DEFAULT_MAX_NO_ROUTE_AGE
@@ -183,6 +186,14 @@
         self.answered_at = max(self.answered_at, when)
         self.directory.lapses.store_reached(when, gap)
 
+    def record_era(self, era: int) -> None:
+        """Log that the store came back from an older copy of itself."""
+        if era != self.era:
+            self.log.event(
+                "store-restored", era=era, before=self.era, revision=self.revision
+            )
+            self.era = era
+
     def record_store_failure(self, code: str, reason: str) -> None:
         """Record that a read of the store failed."""
         self.counts["store-failed"] += 1
@@ -274,6 +285,13 @@
     def apply_config_item(self, item: StoreItem) -> None:
         """Apply a configuration if it is newer and valid."""
         if item.revision <= self.config_revision:
+            if item.revision < self.config_revision:
+                self.log.event(
+                    "config-dropped",
+                    revision=item.revision,
+                    known=self.config_revision,
+                    version=self.version,
+                )
             return
         config = self.item_parser.config(item)
         if config is None:
