Order the store's revisions by its era first

Cause: in a drill the store comes back from a copy and gives out revisions again. Nodes knew it up to 32; versions 48 and 50 had revisions below that and were dropped unread, and a reader's wait for changes after 32 was refused 45 to 60 times a second until the store had passed 32. The same comparison decides on endpoints, removals, evacuations and what peers tell.

Why this works: the era of the store's answers and the revision become one integer where the answers are decoded, so that everything that compares, sends or keeps revisions orders them right. A read that crosses eras is taken as a lost history, an answer of an ended era as a failed read. What it still has of an upstream that left is not restored, a drain is never taken back, and a copied entry makes no upstream cold again. An older version never replaces a newer one, as before.

--- a/sequoiaspoke/core/mesh/directory.py
+++ b/sequoiaspoke/core/mesh/directory.py
@@ -22,6 +22,7 @@
 from sequoiaspoke.core.mesh.lapses import Lapses
 from sequoiaspoke.core.mesh.model import Departure
 from sequoiaspoke.core.mesh.records import DepartureRecord, EndpointRecord
+from sequoiaspoke.core.mesh.revision import is_copied
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -88,11 +89,14 @@
         if known is not None and not known.superseded_by(endpoint, revision):
             return False
         departed = self.departures.get(endpoint.instance)
-        if departed is not None and not departed.departure.allows(endpoint, revision):
+        if departed is not None and not departed.allows(endpoint, revision):
             return False
         self.departures.pop(endpoint.instance, None)
         self.lapses.drop(endpoint.instance)
         cold_until = now + endpoint.cold_seconds
+        if known is not None and is_copied(revision, known.revision):
+            # The remaining time in a copy of the entry is from before.
+            cold_until = known.cold_until
         if known is not None and known.endpoint.born == endpoint.born:
             revision = max(revision, known.revision)
         self.records[endpoint.instance] = EndpointRecord(
@@ -197,9 +201,11 @@
     def forget(self, instance: str, revision: int, now: float) -> None:
         """Drop an endpoint and record its departure."""
         known = self.records.pop(instance, None)
+        before = self.departures.get(instance)
+        written = known.revision if known else before.written if before else 0
         self.lapses.drop(instance)
         self.departures[instance] = DepartureRecord(
-            self.departure_of(instance, known, revision), now
+            self.departure_of(instance, known, revision), now, written
         )
         self.note_change(instance)
 
@@ -212,9 +218,7 @@
             # missed.
             revision = max(departed.departure.revision, departure.revision)
             merged = replace(departure, revision=revision)
-            self.departures[departure.instance] = DepartureRecord(
-                merged, departed.learned_at
-            )
+            self.departures[departure.instance] = replace(departed, departure=merged)
 
     def departure_of(
         self, instance: str, known: EndpointRecord | None, revision: int
--- a/sequoiaspoke/core/mesh/evacuation.py
+++ b/sequoiaspoke/core/mesh/evacuation.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.mesh.revision import era_of
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -49,12 +51,18 @@
         Revision up to which this node has seen every order in the store.
     serial : int
         Number of changes so far.
+    keep_until : float
+        Until when orders that are missing in a restored store are kept.
+    kept : dict of str to int
+        Revision at which each order that is kept was missing, by zone.
     """
 
     def __init__(self) -> None:
         self.latest: dict[str, Evacuation] = {}
         self.complete_to = 0
         self.serial = 0
+        self.keep_until = float("-inf")
+        self.kept: dict[str, int] = {}
 
     @property
     def zones(self) -> frozenset[str]:
@@ -78,18 +86,40 @@
         if known is None and len(self.latest) >= MAX_ZONES:
             return False
         self.latest[evacuation.zone] = evacuation
+        self.kept.pop(evacuation.zone, None)
         self.serial += 1
         return True
 
-    def end_missing(self, active: Iterable[str], revision: int) -> None:
-        """End the orders that are missing in a complete list read at a revision."""
+    def end_missing(self, active: Iterable[str], revision: int, now: float) -> None:
+        """End the orders that are missing in a complete list read at a revision.
+
+        The copy from which a store came back may lack an order until the operators
+        write it again, so an order of an earlier era is kept for a while.
+        """
         missing = self.zones.difference(active)
         for zone in sorted(missing):
+            lost = era_of(self.latest[zone].revision) < era_of(revision)
+            if lost and now < self.keep_until:
+                self.kept[zone] = revision
+            else:
+                self.apply(Evacuation(zone, revision, ended=True))
+
+    def end_kept(self, now: float) -> bool:
+        """End the kept orders that were not written again; return whether any did."""
+        if not self.kept or now < self.keep_until:
+            return False
+        kept, self.kept = self.kept, {}
+        ended = [
             self.apply(Evacuation(zone, revision, ended=True))
+            for zone, revision in kept.items()
+        ]
+        return any(ended)
 
-    def apply_list(self, listed: Iterable[Evacuation], revision: int) -> None:
+    def apply_list(
+        self, listed: Iterable[Evacuation], revision: int, now: float
+    ) -> None:
         """Apply another node's complete list of orders, as of a revision."""
         received = tuple(listed)
         for each in received:
             self.apply(each)
-        self.end_missing((each.zone for each in received), revision)
+        self.end_missing((each.zone for each in received), revision, now)
--- a/sequoiaspoke/core/mesh/model.py
+++ b/sequoiaspoke/core/mesh/model.py
@@ -188,4 +188,5 @@
         """
         if revision <= self.revision or endpoint.born < self.born:
             return False
-        return not (endpoint.born == self.born and self.drained)
+        returns = endpoint.born == self.born and self.drained
+        return endpoint.draining or not returns
--- a/sequoiaspoke/core/mesh/records.py
+++ b/sequoiaspoke/core/mesh/records.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.model import PublishedEndpoint
+from sequoiaspoke.core.mesh.revision import era_of, is_copied
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -41,10 +42,33 @@
 
 @dataclass(frozen=True)
 class DepartureRecord:
-    """A departure and when this node learned of it."""
+    """A departure and when this node learned of it.
+
+    Attributes
+    ----------
+    written : int
+        Revision of the entry's last known write, 0 if not known.
+    """
 
     departure: Departure
     learned_at: float
+    written: int = 0
+
+    def allows(self, endpoint: Endpoint, revision: int) -> bool:
+        """Return whether an entry of the same name is newer than this departure.
+
+        A store that came back from a copy may still have the entry that was removed
+        before.
+        """
+        departure = self.departure
+        restored = era_of(revision) > era_of(departure.revision)
+        if (
+            restored
+            and endpoint.born == departure.born
+            and is_copied(revision, self.written)
+        ):
+            return False
+        return departure.allows(endpoint, revision)
 
 
 @dataclass(frozen=True)
--- a/sequoiaspoke/sidecar/changelog.py
+++ b/sequoiaspoke/sidecar/changelog.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.mesh.revision import describe
 from sequoiaspoke.core.routing.split import stable_hash
 
 if TYPE_CHECKING:
@@ -38,7 +39,7 @@
             service=each.endpoint.service,
             draining=each.endpoint.draining,
             readable=each.readable,
-            revision=each.revision,
+            revision=describe(each.revision),
             source=source,
         )
     for each in departures:
@@ -46,7 +47,7 @@
             "endpoint-gone",
             instance=each.instance,
             born=each.born,
-            revision=each.revision,
+            revision=describe(each.revision),
             source=source,
         )
 
--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -113,9 +113,7 @@
     async def read_once(self) -> None:
         """Read all items if there is no snapshot yet, else the next changes."""
         if not self.has_snapshot:
-            read = await self.store.read_all()
-            self.state.record_era(self.store.era)
-            self.state.apply_snapshot(read)
+            self.state.apply_snapshot(await self.store.read_all())
             self.has_snapshot = True
             return
         version = self.state.version
--- a/sequoiaspoke/sidecar/source.py
+++ b/sequoiaspoke/sidecar/source.py
@@ -15,7 +15,13 @@
 
 @dataclass(frozen=True)
 class StoreItem:
-    """An item of the platform's store; a deleted one has no value."""
+    """An item of the platform's store; a deleted one has no value.
+
+    Attributes
+    ----------
+    revision : int
+        Its last change, ordered over all eras of the store (`core.mesh.revision`).
+    """
 
     key: str
     value: bytes | None
@@ -81,7 +87,8 @@
     async def wait_for_changes(self, after: int) -> Changes:
         """Wait for changes after a revision and return them; none after a timeout.
 
-        Raises StoreError, or HistoryLostError if all items must be read again.
+        Raises StoreError, or HistoryLostError if all items must be read again, as after
+        the store came back from an older copy of itself.
         """
 
     @abstractmethod
--- a/sequoiaspoke/sidecar/state.py
+++ b/sequoiaspoke/sidecar/state.py
@@ -9,7 +9,9 @@
 from sequoiaspoke.core.mesh.configdelta import ConfigHistory
 from sequoiaspoke.core.mesh.directory import Directory
 from sequoiaspoke.core.mesh.evacuation import Evacuations
+from sequoiaspoke.core.mesh.lapses import LAPSE_GRACE
 from sequoiaspoke.core.mesh.model import PublishedEndpoint
+from sequoiaspoke.core.mesh.revision import describe, era_of
 from sequoiaspoke.core.mesh.stateupdate import StateUpdate
 from sequoiaspoke.core.mesh.table import RouteTable
 from sequoiaspoke.sidecar import clock
@@ -39,8 +41,6 @@
     ----------
     table : RouteTable or None
         The configuration in force; replaced as a whole and never by an older one.
-    era : int
-        Era of the store when it last answered this node.
     as_of : float
         When this state was last known to be all that the store has, confirmed by the
         store or by a node that reads it.
@@ -68,7 +68,6 @@
         self.history = ConfigHistory()
         self.config_revision = 0
         self.revision = 0
-        self.era = 0
         self.as_of = float("-inf")
         self.answered_at = float("-inf")
         self.max_no_route_age = DEFAULT_MAX_NO_ROUTE_AGE
@@ -124,6 +123,7 @@
         """Apply a read of all items of the store."""
         self.record_store_answer()
         now = clock.now()
+        self.enter_era(changes.revision, now)
         endpoints: list[PublishedEndpoint] = []
         unreadable: list[tuple[str, int]] = []
         for item in changes.items:
@@ -186,13 +186,19 @@
         self.answered_at = max(self.answered_at, when)
         self.directory.lapses.store_reached(when, gap)
 
-    def record_era(self, era: int) -> None:
-        """Log that the store came back from an older copy of itself."""
-        if era != self.era:
-            self.log.event(
-                "store-restored", era=era, before=self.era, revision=self.revision
-            )
-            self.era = era
+    def enter_era(self, revision: int, now: float) -> None:
+        """Note that the store came back from an older copy, if it did.
+
+        The copy lacks the latest changes until they are written again, so what is
+        missing in it is kept for a while.
+        """
+        if era_of(revision) <= era_of(self.revision) or not self.revision:
+            return
+        self.log.event(
+            "store-restored", revision=describe(revision), known=describe(self.revision)
+        )
+        self.directory.lapses.recovered_at = now
+        self.evacuations.keep_until = now + LAPSE_GRACE
 
     def record_store_failure(self, code: str, reason: str) -> None:
         """Record that a read of the store failed."""
@@ -262,7 +268,7 @@
             if self.decoder.kind(item.key) == ItemDecoder.EVACUATION
             and item.value is not None
         )
-        self.evacuations.end_missing(evacuated_zones, changes.revision)
+        self.evacuations.end_missing(evacuated_zones, changes.revision, clock.now())
         self.apply_evacuations("store")
 
     def apply_evacuations(self, source: str) -> None:
@@ -279,7 +285,9 @@
         removed = self.directory.remove(instance, item.revision, now)
         if not removed and instance in self.directory.lapses.kept_until:
             self.log.event(
-                "endpoint-missing", instance=instance, revision=item.revision
+                "endpoint-missing",
+                instance=instance,
+                revision=describe(item.revision),
             )
 
     def apply_config_item(self, item: StoreItem) -> None:
@@ -288,8 +296,8 @@
             if item.revision < self.config_revision:
                 self.log.event(
                     "config-dropped",
-                    revision=item.revision,
-                    known=self.config_revision,
+                    revision=describe(item.revision),
+                    known=describe(self.config_revision),
                     version=self.version,
                 )
             return
@@ -327,6 +335,7 @@
         Raises KeyError if it has a configuration delta whose base is not known here.
         """
         now = clock.now()
+        self.enter_era(update.revision, now)
         if update.config is not None and self.is_newer(update.config.version):
             self.activate(self.history.apply(update.config))
             self.config_revision = update.config_revision
@@ -343,7 +352,7 @@
         for departure in update.lapsing:
             directory.remove(departure.instance, departure.revision, now)
         if update.evacuations is not None:
-            self.evacuations.apply_list(update.evacuations, update.revision)
+            self.evacuations.apply_list(update.evacuations, update.revision, now)
             self.apply_evacuations("node")
         log_endpoints(self.log, self.directory, before, "node")
         self.advance_revision(update.revision)
@@ -384,7 +393,13 @@
         )
 
     def tick(self, now: float) -> None:
-        """Remove the endpoints whose entries stayed missing after an outage."""
+        """Remove the endpoints whose entries stayed missing after an outage.
+
+        The same holds for evacuations that are missing in a restored store.
+        """
+        if self.evacuations.end_kept(now):
+            self.apply_evacuations("store")
+            self.on_change()
         for instance in self.directory.expire(now):
             self.log.event("endpoint-gone", instance=instance, reason="lapsed")
             self.on_change()
--- a/sequoiaspoke/tests/spreadsim.py
+++ b/sequoiaspoke/tests/spreadsim.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from sequoiaspoke.core.mesh.model import (
     Endpoint,
@@ -14,6 +15,7 @@
     Route,
     Service,
 )
+from sequoiaspoke.core.mesh.revision import join, number_of
 from sequoiaspoke.core.rules.weights import WeightedService
 from sequoiaspoke.sidecar.app import TICK_SECONDS, Sidecar
 from sequoiaspoke.sidecar.settings import SidecarSettings
@@ -73,20 +75,49 @@
 
 
 class SimStore:
-    """The store that all nodes read."""
+    """The store that all nodes read.
+
+    Attributes
+    ----------
+    era, number : int
+        Number of times that the store came back from a copy, and the last revision
+        that it gave out in this era.
+    """
 
     def __init__(self):
         self.items = {}
         self.events = []
-        self.revision = 1
+        self.era = 0
+        self.number = 1
         self.compacted_revision = 0
         self.mode = "up"
         self.waits_stalled = False
         self.dropped_waits = 0
         self.changed = asyncio.Event()
 
+    @property
+    def revision(self):
+        return join(self.era, self.number)
+
+    def copy(self):
+        """Return a copy of the contents, from which the store may come back."""
+        return dict(self.items), self.number
+
+    def restore(self, copy):
+        """Come back from a copy, without the history."""
+        items, self.number = copy
+        self.era += 1
+        self.items = {
+            key: replace(item, revision=join(self.era, number_of(item.revision)))
+            for key, item in items.items()
+        }
+        self.events.clear()
+        self.compacted_revision = self.revision
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def put(self, key, value):
-        self.revision += 1
+        self.number += 1
         item = StoreItem(key, value, self.revision)
         if value is None:
             self.items.pop(key, None)
@@ -104,7 +135,7 @@
         ]
 
     def since(self, after):
-        if after < self.compacted_revision:
+        if after < self.compacted_revision or after > self.revision:
             raise HistoryLostError("forgotten")
         return tuple(item for item in self.events if item.revision > after)
 
@@ -462,6 +493,39 @@
                 self.problems.append(f"{host}: ended with other evacuations")
 
 
+class RestoreWorld(SpreadWorld):
+    """A world whose store comes back from older copies of itself."""
+
+    async def faults(self, seconds):
+        await asyncio.gather(super().faults(seconds), self.restores(seconds))
+
+    async def restores(self, seconds):
+        end = self.now() + seconds
+        while self.now() < end:
+            await asyncio.sleep(self.rng.uniform(4.0, 8.0))
+            copy = self.store.copy()
+            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+            if self.store.mode == "up":
+                await self.restore(copy)
+
+    async def restore(self, copy):
+        """Let the store be away, come back from a copy, and be written again."""
+        lost = dict(self.store.items)
+        self.store.mode = "failing"
+        self.note_fault("store")
+        await asyncio.sleep(self.rng.uniform(0.3, 2.5))
+        self.store.restore(copy)
+        self.store.mode = "restored"
+        await asyncio.sleep(self.rng.uniform(0.1, 1.0))
+        for key in sorted(lost.keys() | self.store.items.keys()):
+            before, now = lost.get(key), self.store.items.get(key)
+            value = before.value if before else None
+            if value != (now.value if now else None):
+                self.store.put(key, value)
+        self.store.mode = "up"
+        self.note_fault("store")
+
+
 def simulate(seed, case, world=SpreadWorld, **options):
     """Run a seed and return the world."""
     return play_world(lambda: world(seed), case, **options)
--- a/sequoiaspoke/tests/test_mesh_evacuation.py
+++ b/sequoiaspoke/tests/test_mesh_evacuation.py
@@ -49,21 +49,21 @@
         serial = self.evacuations.serial
         self.assertFalse(self.evacuations.apply(AKAKI))
         self.assertFalse(self.evacuations.apply(ended(9)))
-        self.evacuations.apply_list([AKAKI], 30)
+        self.evacuations.apply_list([AKAKI], 30, 0.0)
         self.assertEqual(self.evacuations.serial, serial)
 
     def test_an_older_list_does_not_end_a_later_evacuation(self):
         # A node that has not learned of an evacuation sends its list. Calls would go on
         # to a zone that the operators work on.
         self.evacuations.apply(BOLE)
-        self.evacuations.apply_list([AKAKI], 11)
+        self.evacuations.apply_list([AKAKI], 11, 0.0)
         self.check("akaki", "bole")
 
     def test_an_older_list_does_not_restore_an_ended_evacuation(self):
         # An evacuation has ended, and a node that was cut off sends its old list. The
         # zone would stay evacuated, as the end is not sent again.
         self.evacuations.complete_to = 20
-        self.evacuations.apply_list([AKAKI], 15)
+        self.evacuations.apply_list([AKAKI], 15, 0.0)
         self.assertFalse(self.evacuations.apply(AKAKI))
         self.check()
 
@@ -80,12 +80,12 @@
         # that has started since and never knew the evacuation.
         self.evacuations.apply(AKAKI)
         self.evacuations.complete_to = 10
-        self.evacuations.apply_list([], 30)
+        self.evacuations.apply_list([], 30, 0.0)
         self.check()
 
     def test_an_evacuation_that_was_renewed_is_kept(self):
         self.evacuations.apply(AKAKI)
-        self.evacuations.apply_list([Evacuation("akaki", 25)], 30)
+        self.evacuations.apply_list([Evacuation("akaki", 25)], 30, 0.0)
         self.assertFalse(self.evacuations.apply(ended(20)))
         self.check("akaki")
 
@@ -268,7 +268,7 @@
             self.complete_to = 0
             return apply(self, evacuation)
 
-        def forget_ended(self, active, revision):
+        def forget_ended(self, active, revision, now):
             for zone in self.zones.difference(active):
                 del self.latest[zone]
 
--- a/sequoiaspoke/tests/test_sidecar_follower.py
+++ b/sequoiaspoke/tests/test_sidecar_follower.py
@@ -89,9 +89,6 @@
     def record_revision(self, revision, when):
         pass
 
-    def record_era(self, era):
-        pass
-
     def record_store_failure(self, code, reason):
         self.recorded.append(code)
 
