--- a/sequoiaspoke/core/mesh/ratelimit.py
+++ b/sequoiaspoke/core/mesh/ratelimit.py
@@ -17,7 +17,7 @@
 BURST_SECONDS = 0.5
 # Calls at once while the limit is not known.
 FIRST_CALLS = 4
-# Seconds without a naming after which an answer without a limit ends it.
+# Seconds since a limit was last named after which an answer without one ends it.
 NAMING_SECONDS = 1.0
 # Seconds without an answer after which a limit may have changed unnoticed.
 RECHECK_SECONDS = 1.0
