--- a/sequoiaspoke/tests/test_mesh_crashing.py
+++ b/sequoiaspoke/tests/test_mesh_crashing.py
@@ -50,6 +50,30 @@
 
         self.check_seeds(scenario)
 
+    def test_a_crashing_request_of_any_rate_is_not_run_again_and_again(self):
+        # Guards against a bound that holds for one rate of repetition only.
+        for pause in (0.05, 1.0):
+
+            async def scenario(world, pause=pause):
+                await asyncio.gather(
+                    world.vary_requests(15.0, 20.0),
+                    world.send_crashing(CRASH, 15.0, pause=pause),
+                )
+
+            self.check_seeds(scenario)
+
+    def test_a_crashing_request_that_comes_again_later_is_not_run_again(self):
+        # Guards against a request that is forgotten between two series.
+        async def scenario(world):
+            async def send_twice():
+                await world.send_crashing(CRASH, 4.0)
+                await asyncio.sleep(6.0)
+                await world.send_crashing(CRASH, 6.0)
+
+            await asyncio.gather(world.vary_requests(16.0, 20.0), send_twice())
+
+        self.check_seeds(scenario)
+
     def test_several_crashing_requests_are_all_found(self):
         # Guards against one crashing request that hides another.
         async def scenario(world):
