--- a/sequoiaspoke/tests/test_mesh_ratelimit.py
+++ b/sequoiaspoke/tests/test_mesh_ratelimit.py
@@ -118,7 +118,7 @@
 
             await asyncio.gather(world.vary_requests(20.0, 90.0), limit_and_crash())
             instance = world.upstream(HOST).instance
-            self.assertTrue(world.arrived(instance, 1013.0, 1025.0) > 40)
+            self.assertTrue(world.arrived(instance, 1019.0, 1025.0) > 40)
 
         self.check_seeds(scenario)
 
