--- a/sequoiaspoke/sidecar/upstreamreport.py
+++ b/sequoiaspoke/sidecar/upstreamreport.py
@@ -94,7 +94,7 @@
 
 def parse_rate_limit(text: str) -> float | None:
     """Return a rate limit in calls per second, None if it is missing or malformed."""
-    if not text.isascii() or len(text) > MAX_RATE_TEXT or "_" in text:
+    if not text or not text.isascii() or len(text) > MAX_RATE_TEXT or "_" in text:
         return None
     try:
         rate = float(text)
