--- a/sequoiaspoke/sidecar/source.py
+++ b/sequoiaspoke/sidecar/source.py
@@ -68,15 +68,11 @@
     ----------
     request_count : int
         Requests sent to the store so far.
-    era : int
-        Era of the store at its last answer; it rises each time that the store comes
-        back from an older copy of itself.
     new_headers : NewHeaders or None
         Header names of its answers.
     """
 
     request_count: int = 0
-    era: int = 0
     new_headers: NewHeaders | None = None
 
     @abstractmethod
