--- a/sequoiaspoke/core/mesh/reading.py
+++ b/sequoiaspoke/core/mesh/reading.py
@@ -123,6 +123,11 @@
             host: self.link_rates[host] for host in included & self.link_rates.keys()
         }
 
+    def describe_rate(self, host: str) -> str:
+        """Return the known link rate of a node in Mbit/s as text."""
+        rate = self.link_rates.get(host)
+        return "unknown" if rate is None else f"{rate:g}"
+
     def choose_readers(self) -> None:
         """Choose the nodes with the fastest links as readers; break ties by hash.
 
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -199,7 +199,13 @@
         )
         if self.duty.readers != self.readers_logged:
             self.readers_logged = self.duty.readers
-            self.log.event("readers", hosts=",".join(self.duty.readers))
+            self.log.event(
+                "readers",
+                hosts=",".join(self.duty.readers),
+                rates=",".join(self.duty.describe_rate(h) for h in self.duty.readers),
+                known=len(self.duty.link_rates),
+                nodes=len(self.duty.hosts),
+            )
         self.spread.follow_readers(self.peers)
         self.peers.refresh()
         incarnations = (
--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -182,8 +182,11 @@
                     # The store has a change that the wait did not return. That happens
                     # if the store drops its history during the wait, or if the open
                     # connection is dead while new ones work.
+                    received = self.store.partial_bytes
                     self.store.reconnect()
-                    raise HistoryLostError("a confirmed change was not received")
+                    raise HistoryLostError(
+                        f"a confirmed change was not received, only {received} bytes"
+                    )
                 try:
                     expected_revision = await self.confirm()
                     failures = 0
--- a/sequoiaspoke/sidecar/source.py
+++ b/sequoiaspoke/sidecar/source.py
@@ -75,6 +75,11 @@
     request_count: int = 0
     new_headers: NewHeaders | None = None
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return how many bytes have come of an answer that is not complete yet."""
+        return 0
+
     @abstractmethod
     async def read_all(self) -> Changes:
         """Return every item; raise StoreError."""
--- a/sequoiaspoke/sidecar/spread.py
+++ b/sequoiaspoke/sidecar/spread.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.mesh.revision import describe
 from sequoiaspoke.core.mesh.stateupdate import StateUpdate
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.frames import SharedFrame
@@ -36,6 +37,9 @@
 # 3 KB, which reaches all nodes of a zone twice within a quarter of a second on a link
 # of 2.5 Mbit/s.
 LARGE_CHANGE_ROUTES = 200
+# Seconds after which a subscriber that has a newer version than this node is logged:
+# the subscriber usually has it from the other reader, and this node reads it soon.
+AHEAD_SECONDS = 1.0
 # Seconds by which knowledge must be newer than the asking node's to be sent.
 MIN_AGE_GAIN = 0.5
 
@@ -73,6 +77,10 @@
         Whether a subscriber was not sent the newest configuration yet.
     reader_links : dict of str to LinkClient
         The links on which this node has subscribed, by host.
+    ahead_since : float
+        Since when a subscriber has a newer version than this node.
+    ahead_version : int
+        The last such version that was logged.
     """
 
     def __init__(self, state: MeshState, duty: ReadingDuty, log: EventLog) -> None:
@@ -83,6 +91,8 @@
         self.config_deferred = False
         self.reader_links: dict[str, LinkClient] = {}
         self.announced = (0, "")
+        self.ahead_since = float("inf")
+        self.ahead_version = 0
         self.crash_gossip: CrashGossip | None = None
 
     def uninformed(self) -> bool:
@@ -132,6 +142,24 @@
         """Send a deferred configuration once its delay is over."""
         if self.config_deferred and not self.defers_config(now):
             self.publish()
+        self.watch_newer_versions(now)
+
+    def watch_newer_versions(self, now: float) -> None:
+        """Log that a subscriber has had a newer version than this node for a while."""
+        newest = max((each.version for each in self.subscribers), default=0)
+        if newest <= self.state.version:
+            self.ahead_since = float("inf")
+            return
+        self.ahead_since = min(self.ahead_since, now)
+        overdue = now - self.ahead_since > AHEAD_SECONDS
+        if overdue and newest != self.ahead_version:
+            self.ahead_version = newest
+            self.log.event(
+                "subscriber-ahead",
+                version=newest,
+                known=self.state.version,
+                revision=describe(self.state.revision),
+            )
 
     def defers_config(self, now: float) -> bool:
         """Return whether the newest configuration goes to some subscribers only."""
