--- a/sequoiaspoke/tests/spreadsim.py
+++ b/sequoiaspoke/tests/spreadsim.py
@@ -223,6 +223,7 @@
         settings = SidecarSettings(
             self.host, "fleet", self.zone, (self.host, 80), (self.host, 1),
             (self.host, 2), (self.host, 3), ("store", 1),
+            link_mbps=world.link_rates.get(self.host, 0.0),
         )  # fmt: skip
         self.sidecar = Sidecar(
             settings, NodeStore(world, self.host), self.decoder(), None, None, world.rng
@@ -268,6 +269,7 @@
         self.cut_from_store = set()
         self.nodes = {}
         self.last_fault_at = {"store": float("-inf")}
+        self.link_rates = {}
         self.problems = []
         self.checked = 0
         self.version = 0
