Send the link rates of readers to all nodes of a zone

Callers of the grown deployment were routed by versions that had been replaced more than 2.5 s before.

The cause: a node sent the rates by which it had chosen only to its subscribers, and only if a rate that it learned had changed its choice. A fast node chose itself at once, so it never sent its own; those that had chosen by hash before followed others and exchanged rates with nobody else.

Now a node sends the rates of itself and its readers on each new link within the zone and whenever its readers change, and one that follows others answers with what the sender lacks. Where no rate is known nothing is sent.

--- a/sequoiaspoke/core/mesh/reading.py
+++ b/sequoiaspoke/core/mesh/reading.py
@@ -57,7 +57,8 @@
     link_rates : dict of str to float
         Known link rates of the zone's VMs in Mbit/s.
     rates_serial : int
-        Number of times that learned rates changed the choice of readers.
+        Number of times that the choice of readers has changed while rates are known;
+        other nodes are then sent the new ones' rates.
     readers : tuple of str
         Hosts of the zone's readers, by this node's view of the zone.
     unreachable : set of str
@@ -100,6 +101,11 @@
         self.leaving = set(leaving) - self.hosts
         self.choose_readers()
 
+    @property
+    def zone_hosts(self) -> set[str]:
+        """Return all nodes of the zone."""
+        return self.hosts | self.leaving
+
     def learn_rates(self, rates: Mapping[str, float]) -> bool:
         """Add link rates of VMs; return whether they changed the choice of readers.
 
@@ -110,10 +116,12 @@
         for host, rate in rates.items():
             self.link_rates.setdefault(host, rate)
         self.choose_readers()
-        if self.readers == readers:
-            return False
-        self.rates_serial += 1
-        return True
+        return self.readers != readers
+
+    @property
+    def knows_rates(self) -> bool:
+        """Return whether any rate is known that a reader may be chosen by."""
+        return any(self.reader_rates.values())
 
     @property
     def reader_rates(self) -> dict[str, float]:
@@ -136,7 +144,10 @@
         Mbit/s, and it has to be in force at all nodes within 2.5 s.
         """
         order = self.fastest_first(self.hosts) + self.fastest_first(self.leaving)
-        self.readers = tuple(order[:READERS_PER_ZONE])
+        readers = tuple(order[:READERS_PER_ZONE])
+        if readers != self.readers:
+            self.readers = readers
+            self.rates_serial += self.knows_rates
         self.unreachable.intersection_update(self.readers)
         self.on_change()
 
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -206,6 +206,7 @@
                 known=len(self.duty.link_rates),
                 nodes=len(self.duty.hosts),
             )
+            self.spread.announce_rates(self.peers)
         self.spread.follow_readers(self.peers)
         self.peers.refresh()
         incarnations = (
--- a/sequoiaspoke/sidecar/gossip.py
+++ b/sequoiaspoke/sidecar/gossip.py
@@ -63,6 +63,12 @@
     ) -> None:
         """Handle crash reports, or a request for them."""
 
+    @abstractmethod
+    def handle_rates(
+        self, message: wire.LinkRates, reply: Callable[[wire.Frame], None]
+    ) -> None:
+        """Handle the link rates that another node knows."""
+
     @abstractmethod
     def link_up(self, link: LinkClient) -> None:
         """Handle a link of this node that was established."""
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -265,6 +265,8 @@
             self.send_knowledge(frame.ask)
         elif frame.crashes is not None:
             self.gossip.handle_crashes(frame.crashes, self.send)
+        elif frame.link_rates is not None:
+            self.gossip.handle_rates(frame.link_rates, self.send)
         elif frame.knowledge is not None:
             if not self.gossip.learn(frame.knowledge, self.clock_offset):
                 self.request_knowledge()
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -56,6 +56,8 @@
             self.server.gossip.update_held_version(self.stream, frame.holds)
         elif frame.crashes is not None:
             self.server.gossip.handle_crashes(frame.crashes, self.stream.send)
+        elif frame.link_rates is not None:
+            self.server.gossip.handle_rates(frame.link_rates, self.stream.send)
         elif frame.knowledge is not None:
             if not self.server.gossip.learn(frame.knowledge, self.clock_offset):
                 self.stream.send(wire.Frame(ask=self.server.gossip.knowledge_request()))
--- a/sequoiaspoke/sidecar/spread.py
+++ b/sequoiaspoke/sidecar/spread.py
@@ -224,6 +224,38 @@
             knowledge.link_rates = self.duty.reader_rates
         return wire.Frame(knowledge=knowledge)
 
+    # Link rates.
+
+    def pack_rates(self, answers: bool = False) -> wire.Frame:
+        """Return the frame with the link rates of this node and its readers."""
+        rates = wire.LinkRates(self.duty.zone, self.duty.reader_rates, answers)
+        return wire.Frame(link_rates=rates)
+
+    def announce_rates(self, peers: Peers) -> None:
+        """Send the link rates by which this node chose its readers to its zone.
+
+        A node that does not know them follows others. Those may be all that it ever
+        exchanges knowledge with, so the readers alone would not tell it.
+        """
+        for link in peers.links.values():
+            self.send_rates(link)
+
+    def send_rates(self, link: LinkClient) -> None:
+        """Send the known link rates to a node of the zone, unless there are none."""
+        if self.duty.knows_rates and link.address[0] in self.duty.zone_hosts:
+            link.send(self.pack_rates())
+
+    def handle_rates(
+        self, message: wire.LinkRates, reply: Callable[[wire.Frame], None]
+    ) -> None:
+        """Learn link rates of the zone, and answer if the other may lack one."""
+        if message.zone != self.duty.zone:
+            return
+        if self.duty.learn_rates(message.rates):
+            self.state.on_change()
+        if not message.answers and not message.rates.keys() >= set(self.duty.readers):
+            reply(self.pack_rates(answers=True))
+
     # Receiving.
 
     def knowledge_request(self) -> wire.Ask:
@@ -275,6 +307,7 @@
     def link_up(self, link: LinkClient) -> None:
         """Subscribe to a reader whose link was established."""
         self.duty.link_up(link.address[0])
+        self.send_rates(link)
         if link.address[0] in self.duty.readers:
             self.subscribe_to(link)
 
--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -48,6 +48,9 @@
     def handle_crashes(self, message, reply):
         pass
 
+    def handle_rates(self, message, reply):
+        pass
+
     def link_up(self, link):
         pass
 
--- a/sequoiaspoke/tests/test_readers_sim.py
+++ b/sequoiaspoke/tests/test_readers_sim.py
@@ -17,7 +17,9 @@
 
     async def play(self):
         self.publish()
-        hosts = {f"{zone}-{n}": zone for zone in ("akaki", "bole") for n in range(NODES)}
+        hosts = {
+            f"{zone}-{n}": zone for zone in ("akaki", "bole") for n in range(NODES)
+        }
         for host in hosts:
             fast = host.endswith(("-0", "-1"))
             self.link_rates[host] = FAST_MBPS if fast else SLOW_MBPS
--- a/sequoiaspoke/wire/gen/meshlink/ttypes.py
+++ b/sequoiaspoke/wire/gen/meshlink/ttypes.py
@@ -3037,6 +3037,108 @@
         return not (self == other)
 
 
+class LinkRates(object):
+    """
+    Attributes:
+     - zone
+     - rates
+     - answers
+
+    """
+
+    __slots__ = (
+        'zone',
+        'rates',
+        'answers',
+    )
+
+
+    def __init__(self, zone=None, rates=None, answers=None,):
+        self.zone = zone
+        self.rates = rates
+        self.answers = answers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.rates = {}
+                    (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
+                    for _i118 in range(_size114):
+                        _key119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val120 = iprot.readDouble()
+                        self.rates[_key119] = _val120
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.answers = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LinkRates')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.rates is not None:
+            oprot.writeFieldBegin('rates', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.rates))
+            for kiter121, viter122 in self.rates.items():
+                oprot.writeString(kiter121.encode('utf-8') if sys.version_info[0] == 2 else kiter121)
+                oprot.writeDouble(viter122)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.BOOL, 3)
+            oprot.writeBool(self.answers)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -3056,6 +3158,7 @@
      - confirmed
      - holds
      - crashes
+     - link_rates
 
     """
 
@@ -3076,10 +3179,11 @@
         'confirmed',
         'holds',
         'crashes',
+        'link_rates',
     )
 
 
-    def __init__(self, hello=None, welcome=None, call=None, answer=None, not_run=None, unknown=None, cancel=None, ping=None, pong=None, leaving=None, ask=None, knowledge=None, subscribe=None, confirmed=None, holds=None, crashes=None,):
+    def __init__(self, hello=None, welcome=None, call=None, answer=None, not_run=None, unknown=None, cancel=None, ping=None, pong=None, leaving=None, ask=None, knowledge=None, subscribe=None, confirmed=None, holds=None, crashes=None, link_rates=None,):
         self.hello = hello
         self.welcome = welcome
         self.call = call
@@ -3096,6 +3200,7 @@
         self.confirmed = confirmed
         self.holds = holds
         self.crashes = crashes
+        self.link_rates = link_rates
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3202,6 +3307,12 @@
                     self.crashes.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.link_rates = LinkRates()
+                    self.link_rates.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3276,6 +3387,10 @@
             oprot.writeFieldBegin('crashes', TType.STRUCT, 16)
             self.crashes.write(oprot)
             oprot.writeFieldEnd()
+        if self.link_rates is not None:
+            oprot.writeFieldBegin('link_rates', TType.STRUCT, 17)
+            self.link_rates.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3521,6 +3636,13 @@
     (3, TType.BOOL, 'compare', None, None, ),  # 3
     (4, TType.BOOL, 'whole', None, None, ),  # 4
 )
+all_structs.append(LinkRates)
+LinkRates.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.MAP, 'rates', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 2
+    (3, TType.BOOL, 'answers', None, None, ),  # 3
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -3540,6 +3662,7 @@
     (14, TType.STRUCT, 'confirmed', [Confirmed, None], None, ),  # 14
     (15, TType.STRUCT, 'holds', [Holds, None], None, ),  # 15
     (16, TType.STRUCT, 'crashes', [Crashes, None], None, ),  # 16
+    (17, TType.STRUCT, 'link_rates', [LinkRates, None], None, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
--- a/sequoiaspoke/wire/meshlink.thrift
+++ b/sequoiaspoke/wire/meshlink.thrift
@@ -240,6 +240,15 @@
   4: bool whole,
 }
 
+// Rates of the network links of the fastest VMs that a node knows in its zone, and of
+// its own, in Mbit/s by address.
+struct LinkRates {
+  1: string zone,
+  2: map<string, double> rates,
+  // Whether this answers such a frame; it is not answered itself.
+  3: bool answers,
+}
+
 struct Frame {
   1: optional Hello hello,
   2: optional Welcome welcome,
@@ -257,4 +266,5 @@
   14: optional Confirmed confirmed,
   15: optional Holds holds,
   16: optional Crashes crashes,
+  17: optional LinkRates link_rates,
 }
