Do not give up a read of the store while its answer arrives

Callers of the grown deployment were routed by versions that had been replaced more than 2.5 s before, in the zone whose readers were on links of 2.5 Mbit/s. Its log has pairs of "a confirmed change was not received" and "timeout": the follower gave up a wait 0.2 s after the store had confirmed a change, although the answer with 320 KB was on its way, and then read all items, for which it allowed 1.5 s. One reader had no version from 29.5 to 34.2 s. A store that comes back from a copy has every node read everything.

The checks go on at their usual interval, as they keep the subscribers from reading themselves. Calls to upstreams keep their deadlines.

--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -40,6 +40,8 @@
 MAX_CONFIRM_FAILURES = 2
 # Seconds that a change may take to arrive once the store has confirmed its revision.
 OVERDUE_SECONDS = 0.2
+# Seconds without further bytes after which an answer no longer counts as arriving.
+ARRIVING_SECONDS = 0.5
 # Seconds by which a timer may fire early.
 TIMER_TOLERANCE = 0.002
 
@@ -169,8 +171,7 @@
             while True:
                 # Confirm at once if the last answer is old. A node that starts to read
                 # would otherwise take the gap before for an outage of the store.
-                answer_age = clock.now() - self.state.answered_at
-                pause = max(0.0, self.duty.confirm_interval - answer_age)
+                pause = self.confirm_pause
                 if self.state.revision < expected_revision:
                     pause = OVERDUE_SECONDS
                 done, _ = await asyncio.wait({waiting}, timeout=pause)
@@ -178,7 +179,8 @@
                     return waiting.result()
                 if not self.duty.must_read(clock.now()):
                     return None
-                if self.state.revision < expected_revision:
+                overdue = self.state.revision < expected_revision
+                if overdue and not self.answer_arriving:
                     # The store has a change that the wait did not return. That happens
                     # if the store drops its history during the wait, or if the open
                     # connection is dead while new ones work.
@@ -187,16 +189,34 @@
                     raise HistoryLostError(
                         f"a confirmed change was not received, only {received} bytes"
                     )
+                if overdue and self.confirm_pause > 0:
+                    continue
                 try:
                     expected_revision = await self.confirm()
                     failures = 0
                 except StoreError:
-                    failures += 1
+                    # The answer that arrives may leave no bandwidth for the check.
+                    failures += not self.answer_arriving
                     if failures >= MAX_CONFIRM_FAILURES:
                         raise
         finally:
             waiting.cancel()
 
+    @property
+    def confirm_pause(self) -> float:
+        """Return the seconds until the store has to confirm its revision."""
+        answer_age = clock.now() - self.state.answered_at
+        return max(0.0, self.duty.confirm_interval - answer_age)
+
+    @property
+    def answer_arriving(self) -> bool:
+        """Return whether part of an answer came recently.
+
+        A configuration of 3,300 routes takes over a second on a link of 2.5 Mbit/s. A
+        read that is given up meanwhile and begun anew takes as long again.
+        """
+        return clock.now() - self.store.received_at < ARRIVING_SECONDS
+
     async def confirm(self) -> int:
         """Request the store's revision, record that it answered, and return it."""
         begun = clock.now()
--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -41,6 +41,8 @@
 # the server may have dropped an older one, and the reset that follows does not show
 # whether the call ran.
 FRESH_SECONDS = 1.0
+# Seconds past its deadline by which an answer that keeps arriving has to be complete.
+MAX_EXTENSION_SECONDS = 10.0
 
 
 async def open_connection(
@@ -78,6 +80,12 @@
         Whether no further call may use this connection.
     answer_started : bool
         Whether any part of an answer has come since the last request.
+    last_received : float
+        When the last bytes came since the last request.
+    silence : float
+        Seconds for which the call goes on past its deadline after bytes have come.
+    latest : float
+        When the call ends even if bytes keep coming.
     until_close : bool
         Whether the answer has no length and ends with the connection.
     """
@@ -91,6 +99,9 @@
         self.head_only = False
         self.not_reusable = False
         self.answer_started = False
+        self.last_received = float("-inf")
+        self.silence = 0.0
+        self.latest = float("-inf")
         self.last_used = clock.now()
         self.idle_seconds = IDLE_SECONDS
         self.reset_answer()
@@ -109,6 +120,7 @@
         if self.pending is None:
             self.close()
             return
+        self.last_received = clock.now()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
@@ -191,18 +203,32 @@
                 self.idle_seconds = max(0.3, int(value) - IDLE_MARGIN)
 
     async def exchange(
-        self, text: bytes, call_id: str, head: bool, deadline: float
+        self,
+        text: bytes,
+        call_id: str,
+        head: bool,
+        deadline: float,
+        silence: float = 0.0,
     ) -> Answer | Unknown:
         """Send a request and return its outcome by the deadline.
 
         The connection is closed if the call is cancelled or times out; its late answer
         would be taken for the answer to the next call.
+
+        Parameters
+        ----------
+        silence : float
+            Seconds without further bytes after which an answer that has begun to arrive
+            by the deadline times out; 0 if it has to be complete by then.
         """
         self.call_id = call_id
         self.head_only = head
         self.answer_started = False
+        self.last_received = float("-inf")
+        self.silence = silence
+        self.latest = deadline + MAX_EXTENSION_SECONDS
         self.pending = asyncio.get_running_loop().create_future()
-        timer = self.deadlines.call_at(deadline, self.timed_out)
+        self.timer = self.deadlines.call_at(deadline, self.timed_out)
         self.write(text)
         if self.closed:
             self.fail(CONNECTION_LOST)
@@ -212,7 +238,7 @@
             self.close()
             raise
         finally:
-            timer.cancel()
+            self.timer.cancel()
             self.pending = None
         if self.unsent_bytes():
             # Answered before the request was sent completely: the server would read
@@ -222,7 +248,11 @@
         return outcome
 
     def timed_out(self) -> None:
-        """End the call under way with a timeout and close the connection."""
+        """End the call under way with a timeout, unless its answer is arriving."""
+        silent_at = min(self.last_received + self.silence, self.latest)
+        if clock.now() < silent_at:
+            self.timer = self.deadlines.call_at(silent_at, self.timed_out)
+            return
         self.fail(TIMED_OUT)
         self.close()
 
--- a/sequoiaspoke/sidecar/source.py
+++ b/sequoiaspoke/sidecar/source.py
@@ -80,6 +80,14 @@
         """Return how many bytes have come of an answer that is not complete yet."""
         return 0
 
+    @property
+    def received_at(self) -> float:
+        """Return when the last bytes of an answer that is not complete yet came.
+
+        Minus infinity if none have come.
+        """
+        return float("-inf")
+
     @abstractmethod
     async def read_all(self) -> Changes:
         """Return every item; raise StoreError."""
--- /dev/null
+++ b/sequoiaspoke/tests/test_follower_slow.py
@@ -0,0 +1,88 @@
+"""Tests of following a store over a slow link, on a virtual clock."""
+
+import asyncio
+import random
+
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.reading import ReadingDuty
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.follower import Follower
+from sequoiaspoke.sidecar.source import Changes, StoreError
+from sequoiaspoke.tests.meshsim import play_world
+from sequoiaspoke.tests.test_sidecar_follower import FakeState, ScriptedStore
+
+# Seconds that an answer with a configuration of 3,300 routes takes at 2.5 Mbit/s.
+ANSWER_SECONDS = 1.9
+BEFORE, AFTER = 5, 6  # revisions
+
+
+class SlowStore(ScriptedStore):
+    """Has a change, whose answer arrives bit by bit and may stop arriving."""
+
+    def __init__(self, arrives_until=ANSWER_SECONDS, confirms=True):
+        super().__init__([])
+        self.arrives_until = arrives_until
+        self.confirms = confirms
+        self.began = 0.0
+
+    @property
+    def partial_bytes(self):
+        return 1
+
+    @property
+    def received_at(self):
+        return min(clock.now(), self.began + self.arrives_until)
+
+    async def read_all(self):
+        self.reads.append("all")
+        return Changes((), BEFORE)
+
+    async def wait_for_changes(self, after):
+        self.reads.append(after)
+        if after == AFTER:
+            await asyncio.sleep(3600)
+        self.began = clock.now()
+        await asyncio.sleep(ANSWER_SECONDS)
+        return Changes((), AFTER)
+
+    async def confirm(self):
+        if not self.confirms:
+            raise StoreError("no answer in time")
+        return AFTER
+
+
+class SlowLink:
+    """Follows a slow store for some seconds."""
+
+    def __init__(self, store):
+        self.store = store
+        self.state = FakeState()
+
+    async def play(self):
+        duty = ReadingDuty("h", "z")
+        follower = Follower(self.store, self.state, duty, random.Random(1))
+        task = asyncio.ensure_future(follower.run())
+        await asyncio.sleep(2 * ANSWER_SECONDS)
+        task.cancel()
+        await asyncio.sleep(0.1)
+
+
+class SlowLinkTests(TestCase):
+    def follow(self, **options):
+        return play_world(lambda: SlowLink(SlowStore(**options)), self)
+
+    def test_a_change_whose_answer_is_arriving_is_not_read_again(self):
+        # Guards against a version that is never read, as each read is given up.
+        link = self.follow()
+        self.assertEqual(link.store.reads, ["all", BEFORE, AFTER])
+        self.assertEqual(link.state.recorded, ["all", "changes"])
+
+    def test_checks_that_fail_beside_an_arriving_answer_are_no_outage(self):
+        # Guards against a read that is given up as the store seems unreachable.
+        link = self.follow(confirms=False)
+        self.assertEqual(link.state.recorded[:2], ["all", "changes"])
+
+    def test_a_change_whose_answer_stops_arriving_is_read_again(self):
+        link = self.follow(arrives_until=0.3)
+        self.assertEqual(link.store.reads[:3], ["all", BEFORE, "all"])
