Add failing tests of a reader whose list skips what its subscriber knows

A reader was cut off, and its subscriber learnt of the upstream from the other reader. The upstream left; the first reader then learnt everything in one list. Its list does not have the upstream, so it had nothing to send, and confirmed its revision to the subscriber, which took its own state for complete up to it.

--- a/sequoiaspoke/tests/test_sidecar_spread.py
+++ b/sequoiaspoke/tests/test_sidecar_spread.py
@@ -97,6 +97,14 @@
         )
         self.state.apply_changes(Changes(told, revision))
 
+    def read_all(self, revision, **items):
+        """Apply items as if the store had listed them all."""
+        listed = tuple(
+            StoreItem(key.replace("_", "-"), str(value).encode(), revision)
+            for key, value in items.items()
+        )
+        self.state.apply_snapshot(Changes(listed, revision))
+
     def follow(self, reader, first=True):
         """Subscribe to a reader."""
         stream = RecordingStream()
@@ -133,6 +141,25 @@
         self.assertIsNone(third.config)
         self.assertEqual(self.other.state.table.config, self.reader.state.table.config)
 
+    def test_a_reader_that_reads_all_again_tells_what_is_missing(self):
+        # Guards against calls to an upstream that has left, of which it never knew.
+        second = Node("10.0.0.3")
+        second.read(12, config=3, i_1=4, i_2=4, i_9=4)
+        self.other.follow(self.reader)
+        self.other.follow(second)
+        self.reader.read_all(13, config=3, i_1=4, i_2=4)
+        self.assertEqual(self.other.knows(), (3, {"i-1": 4, "i-2": 4}))
+
+    def test_a_reader_that_learns_all_from_a_node_tells_what_is_missing(self):
+        # Guards against the same if its knowledge came from a node.
+        second, third = Node("10.0.0.3"), Node("10.0.0.4")
+        second.read(12, config=3, i_1=4, i_2=4, i_9=4)
+        third.read(13, config=3, i_1=4, i_2=4)
+        self.other.follow(self.reader)
+        self.other.follow(second)
+        self.reader.follow(third)
+        self.assertEqual(self.other.knows(), (3, {"i-1": 4, "i-2": 4}))
+
     def test_a_confirmation_without_changes_is_sent(self):
         stream = self.other.follow(self.reader)
         self.time += 0.9
