Do not confirm a state whose configuration is deferred

A large version goes to half of a zone first, and to a node of the other half after 0.5 s by this reader. Meanwhile the reader told such a node its own revision and time: the node counted as complete without the newest version. Callers there could be told for good that a route does not exist, and if the reader was killed within the half second, or the node became a reader itself, it asked the store only for what came after the version.

Now a subscriber is told the revision and time as of which it was sent everything; that the store answers is told as before, so that it does not read for itself.

test_a_deferred_configuration_is_not_confirmed failed before: revision 12 as of 1001.1 in place of 10 as of 1000.0, with version 3 in force and 5 deferred.

--- a/sequoiaspoke/sidecar/spread.py
+++ b/sequoiaspoke/sidecar/spread.py
@@ -8,8 +8,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, NamedTuple
 
 from sequoiaspoke.core.mesh.revision import describe
 from sequoiaspoke.core.mesh.stateupdate import StateUpdate
@@ -57,6 +57,9 @@
         configuration that it has.
     confirmed : float
         Time of the last confirmation by the store that it was sent.
+    complete_to, complete_as_of : int, float
+        Revision and time as of which it was sent everything. While its configuration is
+        deferred, it is told no later ones.
     """
 
     stream: FrameStream
@@ -66,6 +69,27 @@
     rates_serial: int = 0
     evacuations_serial: int = 0
     confirmed: float = float("-inf")
+    complete_to: int = 0
+    complete_as_of: float = float("-inf")
+
+
+class FrameKey(NamedTuple):
+    """What the frame for a subscriber depends on.
+
+    Attributes
+    ----------
+    serial, version, rates_serial, evacuations_serial : int
+        Serials and version from which on changes are sent.
+    revision, as_of : int, float
+        Revision and time as of which the subscriber then has everything.
+    """
+
+    serial: int
+    version: int
+    rates_serial: int
+    evacuations_serial: int
+    revision: int
+    as_of: float
 
 
 class Spread(Gossip):
@@ -174,7 +198,7 @@
         if not state.complete:
             return
         # Most subscribers lack the same, and packing is the expensive part.
-        packed: dict[tuple[int, int, int, int], SharedFrame] = {}
+        packed: dict[FrameKey, SharedFrame] = {}
         now = clock.now()
         defers_config = self.defers_config(now)
         self.config_deferred = False
@@ -188,9 +212,19 @@
             changed |= each.evacuations_serial != state.evacuations.serial
             if not changed and each.confirmed >= state.read_at:
                 continue
-            key = (each.serial, base, each.rates_serial, each.evacuations_serial)
+            if not deferred:
+                each.complete_to = state.revision
+                each.complete_as_of = state.as_of
+            key = FrameKey(
+                each.serial,
+                base,
+                each.rates_serial,
+                each.evacuations_serial,
+                each.complete_to,
+                each.complete_as_of,
+            )
             if key not in packed:
-                packed[key] = SharedFrame(self.frame_since(*key))
+                packed[key] = SharedFrame(self.frame_since(key))
             each.serial = state.directory.serial
             each.rates_serial = self.duty.rates_serial
             each.evacuations_serial = state.evacuations.serial
@@ -199,27 +233,31 @@
             each.confirmed = state.read_at
             each.stream.send_shared(packed[key])
 
-    def frame_since(
-        self, serial: int, version: int, rates_serial: int, evacuations_serial: int
-    ) -> wire.Frame:
+    def frame_since(self, key: FrameKey) -> wire.Frame:
         """Return the frame for what is new since some serials and a version.
 
         Mostly that is only a confirmation by the store that nothing has changed, which
         each subscriber is sent twice a second.
         """
         state = self.state
-        unchanged = (serial, version) == (state.directory.serial, state.version)
-        unchanged &= evacuations_serial == state.evacuations.serial
-        rates_unchanged = rates_serial == self.duty.rates_serial
+        unchanged = (key.serial, key.version) == (
+            state.directory.serial,
+            state.version,
+        )
+        unchanged &= key.evacuations_serial == state.evacuations.serial
+        rates_unchanged = key.rates_serial == self.duty.rates_serial
         if (
             unchanged
             and rates_unchanged
-            and serial
+            and key.serial
             and not state.directory.lapses.vanished_at
         ):
-            confirmed = wire.Confirmed(state.revision, state.as_of, state.answered_at)
+            confirmed = wire.Confirmed(key.revision, key.as_of, state.answered_at)
             return wire.Frame(confirmed=confirmed)
-        knowledge = pack_knowledge(state.update_since(serial, version))
+        update = state.update_since(key.serial, key.version)
+        knowledge = pack_knowledge(
+            replace(update, revision=key.revision, as_of=key.as_of)
+        )
         if not rates_unchanged:
             knowledge.link_rates = self.duty.reader_rates
         return wire.Frame(knowledge=knowledge)
--- a/sequoiaspoke/tests/test_sidecar_spread.py
+++ b/sequoiaspoke/tests/test_sidecar_spread.py
@@ -202,6 +202,22 @@
         told = [frame.knowledge for frame in stream.frames if frame.knowledge]
         self.assertEqual([each.config is None for each in told], [False, True])
 
+    def test_a_deferred_configuration_is_not_confirmed(self):
+        # Guards against a node that counts as complete without the newest version.
+        self.patch(spread, "LARGE_CHANGE_ROUTES", 0)
+        self.time += 1.0
+        self.other.follow(self.reader, first=False)
+        self.reader.read(12, config=5, i_3=9)
+        self.assertEqual(self.other.knows(), (3, {"i-1": 4, "i-2": 4, "i-3": 9}))
+        self.time += 0.1
+        self.reader.read(12)
+        state = self.other.state
+        self.assertEqual((state.revision, state.as_of), (10, 1000.0))
+        self.assertEqual(self.other.duty.confirmed_at, self.time)
+        self.time += SECOND_READER_DELAY
+        self.reader.spread.tick(self.time)
+        self.assertEqual((state.revision, state.version), (12, 5))
+
     def test_the_second_reader_sends_what_the_first_did_not(self):
         # The first reader is killed just after it has read a version.
         self.patch(spread, "LARGE_CHANGE_ROUTES", 0)
