Share versions that the store has lost between nodes and zones

A store that comes back from a copy may lack a version that some nodes have read. All nodes are at the same revision then, and what a node knows went from readers to their subscribers only, within a zone. So readers that started anew told their zone the older version as complete, and zones that had not read the version never heard of it.

Now a reader that is behind a subscriber for a second asks it, and the readers of a store that has eras ask a node of each other zone once a second whether it has a newer version. A question has some ten bytes and is answered only if so.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -25,6 +25,7 @@
 from sequoiaspoke.sidecar.spread import Spread
 from sequoiaspoke.sidecar.state import MeshState
 from sequoiaspoke.sidecar.upstream import Upstream
+from sequoiaspoke.sidecar.versiongossip import VersionGossip
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -105,6 +106,7 @@
             self.peers,
             self.duty,
         )
+        self.version_gossip = VersionGossip(self.state, self.peers, self.duty)
         self.home.crash_guard.on_reports = self.crash_gossip.broadcast
         self.spread.crash_gossip = self.crash_gossip
         self.entry = Entry(
@@ -289,6 +291,7 @@
         self.spread.tick(now)
         self.peers.tick(now)
         self.crash_gossip.tick(now)
+        self.version_gossip.tick(now)
         if now - self.callers_ticked_at > CALLERS_TICK_SECONDS:
             self.callers_ticked_at = now
             self.callers.tick(now)
--- a/sequoiaspoke/sidecar/crashgossip.py
+++ b/sequoiaspoke/sidecar/crashgossip.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.sidecar import clock
@@ -83,8 +82,8 @@
 
     def send_to_other_zones(self, frame: SharedFrame) -> None:
         """Send a frame to some nodes of each other zone."""
-        for hosts in self.other_zones().values():
-            for host in self.pick_random(hosts, RECEIVERS_PER_ZONE):
+        for hosts in self.peers.other_zones().values():
+            for host in self.peers.pick_random(hosts, RECEIVERS_PER_ZONE):
                 self.peers.link(host).send_or_queue(frame.frame)
 
     def send_all(self, reply: Callable[[wire.Frame], None]) -> None:
@@ -101,8 +100,8 @@
             return
         self.compared_at = now
         question = wire.Frame(crashes=wire.Crashes([], self.checksum, compare=True))
-        for hosts in self.other_zones().values():
-            for host in self.pick_random(hosts, 1):
+        for hosts in self.peers.other_zones().values():
+            for host in self.peers.pick_random(hosts, 1):
                 self.peers.link(host).send_or_queue(question)
 
     @property
@@ -110,19 +109,6 @@
         """Return the checksum of all known crashes."""
         return self.quarantine.crashes.checksum
 
-    def other_zones(self) -> dict[str, list[str]]:
-        """Return the hosts of each other zone."""
-        zones: defaultdict[str, list[str]] = defaultdict(list)
-        for endpoint in self.peers.state.members():
-            if endpoint.zone != self.peers.identity.zone:
-                zones[endpoint.zone].append(endpoint.host)
-        return zones
-
-    def pick_random(self, hosts: list[str], count: int) -> list[str]:
-        """Return up to `count` distinct hosts at random."""
-        distinct = sorted(set(hosts))
-        return self.peers.rng.sample(distinct, min(count, len(distinct)))
-
     def frame(
         self, crashes: Iterable[Crash], compare: bool = False, whole: bool = False
     ) -> wire.Frame:
--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -38,7 +38,7 @@
     "config-dropped": "a configuration is not read, as a newer one is known",
     "store-history-lost": "the store lost changes; all items are read again",
     "learnt-from-node": "the state here was old, and another node sent a newer one",
-    "subscriber-ahead": "another node has had a newer version than this for a while",
+    "subscriber-ahead": "another node has a newer version than this one and is asked",
     "readers": "the nodes of the zone that read the store have changed",
     "link-up": "a link to another node is established",
     "link-down": "a link to another node ended",
--- a/sequoiaspoke/sidecar/peers.py
+++ b/sequoiaspoke/sidecar/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -129,6 +130,19 @@
         for link in open_links[:REQUEST_PEERS]:
             link.request_knowledge()
 
+    def other_zones(self) -> dict[str, list[str]]:
+        """Return the hosts of each other zone."""
+        zones: defaultdict[str, list[str]] = defaultdict(list)
+        for endpoint in self.state.members():
+            if endpoint.zone != self.identity.zone:
+                zones[endpoint.zone].append(endpoint.host)
+        return zones
+
+    def pick_random(self, hosts: list[str], count: int) -> list[str]:
+        """Return up to `count` distinct hosts at random."""
+        distinct = sorted(set(hosts))
+        return self.rng.sample(distinct, min(count, len(distinct)))
+
     def node_count(self) -> int:
         """Return the number of nodes with an endpoint, at least 1."""
         return max(1, self.state.directory.host_count())
--- a/sequoiaspoke/sidecar/spread.py
+++ b/sequoiaspoke/sidecar/spread.py
@@ -37,8 +37,8 @@
 # 3 KB, which reaches all nodes of a zone twice within a quarter of a second on a link
 # of 2.5 Mbit/s.
 LARGE_CHANGE_ROUTES = 200
-# Seconds after which a subscriber that has a newer version than this node is logged:
-# the subscriber usually has it from the other reader, and this node reads it soon.
+# Seconds after which a subscriber that has a newer version than this node is asked for
+# it. Usually it has it from the other reader, and this node reads it within the second.
 AHEAD_SECONDS = 1.0
 # Seconds by which knowledge must be newer than the asking node's to be sent.
 MIN_AGE_GAIN = 0.5
@@ -102,9 +102,8 @@
     reader_links : dict of str to LinkClient
         The links on which this node has subscribed, by host.
     ahead_since : float
-        Since when a subscriber has a newer version than this node.
-    ahead_version : int
-        The last such version that was logged.
+        Since when a subscriber has a newer version than this node, or when it was last
+        asked for it.
     """
 
     def __init__(self, state: MeshState, duty: ReadingDuty, log: EventLog) -> None:
@@ -116,7 +115,6 @@
         self.reader_links: dict[str, LinkClient] = {}
         self.announced = (0, "")
         self.ahead_since = float("inf")
-        self.ahead_version = 0
         self.crash_gossip: CrashGossip | None = None
 
     def uninformed(self) -> bool:
@@ -166,24 +164,30 @@
         """Send a deferred configuration once its delay is over."""
         if self.config_deferred and not self.defers_config(now):
             self.publish()
-        self.watch_newer_versions(now)
+        self.ask_subscribers(now)
 
-    def watch_newer_versions(self, now: float) -> None:
-        """Log that a subscriber has had a newer version than this node for a while."""
-        newest = max((each.version for each in self.subscribers), default=0)
-        if newest <= self.state.version:
+    def ask_subscribers(self, now: float) -> None:
+        """Ask a subscriber that has had a newer version than this node for a while.
+
+        After the store came back from an older copy it may lack a version that this
+        node has never read, as it started since or was cut off before.
+        """
+        ahead = [each for each in self.subscribers if each.version > self.state.version]
+        if not ahead:
             self.ahead_since = float("inf")
             return
         self.ahead_since = min(self.ahead_since, now)
-        overdue = now - self.ahead_since > AHEAD_SECONDS
-        if overdue and newest != self.ahead_version:
-            self.ahead_version = newest
-            self.log.event(
-                "subscriber-ahead",
-                version=newest,
-                known=self.state.version,
-                revision=describe(self.state.revision),
-            )
+        if now - self.ahead_since < AHEAD_SECONDS:
+            return
+        self.ahead_since = now
+        newest = max(ahead, key=lambda each: each.version)
+        self.log.event(
+            "subscriber-ahead",
+            version=newest.version,
+            known=self.state.version,
+            revision=describe(self.state.revision),
+        )
+        newest.stream.send(wire.Frame(ask=self.knowledge_request()))
 
     def defers_config(self, now: float) -> bool:
         """Return whether the newest configuration goes to some subscribers only."""
--- a/sequoiaspoke/tests/spreadsim.py
+++ b/sequoiaspoke/tests/spreadsim.py
@@ -261,6 +261,8 @@
 class SpreadWorld:
     """A store and the nodes that follow it, with changes, faults and checks."""
 
+    nodes_per_zone = NODES_PER_ZONE
+
     def __init__(self, seed):
         self.rng = random.Random(seed)
         self.store = SimStore()
@@ -278,7 +280,7 @@
     def start(self):
         self.publish()
         for zone in ZONES:
-            for number in range(NODES_PER_ZONE):
+            for number in range(self.nodes_per_zone):
                 host = f"{zone}-{number}"
                 self.store.put(f"{zone}/{host}/1", b"0")
                 self.nodes[host] = SpreadNode(self, host, zone)
@@ -496,7 +498,15 @@
 
 
 class RestoreWorld(SpreadWorld):
-    """A world whose store comes back from older copies of itself."""
+    """A world whose store comes back from older copies of itself.
+
+    Attributes
+    ----------
+    rewrite_seconds : float
+        Seconds after which what a copy lacks has been written again, at the latest.
+    """
+
+    rewrite_seconds = 1.0
 
     async def faults(self, seconds):
         await asyncio.gather(super().faults(seconds), self.restores(seconds))
@@ -518,7 +528,8 @@
         await asyncio.sleep(self.rng.uniform(0.3, 2.5))
         self.store.restore(copy)
         self.store.mode = "restored"
-        await asyncio.sleep(self.rng.uniform(0.1, 1.0))
+        self.note_fault("store")
+        await asyncio.sleep(self.rng.uniform(0.1, self.rewrite_seconds))
         for key in sorted(lost.keys() | self.store.items.keys()):
             before, now = lost.get(key), self.store.items.get(key)
             value = before.value if before else None
--- a/sequoiaspoke/tests/test_mesh_evacuation.py
+++ b/sequoiaspoke/tests/test_mesh_evacuation.py
@@ -21,6 +21,8 @@
 from sequoiaspoke.tests.test_sidecar_home import ENDPOINT, BlockingUpstream
 
 SEEDS = range(16)
+# A seed in which a message from before the end of an evacuation arrives after it.
+OUTDATED_MESSAGE = 241
 # Evacuations that arrive at nodes in different orders.
 AKAKI, BOLE = Evacuation("akaki", 10), Evacuation("bole", 12)
 
@@ -249,12 +251,12 @@
         # Nodes are killed and cut off, the store drops its history, hangs or fails, and
         # versions follow each other quickly. Each node without faults acts on the start
         # and end of each evacuation within two seconds, and finally all nodes agree.
-        for seed in SEEDS:
+        for seed in (OUTDATED_MESSAGE, *SEEDS):
             world = simulate(seed, self, EvacuationWorld)
             self.assertEqual((seed, world.problems), (seed, []))
 
     def assert_detected(self, expected):
-        for seed in SEEDS:
+        for seed in (OUTDATED_MESSAGE, *SEEDS):
             problems = simulate(seed, self, EvacuationWorld).problems
             if any(expected in problem for problem in problems):
                 return
--- a/sequoiaspoke/tests/test_sidecar_spread.py
+++ b/sequoiaspoke/tests/test_sidecar_spread.py
@@ -21,7 +21,7 @@
     StoreError,
     StoreItem,
 )
-from sequoiaspoke.sidecar.spread import SECOND_READER_DELAY, Spread
+from sequoiaspoke.sidecar.spread import AHEAD_SECONDS, SECOND_READER_DELAY, Spread
 from sequoiaspoke.sidecar.state import MeshState
 from sequoiaspoke.sidecar.wireknowledge import unpack_config
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
@@ -218,6 +218,21 @@
         self.reader.spread.tick(self.time)
         self.assertEqual((state.revision, state.version), (12, 5))
 
+    def test_a_reader_asks_a_subscriber_that_has_a_newer_version(self):
+        # Guards against readers that started after the store has lost a version.
+        stream = self.other.follow(self.reader)
+        self.other.read(11, config=7)
+        self.reader.spread.update_held_version(stream, wire.Holds(7, True))
+        self.reader.spread.tick(self.time)
+        self.assertEqual([each for each in stream.frames if each.ask], [])
+        for _ in range(2):
+            self.time += AHEAD_SECONDS
+            self.reader.spread.tick(self.time)
+        self.assertEqual(stream.frames[-1].ask.config_version, 3)
+        answer = self.other.spread.answer(stream.frames[-1].ask)
+        self.reader.spread.learn(answer, 0.0)
+        self.assertEqual(self.reader.state.version, 7)
+
     def test_the_second_reader_sends_what_the_first_did_not(self):
         # The first reader is killed just after it has read a version.
         self.patch(spread, "LARGE_CHANGE_ROUTES", 0)
