Answer 504 when an upstream gives a call up at its deadline

The time left is cut to whole milliseconds for the upstream, so its timer is up to 1 ms ahead of its home's. If the home reads the upstream's own 504 before its timer fires, it took it for any failure of unknown outcome. An upstream's 504 of unknown outcome is now the timeout that it is, so that it does not matter which of the two timers is first.

test_an_upstream_that_gives_a_call_up_at_its_deadline_is_a_timeout has the upstream give up after 50 ms of 5 s; on the code before it is answered 502 each time, now 504.

--- a/sequoiaspoke/node/home.py
+++ b/sequoiaspoke/node/home.py
@@ -14,6 +14,7 @@
     BadRequestError,
     CallError,
     ConnectError,
+    DeadlineUnknownError,
     DrainingError,
     Ran,
     UpstreamShedError,
@@ -40,6 +41,7 @@
     from sequoiaspoke.settings.schema import Settings
 
 FIRST_SERVER_ERROR = 500
+GATEWAY_TIMEOUT = 504
 INITIAL_SLOTS = 10  # until the first configuration version sets the number
 PRIORITIES = {priority.value: priority for priority in Priority}
 
@@ -156,8 +158,10 @@
             The upstream refused the call without running it.
         UpstreamUnsureError
             The upstream failed and cannot tell whether the call ran.
+        DeadlineUnknownError
+            The deadline passed, by this node's clock or the upstream's.
         CallError
-            The connection failed or the deadline passed.
+            The connection failed.
         """
         loop = asyncio.get_running_loop()
         if call.before_send:
@@ -183,11 +187,7 @@
         if draining and pool is None:
             self.gate.admission.health.upstream_draining(loop.time())
         await discard(answer)
-        error: CallError = UpstreamUnsureError(
-            f"{call.target} cannot tell whether the call ran"
-        )
-        if ran == Ran.NOT_RUN.value:
-            error = UpstreamShedError(f"{call.target} shed the call", retry_after)
+        error = upstream_error(call.target, ran, answer.status, retry_after)
         error.retried = retried
         raise error
 
@@ -261,6 +261,19 @@
     return Outcome.CANCELLED
 
 
+def upstream_error(target: str, ran: str, status: int, retry_after: int) -> CallError:
+    """Return the failure that an upstream reported.
+
+    An upstream may notice just before its home that the deadline has passed, as the
+    time left is rounded down for it.
+    """
+    if ran == Ran.NOT_RUN.value:
+        return UpstreamShedError(f"{target} shed the call", retry_after)
+    if status == GATEWAY_TIMEOUT:
+        return DeadlineUnknownError(f"{target} gave the call up at its deadline")
+    return UpstreamUnsureError(f"{target} cannot tell whether the call ran")
+
+
 async def discard(answer: Answer) -> None:
     """Read a short answer to its end, so that its connection can be reused."""
     try:
--- a/sequoiaspoke/tests/test_node.py
+++ b/sequoiaspoke/tests/test_node.py
@@ -8,7 +8,7 @@
 
 from sequoiaspoke.node import headers as names
 from sequoiaspoke.settings.schema import LimitSettings
-from sequoiaspoke.standins.upstreamhttp import PIECE
+from sequoiaspoke.standins.upstreamhttp import PIECE, CallHandler
 from sequoiaspoke.tests.loopback import (
     WAIT,
     LoopbackTestCase,
@@ -268,6 +268,21 @@
 
         self.run_with(test)
 
+    def test_an_upstream_that_gives_a_call_up_at_its_deadline_is_a_timeout(self):
+        # Guards against 502 for a deadline that the upstream notices before its home.
+        self.patch(CallHandler, "remaining", lambda handler: 0.05)
+
+        async def test(deployment):
+            port, _ = await two_hops(deployment, ONCE)
+            call = request("POST", "/", "Standin-Service-Ms: 9000", body=b"1")
+            answer = await raw(port, call)
+            self.assertEqual(504, status(answer))
+            self.assertEqual("outcome-unknown", header(answer, names.RAN))
+            reason = header(answer, names.REASON)
+            self.assertEqual("deadline-after-hand-over", reason)
+
+        self.run_with(test)
+
     def test_the_deadline_ends_a_call_and_its_run(self):
         async def test(deployment):
             text = LoopbackTestCase.RULES.replace("timeout = 5", "timeout = 0.2")
