Read the clock for arriving bytes only where a read may be extended

The client of the upstreams shares the code with that of the store; a call's answer has a fixed deadline, so the time of its pieces is not needed.

--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -81,7 +81,7 @@
     answer_started : bool
         Whether any part of an answer has come since the last request.
     last_received : float
-        When the last bytes came since the last request.
+        When the last bytes came since the last request, if `silence` is set.
     silence : float
         Seconds for which the call goes on past its deadline after bytes have come.
     latest : float
@@ -120,7 +120,8 @@
         if self.pending is None:
             self.close()
             return
-        self.last_received = clock.now()
+        if self.silence:
+            self.last_received = clock.now()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
