Do not confirm a state that lacks a version which was told as a delta only

Two readers see different versions of a storm, so a node may be sent a delta whose base it never had, and asks for everything. Until the answer comes, the reader goes on to confirm its revision: the node counted as complete without the version, and callers could be told for good that a route does not exist which the version adds.

Now such a node takes no later revision or time over, and asks again with each confirmation, until it has the version.

test_a_confirmation_beside_a_delta_that_was_not_applied_does_not_count failed before: the confirmation was taken.

--- a/sequoiaspoke/sidecar/gossip.py
+++ b/sequoiaspoke/sidecar/gossip.py
@@ -46,8 +46,11 @@
     @abstractmethod
     def handle_confirmation(
         self, confirmed: wire.Confirmed, clock_offset: float
-    ) -> None:
-        """Apply a reader's confirmation that nothing has changed."""
+    ) -> bool:
+        """Apply a reader's confirmation that nothing has changed.
+
+        Return whether all of its knowledge is needed, as a version is still awaited.
+        """
 
     @abstractmethod
     def subscribe(self, stream: FrameStream, subscribe: wire.Subscribe) -> None:
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -256,7 +256,8 @@
             self.update_clock_offset(frame.pong.sent, frame.pong.clock)
             self.on_load_report(unpack_load_report(frame.pong.news))
         elif frame.confirmed is not None:
-            self.gossip.handle_confirmation(frame.confirmed, self.clock_offset)
+            if self.gossip.handle_confirmation(frame.confirmed, self.clock_offset):
+                self.request_knowledge()
         elif frame.welcome is not None:
             self.handle_welcome(frame.welcome)
         elif frame.leaving is not None:
--- a/sequoiaspoke/sidecar/spread.py
+++ b/sequoiaspoke/sidecar/spread.py
@@ -104,6 +104,8 @@
     ahead_since : float
         Since when a subscriber has a newer version than this node, or when it was last
         asked for it.
+    awaited_version : int
+        The last version of which a reader sent only a delta that could not be applied.
     """
 
     def __init__(self, state: MeshState, duty: ReadingDuty, log: EventLog) -> None:
@@ -115,6 +117,7 @@
         self.reader_links: dict[str, LinkClient] = {}
         self.announced = (0, "")
         self.ahead_since = float("inf")
+        self.awaited_version = 0
         self.crash_gossip: CrashGossip | None = None
 
     def uninformed(self) -> bool:
@@ -326,25 +329,49 @@
                 before=f"{age:.2f}",
                 revision=received.revision,
             )
+        if received.config is None:
+            received = self.without_completeness(received)
         try:
             self.state.apply_update(received)
         except KeyError:
             # The delta has a base version that this node never had.
+            assert received.config is not None
+            self.awaited_version = received.config.version
             return False
         self.duty.confirm(received.as_of)
         return True
 
+    @property
+    def awaits_version(self) -> bool:
+        """Return whether this node has asked for a version that it was told of."""
+        return self.state.version < self.awaited_version
+
+    def without_completeness(self, update: StateUpdate) -> StateUpdate:
+        """Return an update that does not count as complete while a version is awaited.
+
+        Otherwise a caller would be told for good that there is no route that the
+        awaited version adds.
+        """
+        if not self.awaits_version:
+            return update
+        return replace(update, revision=self.state.revision, as_of=self.state.as_of)
+
     def handle_confirmation(
         self, confirmed: wire.Confirmed, clock_offset: float
-    ) -> None:
-        """Apply a reader's confirmation that nothing has changed."""
+    ) -> bool:
+        """Apply a reader's confirmation that nothing has changed.
+
+        Return whether all of its knowledge is needed, as a version is still awaited.
+        """
         as_of, answered_at = (
             confirmed.as_of - clock_offset,
             confirmed.answered_at - clock_offset,
         )
+        update = self.without_completeness(StateUpdate(confirmed.revision, as_of))
         self.state.record_remote_answer(answered_at)
-        self.state.apply_update(StateUpdate(confirmed.revision, as_of))
-        self.duty.confirm(as_of, answered_at)
+        self.state.apply_update(update)
+        self.duty.confirm(update.as_of, answered_at)
+        return self.awaits_version
 
     def link_up(self, link: LinkClient) -> None:
         """Subscribe to a reader whose link was established."""
--- a/sequoiaspoke/tests/test_sidecar_spread.py
+++ b/sequoiaspoke/tests/test_sidecar_spread.py
@@ -367,6 +367,24 @@
         self.assertTrue(self.other.spread.learn(answer, 0.0))
         self.assertEqual(self.other.state.version, 6)
 
+    def test_a_confirmation_beside_a_delta_that_was_not_applied_does_not_count(self):
+        # Guards against 404 for a route whose version the node still waits for.
+        stream = RecordingStream()
+        self.reader.spread.subscribe(stream, wire.Subscribe(3, True, "10.0.0.9", 0.0))
+        self.other.read(11, config=4)
+        self.reader.read(14, config=6)
+        self.assertFalse(self.other.spread.learn(stream.frames[-1].knowledge, 0.0))
+        self.time += 0.9
+        self.reader.read(14)
+        confirmed = stream.frames[-1].confirmed
+        self.assertTrue(self.other.spread.handle_confirmation(confirmed, 0.0))
+        state = self.other.state
+        self.assertEqual((state.version, state.revision, state.as_of), (4, 11, 1000.0))
+        answer = self.reader.spread.answer(self.other.spread.knowledge_request())
+        self.assertTrue(self.other.spread.learn(answer, 0.0))
+        self.assertFalse(self.other.spread.handle_confirmation(confirmed, 0.0))
+        self.assertEqual((state.version, state.as_of), (6, self.time))
+
     def test_only_newer_knowledge_is_answered(self):
         # During an outage of the store all nodes ask each other twice a second.
         self.other.follow(self.reader)
