End a read of all items that a node no longer needs

Nodes had version 54 for 2 to 3 s where the readers had 58, 61 and 65.

Now a node that was told everything and need not read ends such a read.

test_a_node_that_was_told_everything_ends_its_read_of_all_items failed before; a reader still reads to the end.

--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -42,6 +42,8 @@
 OVERDUE_SECONDS = 0.2
 # Seconds without further bytes after which an answer no longer counts as arriving.
 ARRIVING_SECONDS = 0.5
+# Seconds between two checks whether a read of all items is still needed.
+RECHECK_SECONDS = 0.1
 # Seconds by which a timer may fire early.
 TIMER_TOLERANCE = 0.002
 
@@ -115,8 +117,10 @@
     async def read_once(self) -> None:
         """Read all items if there is no snapshot yet, else the next changes."""
         if not self.has_snapshot:
-            self.state.apply_snapshot(await self.store.read_all())
-            self.has_snapshot = True
+            snapshot = await self.read_snapshot()
+            if snapshot is not None:
+                self.state.apply_snapshot(snapshot)
+                self.has_snapshot = True
             return
         version = self.state.version
         changes = await self.next_changes()
@@ -128,6 +132,23 @@
         if self.state.version != version:
             await self.read_until_settled()
 
+    async def read_snapshot(self) -> Changes | None:
+        """Return all items of the store, or None if this node need not read any more.
+
+        A node that starts reads everything unless another node is faster. On a slow
+        link the rest of the answer would then delay its links to the zone's readers by
+        seconds, and it would take them for unreachable.
+        """
+        reading = asyncio.ensure_future(self.store.read_all())
+        try:
+            while not reading.done():
+                await asyncio.wait({reading}, timeout=RECHECK_SECONDS)
+                if self.state.complete and not self.duty.must_read(clock.now()):
+                    break
+            return reading.result() if reading.done() else None
+        finally:
+            reading.cancel()
+
     async def read_until_settled(self) -> None:
         """Read the newest version at intervals until no newer one appears."""
         version = None
--- a/sequoiaspoke/tests/test_follower_slow.py
+++ b/sequoiaspoke/tests/test_follower_slow.py
@@ -86,3 +86,54 @@
     def test_a_change_whose_answer_stops_arriving_is_read_again(self):
         link = self.follow(arrives_until=0.3)
         self.assertEqual(link.store.reads[:3], ["all", BEFORE, "all"])
+
+
+class SlowStartStore(ScriptedStore):
+    """Takes long to list all items, and records whether it could to the end."""
+
+    def __init__(self):
+        super().__init__([])
+        self.listed = False
+
+    async def read_all(self):
+        self.reads.append("all")
+        await asyncio.sleep(ANSWER_SECONDS)
+        self.listed = True
+        return Changes((), BEFORE)
+
+
+class SlowStart(SlowLink):
+    """Starts a node that another node tells everything a moment later."""
+
+    def __init__(self, readers):
+        super().__init__(SlowStartStore())
+        self.duty = ReadingDuty("h-0", "z")
+        self.duty.set_hosts(["h-0", *readers])
+
+    async def play(self):
+        follower = Follower(self.store, self.state, self.duty, random.Random(1))
+        task = asyncio.ensure_future(follower.run())
+        await asyncio.sleep(0.5)
+        self.state.complete = True
+        for _ in range(3):
+            self.duty.confirm(clock.now())
+            await asyncio.sleep(1.0)
+        task.cancel()
+        await asyncio.sleep(0.1)
+
+
+class SlowStartTests(TestCase):
+    def listed(self, readers):
+        """Return whether all items were read to the end."""
+        return play_world(lambda: SlowStart(readers), self).store.listed
+
+    def test_a_node_that_was_told_everything_ends_its_read_of_all_items(self):
+        # Guards against a link that is full when a started node reaches its readers.
+        readers = [f"h-{number}" for number in range(1, 9)]
+        duty = ReadingDuty("h-0", "z")
+        duty.set_hosts(["h-0", *readers])
+        self.assertFalse(duty.on_duty)
+        self.assertFalse(self.listed(readers))
+
+    def test_a_reader_reads_all_items_to_the_end(self):
+        self.assertTrue(self.listed([]))
