--- a/sequoiaspoke/core/mesh/model.py
+++ b/sequoiaspoke/core/mesh/model.py
@@ -30,6 +30,8 @@
         Maximum number of targets to which one call may be sent.
     regions : frozenset of str
         Regions in which a call may run and to which its body may be sent; all if empty.
+    large_bodies : bool
+        Whether its requests are uploads, whose bodies can fill a network link.
     """
 
     name: str
@@ -42,6 +44,7 @@
     attempts: int
     split: tuple[WeightedService, ...]
     regions: frozenset[str] = frozenset()
+    large_bodies: bool = False
 
 
 @dataclass(frozen=True)
--- a/sequoiaspoke/sidecar/wireknowledge.py
+++ b/sequoiaspoke/sidecar/wireknowledge.py
@@ -209,6 +209,7 @@
         route.attempts,
         [wire.Share(share.service, share.weight) for share in route.split],
         sorted(route.regions),
+        route.large_bodies,
     )
 
 
@@ -227,4 +228,5 @@
             WeightedService(each.service_name, each.weight) for each in message.split
         ),
         frozenset(message.regions),
+        message.large_bodies,
     )
--- a/sequoiaspoke/wire/gen/meshlink/ttypes.py
+++ b/sequoiaspoke/wire/gen/meshlink/ttypes.py
@@ -1975,6 +1975,7 @@
      - attempts
      - split
      - regions
+     - large_bodies
 
     """
 
@@ -1989,10 +1990,11 @@
         'attempts',
         'split',
         'regions',
+        'large_bodies',
     )
 
 
-    def __init__(self, name=None, host=None, prefix=None, idempotent=None, timeout=None, objective=None, priority=None, attempts=None, split=None, regions=None,):
+    def __init__(self, name=None, host=None, prefix=None, idempotent=None, timeout=None, objective=None, priority=None, attempts=None, split=None, regions=None, large_bodies=False,):
         self.name = name
         self.host = host
         self.prefix = prefix
@@ -2003,6 +2005,7 @@
         self.attempts = attempts
         self.split = split
         self.regions = regions
+        self.large_bodies = large_bodies
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2074,6 +2077,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.large_bodies = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2130,6 +2138,10 @@
                 oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.large_bodies is not None:
+            oprot.writeFieldBegin('large_bodies', TType.BOOL, 11)
+            oprot.writeBool(self.large_bodies)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3573,6 +3585,7 @@
     (8, TType.I32, 'attempts', None, None, ),  # 8
     (9, TType.LIST, 'split', (TType.STRUCT, [Share, None], False), None, ),  # 9
     (10, TType.LIST, 'regions', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.BOOL, 'large_bodies', None, False, ),  # 11
 )
 all_structs.append(Service)
 Service.thrift_spec = (
--- a/sequoiaspoke/wire/meshlink.thrift
+++ b/sequoiaspoke/wire/meshlink.thrift
@@ -166,6 +166,7 @@
   8: i32 attempts,
   9: list<Share> split,
   10: list<string> regions,
+  11: bool large_bodies = false,
 }
 
 struct Service {
