Agree on the messages and types of bodies in parts and slot requests

The parts are built side by side, so their interfaces land first: optional fields and frames of the link (features, body_size, max_wait, Fetch, BodyPart, Withdraw), the bound on a call's wait at admission, withdrawn calls, the pace in a load, the memory of the VM in the settings, and whether a configuration has large bodies. Nothing sends the new messages yet, so nothing changes for callers.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -16,6 +16,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from math import inf
 
 from sequoiaspoke.core.mesh.coldstart import ColdStart
 from sequoiaspoke.core.mesh.durations import Durations
@@ -63,6 +64,9 @@
     ZONE_EVACUATED = "zone-evacuated"
     HELD_BACK = "held-back"
     RATE_LIMITED = "rate-limited"
+    BUSY = "busy"
+    WITHDRAWN = "withdrawn"
+    NESTED_SHORT = "nested-short"
 
 
 @dataclass(frozen=True)
@@ -83,6 +87,8 @@
         Time after which an answer is useless.
     idempotent : bool
         Whether the call may run more than once.
+    max_wait : float
+        Seconds that the call may wait for a slot; beyond them it is refused as busy.
     """
 
     ticket: object
@@ -91,6 +97,7 @@
     on_time: float
     deadline: float
     idempotent: bool = True
+    max_wait: float = inf
 
 
 @dataclass(frozen=True)
@@ -167,6 +174,8 @@
         if self.would_be_reset(arrival, now):
             return self.refuse_full(arrival)
         wait = max(self.queue_wait(arrival, now), self.suspect_wait(arrival, now))
+        if wait > arrival.max_wait:
+            return Refused(arrival, RefusalReason.BUSY, max(wait, MIN_RETRY_AFTER))
         ahead = sum(each.rank <= arrival.rank for each in self.queue.values())
         limited = self.rate_limit.wait(ahead, now) > 0
         if now + wait + self.min_duration(arrival, now) > arrival.deadline:
--- a/sequoiaspoke/core/mesh/slots.py
+++ b/sequoiaspoke/core/mesh/slots.py
@@ -46,11 +46,15 @@
     ----------
     slots : int
         Number of calls that it runs at once; 0 if not reported.
+    pace : float or None
+        How long work takes on its machine at this moment, 1 as usual; None if not
+        reported.
     """
 
     running: int
     waiting: int
     slots: int = 0
+    pace: float | None = None
 
     def __str__(self) -> str:
         """Return the load in the form of log lines: running+waiting/slots."""
--- a/sequoiaspoke/core/mesh/table.py
+++ b/sequoiaspoke/core/mesh/table.py
@@ -17,11 +17,19 @@
 
 
 class RouteTable:
-    """Routes of one version of the configuration, by host and prefix."""
+    """Routes of one version of the configuration, by host and prefix.
+
+    Attributes
+    ----------
+    has_large_bodies : bool
+        Whether there is a route with large bodies. The wait at a home can then change
+        faster than load reports reach the entries.
+    """
 
     def __init__(self, config: MeshConfig) -> None:
         self.config = config
         self.routes = {(route.host, route.prefix): route for route in config.routes}
+        self.has_large_bodies = any(route.large_bodies for route in config.routes)
 
     def match(self, host: str, target: str) -> Route | None:
         """Return the route of a call, or None.
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -126,6 +126,7 @@
             call.on_time,
             call.deadline,
             call.idempotent,
+            call.max_wait,
         )
         if self.suspected(call):
             self.admission.suspects.add(key)
@@ -394,6 +395,13 @@
             running.cancelled = True
             running.task.cancel()
 
+    def withdraw(self, key: Hashable) -> None:
+        """Take a queued call back as not run; a call that has started goes on."""
+        running = self.calls.get(key)
+        if running is not None and self.admission.cancel(key):
+            self.counts[RefusalReason.WITHDRAWN] += 1
+            self.finish(key, NotRun(RefusalReason.WITHDRAWN))
+
     def tick(self, now: float) -> None:
         """Expire old outcomes and connections, and refuse overdue calls."""
         self.ledger.expire(now)
--- a/sequoiaspoke/sidecar/homecall.py
+++ b/sequoiaspoke/sidecar/homecall.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -24,6 +25,10 @@
     on_time, deadline : float
         Until when an answer is on time, and until when it is of any use, by this node's
         clock.
+    max_wait : float
+        Seconds that the call may wait for a slot; beyond them it is refused as busy.
+    large_body : bool
+        Whether the body is sent in parts, and only once the home requests it.
     """
 
     request: Request
@@ -33,6 +38,8 @@
     idempotent: bool
     on_time: float
     deadline: float
+    max_wait: float = inf
+    large_body: bool = False
 
 
 @dataclass
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -12,6 +12,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.mesh.admission import RefusalReason
 from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.outcome import NotRun, Unknown
 from sequoiaspoke.sidecar import clock
@@ -139,6 +140,20 @@
         if self.stream is not None and pending.home_incarnation is not None:
             self.stream.send(wire.Frame(cancel=wire.Cancel(pending.number)))
 
+    def withdraw(self, pending: PendingCall) -> None:
+        """Take a call back; its outcome tells whether it has run.
+
+        A call that was not sent yet has not run. For one that was sent, the home tells
+        whether it has started.
+        """
+        if pending.done:
+            return
+        if pending.home_incarnation is None:
+            self.pending.pop(pending.number, None)
+            pending.resolve(NotRun(RefusalReason.WITHDRAWN))
+        else:
+            self.send(wire.Frame(withdraw=wire.Withdraw(pending.number)))
+
     def stale(self) -> bool:
         """Return whether the home has sent nothing recently.
 
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -40,6 +40,8 @@
             self.handle_call(frame.call)
         elif frame.cancel is not None:
             self.server.home.cancel((self.peer, frame.cancel.number))
+        elif frame.withdraw is not None:
+            self.server.home.withdraw((self.peer, frame.withdraw.number))
         elif frame.ping is not None:
             load_report = pack_load_report(self.server.home.load_report())
             pong = wire.Pong(frame.ping.sent, clock.now(), load_report)
--- a/sequoiaspoke/sidecar/settings.py
+++ b/sequoiaspoke/sidecar/settings.py
@@ -39,6 +39,8 @@
         Seconds within which a new version or the departure of an upstream takes effect.
     link_mbps : float
         Rate of this VM's network link in Mbit/s, 0 if unknown.
+    memory_mb : float
+        Memory of this VM in MB, 0 if unknown.
     regions : dict of str to str
         Region of each availability zone.
     """
@@ -56,6 +58,7 @@
     drain: float = 5.0
     act_within: float = 2.0
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
     repeats: RetryLimits = field(default_factory=RetryLimits)
     cold: ColdLimits = field(default_factory=ColdLimits)
     regions: dict[str, str] = field(default_factory=dict)
--- a/sequoiaspoke/sidecar/wirecalls.py
+++ b/sequoiaspoke/sidecar/wirecalls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf, isinf
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.balancer import LoadReport
@@ -37,6 +38,7 @@
         deadline=call.deadline + clock_offset,
         rank=call.rank,
         idempotent=call.idempotent,
+        max_wait=None if isinf(call.max_wait) else call.max_wait,
     )
     return wire.Frame(call=message)
 
@@ -57,6 +59,7 @@
         message.idempotent,
         message.on_time,
         message.deadline,
+        inf if message.max_wait is None else message.max_wait,
     )
 
 
--- a/sequoiaspoke/wire/gen/meshlink/ttypes.py
+++ b/sequoiaspoke/wire/gen/meshlink/ttypes.py
@@ -24,6 +24,7 @@
      - zone
      - clock
      - uninformed
+     - features
 
     """
 
@@ -33,15 +34,17 @@
         'zone',
         'clock',
         'uninformed',
+        'features',
     )
 
 
-    def __init__(self, host=None, incarnation=None, zone=None, clock=None, uninformed=None,):
+    def __init__(self, host=None, incarnation=None, zone=None, clock=None, uninformed=None, features=None,):
         self.host = host
         self.incarnation = incarnation
         self.zone = zone
         self.clock = clock
         self.uninformed = uninformed
+        self.features = features
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -77,6 +80,11 @@
                     self.uninformed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.features = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -107,6 +115,10 @@
             oprot.writeFieldBegin('uninformed', TType.BOOL, 5)
             oprot.writeBool(self.uninformed)
             oprot.writeFieldEnd()
+        if self.features is not None:
+            oprot.writeFieldBegin('features', TType.I32, 6)
+            oprot.writeI32(self.features)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -139,6 +151,7 @@
      - clock
      - leaving
      - uninformed
+     - features
 
     """
 
@@ -147,14 +160,16 @@
         'clock',
         'leaving',
         'uninformed',
+        'features',
     )
 
 
-    def __init__(self, incarnation=None, clock=None, leaving=None, uninformed=None,):
+    def __init__(self, incarnation=None, clock=None, leaving=None, uninformed=None, features=None,):
         self.incarnation = incarnation
         self.clock = clock
         self.leaving = leaving
         self.uninformed = uninformed
+        self.features = features
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -185,6 +200,11 @@
                     self.uninformed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.features = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -211,6 +231,10 @@
             oprot.writeFieldBegin('uninformed', TType.BOOL, 4)
             oprot.writeBool(self.uninformed)
             oprot.writeFieldEnd()
+        if self.features is not None:
+            oprot.writeFieldBegin('features', TType.I32, 5)
+            oprot.writeI32(self.features)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -251,6 +275,8 @@
      - rank
      - idempotent
      - born
+     - body_size
+     - max_wait
 
     """
 
@@ -267,10 +293,12 @@
         'idempotent',
         'on_time',
         'born',
+        'body_size',
+        'max_wait',
     )
 
 
-    def __init__(self, number=None, instance=None, route=None, method=None, target=None, headers=None, body=None, deadline=None, on_time=None, rank=None, idempotent=None, born=None,):
+    def __init__(self, number=None, instance=None, route=None, method=None, target=None, headers=None, body=None, deadline=None, on_time=None, rank=None, idempotent=None, born=None, body_size=None, max_wait=None,):
         self.number = number
         self.instance = instance
         self.route = route
@@ -283,6 +311,8 @@
         self.rank = rank
         self.idempotent = idempotent
         self.born = born
+        self.body_size = body_size
+        self.max_wait = max_wait
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -358,6 +388,16 @@
                     self.born = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.body_size = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.DOUBLE:
+                    self.max_wait = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -419,6 +459,266 @@
             oprot.writeFieldBegin('born', TType.I64, 12)
             oprot.writeI64(self.born)
             oprot.writeFieldEnd()
+        if self.body_size is not None:
+            oprot.writeFieldBegin('body_size', TType.I32, 13)
+            oprot.writeI32(self.body_size)
+            oprot.writeFieldEnd()
+        if self.max_wait is not None:
+            oprot.writeFieldBegin('max_wait', TType.DOUBLE, 14)
+            oprot.writeDouble(self.max_wait)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Fetch(object):
+    """
+    Attributes:
+     - number
+     - offset
+     - upto
+
+    """
+
+    __slots__ = (
+        'number',
+        'offset',
+        'upto',
+    )
+
+
+    def __init__(self, number=None, offset=None, upto=None,):
+        self.number = number
+        self.offset = offset
+        self.upto = upto
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.offset = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.upto = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Fetch')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I32, 2)
+            oprot.writeI32(self.offset)
+            oprot.writeFieldEnd()
+        if self.upto is not None:
+            oprot.writeFieldBegin('upto', TType.I32, 3)
+            oprot.writeI32(self.upto)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BodyPart(object):
+    """
+    Attributes:
+     - number
+     - offset
+     - data
+
+    """
+
+    __slots__ = (
+        'number',
+        'offset',
+        'data',
+    )
+
+
+    def __init__(self, number=None, offset=None, data=None,):
+        self.number = number
+        self.offset = offset
+        self.data = data
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.offset = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BodyPart')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I32, 2)
+            oprot.writeI32(self.offset)
+            oprot.writeFieldEnd()
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 3)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Withdraw(object):
+    """
+    Attributes:
+     - number
+
+    """
+
+    __slots__ = (
+        'number',
+    )
+
+
+    def __init__(self, number=None,):
+        self.number = number
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Withdraw')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3171,6 +3471,9 @@
      - holds
      - crashes
      - link_rates
+     - fetch
+     - body_part
+     - withdraw
 
     """
 
@@ -3192,10 +3495,13 @@
         'holds',
         'crashes',
         'link_rates',
+        'fetch',
+        'body_part',
+        'withdraw',
     )
 
 
-    def __init__(self, hello=None, welcome=None, call=None, answer=None, not_run=None, unknown=None, cancel=None, ping=None, pong=None, leaving=None, ask=None, knowledge=None, subscribe=None, confirmed=None, holds=None, crashes=None, link_rates=None,):
+    def __init__(self, hello=None, welcome=None, call=None, answer=None, not_run=None, unknown=None, cancel=None, ping=None, pong=None, leaving=None, ask=None, knowledge=None, subscribe=None, confirmed=None, holds=None, crashes=None, link_rates=None, fetch=None, body_part=None, withdraw=None,):
         self.hello = hello
         self.welcome = welcome
         self.call = call
@@ -3213,6 +3519,9 @@
         self.holds = holds
         self.crashes = crashes
         self.link_rates = link_rates
+        self.fetch = fetch
+        self.body_part = body_part
+        self.withdraw = withdraw
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3325,6 +3634,24 @@
                     self.link_rates.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.fetch = Fetch()
+                    self.fetch.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRUCT:
+                    self.body_part = BodyPart()
+                    self.body_part.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.withdraw = Withdraw()
+                    self.withdraw.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3403,6 +3730,18 @@
             oprot.writeFieldBegin('link_rates', TType.STRUCT, 17)
             self.link_rates.write(oprot)
             oprot.writeFieldEnd()
+        if self.fetch is not None:
+            oprot.writeFieldBegin('fetch', TType.STRUCT, 18)
+            self.fetch.write(oprot)
+            oprot.writeFieldEnd()
+        if self.body_part is not None:
+            oprot.writeFieldBegin('body_part', TType.STRUCT, 19)
+            self.body_part.write(oprot)
+            oprot.writeFieldEnd()
+        if self.withdraw is not None:
+            oprot.writeFieldBegin('withdraw', TType.STRUCT, 20)
+            self.withdraw.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3434,6 +3773,7 @@
     (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
     (4, TType.DOUBLE, 'clock', None, None, ),  # 4
     (5, TType.BOOL, 'uninformed', None, None, ),  # 5
+    (6, TType.I32, 'features', None, None, ),  # 6
 )
 all_structs.append(Welcome)
 Welcome.thrift_spec = (
@@ -3442,6 +3782,7 @@
     (2, TType.DOUBLE, 'clock', None, None, ),  # 2
     (3, TType.BOOL, 'leaving', None, None, ),  # 3
     (4, TType.BOOL, 'uninformed', None, None, ),  # 4
+    (5, TType.I32, 'features', None, None, ),  # 5
 )
 all_structs.append(Call)
 Call.thrift_spec = (
@@ -3458,6 +3799,27 @@
     (10, TType.BOOL, 'idempotent', None, None, ),  # 10
     (11, TType.DOUBLE, 'on_time', None, None, ),  # 11
     (12, TType.I64, 'born', None, None, ),  # 12
+    (13, TType.I32, 'body_size', None, None, ),  # 13
+    (14, TType.DOUBLE, 'max_wait', None, None, ),  # 14
+)
+all_structs.append(Fetch)
+Fetch.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.I32, 'offset', None, None, ),  # 2
+    (3, TType.I32, 'upto', None, None, ),  # 3
+)
+all_structs.append(BodyPart)
+BodyPart.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.I32, 'offset', None, None, ),  # 2
+    (3, TType.STRING, 'data', 'BINARY', None, ),  # 3
+)
+all_structs.append(Withdraw)
+Withdraw.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
 )
 all_structs.append(News)
 News.thrift_spec = (
@@ -3676,6 +4038,9 @@
     (15, TType.STRUCT, 'holds', [Holds, None], None, ),  # 15
     (16, TType.STRUCT, 'crashes', [Crashes, None], None, ),  # 16
     (17, TType.STRUCT, 'link_rates', [LinkRates, None], None, ),  # 17
+    (18, TType.STRUCT, 'fetch', [Fetch, None], None, ),  # 18
+    (19, TType.STRUCT, 'body_part', [BodyPart, None], None, ),  # 19
+    (20, TType.STRUCT, 'withdraw', [Withdraw, None], None, ),  # 20
 )
 fix_spec(all_structs)
 del all_structs
--- a/sequoiaspoke/wire/meshlink.thrift
+++ b/sequoiaspoke/wire/meshlink.thrift
@@ -13,6 +13,8 @@
   3: string zone,
   4: double clock,
   5: bool uninformed,
+  // Bits of what this node understands beyond the first protocol; see linkfeatures.
+  6: optional i32 features,
 }
 
 // First frame of the node that accepted it.
@@ -21,6 +23,8 @@
   2: double clock,
   3: bool leaving,
   4: bool uninformed,
+  // As for Hello.
+  5: optional i32 features,
 }
 
 struct Call {
@@ -38,6 +42,31 @@
   10: bool idempotent,
   // Start of the instance, as for Endpoint.
   12: i64 born,
+  // Bytes of the body if it follows in parts; absent if `body` is complete.
+  13: optional i32 body_size,
+  // Seconds that the call may wait for a slot; beyond them the home refuses it as busy.
+  // Absent if it may wait as long as its deadline allows.
+  14: optional double max_wait,
+}
+
+// The home has the body of a call up to `offset` and requests the bytes up to `upto`.
+struct Fetch {
+  1: i64 number,
+  2: i32 offset,
+  3: i32 upto,
+}
+
+// A part of a requested body.
+struct BodyPart {
+  1: i64 number,
+  2: i32 offset,
+  3: binary data,
+}
+
+// Takes a call back unless it has been sent to the upstream. If it has not, its outcome
+// is that it has not run; otherwise nothing changes.
+struct Withdraw {
+  1: i64 number,
 }
 
 // A home's word on the load of its upstream.
@@ -268,4 +297,7 @@
   15: optional Holds holds,
   16: optional Crashes crashes,
   17: optional LinkRates link_rates,
+  18: optional Fetch fetch,
+  19: optional BodyPart body_part,
+  20: optional Withdraw withdraw,
 }
