Keep nested calls queued and refuse overdue ones in time

Change: while a route has large bodies, a late nested call stays in the queue; it is refused only if it cannot end by its deadline. A timer refuses queued calls at least 20 ms before their deadline. A full queue already drops a fresh call of the same or a less urgent priority before a nested one, by rank; a test now guards this.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -10,6 +10,13 @@
 call waits for the whole queue. Among calls of one priority, those that can still meet
 their objective therefore go first. Only as many late calls are queued as keep all
 slots busy; further ones are refused at once with a Retry-After.
+
+Load shedding is in force only while a route has large bodies. It answers the heaviest
+days of two deployments, where a refused nested call wasted the work of its parent, and
+where calls that never ran ended as timeouts:
+
+- A nested call is never refused for being late, only if it cannot end by its deadline.
+- A queued call whose time runs out is refused early enough for its entry to answer.
 """
 
 from __future__ import annotations
@@ -34,7 +41,9 @@
 DURATION_MARGIN = 1.3
 # Minimum Retry-After of a refusal, in seconds.
 MIN_RETRY_AFTER = 0.05
-
+# Seconds before the deadline by which a call that was not sent is refused: the way to
+# an entry in another zone and the timers of both nodes.
+REFUSAL_LEAD = 0.02
 
 # Ranks between two priorities, and the ranks that a nested call moves ahead. A nested
 # call goes before other calls of the next more urgent priority.
@@ -99,6 +108,11 @@
     idempotent: bool = True
     max_wait: float = inf
 
+    @property
+    def nested(self) -> bool:
+        """Return whether an upstream makes the call while it runs another."""
+        return self.rank % RANK_STEP != 0
+
 
 @dataclass(frozen=True)
 class Refused:
@@ -123,9 +137,12 @@
     suspects : set of object
         Tickets of queued or running calls whose request may have crashed an upstream.
         They run one at a time, so that another crash identifies the request.
+    load_shedding : bool
+        Whether load shedding is in force.
     """
 
     def __init__(self, slots: int) -> None:
+        self.load_shedding = False
         self.suspects: set[object] = set()
         self.upstream_slots = Slots(slots)
         self.cold_start = ColdStart()
@@ -182,12 +199,13 @@
             return Refused(arrival, RefusalReason.BUSY, max(wait, MIN_RETRY_AFTER))
         ahead = sum(each.rank <= arrival.rank for each in self.queue.values())
         limited = self.rate_limit.wait(ahead, now) > 0
-        if now + wait + self.min_duration(arrival, now) > arrival.deadline:
+        if now + wait + self.min_time_left(arrival, now) > arrival.deadline:
             reason = RefusalReason.RATE_LIMITED if limited else RefusalReason.NO_TIME
             return Refused(arrival, reason, max(wait, MIN_RETRY_AFTER))
         # A single queued call is enough to use up a rate limit.
         enough = 1 if limited else self.slots
-        if ahead >= enough and self.would_be_late(arrival, now + wait):
+        late = ahead >= enough and self.would_be_late(arrival, now + wait)
+        if late and not self.may_be_late(arrival):
             reason = RefusalReason.RATE_LIMITED if limited else RefusalReason.OVERLOADED
             return Refused(arrival, reason, max(wait, MIN_RETRY_AFTER))
         refused = self.make_room(arrival, wait, now)
@@ -195,6 +213,13 @@
             self.queue[arrival.ticket] = arrival
         return refused
 
+    def may_be_late(self, arrival: Arrival) -> bool:
+        """Return whether a call is queued even if its answer would be late.
+
+        Refusing a nested call fails its parent, whose work so far is then wasted.
+        """
+        return self.load_shedding and arrival.nested
+
     def make_room(self, arrival: Arrival, wait: float, now: float) -> Refused | None:
         """Refuse the last call in order, the new one included, if the queue is full.
 
@@ -214,6 +239,21 @@
         """Return the minimum duration of a call in seconds."""
         return MIN_TIME_LEFT * self.durations.expected(arrival.route, now)
 
+    def min_time_left(self, arrival: Arrival, now: float) -> float:
+        """Return the seconds before its deadline until which a call is queued."""
+        lead = REFUSAL_LEAD if self.load_shedding else 0.0
+        return max(lead, self.min_duration(arrival, now))
+
+    def next_overdue(self, now: float) -> float:
+        """Return when the first queued call becomes overdue; infinite if none does."""
+        return min(
+            (
+                each.deadline - self.min_time_left(each, now)
+                for each in self.queue.values()
+            ),
+            default=inf,
+        )
+
     def queue_wait(self, arrival: Arrival, now: float) -> float:
         """Return the seconds that a new call would wait for a slot."""
         return self.wait_for_rank(arrival.rank, now)
@@ -286,7 +326,7 @@
         for arrival in self.queue.values():
             if self.would_be_reset(arrival, now):
                 refused.append(self.refuse_full(arrival, now))
-            elif now + self.min_duration(arrival, now) > arrival.deadline:
+            elif now + self.min_time_left(arrival, now) > arrival.deadline:
                 wait = self.durations.expected_overall(now)
                 refused.append(Refused(arrival, RefusalReason.NO_TIME, wait))
         for each in refused:
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -183,6 +183,7 @@
         """Apply the changed state to all parts of the node."""
         if self.state.table is not None:
             self.callers.current_limits = self.state.table.config.limits
+            self.home.admission.load_shedding = self.state.table.has_large_bodies
             service = self.state.table.config.services.get(self.settings.service)
             if service is not None:
                 self.home.health_monitor.set_service(service, self.settings.cold)
@@ -282,6 +283,7 @@
             self.log.event("pause", seconds=f"{now - self.ticked_at:.2f}")
             self.entry.vm_resumed(now)
             self.upstream.deadlines.vm_resumed(now)
+            self.home.overdue_timer.deadlines.vm_resumed(now)
             # What was read before the pause may be out of date.
             self.follower.store.reconnect()
         self.loop_delay = max(0.0, now - self.ticked_at - self.tick_interval)
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -28,6 +28,7 @@
 from sequoiaspoke.sidecar.healthmonitor import HealthMonitor
 from sequoiaspoke.sidecar.homecall import ActiveCall
 from sequoiaspoke.sidecar.outagelog import OutageLog
+from sequoiaspoke.sidecar.overdue import OverdueTimer
 from sequoiaspoke.sidecar.upstream import UNREACHABLE
 
 if TYPE_CHECKING:
@@ -96,6 +97,7 @@
         self.outage_log = OutageLog(log)
         self.leaving_upstreams = LeavingUpstreams(directory.is_leaving)
         self.counts: Counter[str] = Counter()
+        self.overdue_timer = OverdueTimer(self.admission, self.dispatch)
 
     def submit(
         self, key: Hashable, call: HomeCall, on_outcome: Callable[[Outcome], None]
@@ -203,6 +205,7 @@
             for refused in late:
                 self.refuse(refused)
             if arrival is None:
+                self.overdue_timer.update()
                 return
             running = self.calls[arrival.ticket]
             running.task = asyncio.ensure_future(self.run(arrival.ticket, running))
--- /dev/null
+++ b/sequoiaspoke/tests/test_mesh_shedding.py
@@ -0,0 +1,130 @@
+"""Tests of load shedding at a home: nested calls and calls whose time runs out."""
+
+import asyncio
+from math import inf
+
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.admission import (
+    QUEUE_PER_SLOT,
+    REFUSAL_LEAD,
+    Admission,
+    Arrival,
+    RefusalReason,
+    queue_rank,
+)
+from sequoiaspoke.core.mesh.directory import Directory
+from sequoiaspoke.core.mesh.model import Endpoint
+from sequoiaspoke.core.mesh.outcome import Request
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.home import Home
+from sequoiaspoke.sidecar.homecall import HomeCall
+from sequoiaspoke.sidecar.logs import EventLog
+from sequoiaspoke.tests.meshsim import VirtualLoop
+from sequoiaspoke.tests.test_sidecar_home import BlockingUpstream
+
+ENDPOINT = Endpoint("i-1", "fleet", "10.0.0.1", 80, "akaki", 1)
+
+
+class NestedAdmissionTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.admission = Admission(1)
+        self.admission.load_shedding = True
+        self.tickets = 0
+
+    def arrive(self, priority, nested, on_time=9.0, deadline=9.0):
+        self.tickets += 1
+        rank = queue_rank(priority, nested)
+        arrival = Arrival(self.tickets, "a", rank, on_time, deadline)
+        return self.admission.arrive(arrival, 0.0)
+
+    def test_a_nested_call_is_known_by_its_rank(self):
+        for priority in range(4):
+            for nested in (False, True):
+                rank = queue_rank(priority, nested)
+                self.assertEqual(Arrival(0, "a", rank, 1.0, 1.0).nested, nested)
+
+    def test_a_late_nested_call_waits_and_a_late_fresh_one_is_refused(self):
+        # The refusal of a nested call wastes the work of its parent.
+        for nested, reason in ((True, None), (False, RefusalReason.OVERLOADED)):
+            for _ in range(2):
+                self.arrive(1, True)
+            refused = self.arrive(1, nested, on_time=0.01)
+            self.assertEqual(refused and refused.reason, reason)
+
+    def test_a_nested_call_that_cannot_end_in_time_is_refused(self):
+        # It would take a slot for an answer that its parent does not get.
+        for _ in range(2):
+            self.arrive(1, True)
+        refused = self.arrive(1, True, deadline=0.2)
+        self.assertEqual(refused.reason, RefusalReason.NO_TIME)
+
+    def test_without_the_switch_a_late_nested_call_is_refused_as_before(self):
+        self.admission.load_shedding = False
+        for _ in range(2):
+            self.arrive(1, True)
+        refused = self.arrive(1, True, on_time=0.01)
+        self.assertEqual(refused.reason, RefusalReason.OVERLOADED)
+
+    def test_a_full_queue_drops_a_fresh_call_of_the_same_priority_first(self):
+        # Also where the nested call is late and the fresh one is not.
+        for priority in (1, 2):
+            self.arrive(priority, False)
+        for _ in range(QUEUE_PER_SLOT - 2):
+            self.arrive(1, True, on_time=0.01)
+        dropped = [self.arrive(1, True, on_time=0.01).arrival for _ in range(2)]
+        self.assertEqual([each.ticket for each in dropped], [2, 1])
+
+
+class OverdueTests(TestCase):
+    def play(self, load_shedding):
+        """Return the outcome of a call that waits for a slot, and when it came."""
+        loop = VirtualLoop()
+        self.patch(clock, "now", loop.time)
+        outcomes = []
+
+        async def run():
+            log = EventLog("x-request-id")
+            log.allowed = lambda kind: False
+            home = Home(BlockingUpstream(), Directory(), log)
+            home.admission.load_shedding = load_shedding
+            begun = clock.now()
+            for number, seconds in enumerate((9.0, 0.5, 0.3)):
+                request, deadline = Request("GET", "/", (), b""), begun + seconds
+                call = HomeCall(
+                    request, ENDPOINT.incarnation, "r", 0, True, inf, deadline
+                )
+                home.submit(
+                    number,
+                    call,
+                    lambda outcome: outcomes.append((outcome, clock.now() - begun)),
+                )
+            await asyncio.sleep(1.0)
+            home.upstream.gate.set()
+            await asyncio.sleep(0.1)
+
+        try:
+            loop.run_until_complete(run())
+        finally:
+            loop.close()
+        return outcomes
+
+    def test_a_call_whose_time_runs_out_is_refused_before_its_deadline(self):
+        # Found only at the next event, it would end as a timeout though it never ran.
+        (first, first_at), (second, second_at), _ = self.play(True)
+        self.assertEqual([first.reason, second.reason], ["no-time", "no-time"])
+        self.assertAlmostEqual(first_at, 0.3 - 0.05, delta=0.003)
+        self.assertAlmostEqual(second_at, 0.5 - 0.05, delta=0.003)
+
+    def test_without_the_switch_there_is_no_timer(self):
+        self.assertEqual(len([at for _, at in self.play(False) if at < 0.9]), 0)
+
+    def test_a_short_call_is_refused_in_time_for_its_entry(self):
+        # Half of its expected duration is less than the way to its entry takes.
+        admission = Admission(1)
+        admission.load_shedding = True
+        admission.durations.overall = REFUSAL_LEAD
+        self.assertEqual(admission.next_overdue(0.0), inf)
+        admission.arrive(Arrival(1, "a", 0, 1.0, 1.0), 0.0)
+        self.assertEqual(admission.next_overdue(0.0), 1.0 - REFUSAL_LEAD)
