Withdraw calls that no home has started before their deadline

Cause: a call that waited at its home until its deadline was answered 504, although it had certainly not run, so an order was lost. Change: while the configuration has routes with large bodies, the entry withdraws the attempts under way 60 ms before the deadline (3 round trips of the link, at most 100 ms, at most half of the call's time) and answers 503 with a time if all of them have certainly not run. The result of hedged attempts is the outcome that is most certain to have run, so a second attempt that is only refused no longer counts as a run. An attempt that was never sent, or that waits at the node's own home, ends as not run at the deadline in every deployment.

--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -191,14 +191,12 @@
         (first,) = race.attempts
         if first.finished or progress.reached + 2 > progress.route.attempts:
             return
-        if self.suspected(progress):
+        if progress.withdrawn or self.suspected(progress):
             return
         progress.tried.add(first.endpoint.incarnation)
         second = self.choose(progress)
         if second is None or not self.take_retry(progress.service):
             return
-        progress.reached += 1
-        progress.may_have_run = True
         self.reasons["hedged"] += 1
         self.log.call(
             "hedge",
@@ -229,13 +227,16 @@
         pending = link.submit(
             call, lambda outcome: attempt.finish(outcome, link.load_report)
         )
+        attempt.pending = pending
         attempt.cancel_at_home = partial(link.cancel, pending)
+        attempt.withdraw_at_home = partial(link.withdraw, pending)
 
     def run_locally(self, attempt: Attempt, call: HomeCall) -> None:
         """Submit a call to this node's own home."""
         self.local_calls += 1
         key = ("here", self.local_calls)
         attempt.cancel_at_home = partial(self.home.cancel, key)
+        attempt.withdraw_at_home = partial(self.home.withdraw, key)
 
         def on_outcome(outcome: Outcome) -> None:
             attempt.finish(outcome, self.home.load_report(call.route, call.rank))
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -10,7 +10,8 @@
 import asyncio
 from collections import Counter
 from dataclasses import replace
-from functools import cached_property
+from functools import cached_property, partial
+from math import isinf
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.admission import MIN_RETRY_AFTER, RefusalReason
@@ -47,6 +48,15 @@
 # Attempts of one call that may fail without reaching an upstream. Each costs only a
 # round trip, but if all nodes refuse, the caller should know soon.
 MAX_UNREACHED_ATTEMPTS = 6
+# Seconds before its deadline at which a call is withdrawn: time for the message and
+# the outcome to pass a busy home and link, and for the answer to reach the caller.
+WITHDRAW_SECONDS, MAX_WITHDRAW_SECONDS = 0.06, 0.1
+# The same as a multiple of the round trip of the link to the home, as the shortest
+# round trip was measured and messages may wait behind others.
+WITHDRAW_ROUND_TRIPS = 3
+# Maximum share of a call's time that is left when it is withdrawn. A call that has only
+# a tenth of a second would otherwise be withdrawn on its arrival.
+MAX_WITHDRAW_SHARE = 0.5
 
 
 class Entry:
@@ -56,6 +66,8 @@
     ----------
     closes_at : float
         Time at which this process exits; infinite until it is told to stop.
+    withdrawals : Deadlines
+        Times at which calls are withdrawn if they have not been started.
     counts : Counter of tuple of str and str
         Final answers so far, by service and status.
     stripped_headers : frozenset of str
@@ -83,6 +95,7 @@
         self.splitter = Splitter(rng)
         self.closes_at = float("inf")
         self.deadlines = Deadlines()
+        self.withdrawals = Deadlines()
         self.counts: Counter[tuple[str, str]] = Counter()
         self.reasons = self.attempts.reasons
         self.stripped_headers = frozenset(
@@ -120,6 +133,7 @@
             service,
             min(arrived + left, self.closes_at),
             arrived + route.objective,
+            may_withdraw=table.has_large_bodies,
         )
         quarantine = self.attempts.quarantine_seconds(progress)
         if quarantine:
@@ -139,13 +153,46 @@
     async def serve_until_deadline(self, progress: Progress) -> Answer:
         """Serve a call; raise TimeoutError at its deadline."""
         timer = self.deadlines.call_at(progress.deadline, progress.expire)
+        if progress.may_withdraw:
+            self.schedule_withdrawal(progress)
         try:
             return await self.serve(progress)
         finally:
             timer.cancel()
+            if progress.withdrawal is not None:
+                progress.withdrawal.cancel()
+
+    def schedule_withdrawal(self, progress: Progress) -> None:
+        """Schedule the first time at which a call might have to be withdrawn."""
+        left = progress.deadline - clock.now()
+        progress.withdraw_seconds = min(MAX_WITHDRAW_SECONDS, MAX_WITHDRAW_SHARE * left)
+        progress.withdrawal = self.withdrawals.call_at(
+            progress.deadline - progress.withdraw_seconds,
+            partial(self.withdraw_in_time, progress),
+        )
+
+    def withdraw_in_time(self, progress: Progress) -> None:
+        """Withdraw a call, or schedule that if the links to its homes allow for it."""
+        seconds = min(self.withdraw_seconds(progress), progress.withdraw_seconds)
+        when = progress.deadline - seconds
+        if when <= clock.now() or when > self.withdrawals.latest:
+            progress.withdraw()
+        else:
+            progress.withdrawal = self.withdrawals.call_at(when, progress.withdraw)
+
+    def withdraw_seconds(self, progress: Progress) -> float:
+        """Return how long before its deadline a call has to be withdrawn."""
+        round_trips = [
+            link.round_trip
+            for attempt in progress.attempts_under_way()
+            if (link := self.peers.links.get(attempt.endpoint.host)) is not None
+        ]
+        longest = max(round_trips, default=0.0)
+        return max(WITHDRAW_SECONDS, WITHDRAW_ROUND_TRIPS * longest)
 
     def vm_resumed(self, now: float) -> None:
         """Answer the calls whose deadline passed while this VM was suspended."""
+        self.withdrawals.vm_resumed(now)
         self.deadlines.vm_resumed(now)
 
     def stop_at(self, closes_at: float) -> None:
@@ -157,6 +204,7 @@
         """
         self.closes_at = closes_at
         self.deadlines.cap(closes_at)
+        self.withdrawals.cap(closes_at - MAX_WITHDRAW_SECONDS)
 
     def no_route(self, request: Request) -> Answer:
         """Answer a call that no route matches.
@@ -217,6 +265,7 @@
                 )
             endpoint, outcome = await self.attempts.call(progress, endpoint)
             progress.last_outcome = outcome
+            progress.record_other_attempt(endpoint)
             if not self.should_retry(progress, endpoint, outcome):
                 return self.final_answer(progress, "gave-up")
 
@@ -231,13 +280,14 @@
             retry = (
                 outcome.reason != RefusalReason.HELD_BACK
                 and progress.unreached <= MAX_UNREACHED_ATTEMPTS
+                and not progress.ending
             )
         else:
             progress.reached += 1
             progress.may_have_run |= not isinstance(outcome, NotRun)
             retry = self.may_retry(progress, outcome)
         if isinstance(outcome, NotRun):
-            progress.retry_after = min(progress.retry_after, outcome.retry_after)
+            progress.record_retry_after(outcome)
             if outcome.reason == RefusalReason.HELD_BACK:
                 # All homes hold the request back for as long.
                 progress.retry_after = outcome.retry_after
@@ -270,7 +320,7 @@
                 return False
         elif isinstance(outcome, Unknown) and not progress.route.idempotent:
             return False
-        if progress.reached >= progress.route.attempts:
+        if progress.reached >= progress.route.attempts or progress.ending:
             return False
         if self.attempts.quarantine_seconds(progress):
             return False
@@ -292,18 +342,23 @@
         if progress.may_have_run:
             return self.fail(progress, 502, reason)
         if isinstance(last_outcome, NotRun):
-            wait = max(progress.retry_after, MIN_RETRY_AFTER)
-            return self.refuse(
-                progress.request, last_outcome.reason, wait, progress.service
-            )
+            return self.refuse_unserved(progress, last_outcome.reason)
         return self.refuse(
             progress.request, reason, RETRY_AFTER_SECONDS, progress.service
         )
 
     def timed_out(self, progress: Progress) -> Answer:
-        """Answer a call whose deadline passed during an attempt."""
+        """Answer a call whose deadline passed during or between attempts."""
+        if progress.not_run:
+            return self.refuse_unserved(progress, TIMED_OUT)
         return self.fail(progress, 504, TIMED_OUT)
 
+    def refuse_unserved(self, progress: Progress, reason: str) -> Answer:
+        """Answer a call that no home has started, with the shortest time they told."""
+        told = progress.retry_after
+        wait = MIN_RETRY_AFTER if isinf(told) else max(told, MIN_RETRY_AFTER)
+        return self.refuse(progress.request, reason, wait, progress.service)
+
     def fail(self, progress: Progress, status: int, reason: str) -> Answer:
         """Answer a call that may have run."""
         self.reasons[reason] += 1
--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.mesh.outcome import Answer
+from sequoiaspoke.core.mesh.admission import RefusalReason
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -14,6 +15,8 @@
     from sequoiaspoke.core.mesh.balancer import LoadReport
     from sequoiaspoke.core.mesh.model import Endpoint, Incarnation, Route
     from sequoiaspoke.core.mesh.outcome import Outcome, Request
+    from sequoiaspoke.sidecar.deadlines import Deadline
+    from sequoiaspoke.sidecar.pending import PendingCall
 
 # Statuses of an upstream after which an idempotent call is retried elsewhere.
 RETRYABLE_STATUSES = frozenset({500, 502, 503})
@@ -32,11 +35,19 @@
     reached : int
         Number of attempts that may have reached an upstream.
     may_have_run : bool
-        Whether one of them may have run.
+        Whether one of the attempts that have ended may have run.
     unreached : int
         Number of attempts that reached no upstream.
     retry_after : float
         Shortest Retry-After of the homes that refused the call, in seconds.
+    may_withdraw : bool
+        Whether the call is withdrawn before its deadline.
+    withdraw_seconds : float
+        Seconds before the deadline at which it is withdrawn at the earliest.
+    withdrawal : Deadline or None
+        The time at which it is withdrawn unless it ends before.
+    withdrawn : bool
+        Whether its attempts were withdrawn.
     expired : bool
         Whether the deadline has passed.
     """
@@ -53,8 +64,54 @@
     retry_after: float = float("inf")
     last_outcome: Outcome | None = None
     race: Race | None = None
+    may_withdraw: bool = False
+    withdraw_seconds: float = 0.0
+    withdrawal: Deadline | None = None
+    withdrawn: bool = False
     expired: bool = False
 
+    @property
+    def ending(self) -> bool:
+        """Return whether no further attempt is made for want of time."""
+        return self.withdrawn or self.expired
+
+    @property
+    def not_run(self) -> bool:
+        """Return whether the call has certainly not run and will not run."""
+        running = self.race is not None and self.race.may_have_run
+        return not (self.may_have_run or running)
+
+    def record_retry_after(self, outcome: NotRun) -> None:
+        """Record the Retry-After of a refusal.
+
+        The outcome of a withdrawal has none: the home did not refuse the call.
+        """
+        if outcome.reason != RefusalReason.WITHDRAWN:
+            self.retry_after = min(self.retry_after, outcome.retry_after)
+
+    def record_other_attempt(self, endpoint: Endpoint) -> None:
+        """Record the attempt that was made beside the one at an endpoint, if any."""
+        assert self.race is not None
+        for attempt in self.race.attempts:
+            if attempt.endpoint is endpoint:
+                continue
+            self.tried.add(attempt.endpoint.incarnation)
+            outcome = attempt.outcome
+            self.reached += not isinstance(outcome, NotRun) or outcome.from_upstream
+            if isinstance(outcome, NotRun):
+                self.record_retry_after(outcome)
+
+    def attempts_under_way(self) -> list[Attempt]:
+        """Return the attempts that have not ended."""
+        attempts = [] if self.race is None else self.race.attempts
+        return [each for each in attempts if not each.finished]
+
+    def withdraw(self) -> None:
+        """Withdraw the attempts under way from homes that have not started them."""
+        self.withdrawn = True
+        if self.race is not None:
+            self.race.withdraw()
+
     def expire(self) -> None:
         """Mark the deadline as passed and end the wait for an outcome."""
         self.expired = True
@@ -69,6 +126,12 @@
     ----------
     cancel_at_home : callable
         Cancels the call at its home.
+    withdraw_at_home : callable
+        Withdraws the call from its home, which ends the attempt if it has not started.
+    pending : PendingCall or None
+        The call on the link to its home; None if the home is that of this node.
+    outcome : Outcome or None
+        The outcome, None if the attempt has not ended or was cancelled.
     on_end, on_cancel : callable
         Called with the outcome, or when the attempt is cancelled.
     """
@@ -88,12 +151,16 @@
         self.race = race
         self.finished = False
         self.cancel_at_home: Callable[[], None] | None = None
+        self.withdraw_at_home: Callable[[], None] | None = None
+        self.pending: PendingCall | None = None
+        self.outcome: Outcome | None = None
 
     def finish(self, outcome: Outcome, report: LoadReport) -> None:
         """Take the outcome of the attempt and the load report sent with it."""
         if self.finished:
             return
         self.finished = True
+        self.outcome = outcome
         self.on_end(self, outcome, report)
         self.race.attempt_finished(self, outcome)
 
@@ -106,11 +173,27 @@
         if self.cancel_at_home is not None:
             self.cancel_at_home()
 
+    def withdraw(self) -> None:
+        """Withdraw the attempt, which gets its outcome only if it has not started."""
+        if not self.finished and self.withdraw_at_home is not None:
+            self.withdraw_at_home()
+
+    def withdraw_unsent(self) -> None:
+        """Withdraw the attempt if that takes no message to another node.
+
+        A call that was not sent to its home, or waits at the home of this node, has
+        certainly not run.
+        """
+        if self.pending is None or self.pending.home_incarnation is None:
+            self.withdraw()
+
 
 class Race:
     """The concurrent attempts of one call.
 
-    The first answer that needs no retry is the result, or else the last outcome.
+    The first answer that needs no retry is the result. Without one, the result is the
+    outcome that is most certain to have run, so that a refusal of one attempt does not
+    hide that another may have run.
     """
 
     def __init__(self) -> None:
@@ -119,16 +202,34 @@
             asyncio.get_running_loop().create_future()
         )
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an attempt may have run."""
+        return any(not isinstance(each.outcome, NotRun) for each in self.attempts)
+
     def attempt_finished(self, attempt: Attempt, outcome: Outcome) -> None:
         """Take the outcome of an attempt."""
         if self.result.done():
             return
         good = isinstance(outcome, Answer) and outcome.status not in RETRYABLE_STATUSES
-        if good or all(each.finished for each in self.attempts):
-            self.result.set_result((attempt.endpoint, outcome))
+        if not good:
+            if not all(each.finished for each in self.attempts):
+                return
+            attempt = max(self.attempts, key=certainty_of_run)
+        self.result.set_result((attempt.endpoint, attempt.outcome))
+
+    def withdraw(self) -> None:
+        """Withdraw the attempts under way."""
+        for attempt in self.attempts:
+            attempt.withdraw()
 
     def time_out(self) -> None:
-        """Set TimeoutError as the result unless there is one."""
+        """Set TimeoutError as the result unless all attempts have ended.
+
+        Those that have certainly not run end by this with an outcome that tells so.
+        """
+        for attempt in self.attempts:
+            attempt.withdraw_unsent()
         if not self.result.done():
             self.result.set_exception(TimeoutError())
 
@@ -136,3 +237,9 @@
         """Cancel the attempts still under way."""
         for attempt in self.attempts:
             attempt.cancel()
+
+
+def certainty_of_run(attempt: Attempt) -> int:
+    """Return the place of an attempt's outcome from not run to answered."""
+    kinds = (NotRun, Unknown, Answer)
+    return kinds.index(type(attempt.outcome))
