Report calls as not run where that is certain, and only there

Cause: a home forgot that a call had not run once large answers filled its ledger; a call written on a connection whose end had just been read was dropped unsent and reported as unknown; an upstream's own 503 was passed on although an earlier attempt of the call might have run. Change: the ledger drops only outcomes that take memory; a closing connection counts as closed; such a 503, 429, 408 or 421 becomes 502. The mesh simulation now also withdraws calls.

--- a/sequoiaspoke/core/mesh/ledger.py
+++ b/sequoiaspoke/core/mesh/ledger.py
@@ -67,11 +67,16 @@
             self.drop_oldest_answers()
 
     def drop_oldest_answers(self) -> None:
-        """Drop the oldest answers, but keep the records of their calls."""
+        """Drop the oldest answers, but keep the records of their calls.
+
+        Outcomes without a size, such as that a call has not run, take no memory.
+        """
         for key in self.finish_times:
             if self.bytes <= MAX_ANSWER_BYTES:
                 return
             record = self.calls[key]
+            if not record.size:
+                continue
             self.bytes -= record.size
             record.outcome, record.size = None, 0
 
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -48,6 +48,8 @@
 # Attempts of one call that may fail without reaching an upstream. Each costs only a
 # round trip, but if all nodes refuse, the caller should know soon.
 MAX_UNREACHED_ATTEMPTS = 6
+# Statuses by which a caller is told that its call has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Seconds before its deadline at which a call is withdrawn: time for the message and
 # the outcome to pass a busy home and link, and for the answer to reach the caller.
 WITHDRAW_SECONDS, MAX_WITHDRAW_SECONDS = 0.06, 0.1
@@ -284,7 +286,7 @@
             )
         else:
             progress.reached += 1
-            progress.may_have_run |= not isinstance(outcome, NotRun)
+            progress.possible_runs += not isinstance(outcome, NotRun)
             retry = self.may_retry(progress, outcome)
         if isinstance(outcome, NotRun):
             progress.record_retry_after(outcome)
@@ -334,6 +336,9 @@
         """Return the final answer to a call that is not tried again."""
         last_outcome = progress.last_outcome
         if isinstance(last_outcome, Answer):
+            if progress.possible_runs > 1 and last_outcome.status in NOT_RUN_STATUSES:
+                # True of the last attempt, but another one may have run.
+                return self.fail(progress, 502, reason)
             return last_outcome
         if isinstance(last_outcome, Unknown):
             # The home's timer may expire a moment before this node's.
--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -259,7 +259,7 @@
 
     def usable(self, idempotent: bool, now: float) -> bool:
         """Return whether the next call may use this connection."""
-        if self.not_reusable or self.closed:
+        if self.not_reusable or self.closing:
             return False
         limit = (
             self.idle_seconds if idempotent else min(self.idle_seconds, FRESH_SECONDS)
--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -34,8 +34,8 @@
         Incarnations of upstreams that will not be tried again.
     reached : int
         Number of attempts that may have reached an upstream.
-    may_have_run : bool
-        Whether one of the attempts that have ended may have run.
+    possible_runs : int
+        Number of recorded attempts that may have run.
     unreached : int
         Number of attempts that reached no upstream.
     retry_after : float
@@ -59,7 +59,7 @@
     on_time: float
     tried: set[Incarnation] = field(default_factory=set)
     reached: int = 0
-    may_have_run: bool = False
+    possible_runs: int = 0
     unreached: int = 0
     retry_after: float = float("inf")
     last_outcome: Outcome | None = None
@@ -75,6 +75,11 @@
         """Return whether no further attempt is made for want of time."""
         return self.withdrawn or self.expired
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an attempt whose outcome is recorded may have run."""
+        return self.possible_runs > 0
+
     @property
     def not_run(self) -> bool:
         """Return whether the call has certainly not run and will not run."""
@@ -100,6 +105,8 @@
             self.reached += not isinstance(outcome, NotRun) or outcome.from_upstream
             if isinstance(outcome, NotRun):
                 self.record_retry_after(outcome)
+            else:
+                self.possible_runs += 1
 
     def attempts_under_way(self) -> list[Attempt]:
         """Return the attempts that have not ended."""
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -80,6 +80,11 @@
             Whether this end was closed first.
         """
 
+    @property
+    def closing(self) -> bool:
+        """Return whether bytes written from now on would be dropped."""
+        return self.closed or self.transport.is_closing()
+
     def write(self, data: bytes) -> None:
         """Send bytes, unless the connection is closed."""
         if not self.closed:
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -97,7 +97,8 @@
         )
         call_id = request.header(self.names.call_id)
         text = encode_request(request, extra)
-        if connection.closed:
+        if connection.closing:
+            # Nothing has been written on it, and nothing would be sent any more.
             return NotRun("connection-closed")
         started_at = clock.now()
         on_send()
--- a/sequoiaspoke/tests/test_mesh_core.py
+++ b/sequoiaspoke/tests/test_mesh_core.py
@@ -25,6 +25,7 @@
     Route,
     Service,
 )
+from sequoiaspoke.core.mesh.outcome import NotRun
 from sequoiaspoke.core.mesh.retrybudget import RetryBudget, RetryLimits
 from sequoiaspoke.core.mesh.slots import FOREIGN_HALF_LIFE, Load
 from sequoiaspoke.core.mesh.table import RouteTable
@@ -409,3 +410,14 @@
         self.assertIsNone(ledger.find(0).outcome)
         self.assertEqual(ledger.find(3).outcome, "answer")
         self.assertTrue(ledger.bytes <= MAX_ANSWER_BYTES)
+
+    def test_an_outcome_not_run_is_kept_when_large_answers_are_dropped(self):
+        # An entry whose link broke asked again for a refused call and was told that the
+        # call may have run.
+        ledger = Ledger()
+        ledger.begin("refused")
+        ledger.finish("refused", NotRun("busy"), 0, 1.0)
+        for number in range(4):
+            ledger.begin(number)
+            ledger.finish(number, "answer", MAX_ANSWER_BYTES // 2, 1.0)
+        self.assertEqual(ledger.find("refused").outcome, NotRun("busy"))
--- a/sequoiaspoke/tests/test_mesh_property.py
+++ b/sequoiaspoke/tests/test_mesh_property.py
@@ -6,6 +6,7 @@
 """
 
 import os
+from dataclasses import replace
 
 from testtools import TestCase
 
@@ -13,12 +14,16 @@
 from sequoiaspoke.core.mesh.outcome import NotRun, Unknown
 from sequoiaspoke.core.mesh.retrybudget import RetryBudget
 from sequoiaspoke.sidecar.entry import Entry
+from sequoiaspoke.sidecar.home import Home
 from sequoiaspoke.sidecar.linkclient import LinkClient
 from sequoiaspoke.sidecar.pending import PendingCall
-from sequoiaspoke.tests.meshsim import play
+from sequoiaspoke.tests import meshsim
+from sequoiaspoke.tests.meshsim import MeshWorld, play, play_world
 
 SEEDS = int(os.environ.get("MESH_SEEDS", "160"))
 SHARDS = 8  # tests that share the seeds, to run in parallel
+WITHDRAWAL_SEEDS = 12
+WITHDRAWAL_TIMEOUT = 0.6  # seconds for which callers wait; queued calls exceed it
 SEEDS_TRIED = 40  # seeds of which at least one detects a disabled safeguard
 # Seeds that have shown a fault: a non-idempotent call sent to a home that was killed
 # was sent again to the restarted home, and ran twice.
@@ -97,3 +102,37 @@
 
         self.patch(Entry, "serve_until_deadline", without_deadline)
         self.assert_detected("answered late")
+
+
+class WithdrawalWorld(MeshWorld):
+    """A mesh whose callers have little time, so that calls are withdrawn."""
+
+    def route(self, name):
+        return replace(super().route(name), large_bodies=True)
+
+
+class WithdrawalTests(TestCase):
+    """Calls are withdrawn while links break and nodes are killed."""
+
+    def play(self, seeds):
+        self.patch(meshsim, "TIMEOUT", WITHDRAWAL_TIMEOUT)
+        for seed in seeds:
+            yield play_world(lambda seed=seed: WithdrawalWorld(seed), self, rate=80.0)
+
+    def test_a_withdrawn_call_never_runs(self):
+        withdrawn = 0
+        for world in self.play(range(WITHDRAWAL_SEEDS)):
+            self.assertEqual(world.problems, [])
+            for node in world.nodes.values():
+                withdrawn += node.home.counts["withdrawn"]
+        self.assertTrue(withdrawn > WITHDRAWAL_SEEDS, withdrawn)
+
+    def test_a_withdrawal_that_ignores_the_start_of_a_call_is_detected(self):
+        def unguarded(self, key):
+            running = self.calls.get(key)
+            if running is not None:
+                running.on_outcome(NotRun("withdrawn"))
+
+        self.patch(Home, "withdraw", unguarded)
+        problems = [text for world in self.play(range(4)) for text in world.problems]
+        self.assertTrue(any("refused as not run" in text for text in problems))
--- a/sequoiaspoke/tests/test_sidecar_upstream.py
+++ b/sequoiaspoke/tests/test_sidecar_upstream.py
@@ -198,6 +198,33 @@
         self.play([closing, ...], [answer("c1")])
         self.assertEqual(self.raw.connections, 2)
 
+    def test_a_connection_whose_end_was_just_read_is_not_reused(self):
+        # The transport drops what is written on it, and the call, which was never sent,
+        # had an unknown outcome.
+        async def run():
+            raw = RawUpstream([[answer("c0")], [answer("c0")]])
+            server = await asyncio.start_server(raw.serve, "127.0.0.1", 0)
+            upstream = Upstream(*server.sockets[0].getsockname(), HeaderNames())
+            request = Request("POST", "/a", (("X-Request-Id", "c0"),), b"")
+            outcomes = []
+            async with asyncio.timeout(TIMEOUT):
+                for _ in range(2):
+                    for connection in upstream.idle:
+                        connection.transport.close()
+                    deadline = clock.now() + TIMEOUT
+                    outcomes.append(
+                        await upstream.call(request, "i", deadline, True, lambda: None)
+                    )
+            upstream.close_idle_connections()
+            server.close()
+            for writer in raw.writers:
+                writer.transport.abort()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            return [outcome.body for outcome in outcomes]
+
+        self.assertEqual(asyncio.run(run()), [b"ok", b"ok"])
+
     def test_a_call_to_an_upstream_that_does_not_listen_has_not_run(self):
         async def run():
             upstream = Upstream("127.0.0.1", 1, HeaderNames())
--- a/sequoiaspoke/tests/test_sidecar_withdrawal.py
+++ b/sequoiaspoke/tests/test_sidecar_withdrawal.py
@@ -9,7 +9,10 @@
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
 from sequoiaspoke.core.mesh.table import RouteTable
 from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.attempts import Attempts
+from sequoiaspoke.sidecar.frames import Dialer
 from sequoiaspoke.tests.test_sidecar_entry import make_entry, request
+from sequoiaspoke.tests.test_sidecar_home import BlockingUpstream
 
 WITHDRAWN = NotRun("withdrawn")
 LOST = Unknown("connection-lost")
@@ -41,11 +44,23 @@
         self.attempts[instance].finish(outcome, LoadReport())
 
 
-class WithdrawalTests(TestCase):
-    def play(self, script, name, scenario=None, large_bodies=True, left=4000):
+class HangingDialer(Dialer):
+    """Opens no link and does not fail either."""
+
+    async def dial(self, host, port):
+        await asyncio.Event().wait()
+
+
+class EntryTestCase(TestCase):
+    """Runs an entry against fake homes on a clock that only the test advances."""
+
+    def play(
+        self, script, name, scenario=None, large_bodies=True, left=4000, prepare=None
+    ):
         """Return the answer to a call, and the seconds left when it came.
 
-        The scenario runs as soon as no home has anything more to do.
+        The scenario runs as soon as no home has anything more to do, and `prepare`
+        before the call.
         """
         self.time = 1000.0
         self.patch(clock, "now", lambda: self.time)
@@ -57,6 +72,8 @@
             config = self.entry.state.table.config
             routes = [replace(r, large_bodies=large_bodies) for r in config.routes]
             self.entry.state.table = RouteTable(replace(config, routes=routes))
+            if prepare is not None:
+                prepare()
             call = asyncio.ensure_future(self.entry.handle(request(name, left)))
             deadline = self.time + left / 1000
             await self.settle()
@@ -83,6 +100,12 @@
             deadlines.run_due(self.time)
         await self.settle()
 
+    def use_real_homes(self):
+        attempts = self.entry.attempts
+        attempts.send_to_home = lambda each: Attempts.send_to_home(attempts, each)
+
+
+class WithdrawalTests(EntryTestCase):
     def test_an_order_that_waited_until_its_deadline_is_reported_as_not_run(self):
         # Reported as a timeout, the order would be lost, as it might have run.
         answer, left = self.play({"a": WAITS, "b": WAITS}, "order")
@@ -131,3 +154,103 @@
     def test_a_call_with_little_time_is_not_withdrawn_on_its_arrival(self):
         answer, left = self.play({"a": WAITS}, "order", left=80)
         self.assertEqual((answer.status, left), (503, 0.04))
+
+    def test_a_far_home_gets_the_withdrawal_earlier(self):
+        # With 30 ms for a round trip, the outcome would come too late or not at all.
+        def prepare():
+            self.entry.peers.link("10.0.0.0").round_trip = 0.03
+
+        _, left = self.play({"a": WAITS}, "order", prepare=prepare)
+        self.assertEqual(left, 0.09)
+
+    def test_a_stopping_node_withdraws_its_calls_before_it_exits(self):
+        # The calls' own deadlines are later than the exit.
+        async def scenario():
+            self.entry.stop_at(self.time + 1)
+
+        answer, left = self.play({"a": WAITS}, "order", scenario)
+        self.assertEqual((answer.status, left), (503, 3.1))
+
+
+class HedgedOutcomeTests(EntryTestCase):
+    def play_hedge(self, script, scenario=None):
+        answer, left = self.play(script, "read", scenario)
+        self.assertEqual(len(self.homes.attempts), 2)
+        return answer.status, left
+
+    async def hedge(self):
+        while len(self.homes.attempts) < 2:
+            await self.advance(0.005)
+
+    def test_two_waiting_attempts_are_both_withdrawn(self):
+        # A second attempt was taken for a run, although it was only queued.
+        played = self.play_hedge({"a": WAITS, "b": WAITS})
+        self.assertEqual(played, (503, 0.06))
+
+    def test_a_call_with_one_running_attempt_is_not_reported_as_not_run(self):
+        self.assertEqual(self.play_hedge({"a": RUNS, "b": WAITS}), (504, 0))
+        self.assertEqual(self.play_hedge({"a": WAITS, "b": RUNS}), (504, 0))
+
+    def test_a_refused_second_attempt_does_not_hide_the_loss_of_the_first(self):
+        async def scenario():
+            await self.hedge()
+            first, second = self.homes.attempts
+            self.homes.end(first, LOST)
+            self.homes.end(second, FULL)
+
+        status, _ = self.play_hedge({"a": RUNS, "b": RUNS}, scenario)
+        self.assertEqual(status, 502)
+
+    def test_two_refused_attempts_are_reported_as_not_run(self):
+        async def scenario():
+            await self.hedge()
+            for instance in self.homes.attempts:
+                self.homes.end(instance, FULL)
+
+        status, _ = self.play_hedge({"a": RUNS, "b": RUNS}, scenario)
+        self.assertEqual(status, 503)
+
+    def test_an_answer_not_run_is_no_promise_for_a_lost_attempt(self):
+        # An upstream's own 503 is true of the retry only.
+        async def scenario():
+            await self.hedge()
+            first, second = self.homes.attempts
+            self.homes.end(first, LOST)
+            self.homes.end(second, Answer(503, (), b""))
+
+        status, _ = self.play_hedge({"a": RUNS, "b": RUNS}, scenario)
+        self.assertEqual(status, 502)
+
+
+class UnsentCallsTests(EntryTestCase):
+    """Calls that certainly have not run at their deadline, in every deployment."""
+
+    def test_a_call_whose_link_was_never_established_has_not_run(self):
+        def prepare():
+            self.use_real_homes()
+            self.entry.peers.dialer = HangingDialer()
+
+        answer, left = self.play(
+            {"a": WAITS}, "order", large_bodies=False, left=200, prepare=prepare
+        )
+        self.assertEqual((answer.status, left), (503, 0))
+        # Sent later, it would run although it was reported as not run.
+        self.assertEqual(self.entry.peers.link("10.0.0.0").pending, {})
+
+    def test_a_call_that_waits_at_this_nodes_own_home_has_not_run(self):
+        def prepare():
+            self.use_real_homes()
+            self.entry.peers.identity.host = "10.0.0.0"
+            home = self.entry.attempts.home
+            home.upstream = self.upstream = BlockingUpstream()
+            home.set_slots(1)
+
+        async def scenario():
+            self.second = asyncio.ensure_future(self.entry.handle(request("order")))
+            await self.settle()
+
+        first, _ = self.play(
+            {"a": WAITS}, "order", scenario, large_bodies=False, prepare=prepare
+        )
+        self.assertEqual((first.status, self.second.result().status), (504, 503))
+        self.assertEqual(len(self.upstream.ran), 1)
