Ask homes for a slot before a call waits

Cause: while large bodies occupy links, an entry's load reports are too old to place calls by, so calls wait behind others although a home nearby has a free slot. Change: while the configuration has a route with large bodies, calls to services of more than three upstreams are sent with a bound on their wait (0; for nested calls a quarter of the time until the objective). After three busy homes (two for a nested call) the call waits at the best of them; if it would be late there, one home in each other zone is asked first where that is worth the traffic. A busy home counts neither as an attempt nor for Retry-After and stays eligible. Hedges go with a bound of 0. entry.py: one branch in `serve` for busy outcomes, and the wait told in `attempt-failed`.

--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -4,12 +4,14 @@
 
 from collections import Counter
 from functools import partial
+from math import inf, isfinite
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.idempotency.rendezvous import rank
 from sequoiaspoke.core.mesh.admission import RefusalReason, queue_rank
+from sequoiaspoke.core.mesh.asking import FEW_UPSTREAMS, Asking, Choices, SlotRequests
 from sequoiaspoke.core.mesh.balancer import Balancer
-from sequoiaspoke.core.mesh.outcome import Answer, Unknown
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
 from sequoiaspoke.core.mesh.retrybudget import RetryBudgets
 from sequoiaspoke.core.mesh.sample import Sampler
 from sequoiaspoke.sidecar import clock
@@ -37,7 +39,7 @@
     Attributes
     ----------
     reasons : Counter of str
-        Failed attempts, hedges, refusals and failures so far, by reason.
+        Failed attempts, hedges, refusals, failures and slot requests so far, by reason.
     regions : dict of str to str
         Region of each availability zone.
     """
@@ -61,6 +63,7 @@
         self.deadlines = Deadlines()
         self.balancer = Balancer(peers.identity.zone)
         self.sampler = Sampler(peers.rng)
+        self.asking = Asking(self.balancer, self.sampler)
         self.budgets = RetryBudgets(retry_limits)
         self.reasons: Counter[str] = Counter()
         self.local_calls = 0
@@ -73,8 +76,44 @@
 
     def choose(self, progress: Progress) -> Endpoint | None:
         """Return the endpoint for the next attempt, None if there is none."""
+        progress.max_wait = inf
         if self.suspected(progress):
             return self.suspect_endpoint(progress)
+        return self.slot_request(progress) or self.choose_by_reports(progress)
+
+    def slot_request(self, progress: Progress) -> Endpoint | None:
+        """Return the home to ask for a slot, or to wait at after busy ones, if any."""
+        if progress.requests is None and self.asks(progress.service):
+            request = progress.request
+            progress.requests = SlotRequests(
+                progress.route, request.nested, len(request.body), progress.on_time
+            )
+        requests = progress.requests
+        if requests is None:
+            return None
+        now, directory = clock.now(), self.state.directory
+        choices = Choices(
+            directory.group(progress.service),
+            lambda endpoint: self.eligible(progress, endpoint),
+            lambda instance: directory.is_cold(instance, now),
+        )
+        placement = self.asking.place(requests, choices, now)
+        if placement is None:
+            return None
+        progress.max_wait = placement.max_wait
+        if not isfinite(placement.max_wait):
+            self.reasons["waited"] += 1
+        return placement.endpoint
+
+    def asks(self, service: str) -> bool:
+        """Return whether calls of a service request a slot before they wait for it."""
+        table = self.state.table
+        if table is None or not table.has_large_bodies:
+            return False
+        return len(self.state.directory.group(service).endpoints) > FEW_UPSTREAMS
+
+    def choose_by_reports(self, progress: Progress) -> Endpoint | None:
+        """Return the endpoint of a sample that is best by its load reports."""
         now = clock.now()
         directory = self.state.directory
         return self.balancer.choose(
@@ -150,7 +189,7 @@
             # The deadline passed between two attempts.
             raise TimeoutError
         race = progress.race = Race()
-        self.start(progress, endpoint, race)
+        self.start(progress, endpoint, race, progress.max_wait)
         hedge_timer = None
         if self.may_hedge(progress) and not race.result.done():
             now = clock.now()
@@ -177,12 +216,21 @@
         """Return the seconds for which a call's request stays in quarantine."""
         return self.home.crash_guard.held_seconds(progress.service, progress.request)
 
-    def start(self, progress: Progress, endpoint: Endpoint, race: Race) -> None:
+    def start(
+        self, progress: Progress, endpoint: Endpoint, race: Race, max_wait: float
+    ) -> None:
         """Start an attempt at an endpoint."""
         attempt = Attempt(
-            progress, endpoint, race, self.attempt_ended, self.attempt_cancelled
+            progress,
+            endpoint,
+            race,
+            max_wait,
+            self.attempt_ended,
+            self.attempt_cancelled,
         )
         race.attempts.append(attempt)
+        if isfinite(max_wait):
+            self.reasons["asked"] += 1
         self.balancer.begin(endpoint.incarnation)
         self.send_to_home(attempt)
 
@@ -194,7 +242,7 @@
         if self.suspected(progress):
             return
         progress.tried.add(first.endpoint.incarnation)
-        second = self.choose(progress)
+        second = self.choose_by_reports(progress)
         if second is None or not self.take_retry(progress.service):
             return
         progress.reached += 1
@@ -208,7 +256,7 @@
             second=second.instance,
             left=f"{progress.deadline - clock.now():.3f}",
         )
-        self.start(progress, second, race)
+        self.start(progress, second, race, inf if progress.requests is None else 0.0)
 
     def send_to_home(self, attempt: Attempt) -> None:
         """Submit the call to the home of the attempt's endpoint."""
@@ -221,6 +269,7 @@
             progress.route.idempotent,
             progress.on_time,
             progress.deadline,
+            attempt.max_wait,
         )
         if endpoint.host == self.peers.identity.host:
             self.run_locally(attempt, call)
@@ -252,8 +301,30 @@
         self.balancer.end(incarnation)
         self.balancer.record_load(incarnation, attempt.progress.route.name, report, now)
         self.record_outcome(attempt.progress, incarnation, outcome, now)
+        self.record_request(attempt, outcome, report, now)
         self.note_departure(incarnation, outcome)
 
+    def record_request(
+        self, attempt: Attempt, outcome: Outcome, report: LoadReport, now: float
+    ) -> None:
+        """Record the result of a slot request, or that a waiting call was passed on."""
+        progress, endpoint = attempt.progress, attempt.endpoint
+        requests, busy = progress.requests, is_busy(progress, outcome)
+        if requests is None or not (busy or isfinite(attempt.max_wait)):
+            return
+        self.reasons[RefusalReason.BUSY] += busy
+        if not isfinite(attempt.max_wait):
+            progress.tried.add(endpoint.incarnation)
+            requests.ask_again()
+            return
+        if busy:
+            requests.record_busy(endpoint, report.wait)
+        elif isinstance(outcome, NotRun) and not outcome.from_upstream:
+            return
+        else:
+            self.reasons["granted"] += 1
+        self.asking.room(progress.service).record(endpoint.zone, busy, now)
+
     def note_departure(self, incarnation: Incarnation, outcome: Outcome) -> None:
         """Choose an upstream no more that says, or whose home says, that it leaves."""
         if isinstance(outcome, Answer):
@@ -287,3 +358,15 @@
                 )
         elif isinstance(outcome, Unknown) or outcome.from_upstream:
             self.balancer.record_failure(incarnation, now)
+
+
+def is_busy(progress: Progress, outcome: Outcome) -> bool:
+    """Return whether a home that was asked refused a call for want of a free slot.
+
+    That is no failure: it is no attempt, and the call may still wait at this home.
+    """
+    return (
+        progress.requests is not None
+        and isinstance(outcome, NotRun)
+        and outcome.reason == RefusalReason.BUSY
+    )
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -18,7 +18,7 @@
 from sequoiaspoke.core.mesh.outcome import TIMED_OUT, Answer, NotRun, Unknown
 from sequoiaspoke.core.routing.split import Splitter
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.attempts import Attempts
+from sequoiaspoke.sidecar.attempts import Attempts, is_busy
 from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.httptext import end_to_end, local_answer
 from sequoiaspoke.sidecar.race import RETRYABLE_STATUSES, Progress
@@ -216,6 +216,8 @@
                     progress, self.attempts.no_endpoint_reason(progress)
                 )
             endpoint, outcome = await self.attempts.call(progress, endpoint)
+            if is_busy(progress, outcome):
+                continue
             progress.last_outcome = outcome
             if not self.should_retry(progress, endpoint, outcome):
                 return self.final_answer(progress, "gave-up")
@@ -254,6 +256,7 @@
                 left=f"{progress.deadline - clock.now():.3f}",
                 version=self.state.version,
                 age=f"{self.peers.age():.2f}",
+                **progress.told_wait(),
             )
         return retry
 
--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from math import inf
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.outcome import Answer
@@ -11,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sequoiaspoke.core.mesh.asking import SlotRequests
     from sequoiaspoke.core.mesh.balancer import LoadReport
     from sequoiaspoke.core.mesh.model import Endpoint, Incarnation, Route
     from sequoiaspoke.core.mesh.outcome import Outcome, Request
@@ -39,6 +41,10 @@
         Shortest Retry-After of the homes that refused the call, in seconds.
     expired : bool
         Whether the deadline has passed.
+    requests : SlotRequests or None
+        The slot requests of the call; None if it makes none.
+    max_wait : float
+        Seconds that the next attempt may wait for a slot.
     """
 
     request: Request
@@ -54,6 +60,14 @@
     last_outcome: Outcome | None = None
     race: Race | None = None
     expired: bool = False
+    requests: SlotRequests | None = None
+    max_wait: float = inf
+
+    def told_wait(self) -> dict[str, str]:
+        """Return the wait told by the home at which the call waits, for the log."""
+        if self.requests is None or self.requests.told_wait is None:
+            return {}
+        return {"wait": f"{self.requests.told_wait:.3f}"}
 
     def expire(self) -> None:
         """Mark the deadline as passed and end the wait for an outcome."""
@@ -67,6 +81,8 @@
 
     Attributes
     ----------
+    max_wait : float
+        Seconds that the call may wait for a slot; finite in a slot request.
     cancel_at_home : callable
         Cancels the call at its home.
     on_end, on_cancel : callable
@@ -78,6 +94,7 @@
         progress: Progress,
         endpoint: Endpoint,
         race: Race,
+        max_wait: float,
         on_end: Callable[[Attempt, Outcome, LoadReport], None],
         on_cancel: Callable[[Attempt], None],
     ) -> None:
@@ -86,6 +103,7 @@
         self.progress = progress
         self.endpoint = endpoint
         self.race = race
+        self.max_wait = max_wait
         self.finished = False
         self.cancel_at_home: Callable[[], None] | None = None
 
--- /dev/null
+++ b/sequoiaspoke/tests/test_sidecar_asking.py
@@ -0,0 +1,102 @@
+"""Tests of the entry's slot requests, with homes that the test scripts."""
+
+import asyncio
+from math import inf
+
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.admission import RefusalReason
+from sequoiaspoke.core.mesh.balancer import LoadReport
+from sequoiaspoke.core.mesh.outcome import NotRun
+from sequoiaspoke.tests.test_sidecar_entry import (
+    SERVED,
+    WAIT,
+    ScriptedAttempts,
+    make_entry,
+    request,
+)
+
+DEAD = NotRun("home-unreachable")
+OVERLOADED = NotRun(RefusalReason.OVERLOADED, 0.7)
+
+
+class ScriptedHomes(ScriptedAttempts):
+    """Homes with a wait, by instance, that refuse calls which accept less as busy.
+
+    The outcome of a home whose script has no wait is the same for all calls.
+    """
+
+    then = SERVED
+
+    def send_to_home(self, attempt):
+        instance, loop = attempt.endpoint.instance, asyncio.get_running_loop()
+        self.sent += ((instance, attempt.max_wait),)
+        outcome, wait = self.script[instance], 0.0
+        if isinstance(outcome, float):
+            outcome, wait = self.then, outcome
+            if wait > attempt.max_wait:
+                outcome = NotRun(RefusalReason.BUSY, max(wait, 0.05))
+        loop.call_soon(attempt.finish, outcome, LoadReport(1.0, 0.1, wait))
+
+
+class SlotRequestTests(TestCase):
+    def play(self, script, name="order", large_bodies=True, then=SERVED):
+        """Return the answer to a call, with the waits of homes in the script."""
+
+        async def run():
+            entry = self.entry = make_entry(script)
+            entry.attempts.__class__ = ScriptedHomes
+            entry.attempts.then = then
+            entry.state.table.has_large_bodies = large_bodies
+            entry.log.call = lambda kind, request, **pairs: self.log.append(
+                (kind, pairs)
+            )
+            async with asyncio.timeout(WAIT):
+                return await entry.handle(request(name))
+
+        self.log = []
+        return asyncio.run(run())
+
+    def counts(self):
+        reasons = self.entry.attempts.reasons
+        return tuple(reasons[each] for each in ("asked", "granted", "busy", "waited"))
+
+    def test_a_busy_home_is_no_failed_attempt(self):
+        # Guards against calls that are refused after some busy homes.
+        answer = self.play({name: 0.1 for name in "abcdefgh"})
+        self.assertEqual(answer.status, 200)
+        sent = self.entry.attempts.sent
+        self.assertEqual([wait for _, wait in sent], [0.0, 0.0, 0.0, inf])
+        self.assertIn(sent[-1][0], [name for name, _ in sent[:3]])
+        self.assertEqual(self.counts(), (3, 0, 3, 1))
+        self.assertEqual(self.log, [])
+
+    def test_a_free_home_costs_one_message(self):
+        # Guards against extra messages while a service is quiet.
+        self.play({name: 0.0 for name in "abcde"})
+        self.assertEqual(len(self.entry.attempts.sent), 1)
+        self.assertEqual(self.counts(), (1, 1, 0, 0))
+
+    def test_busy_homes_do_not_enter_retry_after(self):
+        # Guards against callers that are told the wait of a home that had not queued
+        # the call; the refusal where the call waited counts.
+        answer = self.play({name: 0.1 for name in "abcde"}, then=OVERLOADED)
+        self.assertIn(("Retry-After", "0.700"), answer.headers)
+        kind, pairs = self.log[0]
+        self.assertEqual((kind, pairs["wait"]), ("attempt-failed", "0.100"))
+
+    def test_dead_homes_are_passed_over(self):
+        # Guards against a slot request to a dead home that ends the call.
+        self.assertEqual(
+            self.play({"a": DEAD, "b": DEAD, "c": DEAD, "d": 0.1, "e": 0.2}).status, 200
+        )
+
+    def test_nothing_is_asked_without_large_bodies(self):
+        # Guards against changes for deployments without large bodies.
+        self.play({name: 0.1 for name in "abcde"}, large_bodies=False)
+        self.assertEqual([wait for _, wait in self.entry.attempts.sent], [inf])
+
+    def test_nothing_is_asked_of_a_service_of_three_upstreams(self):
+        # Guards against round trips where load reports are recent anyway.
+        self.play({name: 0.1 for name in "abc"})
+        self.assertEqual([wait for _, wait in self.entry.attempts.sent], [inf])
