Refuse calls whose nested calls are failing

Change: NestedRoom keeps the outcomes of the upstream's own nested calls of the last second, which the entry of the same node records. While more than half of at least five to a service failed, new calls of the kinds that call this service are refused as nested-short; one in ten is admitted. A nested call is attributed to a kind of call (route, nested or not) only if nothing else runs there, so that a kind without nested calls is not refused for those of others. Nested calls are never refused so.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -16,6 +16,7 @@
 where calls that never ran ended as timeouts:
 
 - A nested call is never refused for being late, only if it cannot end by its deadline.
+- A call is refused if the nested calls that it would make are failing (`shortage`).
 - A queued call whose time runs out is refused early enough for its entry to answer.
 - Calls that would be late as the upstream has become slow are passed on (`passing`).
 """
@@ -30,6 +31,7 @@
 from sequoiaspoke.core.mesh.durations import Durations
 from sequoiaspoke.core.mesh.passing import MIN_DURATIONS_LEFT, PassedCalls
 from sequoiaspoke.core.mesh.ratelimit import RateLimit
+from sequoiaspoke.core.mesh.shortage import WINDOW_SECONDS, NestedRoom
 from sequoiaspoke.core.mesh.slots import Load, Slots
 
 # Maximum number of queued calls per slot. In a longer queue even the shortest calls
@@ -115,6 +117,11 @@
         """Return whether an upstream makes the call while it runs another."""
         return self.rank % RANK_STEP != 0
 
+    @property
+    def kind(self) -> tuple[str, bool]:
+        """Return what calls have in common that make the same nested calls."""
+        return (self.route, self.nested)
+
 
 @dataclass(frozen=True)
 class Refused:
@@ -151,6 +158,7 @@
         self.rate_limit = RateLimit()
         self.queue: dict[object, Arrival] = {}
         self.durations = Durations()
+        self.nested_room = NestedRoom()
         self.passed_calls = PassedCalls()
 
     @property
@@ -231,6 +239,8 @@
         if late and not self.may_be_late(arrival):
             reason = RefusalReason.RATE_LIMITED if limited else RefusalReason.OVERLOADED
             return Refused(arrival, reason, max(wait, MIN_RETRY_AFTER))
+        if self.is_nested_short(arrival, now):
+            return Refused(arrival, RefusalReason.NESTED_SHORT, WINDOW_SECONDS)
         refused = self.make_room(arrival, wait, now)
         if refused is None or refused.arrival is not arrival:
             self.queue[arrival.ticket] = arrival
@@ -258,6 +268,14 @@
             del self.queue[last.ticket]
         return Refused(last, RefusalReason.QUEUE_FULL, max(wait, MIN_RETRY_AFTER))
 
+    def is_nested_short(self, arrival: Arrival, now: float) -> bool:
+        """Return whether a call would only occupy a slot for failing nested calls."""
+        return (
+            self.load_shedding
+            and not arrival.nested
+            and self.nested_room.refuses(arrival.kind, now)
+        )
+
     def min_duration(self, arrival: Arrival, now: float) -> float:
         """Return the minimum duration of a call in seconds."""
         return MIN_TIME_LEFT * self.durations.expected(arrival.route, now)
@@ -324,6 +342,7 @@
         arrival = min(ready, key=lambda each: self.sort_key(each, now))
         del self.queue[arrival.ticket]
         self.durations.begin(arrival.ticket, arrival.route, now)
+        self.nested_room.begin(arrival.ticket, arrival.kind)
         self.cold_start.begin(arrival.ticket)
         self.rate_limit.take(now)
         return arrival, refused
@@ -377,12 +396,14 @@
         """Free the slot of a call; record its duration if it was answered."""
         self.cold_start.end(ticket)
         self.durations.end(ticket, answered, now)
+        self.nested_room.end(ticket, answered, now)
 
     def abandon(self, ticket: object, now: float) -> None:
         """Record a cancelled running call; its slot may still be occupied."""
         self.upstream_slots.abandon(now)
         self.cold_start.end(ticket)
         self.durations.end(ticket, False, now)
+        self.nested_room.end(ticket, False, now)
 
     def restarted(self) -> None:
         """Reset the state after a restart of the upstream."""
@@ -390,3 +411,4 @@
         self.upstream_slots.restarted()
         self.cold_start.restarted()
         self.rate_limit.forget()
+        self.nested_room.restarted()
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -47,6 +47,8 @@
 # Attempts of one call that may fail without reaching an upstream. Each costs only a
 # round trip, but if all nodes refuse, the caller should know soon.
 MAX_UNREACHED_ATTEMPTS = 6
+# Statuses of nested calls that were refused or timed out, as their service lacks room.
+SHORTAGE_STATUSES = frozenset({503, 504})
 
 
 class Entry:
@@ -132,6 +134,9 @@
         except asyncio.CancelledError:
             self.counts[service, "caller-left"] += 1
             raise
+        if request.nested:
+            failed = answer.status in SHORTAGE_STATUSES
+            self.attempts.home.nested_room.record(service, failed, clock.now())
         self.counts[service, str(answer.status)] += 1
         self.latency.record_value(max(1, int((clock.now() - arrived) * 1000)))
         return answer
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -76,6 +76,7 @@
         self.directory = directory
         self.log = log
         self.admission = Admission(INITIAL_SLOTS)
+        self.nested_room = self.admission.nested_room
         self.ledger = Ledger()
         self.calls: dict[Hashable, ActiveCall] = {}
         self.leaving = False
