--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -76,6 +76,7 @@
         self.directory = directory
         self.log = log
         self.admission = Admission(INITIAL_SLOTS)
+        self.nested_room = self.admission.nested_room
         self.ledger = Ledger()
         self.calls: dict[Hashable, ActiveCall] = {}
         self.leaving = False
@@ -313,7 +314,9 @@
         """Apply the pace that the upstream reports, if any."""
         self.counts["pace-dropped"] += report.invalid_pace
         if report.load is not None and report.load.pace is not None:
-            self.admission.record_pace(report.load.pace, clock.now())
+            for refused in self.admission.record_pace(report.load.pace, clock.now()):
+                self.counts["passed-on"] += 1
+                self.refuse(refused)
 
     def free_slot(self, key: Hashable, answered: bool) -> None:
         """Release a call's slot and start the next call."""
@@ -367,6 +370,7 @@
             waiting=self.admission.waiting,
             slots=self.admission.slots,
             left=f"{refused.arrival.deadline - clock.now():.3f}",
+            pace=f"{self.admission.durations.pace.current(clock.now()):.2f}",
         )
 
     def load_report(self, route: str = "", rank: int = 0) -> LoadReport:
