Grant credit for announced bodies at their home

Cause: a body was sent with the first frame of its call, so bodies of all entries filled a home's link and nested calls missed their deadlines behind them.

Admission knows the calls whose bodies are incomplete, and counts the time of the link in its wait.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -22,6 +22,7 @@
 from sequoiaspoke.core.mesh.durations import Durations
 from sequoiaspoke.core.mesh.ratelimit import RateLimit
 from sequoiaspoke.core.mesh.slots import Load, Slots
+from sequoiaspoke.core.mesh.transfers import IncomingTransfers
 
 # Maximum number of queued calls per slot. In a longer queue even the shortest calls
 # would miss every objective.
@@ -67,6 +68,7 @@
     BUSY = "busy"
     WITHDRAWN = "withdrawn"
     NESTED_SHORT = "nested-short"
+    BODY_EXPIRED = "body-expired"
 
 
 @dataclass(frozen=True)
@@ -123,10 +125,16 @@
     suspects : set of object
         Tickets of queued or running calls whose request may have crashed an upstream.
         They run one at a time, so that another crash identifies the request.
+    incomplete : set of object
+        Tickets of queued calls whose bodies are not complete; they cannot start yet.
+    transfers : IncomingTransfers
+        These bodies, which the network link has still to receive.
     """
 
     def __init__(self, slots: int) -> None:
         self.suspects: set[object] = set()
+        self.incomplete: set[object] = set()
+        self.transfers = IncomingTransfers()
         self.upstream_slots = Slots(slots)
         self.cold_start = ColdStart()
         self.rate_limit = RateLimit()
@@ -174,8 +182,10 @@
         if self.would_be_reset(arrival, now):
             return self.refuse_full(arrival)
         wait = max(self.queue_wait(arrival, now), self.suspect_wait(arrival, now))
+        wait = max(wait, self.transfers.wait_ahead(arrival.ticket))
         if wait > arrival.max_wait:
             return Refused(arrival, RefusalReason.BUSY, max(wait, MIN_RETRY_AFTER))
+        wait = max(wait, self.transfers.wait(arrival.ticket))
         ahead = sum(each.rank <= arrival.rank for each in self.queue.values())
         limited = self.rate_limit.wait(ahead, now) > 0
         if now + wait + self.min_duration(arrival, now) > arrival.deadline:
@@ -226,7 +236,7 @@
 
         With all slots busy, one is free after the mean duration divided by the slots.
         """
-        if self.free_slots(now) and not self.queue:
+        if self.free_slots(now) and self.queue.keys() <= self.incomplete:
             return 0.0
         work = self.durations.mean_running(now)
         ahead = 0
@@ -263,6 +273,8 @@
 
     def may_run_now(self, arrival: Arrival) -> bool:
         """Return whether a call may run; only one suspect runs at a time."""
+        if arrival.ticket in self.incomplete:
+            return False
         if arrival.ticket not in self.suspects:
             return True
         return self.suspects.isdisjoint(self.durations.running)
