Send the bodies of uploads in parts, as their home requests them

Cause: as above; a refused call also sent its body again to each next home.

Change: between nodes with the feature, a body of more than 8 KB of a route with large bodies follows its call in parts of 8 KB for which the home gave credit. A transfer continues on a new link at the offset that the home has. A call whose body was not sent whole is reported as not run when its home restarts, cannot be reached or leaves. Quarantine is checked again when the body is known, as it is part of the fingerprint.

--- a/sequoiaspoke/measure/costplayed.py
+++ b/sequoiaspoke/measure/costplayed.py
@@ -14,6 +14,7 @@
 
     from sequoiaspoke.core.mesh.outcome import Outcome
     from sequoiaspoke.sidecar.homecall import HomeCall
+    from sequoiaspoke.sidecar.transfers import AnnouncedBody, BodySource
 
 # Bytes of an answer's body; most of the users' answers have some hundred to a few
 # thousand.
@@ -34,10 +35,14 @@
         key: Hashable,  # noqa: ARG002
         call: HomeCall,  # noqa: ARG002
         tell: Callable[[Outcome], None],
+        body: AnnouncedBody | None = None,  # noqa: ARG002
     ) -> None:
         """Answer a call."""
         tell(self.answer)
 
+    def link_lost(self, source: BodySource) -> None:
+        """Do nothing: no body is requested."""
+
     def cancel(self, key: Hashable) -> None:
         """Do nothing: every call has its answer."""
 
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -82,6 +82,7 @@
             store.new_headers.on_new = self.log_store_header
         self.home = Home(self.upstream, self.state.directory, self.log)
         self.home.expect_earlier_calls()
+        self.home.admission.transfers.set_link_mbps(settings.link_mbps)
         identity = LinkIdentity(settings.links[0], settings.zone, self.incarnation)
         self.duty = ReadingDuty(
             settings.links[0],
@@ -308,6 +309,7 @@
             return
         self.log.event("reload", changed=settings != self.settings)
         self.settings = settings
+        self.home.admission.transfers.set_link_mbps(settings.link_mbps)
         self.entry.service = settings.service
         self.entry.attempts.regions = settings.regions
         self.entry.attempts.budgets.limits = settings.repeats
--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -221,6 +221,7 @@
             progress.route.idempotent,
             progress.on_time,
             progress.deadline,
+            large_body=progress.route.large_bodies,
         )
         if endpoint.host == self.peers.identity.host:
             self.run_locally(attempt, call)
--- a/sequoiaspoke/sidecar/frames.py
+++ b/sequoiaspoke/sidecar/frames.py
@@ -81,6 +81,10 @@
         """Send a frame that is sent to other nodes as well."""
         self.send(shared.frame)
 
+    def unsent_bytes(self) -> int:
+        """Return how many bytes are buffered for the peer; none by default."""
+        return 0
+
     @abstractmethod
     async def read(self, on_frame: Callable[[wire.Frame], None]) -> str:
         """Pass on frames until the link ends; return why it ended."""
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import Counter
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,7 @@
 from sequoiaspoke.sidecar.healthmonitor import HealthMonitor
 from sequoiaspoke.sidecar.homecall import ActiveCall
 from sequoiaspoke.sidecar.outagelog import OutageLog
+from sequoiaspoke.sidecar.transfers import BodyReceiver, IncomingBodies
 from sequoiaspoke.sidecar.upstream import UNREACHABLE
 
 if TYPE_CHECKING:
@@ -39,6 +41,7 @@
     from sequoiaspoke.core.mesh.slots import Load
     from sequoiaspoke.sidecar.homecall import HomeCall
     from sequoiaspoke.sidecar.logs import EventLog
+    from sequoiaspoke.sidecar.transfers import AnnouncedBody, BodySource
     from sequoiaspoke.sidecar.upstream import Upstream
     from sequoiaspoke.sidecar.upstreamreport import UpstreamReport
 
@@ -51,7 +54,7 @@
 EVACUATED_RETRY_AFTER = 0.3
 
 
-class Home:
+class Home(BodyReceiver):
     """Admits calls to the upstream, runs them and records their outcomes.
 
     Attributes
@@ -96,21 +99,34 @@
         self.outage_log = OutageLog(log)
         self.leaving_upstreams = LeavingUpstreams(directory.is_leaving)
         self.counts: Counter[str] = Counter()
+        self.bodies = IncomingBodies(self.admission, self.counts, self)
 
     def submit(
-        self, key: Hashable, call: HomeCall, on_outcome: Callable[[Outcome], None]
+        self,
+        key: Hashable,
+        call: HomeCall,
+        on_outcome: Callable[[Outcome], None],
+        body: AnnouncedBody | None = None,
     ) -> None:
         """Accept a call and report its outcome once.
 
         A key that is known already is not run again: its stored outcome is reported, or
         `on_outcome` replaces the callback of the running call.
+
+        Parameters
+        ----------
+        body : AnnouncedBody or None
+            The body if it follows in parts; None if the call has it.
         """
+        now = clock.now()
         known = self.ledger.find(key)
         if known is not None:
             self.counts["asked-again"] += 1
             running = self.calls.get(key)
             if running is not None:
                 running.on_outcome = on_outcome
+                if body is not None:
+                    self.bodies.resume(key, body, now)
             else:
                 on_outcome(known.outcome or Unknown("answer-forgotten"))
             return
@@ -118,7 +134,6 @@
         if refusal is not None:
             on_outcome(refusal)
             return
-        now = clock.now()
         arrival = Arrival(
             key,
             call.route,
@@ -130,9 +145,12 @@
         )
         if self.suspected(call):
             self.admission.suspects.add(key)
+        if body is not None:
+            self.bodies.announce(key, call.route, call.rank, body)
         refused = self.admission.arrive(arrival, now)
         if refused is not None and refused.arrival is arrival:
             self.admission.suspects.discard(key)
+            self.bodies.drop(key)
             self.record_refusal(refused, call)
             on_outcome(NotRun(refused.reason, refused.retry_after))
             return
@@ -142,6 +160,32 @@
             self.refuse(refused)
         self.dispatch()
 
+    def body_complete(self, key: Hashable, body: bytes) -> None:
+        """Let a queued call start, as its body has arrived.
+
+        Whether its request is in quarantine or suspected shows only now.
+        """
+        running = self.calls[key]
+        call = running.call
+        call = replace(call, request=replace(call.request, body=body))
+        running.call = call
+        seconds = self.held_seconds(call)
+        if seconds:
+            arrival = self.admission.queue[key]
+            self.refuse_queued(Refused(arrival, RefusalReason.HELD_BACK, seconds))
+        elif self.suspected(call):
+            self.admission.suspects.add(key)
+        self.dispatch()
+
+    def refuse_queued(self, refused: Refused) -> None:
+        """Take a call out of the queue and refuse it."""
+        self.admission.cancel(refused.arrival.ticket)
+        self.refuse(refused)
+
+    def link_lost(self, source: BodySource) -> None:
+        """Allow for bodies whose link to their entry has ended."""
+        self.bodies.link_lost(source, clock.now())
+
     def expect_earlier_calls(self) -> None:
         """Allow for calls that a previous process of this node sent to the upstream.
 
@@ -203,10 +247,11 @@
             for refused in late:
                 self.refuse(refused)
             if arrival is None:
-                return
+                break
             running = self.calls[arrival.ticket]
             running.task = asyncio.ensure_future(self.run(arrival.ticket, running))
             running.task.add_done_callback(partial(self.task_ended, arrival.ticket))
+        self.bodies.request(clock.now())
 
     async def run(self, key: Hashable, running: ActiveCall) -> None:
         """Run a call at the upstream."""
@@ -322,6 +367,7 @@
         """Store a call's outcome and report it."""
         running = self.calls.pop(key)
         self.admission.suspects.discard(key)
+        self.bodies.drop(key)
         size = len(outcome.body) if isinstance(outcome, Answer) else 0
         self.ledger.finish(key, outcome, size, clock.now())
         self.counts[type(outcome).__name__] += 1
@@ -376,7 +422,10 @@
         return LoadReport(
             durations.slowdown(now),
             durations.expected(route, now),
-            self.admission.wait_for_rank(rank, now),
+            max(
+                self.admission.wait_for_rank(rank, now),
+                self.admission.transfers.route_wait(route, rank),
+            ),
         )
 
     def cancel(self, key: Hashable) -> None:
@@ -391,6 +440,7 @@
         if self.admission.cancel(key):
             running.cancelled = True
             self.finish(key, NotRun("cancelled"))
+            self.bodies.request(clock.now())
         elif running.call.idempotent and running.task is not None:
             running.cancelled = True
             running.task.cancel()
@@ -401,6 +451,7 @@
         if running is not None and self.admission.cancel(key):
             self.counts[RefusalReason.WITHDRAWN] += 1
             self.finish(key, NotRun(RefusalReason.WITHDRAWN))
+            self.bodies.request(clock.now())
 
     def tick(self, now: float) -> None:
         """Expire old outcomes and connections, and refuse overdue calls."""
@@ -413,6 +464,7 @@
         for refused in self.admission.drop_overdue(now):
             self.refuse(refused)
         self.refuse_calls_to_leaving(now)
+        self.bodies.tick(now)
         self.dispatch()
 
     def refuse_calls_to_leaving(self, now: float) -> None:
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -15,10 +15,18 @@
 from sequoiaspoke.core.mesh.admission import RefusalReason
 from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.outcome import NotRun, Unknown
+from sequoiaspoke.core.mesh.transfers import PART_BYTES
 from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.linkfeatures import SUPPORTED, LinkFeatures
 from sequoiaspoke.sidecar.liveness import LivenessWait
 from sequoiaspoke.sidecar.pending import PendingCall
-from sequoiaspoke.sidecar.wirecalls import pack_call, unpack_load_report, unpack_outcome
+from sequoiaspoke.sidecar.transfers import OutgoingBody, PartSender
+from sequoiaspoke.sidecar.wirecalls import (
+    pack_call,
+    unpack_fetch,
+    unpack_load_report,
+    unpack_outcome,
+)
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 if TYPE_CHECKING:
@@ -65,6 +73,10 @@
         Whether the home could not be reached, or went silent, last time.
     leaving : bool
         Whether the home has announced that it takes no new calls.
+    features : LinkFeatures
+        Features of the home, as of the last handshake.
+    fetched : dict of int to PendingCall
+        Calls whose bodies the home has requested further than they were sent.
     """
 
     def __init__(
@@ -97,6 +109,9 @@
         self.clock_offset = 0.0
         self.round_trip = float("inf")
         self.probe = LivenessWait(self.probe_failed)
+        self.features = LinkFeatures(0)
+        self.fetched: dict[int, PendingCall] = {}
+        self.part_sender = PartSender(self.send_next_part, self.unsent_bytes)
         self.outbox: deque[wire.Frame] = deque(maxlen=OUTBOX_FRAMES)
         self.pending_since = 0.0
         self.run_task: asyncio.Task[None] | None = None
@@ -135,6 +150,10 @@
     def cancel(self, pending: PendingCall) -> None:
         """Drop a call, and tell the home that its outcome is no longer wanted."""
         pending.done = True
+        self.send_cancel(pending)
+
+    def send_cancel(self, pending: PendingCall) -> None:
+        """Remove a pending call, and have the home cancel it if it was sent."""
         if self.pending.pop(pending.number, None) is None:
             return
         if self.stream is not None and pending.home_incarnation is not None:
@@ -143,15 +162,15 @@
     def withdraw(self, pending: PendingCall) -> None:
         """Take a call back; its outcome tells whether it has run.
 
-        A call that was not sent yet has not run. For one that was sent, the home tells
-        whether it has started.
+        One that was not sent yet, or not with its whole body, has not run. For any
+        other, the home tells whether it has started.
         """
         if pending.done:
             return
-        if pending.home_incarnation is None:
-            self.pending.pop(pending.number, None)
+        if pending.not_run:
+            self.send_cancel(pending)
             pending.resolve(NotRun(RefusalReason.WITHDRAWN))
-        else:
+        elif self.features & LinkFeatures.PARTS:
             self.send(wire.Frame(withdraw=wire.Withdraw(pending.number)))
 
     def stale(self) -> bool:
@@ -178,9 +197,42 @@
             # It has just failed, for example because it was sent to an earlier
             # incarnation of the home: sent again it would run twice.
             return
+        call = pending.call
+        parts = call.large_body and bool(self.features & LinkFeatures.PARTS)
+        if parts and len(call.request.body) > PART_BYTES:
+            pending.body = pending.body or OutgoingBody(call.request.body)
+            pending.body.announced()
         pending.home_incarnation = self.incarnation
         assert self.stream is not None
-        self.stream.send(pack_call(pending.call, pending.number, self.clock_offset))
+        in_parts = pending.body is not None
+        self.stream.send(pack_call(call, pending.number, self.clock_offset, in_parts))
+
+    # Bodies.
+
+    def handle_fetch(self, message: wire.Fetch) -> None:
+        """Send what the home has requested of a body; raise MessageError."""
+        number, offset, upto = unpack_fetch(message)
+        pending = self.pending.get(number)
+        if pending is not None and pending.body is not None:
+            pending.body.request(offset, upto)
+            self.fetched[number] = pending
+            self.part_sender.start()
+
+    def send_next_part(self) -> bool:
+        """Send the next part of the first requested body; return False without one."""
+        while self.fetched:
+            number, pending = next(iter(self.fetched.items()))
+            assert pending.body is not None
+            part = None if pending.done else pending.body.next_part()
+            if part is not None:
+                self.send(wire.Frame(body_part=wire.BodyPart(number, *part)))
+                return True
+            del self.fetched[number]
+        return False
+
+    def unsent_bytes(self) -> int:
+        """Return how many bytes wait in the buffer of the link."""
+        return self.stream.unsent_bytes() if self.stream is not None else 0
 
     # The link.
 
@@ -243,12 +295,14 @@
             identity.zone,
             dialled,
             self.gossip.uninformed(),
+            SUPPORTED,
         )
         self.stream.send(wire.Frame(hello=hello))
         # The hello is answered like a ping.
         self.last_heard = self.last_pinged = dialled
         reason = await self.stream.read(self.handle_frame)
         was_established, self.established = self.established, False
+        self.fetched.clear()
         self.dispatch_held()
         self.failing |= self.leaving
         self.leaving = False
@@ -267,6 +321,8 @@
         outcome = unpack_outcome(frame)
         if outcome is not None:
             self.resolve(*outcome)
+        elif frame.fetch is not None:
+            self.handle_fetch(frame.fetch)
         elif frame.pong is not None:
             self.update_clock_offset(frame.pong.sent, frame.pong.clock)
             self.on_load_report(unpack_load_report(frame.pong.news))
@@ -345,6 +401,7 @@
         if welcome.incarnation != self.incarnation:
             self.fail_sent("home-restarted")
             self.incarnation = welcome.incarnation
+        self.features = LinkFeatures(welcome.features or 0)
         self.established = True
         self.failing = False
         self.leaving = welcome.leaving
@@ -370,7 +427,8 @@
     def mark_unreachable(self, reason: str) -> None:
         """Record that the home cannot be reached, and fail calls accordingly.
 
-        Calls that were never sent have certainly not run. Of those that were, the ones
+        Calls that were never sent, or not with their whole body, have certainly not
+        run. Of the others, the ones
         that may run again are failed, so that they can go elsewhere; the others wait
         for the link, unless the connection was refused: then the process that knew
         their outcome is gone.
@@ -381,7 +439,7 @@
         self.failing = True
         self.outbox.clear()
         for pending in list(self.pending.values()):
-            if pending.home_incarnation is None:
+            if pending.not_run:
                 self.fail(pending, NotRun("home-unreachable"))
             elif pending.call.idempotent or reason == "refused":
                 self.fail(pending, Unknown("home-unreachable"))
@@ -392,10 +450,14 @@
         pending.resolve(outcome)
 
     def fail_sent(self, reason: str) -> None:
-        """Fail the calls that were sent; their outcome is unknown."""
+        """Fail the calls that were sent.
+
+        The outcome of those that were sent whole is unknown.
+        """
         for pending in list(self.pending.values()):
             if pending.home_incarnation is not None:
-                self.fail(pending, Unknown(reason))
+                certain = pending.not_run
+                self.fail(pending, NotRun(reason) if certain else Unknown(reason))
 
     def fail_all(self, reason: str) -> None:
         """Fail every call, sent or not."""
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -8,11 +8,21 @@
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.frames import TcpFrameStream
+from sequoiaspoke.sidecar.linkfeatures import SUPPORTED
 from sequoiaspoke.sidecar.sockets import ConnectionServer
-from sequoiaspoke.sidecar.wirecalls import pack_load_report, pack_outcome, unpack_call
+from sequoiaspoke.sidecar.transfers import AnnouncedBody, BodySource
+from sequoiaspoke.sidecar.wirecalls import (
+    body_size,
+    pack_load_report,
+    pack_outcome,
+    unpack_call,
+    unpack_part,
+)
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 if TYPE_CHECKING:
+    from collections.abc import Hashable
+
     from sequoiaspoke.core.mesh.outcome import Outcome
     from sequoiaspoke.sidecar.frames import FrameStream
     from sequoiaspoke.sidecar.gossip import Gossip
@@ -21,7 +31,7 @@
     from sequoiaspoke.sidecar.logs import EventLog
 
 
-class AcceptedLink:
+class AcceptedLink(BodySource):
     """A link opened by another node."""
 
     def __init__(self, stream: FrameStream, server: LinkServer) -> None:
@@ -38,6 +48,8 @@
             raise MessageError("frame received before the hello")
         if frame.call is not None:
             self.handle_call(frame.call)
+        elif frame.body_part is not None:
+            self.handle_part(frame.body_part)
         elif frame.cancel is not None:
             self.server.home.cancel((self.peer, frame.cancel.number))
         elif frame.withdraw is not None:
@@ -78,18 +90,32 @@
             clock.now(),
             home.leaving,
             self.server.gossip.uninformed(),
+            SUPPORTED,
         )
         self.stream.send(wire.Frame(welcome=welcome))
 
     def handle_call(self, call: wire.Call) -> None:
-        """Submit a call to the home."""
+        """Submit a call to the home; raise MessageError."""
         number, home_call = call.number, unpack_call(call)
+        size = body_size(call)
         self.server.home.submit(
             (self.peer, number),
             home_call,
             lambda outcome: self.send_outcome(number, home_call, outcome),
+            None if size is None else AnnouncedBody(size, self),
         )
 
+    def handle_part(self, message: wire.BodyPart) -> None:
+        """Pass on a part of a body; raise MessageError."""
+        number, offset, data = unpack_part(message)
+        bodies = self.server.home.bodies
+        bodies.receive((self.peer, number), self, offset, data, clock.now())
+
+    def fetch(self, key: Hashable, offset: int, upto: int) -> None:
+        """Request the bytes of a call's body from `offset` up to `upto`."""
+        _, number = key
+        self.stream.send(wire.Frame(fetch=wire.Fetch(number, offset, upto)))
+
     def send_outcome(self, number: int, call: HomeCall, outcome: Outcome) -> None:
         """Send the outcome of a call, with a load report."""
         load_report = self.server.home.load_report(call.route, call.rank)
@@ -124,6 +150,7 @@
         self.links.append(link)
         reason = await link.stream.read(link.handle_frame)
         self.links.remove(link)
+        self.home.link_lost(link)
         if reason not in ("closed", "closed-here"):
             self.log.event("link-broken", peer=link.peer, reason=reason)
 
--- a/sequoiaspoke/sidecar/metrics.py
+++ b/sequoiaspoke/sidecar/metrics.py
@@ -29,6 +29,8 @@
 GAUGES = {
     "running": "calls at the upstream",
     "waiting": "calls that wait for a slot",
+    "bodies_waiting": "announced bodies that are not complete",
+    "body_bytes_to_come": "bytes of these bodies that have not arrived",
     "config_version": "version in force, 0 without one",
     "state_age_seconds": "age of what is known of the platform",
     "endpoints": "upstreams known",
@@ -87,6 +89,8 @@
         gauges = {
             "running": lambda: home.admission.running,
             "waiting": lambda: home.admission.waiting,
+            "bodies_waiting": lambda: len(home.bodies.bodies),
+            "body_bytes_to_come": lambda: home.admission.transfers.bytes_to_come,
             "config_version": lambda: state.version,
             "state_age_seconds": lambda: state.age(clock.now()),
             "endpoints": lambda: len(state.directory.records),
--- a/sequoiaspoke/sidecar/pending.py
+++ b/sequoiaspoke/sidecar/pending.py
@@ -9,6 +9,7 @@
 
     from sequoiaspoke.core.mesh.outcome import Outcome
     from sequoiaspoke.sidecar.homecall import HomeCall
+    from sequoiaspoke.sidecar.transfers import OutgoingBody
 
 
 class PendingCall:
@@ -20,6 +21,9 @@
         Incarnation of the home that it was sent to, None while it is not sent.
     done : bool
         Whether its outcome was reported or nobody waits for it any more.
+
+    body : OutgoingBody or None
+        Its body, if that is sent in parts.
     """
 
     def __init__(
@@ -30,6 +34,17 @@
         self.on_outcome = on_outcome
         self.done = False
         self.home_incarnation: int | None = None
+        self.body: OutgoingBody | None = None
+
+    @property
+    def not_run(self) -> bool:
+        """Return whether the call has certainly not run so far.
+
+        It was never sent, or its home cannot have the whole body.
+        """
+        if self.home_incarnation is None:
+            return True
+        return self.body is not None and not self.body.sent_whole
 
     def resolve(self, outcome: Outcome) -> None:
         """Report the outcome of the call, unless it is done."""
--- a/sequoiaspoke/sidecar/wirecalls.py
+++ b/sequoiaspoke/sidecar/wirecalls.py
@@ -8,8 +8,10 @@
 from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.model import Incarnation
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
+from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.crashwire import pack_crash, unpack_crash
+from sequoiaspoke.sidecar.frames import FRAME_LIMIT
 from sequoiaspoke.sidecar.homecall import HomeCall
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
@@ -17,14 +19,19 @@
     from sequoiaspoke.core.mesh.outcome import Headers, Outcome
 
 
-def pack_call(call: HomeCall, number: int, clock_offset: float) -> wire.Frame:
+def pack_call(
+    call: HomeCall, number: int, clock_offset: float, in_parts: bool = False
+) -> wire.Frame:
     """Return the frame for a call.
 
     Parameters
     ----------
     clock_offset : float
         Seconds by which the other node's clock is ahead of this one's.
+    in_parts : bool
+        Whether the body follows in parts.
     """
+    body = call.request.body
     message = wire.Call(
         number=number,
         instance=call.incarnation.instance,
@@ -33,7 +40,8 @@
         method=call.request.method,
         target=call.request.target,
         headers=flatten_headers(call.request.headers),
-        body=call.request.body,
+        body=b"" if in_parts else body,
+        body_size=len(body) if in_parts else None,
         on_time=call.on_time + clock_offset,
         deadline=call.deadline + clock_offset,
         rank=call.rank,
@@ -60,9 +68,34 @@
         message.on_time,
         message.deadline,
         inf if message.max_wait is None else message.max_wait,
+        message.body_size is not None,
     )
 
 
+def body_size(message: wire.Call) -> int | None:
+    """Return the size of a body that follows in parts, or None; raise MessageError."""
+    size = message.body_size
+    if size is not None and (not 0 < size <= FRAME_LIMIT or message.body):
+        raise MessageError(f"body of {size} bytes announced")
+    return size
+
+
+def unpack_fetch(message: wire.Fetch) -> tuple[int, int, int]:
+    """Return number, offset and end of a request for a body; raise MessageError."""
+    fields = (message.number, message.offset, message.upto)
+    if None in fields:
+        raise MessageError("request for a body without all fields")
+    return fields
+
+
+def unpack_part(message: wire.BodyPart) -> tuple[int, int, bytes]:
+    """Return number, offset and bytes of a part; raise MessageError."""
+    fields = (message.number, message.offset, message.data)
+    if None in fields:
+        raise MessageError("part of a body without all fields")
+    return fields
+
+
 def pack_outcome(number: int, outcome: Outcome, load_report: LoadReport) -> wire.Frame:
     """Return the frame for a call's outcome, with the home's load report."""
     if isinstance(outcome, Answer):
--- /dev/null
+++ b/sequoiaspoke/tests/test_bodies.py
@@ -0,0 +1,245 @@
+"""Tests of bodies in parts between entries and a home, on a virtual clock."""
+
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
+from sequoiaspoke.core.mesh.transfers import PART_BYTES
+from sequoiaspoke.errors import MessageError
+from sequoiaspoke.sidecar import linkserver
+from sequoiaspoke.sidecar.linkfeatures import LinkFeatures
+from sequoiaspoke.sidecar.transfers import OutgoingBody
+from sequoiaspoke.tests.bodysim import body_of, play_bodies
+from sequoiaspoke.wire.gen.meshlink import ttypes as wire
+
+SIZE = 100 << 10
+
+
+class BodiesCase(TestCase):
+    def play(self, scenario, **options):
+        play_bodies(self, scenario, **options)
+
+
+class TransferTests(BodiesCase):
+    def test_a_body_in_parts_arrives_as_it_was_sent(self):
+        async def scenario(world):
+            world.send("/1", SIZE)
+            await world.until(lambda: world.outcomes)
+            self.assertIsInstance(world.outcomes["/1"], Answer)
+            self.assertEqual(world.upstream.runs, [("/1", body_of("/1", SIZE))])
+            sizes = {len(part.data) for part in world.parts}
+            self.assertTrue(max(sizes) <= PART_BYTES and len(world.parts) > 10)
+            self.assertEqual(world.home.counts["body-fetched"], 1)
+            self.assertFalse(world.home.bodies.bodies or world.home.bodies.complete)
+
+        self.play(scenario)
+
+    def test_a_small_body_goes_with_its_call(self):
+        async def scenario(world):
+            world.send("/1", PART_BYTES)
+            await world.until(lambda: world.outcomes)
+            self.assertEqual(world.parts, [])
+            self.assertEqual(len(world.upstream.runs), 1)
+
+        self.play(scenario)
+
+    def test_an_old_home_gets_the_whole_body(self):
+        # During a rolling update an old home would run the call without its body.
+        self.patch(linkserver, "SUPPORTED", LinkFeatures(0))
+
+        async def scenario(world):
+            world.send("/1", SIZE)
+            await world.until(lambda: world.outcomes)
+            self.assertEqual(world.parts, [])
+            self.assertEqual(world.upstream.runs, [("/1", body_of("/1", SIZE))])
+
+        self.play(scenario)
+
+    def test_a_refused_call_sends_no_body(self):
+        # Bodies of refused calls filled the links between zones.
+        async def scenario(world):
+            world.home.leaving = True
+            world.send("/1", SIZE)
+            await world.until(lambda: world.outcomes)
+            self.assertEqual(world.outcomes["/1"].reason, "leaving")
+            self.assertEqual(world.parts, [])
+
+        self.play(scenario)
+
+    def test_a_small_call_overtakes_bodies(self):
+        # Nested calls missed their deadlines behind bodies.
+        async def scenario(world):
+            for number in range(4):
+                world.send(f"/{number}", 3 * SIZE, entry=number % 2)
+            await world.arrived("/0")
+            world.send("/small", 10)
+            await world.until(lambda: world.outcomes)
+            self.assertEqual(list(world.outcomes), ["/small"])
+
+        self.play(scenario)
+
+
+class FailureTests(BodiesCase):
+    def test_a_cancelled_call_gives_its_credit_to_the_next(self):
+        # Also a caller that disconnects or times out cancels. Its rest of the body
+        # would delay the others.
+        async def scenario(world):
+            first = world.send("/1", 3 * SIZE)
+            world.send("/2", SIZE, entry=1)
+            await world.arrived("/1")
+            world.entries[0].cancel(first)
+            await world.until(lambda: "/2" in world.outcomes)
+            self.assertEqual([name for name, _ in world.upstream.runs], ["/2"])
+            self.assertEqual(world.home.counts["body-dropped"], 1)
+
+        self.play(scenario)
+
+    def test_a_call_withdrawn_during_its_transfer_has_not_run(self):
+        async def scenario(world):
+            pending = world.send("/1", SIZE)
+            await world.arrived("/1")
+            world.entries[0].withdraw(pending)
+            self.assertEqual(world.outcomes["/1"], NotRun("withdrawn"))
+            await world.until(lambda: not world.home.calls)
+            self.assertEqual(world.upstream.runs, [])
+
+        self.play(scenario)
+
+    def test_a_broken_link_is_opened_again_and_the_body_continues(self):
+        # Sent from the start again, bodies would fill a link that breaks often.
+        async def scenario(world):
+            world.send("/1", SIZE)
+            await world.arrived("/1")
+            world.break_links()
+            await world.until(lambda: world.outcomes)
+            self.assertEqual(world.upstream.runs, [("/1", body_of("/1", SIZE))])
+            self.assertTrue(sum(len(part.data) for part in world.parts) < 1.5 * SIZE)
+
+        self.play(scenario)
+
+    def test_a_home_that_ends_during_a_transfer_has_not_run_the_call(self):
+        # Told as unknown, an upload would be lost although it can run elsewhere.
+        for restarts in (False, True):
+
+            async def scenario(world, restarts=restarts):
+                world.send("/1", SIZE)
+                await world.arrived("/1")
+                world.kill_home()
+                if restarts:
+                    world.start_home()
+                await world.until(lambda: world.outcomes)
+                reason = "home-restarted" if restarts else "home-unreachable"
+                self.assertEqual(world.outcomes["/1"], NotRun(reason))
+                self.assertEqual(world.upstream.runs, [])
+
+            self.play(scenario)
+
+    def test_a_home_that_ends_after_the_transfer_may_have_run_the_call(self):
+        # Told as not run, an upload would run twice.
+        async def scenario(world):
+            world.send("/1", SIZE)
+            await world.until(lambda: world.upstream.runs)
+            world.kill_home()
+            world.start_home()
+            await world.until(lambda: world.outcomes)
+            self.assertIsInstance(world.outcomes["/1"], Unknown)
+
+        self.play(scenario)
+
+    def test_a_home_whose_entry_ends_drops_the_body(self):
+        # The memory of bodies that nobody completes would never be freed.
+        async def scenario(world):
+            world.send("/1", SIZE)
+            await world.arrived("/1")
+            world.entries[0].close()
+            await world.until(lambda: not world.home.calls, 1.5)
+            self.assertEqual(world.home.counts["body-expired"], 1)
+            self.assertEqual(world.upstream.runs, [])
+
+        self.play(scenario)
+
+    def test_a_cut_entry_does_not_hold_up_the_others(self):
+        async def scenario(world):
+            world.send("/1", 3 * SIZE)
+            world.send("/2", SIZE, entry=1)
+            await world.arrived("/1")
+            world.cuts.add(("e0", "home"))
+            await world.until(lambda: "/2" in world.outcomes, 1.0)
+            world.cuts.clear()
+            await world.until(lambda: "/1" in world.outcomes)
+            self.assertEqual(len(world.upstream.runs), 2)
+
+        self.play(scenario)
+
+    def test_a_body_that_can_no_longer_come_in_time_is_refused(self):
+        async def scenario(world):
+            world.send("/1", 3 * SIZE, seconds=1.0)
+            await world.arrived("/1")
+            world.cuts.add(("e0", "home"))
+            await world.until(lambda: not world.home.calls, 1.0)
+            self.assertEqual(world.home.counts["no-time"], 1)
+            self.assertEqual(world.upstream.runs, [])
+
+        self.play(scenario)
+
+    def test_an_upstream_that_leaves_refuses_incomplete_calls(self):
+        async def scenario(world):
+            world.send("/1", SIZE)
+            await world.arrived("/1")
+            world.home.set_evacuated(True, 0)
+            await world.until(lambda: world.outcomes)
+            self.assertEqual(world.outcomes["/1"].reason, "zone-evacuated")
+            self.assertEqual(world.upstream.runs, [])
+            self.assertEqual(world.home.admission.incomplete, set())
+
+        self.play(scenario)
+
+    def test_a_request_in_quarantine_is_refused_once_its_body_is_known(self):
+        # The fingerprint covers the body: a request that crashes upstreams would run.
+        async def scenario(world):
+            world.home.held_seconds = lambda call: 2.0 if call.request.body else 0.0
+            world.send("/1", SIZE)
+            await world.until(lambda: world.outcomes)
+            self.assertEqual(world.outcomes["/1"].reason, "held-back")
+            self.assertEqual(world.upstream.runs, [])
+
+        self.play(scenario)
+
+
+class MessageTests(BodiesCase):
+    def test_invalid_messages_close_the_link_with_a_typed_error(self):
+        # A body with a gap, or of another size than announced, must not run.
+        async def scenario(world):
+            world.send("/1", SIZE)
+            await world.arrived("/1")
+            (link,) = world.server.links
+            entry = world.entries[0]
+            for part in (
+                wire.BodyPart(1, 3, b"x"),
+                wire.BodyPart(1, None, b"x"),
+                wire.BodyPart(1, 0, None),
+                wire.BodyPart(1, SIZE, b"x"),
+            ):
+                frame = wire.Frame(body_part=part)
+                self.assertRaises(MessageError, link.handle_frame, frame)
+            for fetch in (wire.Fetch(1, 0, SIZE + 1), wire.Fetch(1, None, 5)):
+                frame = wire.Frame(fetch=fetch)
+                self.assertRaises(MessageError, entry.handle_frame, frame)
+            for size in (0, -1, 1 << 30):
+                frame = wire.Frame(call=wire.Call(2, headers=[], body_size=size))
+                self.assertRaises(MessageError, link.handle_frame, frame)
+
+        self.play(scenario)
+
+    def test_bytes_are_not_sent_twice_on_one_link(self):
+        # After a stall the home requests again what is still under way.
+        body = OutgoingBody(bytes(3 * PART_BYTES))
+        body.request(0, 2 * PART_BYTES)
+        self.assertEqual([body.next_part()[0] for _ in range(2)], [0, PART_BYTES])
+        body.request(0, 2 * PART_BYTES)
+        self.assertIsNone(body.next_part())
+        body.announced()
+        body.request(PART_BYTES, 3 * PART_BYTES)
+        self.assertEqual(body.next_part()[0], PART_BYTES)
+        self.assertFalse(body.sent_whole)
+        body.next_part()
+        self.assertTrue(body.sent_whole)
