--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -35,6 +35,7 @@
 from sequoiaspoke.core.mesh.returns import ReturnSchedule
 from sequoiaspoke.core.mesh.shortage import WINDOW_SECONDS, NestedRoom
 from sequoiaspoke.core.mesh.slots import Load, Slots
+from sequoiaspoke.core.mesh.transfers import IncomingTransfers
 
 # Maximum number of queued calls per slot. In a longer queue even the shortest calls
 # would miss every objective.
@@ -82,6 +83,7 @@
     BUSY = "busy"
     WITHDRAWN = "withdrawn"
     NESTED_SHORT = "nested-short"
+    BODY_EXPIRED = "body-expired"
 
 
 # Refusals after which the caller is told when a slot should be free for it.
@@ -156,11 +158,17 @@
         They run one at a time, so that another crash identifies the request.
     load_shedding : bool
         Whether load shedding is in force.
+    incomplete : set of object
+        Tickets of queued calls whose bodies are not complete; they cannot start yet.
+    transfers : IncomingTransfers
+        These bodies, which the network link has still to receive.
     """
 
     def __init__(self, slots: int) -> None:
         self.load_shedding = False
         self.suspects: set[object] = set()
+        self.incomplete: set[object] = set()
+        self.transfers = IncomingTransfers()
         self.upstream_slots = Slots(slots)
         self.cold_start = ColdStart()
         self.rate_limit = RateLimit()
@@ -235,8 +243,10 @@
         if self.would_be_reset(arrival, now):
             return self.refuse_full(arrival, now)
         wait = max(self.queue_wait(arrival, now), self.suspect_wait(arrival, now))
+        wait = max(wait, self.transfers.wait_ahead(arrival.ticket))
         if wait > arrival.max_wait:
             return Refused(arrival, RefusalReason.BUSY, max(wait, MIN_RETRY_AFTER))
+        wait = max(wait, self.transfers.wait(arrival.ticket))
         ahead = sum(each.rank <= arrival.rank for each in self.queue.values())
         limited = self.rate_limit.wait(ahead, now) > 0
         if now + wait + self.min_time_left(arrival, now) > arrival.deadline:
@@ -336,7 +346,7 @@
 
         With all slots busy, one is free after the mean duration divided by the slots.
         """
-        if self.free_slots(now) and not self.queue:
+        if self.free_slots(now) and self.queue.keys() <= self.incomplete:
             return 0.0
         work = self.durations.mean_running(now)
         ahead = 0
@@ -374,6 +384,8 @@
 
     def may_run_now(self, arrival: Arrival) -> bool:
         """Return whether a call may run; only one suspect runs at a time."""
+        if arrival.ticket in self.incomplete:
+            return False
         if arrival.ticket not in self.suspects:
             return True
         return self.suspects.isdisjoint(self.durations.running)
