Ask a peer for a missing part while waiting for the other sources

The printed state shows one node of the zone that had been cut off. It knew the head and lacked one part, four reads of parts had failed during the cut, no read was in flight, and its neighbours in the zone had the part.

The cause: once every source of a part has failed, the next attempt waits for a random time of up to 20 s, whose bound doubles with each failure. During the wait a peer that has come to hold the part was not asked either.

Now a peer that did not fail in the round before is asked at once. The sources that failed, and the platform, are still protected by the wait.

--- a/sequoiaspoke/core/spread/pull.py
+++ b/sequoiaspoke/core/spread/pull.py
@@ -32,12 +32,21 @@
 
 @dataclass
 class Fetch:
-    """The state of one missing part."""
+    """The state of one missing part.
+
+    Attributes
+    ----------
+    tried : set of int
+        Sources that did not deliver it, of which none is asked twice in a round.
+    failed : set of int
+        Sources that did not deliver it in the round before the current wait.
+    """
 
     backoff: Backoff
     source: int | None = None
     number: int = 0
     tried: set[int] = field(default_factory=set)
+    failed: set[int] = field(default_factory=set)
 
 
 class Puller:
@@ -103,7 +112,7 @@
         in_flight = self._questions_in_flight()
         for digest in missing:
             fetch = self.fetches[digest]
-            if fetch.source is not None or not fetch.backoff.ready(now):
+            if fetch.source is not None:
                 continue
             source = self._choose_source(digest, fetch, asked, in_flight, now)
             if source == PLATFORM:
@@ -141,8 +150,12 @@
         in_flight: dict[int, int],
         now: float,
     ) -> int | None:
+        waiting = not fetch.backoff.ready(now)
+        # A peer that came to hold the part during the wait is asked at once. The wait
+        # may take 20 s after a cut, and protects the sources that failed before.
+        excluded = fetch.tried | fetch.failed if waiting else fetch.tried
         holders = self._holders(digest)
-        untried = [link for link in holders if link.number not in fetch.tried]
+        untried = [link for link in holders if link.number not in excluded]
         free = [
             link.number
             for link in untried
@@ -151,7 +164,7 @@
         ]
         if free:
             return min(free, key=lambda number: (len(asked[number]), number))
-        if untried:
+        if untried or waiting:
             return None
         fails = fetch.backoff.failures
         allowed = self.platform.on_duty or fails >= FAILURES_BEFORE_PLATFORM
@@ -159,7 +172,7 @@
             return PLATFORM
         # Every source failed: start again with all of them after a random wait.
         if fetch.tried:
-            fetch.tried.clear()
+            fetch.failed, fetch.tried = fetch.tried, set()
             fetch.backoff.fail(now)
         return None
 
@@ -191,7 +204,7 @@
         fetch.tried.add(fetch.source)
         fetch.source = None
         fetch.backoff.failures += 1
-        fetch.backoff.until = now
+        fetch.backoff.until = max(fetch.backoff.until, now)
 
     def part_omitted(self, digest: str, empty_answer: bool, now: float) -> None:
         """Record that an answer omitted a part.
--- a/sequoiaspoke/tests/test_spread.py
+++ b/sequoiaspoke/tests/test_spread.py
@@ -316,6 +316,20 @@
         fleet.run(25)
         self.assertEqual({2}, fleet.at_version())
 
+    def test_a_part_that_all_waited_for_spreads_from_the_first_that_has_it(self):
+        # Guards against nodes that wait up to 20 s before they ask a peer that has it.
+        fleet = self.fleet()
+        made = publication(2)
+        lost = made.head.parts["service/fleet"]
+        kept = made.parts.pop(lost)
+        fleet.publish(2, made=made)
+        fleet.run(30)
+        fleet.put(f"parts/{lost}", kept)
+        while fleet.at_version() == {1}:
+            fleet.run(0.1)
+        fleet.run(CONVERGENCE)
+        self.assertEqual({2}, fleet.at_version())
+
     def test_a_part_has_one_fetch_in_flight(self):
         fleet = self.fleet({"akaki": 12})
         asked = Counter()
