Send subscribers a complete list after a reader has skipped revisions

A subscriber kept an endpoint that its reader never knew and that had left, and sent calls to it. A reader that learns everything in one list, from the store or a node, has nothing to say of entries that were written and removed in the revisions that it skipped: its subscribers were sent a confirmation, and kept what another reader had told them.

Now the directory counts the lists that skipped revisions, and each subscriber is sent all endpoints once after each. A reader sends it in the place of its next confirmation, within a second, so there is no further message; a node that is no reader sends it at once. While a configuration is deferred the list waits too: its earlier revision would end no entry. A list sent in the place of a confirmation does not list evacuations, as the confirmation did not: an order that its sender never knew still ends with the next change only.

A list has some 80 bytes for each endpoint. A message that names the revision from which on its sender's changes are without a gap would ask for less, but messages stay as they are.

--- a/sequoiaspoke/core/mesh/directory.py
+++ b/sequoiaspoke/core/mesh/directory.py
@@ -52,6 +52,9 @@
         Serial of each instance's last change.
     complete_to : int
         Revision up to which this node has seen every entry of the store.
+    gaps : int
+        Number of complete lists so far that skipped revisions. Peers need a complete
+        list after each of them.
     grouping : Grouping
         The endpoints by service and by VM.
     """
@@ -64,6 +67,7 @@
         self.serial = 0
         self.last_changed: dict[str, int] = {}
         self.complete_to = 0
+        self.gaps = 0
 
     def put(
         self,
@@ -196,6 +200,9 @@
             changed |= self.mark_unreadable(instance, written)
         for instance in sorted(self.records.keys() - listed_instances):
             changed |= self.remove(instance, revision, now, trusted)
+        # An entry that was written and removed in the skipped revisions is not known
+        # here, so its removal is not among the changes.
+        self.gaps += revision > self.complete_to
         return changed
 
     def forget(self, instance: str, revision: int, now: float) -> None:
--- a/sequoiaspoke/sidecar/spread.py
+++ b/sequoiaspoke/sidecar/spread.py
@@ -170,6 +170,12 @@
             changed = each.serial != state.directory.serial or base != state.version
             changed |= each.rates_serial != self.duty.rates_serial
             changed |= each.evacuations_serial != state.evacuations.serial
+            # A reader sends its next confirmation within a second, and the list with
+            # it. Two readers that learn a list from each other would send it twice.
+            # A frame without the newest configuration has an earlier revision, up to
+            # which the list would end nothing.
+            needs_list = each.gaps != state.directory.gaps and not deferred
+            changed |= needs_list and not self.duty.on_duty
             if not changed and each.confirmed >= state.read_at:
                 continue
             if not deferred:
@@ -180,6 +186,7 @@
                 base,
                 each.rates_serial,
                 each.evacuations_serial,
+                needs_list,
                 each.complete_to,
                 each.complete_as_of,
             )
@@ -189,6 +196,7 @@
             each.rates_serial = self.duty.rates_serial
             each.evacuations_serial = state.evacuations.serial
             if not deferred:
+                each.gaps = state.directory.gaps
                 each.version = max(each.version, state.version)
             each.confirmed = state.read_at
             each.stream.send_shared(packed[key])
@@ -210,14 +218,18 @@
             unchanged
             and rates_unchanged
             and key.serial
+            and not key.needs_list
             and not state.directory.lapses.vanished_at
         ):
             confirmed = wire.Confirmed(key.revision, key.as_of, state.answered_at)
             return wire.Frame(confirmed=confirmed)
-        update = state.update_since(key.serial, key.version)
-        knowledge = pack_knowledge(
-            replace(update, revision=key.revision, as_of=key.as_of)
-        )
+        serial = 0 if key.needs_list else key.serial
+        update = state.update_since(serial, key.version)
+        update = replace(update, revision=key.revision, as_of=key.as_of)
+        if unchanged and key.needs_list:
+            # It stands for a confirmation, which does not list them either.
+            update = replace(update, evacuations=None)
+        knowledge = pack_knowledge(update)
         if not rates_unchanged:
             knowledge.link_rates = self.duty.reader_rates
         return wire.Frame(knowledge=knowledge)
--- a/sequoiaspoke/sidecar/subscriber.py
+++ b/sequoiaspoke/sidecar/subscriber.py
@@ -20,6 +20,8 @@
     serial, version, rates_serial, evacuations_serial : int
         The serials of the changes that it was sent, and the version of the
         configuration that it has.
+    gaps : int
+        `Directory.gaps` of the sender when it was last sent everything.
     confirmed : float
         Time of the last confirmation by the store that it was sent.
     complete_to, complete_as_of : int, float
@@ -33,6 +35,7 @@
     serial: int = 0
     rates_serial: int = 0
     evacuations_serial: int = 0
+    gaps: int = 0
     confirmed: float = float("-inf")
     complete_to: int = 0
     complete_as_of: float = float("-inf")
@@ -45,6 +48,8 @@
     ----------
     serial, version, rates_serial, evacuations_serial : int
         Serials and version from which on changes are sent.
+    needs_list : bool
+        Whether all endpoints are sent, as this node skipped revisions since.
     revision, as_of : int, float
         Revision and time as of which the subscriber then has everything.
     """
@@ -53,5 +58,6 @@
     version: int
     rates_serial: int
     evacuations_serial: int
+    needs_list: bool
     revision: int
     as_of: float
--- a/sequoiaspoke/tests/test_sidecar_spread.py
+++ b/sequoiaspoke/tests/test_sidecar_spread.py
@@ -160,6 +160,30 @@
         self.reader.follow(third)
         self.assertEqual(self.other.knows(), (3, {"i-1": 4, "i-2": 4}))
 
+    def test_a_list_tells_what_is_missing_once_its_configuration_is_sent(self):
+        # Guards against a list with an earlier revision, which ends no entry.
+        self.patch(spread, "LARGE_CHANGE_ROUTES", 0)
+        self.time += 1.0
+        second = Node("10.0.0.3")
+        second.read(12, config=3, i_1=4, i_2=4, i_9=4)
+        self.other.follow(self.reader, first=False)
+        self.other.follow(second)
+        self.reader.read_all(13, config=5, i_1=4, i_2=4)
+        self.assertEqual(self.other.knows()[0], 3)
+        self.time += SECOND_READER_DELAY
+        self.reader.spread.tick(self.time)
+        self.assertEqual(self.other.knows(), (5, {"i-1": 4, "i-2": 4}))
+
+    def test_a_list_is_sent_once(self):
+        # Guards against the size of a list in each confirmation.
+        stream = self.other.follow(self.reader)
+        self.reader.read_all(13, config=3, i_1=4, i_2=4)
+        self.time += 0.9
+        self.reader.read(13)
+        listed, confirmation = stream.frames[1:]
+        self.assertTrue(listed.knowledge.whole)
+        self.assertIsNotNone(confirmation.confirmed)
+
     def test_a_confirmation_without_changes_is_sent(self):
         stream = self.other.follow(self.reader)
         self.time += 0.9
