Bound the memory that a node holds for its callers

Change: one MemoryAccount per node, bounded by the VM's memory. A body of more than 16 KB is reserved as a whole when its length is known and refused with 503 before it is read if it does not fit, or if its route says large bodies and its service has no endpoint, or without a configuration. Unread answers are counted, and the connection with the most of them is closed first. `100 Continue` waits for its turn.

--- /dev/null
+++ b/sequoiaspoke/core/mesh/memory.py
@@ -0,0 +1,66 @@
+"""The bytes that a node holds for callers, links and its upstream, and their bound.
+
+Each is bounded on its own elsewhere, but a node with many slow callers and many large
+bodies would exceed the memory of its VM and be killed with all its calls.
+"""
+
+from __future__ import annotations
+
+# Share of a VM's memory that the account may hold. The upstream has the rest, and the
+# node needs 30 MB for itself; a body is copied up to twice on its way.
+MEMORY_SHARE = 0.25
+# Largest bound and the bound without a known memory, in bytes. More would not be used:
+# a narrow link needs minutes for it.
+MAX_LIMIT, DEFAULT_LIMIT = 64 << 20, 24 << 20
+# Bytes of the largest body that is never refused for want of memory. Calls without
+# uploads are smaller, and hundreds of them fit into a share of the bound.
+SMALL_BODY = 16 << 10
+
+
+def memory_limit(memory_mb: float) -> int:
+    """Return the bound in bytes on a VM.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory of the VM in MB, 0 if unknown.
+    """
+    if memory_mb <= 0:
+        return DEFAULT_LIMIT
+    return min(MAX_LIMIT, int(MEMORY_SHARE * memory_mb * (1 << 20)))
+
+
+class MemoryAccount:
+    """Counts the bytes that all parts of a node hold.
+
+    Attributes
+    ----------
+    limit : int
+        Bytes above which `try_reserve` fails.
+    held : int
+        Bytes reserved now.
+    """
+
+    def __init__(self, limit: int = DEFAULT_LIMIT) -> None:
+        self.limit = limit
+        self.held = 0
+
+    def try_reserve(self, size: int) -> bool:
+        """Reserve bytes if they fit; return whether they did."""
+        if self.held + size > self.limit:
+            return False
+        self.held += size
+        return True
+
+    def reserve(self, size: int) -> None:
+        """Reserve bytes that are held in any case."""
+        self.held += size
+
+    def release(self, size: int) -> None:
+        """Release reserved bytes."""
+        self.held -= size
+
+    @property
+    def exceeded(self) -> bool:
+        """Return whether more is held than the limit."""
+        return self.held > self.limit
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -7,6 +7,7 @@
 import signal
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.mesh.memory import MemoryAccount, memory_limit
 from sequoiaspoke.core.mesh.reading import DEFAULT_ACT_SECONDS, ReadingDuty
 from sequoiaspoke.errors import SettingsError
 from sequoiaspoke.sidecar import clock
@@ -72,6 +73,7 @@
         self.settings = settings
         self.reload = reload
         self.log = EventLog(settings.names.call_id)
+        self.memory = MemoryAccount(memory_limit(settings.memory_mb))
         self.incarnation = rng.getrandbits(62)
         self.state = MeshState(decoder, self.log, self.on_state_change)
         self.state.max_no_route_age = NO_ROUTE_AGE_FRACTION * settings.act_within
@@ -120,7 +122,11 @@
             rng,
             self.log,
         )
-        self.callers = CallerServer(self.entry.handle, self.log_unexpected_error, host)
+        self.callers = CallerServer(
+            self.entry.handle, self.log_unexpected_error, host, self.memory
+        )
+        self.callers.policy = self.entry
+        self.callers.counts = self.entry.reasons
         self.links = LinkServer(self.home, self.spread, self.incarnation, self.log)
         self.metrics = SidecarMetrics(self, output)
         pages = HealthPages(
@@ -308,6 +314,7 @@
             return
         self.log.event("reload", changed=settings != self.settings)
         self.settings = settings
+        self.memory.limit = memory_limit(settings.memory_mb)
         self.entry.service = settings.service
         self.entry.attempts.regions = settings.regions
         self.entry.attempts.budgets.limits = settings.repeats
--- /dev/null
+++ b/sequoiaspoke/sidecar/bodypolicy.py
@@ -0,0 +1,41 @@
+"""Which request bodies are not read."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.sidecar.httptext import local_answer
+
+if TYPE_CHECKING:
+    from sequoiaspoke.core.mesh.outcome import Answer, Request
+
+# Reason of a refusal for want of memory.
+MEMORY_REFUSED = "memory-refused"
+# Retry-After, in seconds, of such a refusal: bodies are held for as long as their calls
+# take.
+MEMORY_RETRY_AFTER = 1.0
+
+
+class BodyPolicy(ABC):
+    """Answers requests whose bodies are not read, given their heads."""
+
+    @abstractmethod
+    def early_refusal(self, head: Request) -> Answer | None:
+        """Refuse a request with a large body; None if it has to be read."""
+
+    @abstractmethod
+    def refuse_for_memory(self, head: Request) -> Answer:
+        """Refuse a request whose body does not fit into the memory account."""
+
+
+class ReadAllBodies(BodyPolicy):
+    """Refuses only bodies that do not fit."""
+
+    def early_refusal(self, head: Request) -> Answer | None:  # noqa: ARG002
+        """Return None: the body has to be read."""
+        return None
+
+    def refuse_for_memory(self, head: Request) -> Answer:  # noqa: ARG002
+        """Refuse a request whose body does not fit into the memory account."""
+        return local_answer(503, MEMORY_REFUSED, MEMORY_RETRY_AFTER)
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -10,14 +10,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from typing import TYPE_CHECKING
 
 import httptools
 
+from sequoiaspoke.core.mesh.memory import SMALL_BODY, MemoryAccount
 from sequoiaspoke.core.mesh.model import CallerLimits
-from sequoiaspoke.core.mesh.outcome import Request
+from sequoiaspoke.core.mesh.outcome import Request, find_header
 from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
 from sequoiaspoke.sidecar.httptext import CONTINUE, encode_answer, local_answer
 from sequoiaspoke.sidecar.sockets import Connection, ConnectionServer
 
@@ -25,18 +27,24 @@
     from collections.abc import Awaitable, Callable
 
     from sequoiaspoke.core.mesh.outcome import Answer
+    from sequoiaspoke.sidecar.bodypolicy import BodyPolicy
 
 HEAD_END = b"\r\n\r\n"
 # Calls of one connection that may be unanswered before reading from it pauses.
 MAX_PIPELINED = 64
-# Total size of the request bodies held for all callers; calls beyond it are refused
-# with 503.
-MAX_BODY_BYTES = 24 << 20
+# Share of the memory account that unread answers may exceed its limit by. Otherwise, an
+# account full of request bodies would end the connections of callers that read as fast
+# as their links allow.
+UNREAD_SHARE = 0.125
+# Reason counted when a connection is closed for its unread answers.
+SLOW_CALLER = "slow-caller"
 # Size of the unread answers at which a connection is closed: a caller that does not
 # read would fill this node's memory.
 MAX_UNREAD_BYTES = 16 << 20
-# Seconds after the last answer of a connection in which the caller may close it.
-CLOSE_TIMEOUT = 1.0
+# Seconds after the last answer of a connection in which the caller may close it. They
+# start again with each part of a refused body that the caller still sends, up to the
+# second value in total.
+CLOSE_TIMEOUT, MAX_CLOSE_SECONDS = 1.0, 5.0
 
 
 class Exchange:
@@ -46,13 +54,18 @@
     ----------
     keep_alive : bool
         Whether the connection stays open after the answer.
+    head_only : bool
+        Whether the answer is sent without its body.
+    answer_bytes : int
+        Bytes reserved for an answer that waits for its turn.
     """
 
-    def __init__(self, request: Request | None, keep_alive: bool) -> None:
-        self.request = request
+    def __init__(self, keep_alive: bool, head_only: bool = False) -> None:
         self.keep_alive = keep_alive
+        self.head_only = head_only
         self.task: asyncio.Task[None] | None = None
         self.answer: Answer | None = None
+        self.answer_bytes = 0
 
 
 class CallerConnection(Connection):
@@ -72,8 +85,16 @@
         Bytes of bodies in the data now parsed.
     head_began_in_chunk : bool
         Whether a request began in the data now parsed.
-    refused_status : int
-        Status with which a request is refused for the size of its body; 0 if it is not.
+    too_large : bool
+        Whether the body exceeds the limit for callers; it is read and dropped.
+    reserved : int
+        Bytes reserved for the body that is arriving.
+    continue_due : bool
+        Whether `100 Continue` is to be sent after the answers before it.
+    unread : int
+        Bytes reserved for answers that the caller has not read.
+    writing_paused : bool
+        Whether the transport buffers bytes that the caller has not read.
     """
 
     def __init__(self, server: CallerServer) -> None:
@@ -86,6 +107,9 @@
         self.parser = httptools.HttpRequestParser(self)
         self.last_active = clock.now()
         self.input_ended = False
+        self.reserved = 0
+        self.unread = 0
+        self.writing_paused = False
         self.reset_request()
 
     def opened(self) -> None:
@@ -93,6 +117,8 @@
         host, *_ = self.transport.get_extra_info("peername") or ("",)
         self.nested = host == self.server.upstream_host
         self.server.connections.add(self)
+        # The transport then tells as soon as it has to buffer bytes.
+        self.transport.set_write_buffer_limits(0)
 
     def reset_request(self) -> None:
         """Reset the state of the request that is parsed."""
@@ -105,7 +131,8 @@
         self.head_began_in_chunk = False
         self.request_started: float | None = None
         self.head_complete = False
-        self.refused_status = 0
+        self.too_large = False
+        self.continue_due = False
 
     def received(self, data: bytes) -> None:
         """Parse data from the caller.
@@ -128,7 +155,10 @@
     def lost(self, error: Exception | None, closed_locally: bool) -> None:  # noqa: ARG002
         """Cancel the calls of a caller that has disconnected."""
         self.server.connections.discard(self)
+        self.drop_body()
+        self.count_unread()
         for exchange in self.pending:
+            self.server.memory.release(exchange.answer_bytes)
             if exchange.task is not None:
                 exchange.task.cancel()
         self.pending.clear()
@@ -163,6 +193,8 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        if self.input_ended:
+            return
         self.reset_request()
         self.head_began_in_chunk = True
         self.request_started = clock.now()
@@ -176,60 +208,115 @@
         self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
-        """Complete the head; answer `Expect: 100-continue`."""
+        """Complete the head; refuse the body or let the caller send it."""
+        if self.input_ended:
+            return
         self.head_complete = True
-        for name, value in self.headers:
-            if name.lower() == "expect" and value.lower() == "100-continue":
-                self.write(CONTINUE)
+        expects = find_header(self.headers, "expect").lower() == "100-continue"
+        length = find_header(self.headers, "content-length")
+        size = int(length) if length.isdecimal() else 0
+        self.too_large = size > self.limits.body_bytes
+        if self.too_large and expects:
+            self.refuse(413, "body")
+        elif size > SMALL_BODY and not self.too_large:
+            self.admit_body(size)
+        if expects and not self.input_ended:
+            self.continue_due = True
+            self.flush()
+
+    def admit_body(self, size: int) -> None:
+        """Reserve the bytes of a large body, or refuse it before it is read."""
+        head = self.request(b"")
+        refusal = self.server.policy.early_refusal(head)
+        if refusal is not None:
+            self.refuse_with(refusal)
+        elif self.server.memory.try_reserve(size):
+            self.reserved = size
+        else:
+            self.refuse_with(self.server.policy.refuse_for_memory(head))
 
     def on_body(self, data: bytes) -> None:
         """Append to the body unless it is too large."""
+        if self.input_ended:
+            return
         self.body_size += len(data)
         self.chunk_body_bytes += len(data)
-        if self.body_size > self.limits.body_bytes:
-            self.refused_status = 413
-        elif self.server.body_bytes + self.body_size > MAX_BODY_BYTES:
-            self.refused_status = 503
-        if self.refused_status:
-            self.body.clear()
-        else:
+        self.continue_due = False
+        self.too_large |= self.body_size > self.limits.body_bytes
+        if self.too_large:
+            self.drop_body()
+        elif self.reserve_body():
             self.body.append(data)
+        else:
+            refusal = self.server.policy.refuse_for_memory(self.request(b""))
+            self.refuse_with(refusal)
+
+    def reserve_body(self) -> bool:
+        """Reserve the bytes received so far; return whether they fit."""
+        missing = self.body_size - self.reserved
+        if missing <= 0:
+            return True
+        if self.body_size <= SMALL_BODY:
+            self.server.memory.reserve(missing)
+        elif not self.server.memory.try_reserve(missing):
+            return False
+        self.reserved = self.body_size
+        return True
+
+    def drop_body(self) -> None:
+        """Drop the bytes received so far and release what was reserved."""
+        self.server.memory.release(self.reserved)
+        self.reserved = 0
+        self.body.clear()
+
+    def request(self, body: bytes) -> Request:
+        """Return the request whose head is complete."""
+        return Request(
+            self.parser.get_method().decode("ascii"),
+            self.target.decode("latin-1"),
+            tuple(self.headers),
+            body,
+            self.nested,
+        )
 
     def on_message_complete(self) -> None:
         """Start to serve a complete request."""
         if self.input_ended:
             return
         keep_alive = self.parser.should_keep_alive()
-        request = Request(
-            self.parser.get_method().decode("ascii"),
-            self.target.decode("latin-1"),
-            tuple(self.headers),
-            b"".join(self.body),
-            self.nested,
-        )
-        exchange = Exchange(request, keep_alive)
+        request = self.request(b"".join(self.body))
+        self.body.clear()
+        exchange = Exchange(keep_alive, head_only=request.method == "HEAD")
         self.pending.append(exchange)
         self.request_started = None
+        self.continue_due = False
         if not keep_alive:
             self.input_ended = True
-        if self.refused_status:
-            retry_after = 1.0 if self.refused_status == 503 else None
-            exchange.answer = local_answer(self.refused_status, "body", retry_after)
+        if self.too_large:
+            exchange.answer = local_answer(413, "body")
             self.flush()
             return
-        self.server.body_bytes += len(request.body)
+        reserved, self.reserved = self.reserved, 0
         exchange.task = asyncio.ensure_future(self.serve(exchange, request))
         # In a callback, because a task cancelled before its start runs no code at all.
-        exchange.task.add_done_callback(lambda _: self.server.release_body(request))
+        exchange.task.add_done_callback(lambda _: self.server.memory.release(reserved))
 
     # Answers.
 
     def refuse(self, status: int, reason: str) -> None:
         """Queue the answer to an invalid request and ignore further input."""
-        exchange = Exchange(None, keep_alive=False)
-        exchange.answer = local_answer(status, reason)
+        self.refuse_with(local_answer(status, reason))
+
+    def refuse_with(self, answer: Answer) -> None:
+        """Queue an answer to an incomplete request and ignore further input."""
+        if self.input_ended:
+            return
+        exchange = Exchange(keep_alive=False)
+        exchange.answer = answer
         self.pending.append(exchange)
+        self.drop_body()
         self.request_started = None
+        self.continue_due = False
         self.input_ended = True
         self.flush()
 
@@ -242,6 +329,9 @@
             self.server.on_crash(error)
             exchange.answer = local_answer(502, "internal error")
         self.flush()
+        if exchange in self.pending:
+            exchange.answer_bytes = len(exchange.answer.body)
+            self.server.memory.reserve(exchange.answer_bytes)
 
     def flush(self) -> None:
         """Send the answers that are ready, in the order of their requests."""
@@ -249,14 +339,18 @@
             exchange = self.pending.popleft()
             last = not self.pending
             close = not exchange.keep_alive or (last and self.server.closing)
-            head = exchange.request is not None and exchange.request.method == "HEAD"
             assert exchange.answer is not None
             self.last_active = clock.now()
-            self.write(encode_answer(exchange.answer, close, head))
+            self.server.memory.release(exchange.answer_bytes)
+            self.write(encode_answer(exchange.answer, close, exchange.head_only))
             if close:
                 self.input_ended = True
                 self.half_close()
                 return
+        if self.continue_due and not self.pending:
+            # Sent before the earlier answers, it would be taken for part of them.
+            self.continue_due = False
+            self.write(CONTINUE)
         if (
             self.reading_paused
             and not self.closed
@@ -269,8 +363,30 @@
         """Send data; close the connection of a caller that does not read."""
         if self.unsent_bytes() > MAX_UNREAD_BYTES:
             self.close()
-        else:
-            super().write(data)
+            return
+        super().write(data)
+        if self.writing_paused:
+            self.count_unread()
+
+    def pause_writing(self) -> None:
+        """Count the bytes that the transport has begun to buffer."""
+        self.writing_paused = True
+        self.count_unread()
+
+    def resume_writing(self) -> None:
+        """Note that the transport has no bytes left to send."""
+        self.writing_paused = False
+        self.count_unread()
+
+    def count_unread(self) -> None:
+        """Reserve the bytes that the caller has not read, as they are now."""
+        before, self.unread = self.unread, self.unsent_bytes()
+        self.server.unread_changed(self, self.unread - before)
+
+    def close(self) -> None:
+        """Close the connection at once and drop unsent bytes."""
+        super().close()
+        self.count_unread()
 
     def half_close(self) -> None:
         """Close the sending side and keep reading for a while before closing.
@@ -280,7 +396,17 @@
         """
         if not self.closed:
             self.transport.write_eof()
-            asyncio.get_running_loop().call_later(CLOSE_TIMEOUT, self.close)
+            asyncio.get_running_loop().call_later(
+                CLOSE_TIMEOUT, self.close_if_silent, clock.now() + MAX_CLOSE_SECONDS
+            )
+
+    def close_if_silent(self, latest: float) -> None:
+        """Close the connection unless the caller still sends a refused body."""
+        left = min(latest, self.last_active + CLOSE_TIMEOUT) - clock.now()
+        if left <= 0:
+            self.close()
+        else:
+            asyncio.get_running_loop().call_later(left, self.close_if_silent, latest)
 
     def tick(self, now: float) -> None:
         """Close an idle connection; refuse a head that takes too long."""
@@ -304,8 +430,16 @@
         Whether a connection is closed after the answer that leaves it idle.
     upstream_host : str
         Address from which the upstream beside this node calls, empty if unknown.
-    body_bytes : int
-        Total size of the request bodies held.
+    memory : MemoryAccount
+        Counts request bodies and unread answers.
+    slow_callers : set of CallerConnection
+        Connections with unread answers.
+    unread : int
+        Total size of the unread answers.
+    counts : Counter of str
+        Connections closed for their unread answers.
+    policy : BodyPolicy
+        Answers requests whose bodies are not read.
     """
 
     def __init__(
@@ -313,13 +447,18 @@
         handle: Callable[[Request], Awaitable[Answer]],
         on_crash: Callable[[BaseException], None],
         upstream_host: str = "",
+        memory: MemoryAccount | None = None,
     ) -> None:
         super().__init__()
         self.handle = handle
         self.on_crash = on_crash
         self.upstream_host = upstream_host
+        self.memory = MemoryAccount() if memory is None else memory
+        self.policy: BodyPolicy = ReadAllBodies()
+        self.counts: Counter[str] = Counter()
         self.connections: set[CallerConnection] = set()
-        self.body_bytes = 0
+        self.slow_callers: set[CallerConnection] = set()
+        self.unread = 0
         self.closing = False
         self.current_limits = CallerLimits()
 
@@ -331,9 +470,35 @@
         """Return the protocol for a new connection."""
         return CallerConnection(self)
 
-    def release_body(self, request: Request) -> None:
-        """Subtract a request's body from the total that is held."""
-        self.body_bytes -= len(request.body)
+    # Memory.
+
+    def unread_changed(self, connection: CallerConnection, change: int) -> None:
+        """Record that the unread bytes of a connection have changed."""
+        if connection.unread:
+            self.slow_callers.add(connection)
+        else:
+            self.slow_callers.discard(connection)
+        self.unread += change
+        self.memory.reserve(change)
+        if change > 0:
+            self.close_slow_callers()
+
+    def close_slow_callers(self) -> None:
+        """Close the connections with the most unread bytes while there are too many."""
+        if not self.holds_too_much_unread:
+            return
+        for connection in list(self.slow_callers):
+            # Some of its bytes may have been read since they were counted.
+            connection.count_unread()
+        while self.holds_too_much_unread:
+            self.counts[SLOW_CALLER] += 1
+            max(self.slow_callers, key=lambda each: each.unread).close()
+
+    @property
+    def holds_too_much_unread(self) -> bool:
+        """Return whether unread answers exceed the limit of the account."""
+        share = UNREAD_SHARE * self.memory.limit
+        return self.memory.exceeded and self.unread > share
 
     def tick(self, now: float) -> None:
         """Check the timeouts of all connections."""
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -20,6 +20,11 @@
 from sequoiaspoke.core.routing.split import Splitter
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.attempts import Attempts
+from sequoiaspoke.sidecar.bodypolicy import (
+    MEMORY_REFUSED,
+    MEMORY_RETRY_AFTER,
+    BodyPolicy,
+)
 from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.httptext import end_to_end, local_answer
 from sequoiaspoke.sidecar.race import RETRYABLE_STATUSES, Progress
@@ -61,7 +66,7 @@
 MAX_WITHDRAW_SHARE = 0.5
 
 
-class Entry:
+class Entry(BodyPolicy):
     """Serves calls from callers and from the upstream on this VM.
 
     Attributes
@@ -152,6 +157,26 @@
         self.latency.record_value(max(1, int((clock.now() - arrived) * 1000)))
         return answer
 
+    def early_refusal(self, head: Request) -> Answer | None:
+        """Refuse a call with a large body if it is known not to be servable.
+
+        Without a configuration nothing is known of its route.
+        """
+        table = self.state.table
+        if table is None:
+            return self.refuse(head, "no-configuration", RETRY_AFTER_SECONDS)
+        route = table.match(head.header("host"), head.target)
+        if route is None or not route.large_bodies:
+            return None
+        services = [each.service for each in route.split]
+        if any(self.state.directory.serving(service) for service in services):
+            return None
+        return self.refuse(head, "no-endpoint", RETRY_AFTER_SECONDS, services[0])
+
+    def refuse_for_memory(self, head: Request) -> Answer:
+        """Refuse a call whose body does not fit into the memory account."""
+        return self.refuse(head, MEMORY_REFUSED, MEMORY_RETRY_AFTER)
+
     async def serve_until_deadline(self, progress: Progress) -> Answer:
         """Serve a call; raise TimeoutError at its deadline."""
         timer = self.deadlines.call_at(progress.deadline, progress.expire)
--- a/sequoiaspoke/tests/test_callerserver.py
+++ b/sequoiaspoke/tests/test_callerserver.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 from tornado.netutil import bind_sockets
 
+from sequoiaspoke.core.mesh.memory import DEFAULT_LIMIT, MemoryAccount
 from sequoiaspoke.core.mesh.outcome import Answer
 from sequoiaspoke.sidecar.callerserver import MAX_PIPELINED, CallerServer
 
@@ -13,7 +14,7 @@
 
 
 class FakeTransport:
-    """A transport that only returns its socket and peer address."""
+    """A transport of a caller that has sent everything and reads nothing."""
 
     def __init__(self, sock):
         self.sock = sock
@@ -21,6 +22,9 @@
     def get_extra_info(self, name):
         return self.sock if name == "socket" else ("10.0.0.1", 1)
 
+    def set_write_buffer_limits(self, high):
+        pass
+
 
 class Handler:
     """A handler that echoes target and body once its gate is open."""
@@ -40,19 +44,25 @@
         return Answer(200, (), request.target.encode() + request.body)
 
 
-class CallerServerTests(TestCase):
+class CallerServerTestCase(TestCase):
+    """Runs a server for callers and one connection to it."""
+
+    limit = DEFAULT_LIMIT
+
     def play(self, scenario):
         async def run():
             self.handler = Handler()
             self.crashes = []
-            self.server = CallerServer(self.handler.handle, self.crashes.append)
+            self.memory = MemoryAccount(self.limit)
+            self.server = CallerServer(
+                self.handler.handle, self.crashes.append, memory=self.memory
+            )
             (listening,) = bind_sockets(0, "127.0.0.1")
+            self.address = listening.getsockname()[:2]
             self.server.add_sockets([listening])
             try:
                 async with asyncio.timeout(WAIT):
-                    reader, writer = await asyncio.open_connection(
-                        *listening.getsockname()[:2]
-                    )
+                    reader, writer = await asyncio.open_connection(*self.address)
                     await scenario(reader, writer)
                     writer.close()
             finally:
@@ -65,6 +75,8 @@
         while not condition():
             await asyncio.sleep(0.002)
 
+
+class CallerServerTests(CallerServerTestCase):
     def test_the_body_of_a_caller_that_disconnects_at_once_is_released(self):
         # A caller sends an order and disconnects before its task has started. Its body
         # was counted as held for good; after some thousands of these every order was
@@ -76,9 +88,9 @@
                 connection.data_received(
                     b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
                 )
-                self.assertEqual(self.server.body_bytes, 4)
+                self.assertEqual(self.server.memory.held, 4)
                 connection.connection_lost(None)
-            await self.until(lambda: self.server.body_bytes == 0)
+            await self.until(lambda: self.server.memory.held == 0)
             self.assertEqual(self.handler.begun, [])
 
         self.play(scenario)
@@ -167,6 +179,23 @@
 
         self.play(scenario)
 
+    def test_continue_is_sent_after_the_answers_before_it(self):
+        # Sent at once, it would be taken for the head of the earlier call's answer.
+        async def scenario(reader, writer):
+            writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+            writer.write(
+                b"POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+                b"Expect: 100-continue\r\n\r\n"
+            )
+            await self.until(lambda: self.handler.begun)
+            self.handler.gate.set()
+            self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+            self.assertIn(b" 100 ", await reader.readuntil(b"\r\n\r\n"))
+            writer.write(b"z")
+            self.assertIn(b" 200 ", await reader.readuntil(b"/bz"))
+
+        self.play(scenario)
+
     def test_pipelined_requests_up_to_the_limit_are_served(self):
         async def scenario(reader, writer):
             one = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
--- a/sequoiaspoke/tests/test_sidecar_entry.py
+++ b/sequoiaspoke/tests/test_sidecar_entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from testtools import TestCase
 from tornado.netutil import bind_sockets
@@ -158,6 +159,39 @@
         self.assertEqual(asyncio.run(run()), (503, 404))
 
 
+class EarlyRefusalTests(TestCase):
+    """Calls that are refused before their body is read."""
+
+    def play(self, script, name, prepare=None):
+        async def run():
+            entry = make_entry(script)
+            config = entry.state.table.config
+            routes = [replace(r, large_bodies=not r.idempotent) for r in config.routes]
+            entry.state.table = RouteTable(replace(config, routes=routes))
+            if prepare is not None:
+                prepare(entry)
+            answer = entry.early_refusal(request(name))
+            return None if answer is None else (answer.status, answer.body)
+
+        return asyncio.run(run())
+
+    def test_an_upload_to_a_service_without_endpoints_is_not_read(self):
+        # Its body would fill a narrow link for half a second.
+        self.assertEqual(self.play({}, "order"), (503, b"no-endpoint\n"))
+
+    def test_an_upload_to_a_node_without_a_configuration_is_not_read(self):
+        refusal = self.play(
+            {"a": SERVED}, "order", lambda entry: setattr(entry.state, "table", None)
+        )
+        self.assertEqual(refusal, (503, b"no-configuration\n"))
+
+    def test_other_calls_are_read(self):
+        # Some of them are answered otherwise, for example with 404.
+        self.assertIsNone(self.play({"a": SERVED}, "order"))
+        self.assertIsNone(self.play({}, "read"))
+        self.assertIsNone(self.play({}, "missing"))
+
+
 class HedgingTests(TestCase):
     def test_a_hedge_answers_if_the_first_endpoint_hangs(self):
         async def run():
