Ask no further home once a call is withdrawn

Cause: a slot request that met a busy home after the withdrawal was followed by another one, which would not be withdrawn; the wait of a busy home could become the Retry-After of a withdrawn call. Change: a busy home is then the last one. Among hedged attempts, a refusal of the upstream ranks before one that reached no upstream.

--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -291,7 +291,7 @@
                     progress, self.attempts.no_endpoint_reason(progress)
                 )
             endpoint, outcome = await self.attempts.call(progress, endpoint)
-            if is_busy(progress, outcome):
+            if is_busy(progress, outcome) and not progress.ending:
                 continue
             progress.last_outcome = outcome
             progress.record_other_attempt(endpoint)
--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -103,9 +103,10 @@
     def record_retry_after(self, outcome: NotRun) -> None:
         """Record the Retry-After of a refusal.
 
-        The outcome of a withdrawal has none: the home did not refuse the call.
+        A withdrawal has none, and that of a slot request is the wait of a home that
+        did not queue the call.
         """
-        if outcome.reason != RefusalReason.WITHDRAWN:
+        if outcome.reason not in (RefusalReason.WITHDRAWN, RefusalReason.BUSY):
             self.retry_after = min(self.retry_after, outcome.retry_after)
 
     def record_other_attempt(self, endpoint: Endpoint) -> None:
@@ -240,7 +241,7 @@
         if not good:
             if not all(each.finished for each in self.attempts):
                 return
-            attempt = max(self.attempts, key=certainty_of_run)
+            attempt = max(self.attempts, key=nearness_to_run)
         self.result.set_result((attempt.endpoint, attempt.outcome))
 
     def withdraw(self) -> None:
@@ -264,7 +265,8 @@
             attempt.cancel()
 
 
-def certainty_of_run(attempt: Attempt) -> int:
-    """Return the place of an attempt's outcome from not run to answered."""
-    kinds = (NotRun, Unknown, Answer)
-    return kinds.index(type(attempt.outcome))
+def nearness_to_run(attempt: Attempt) -> tuple[int, bool]:
+    """Return a key that orders attempts from unreached to answered."""
+    outcome = attempt.outcome
+    refused_there = isinstance(outcome, NotRun) and outcome.from_upstream
+    return (NotRun, Unknown, Answer).index(type(outcome)), refused_there
--- a/sequoiaspoke/tests/test_sidecar_withdrawal.py
+++ b/sequoiaspoke/tests/test_sidecar_withdrawal.py
@@ -155,6 +155,21 @@
         answer, left = self.play({"a": WAITS}, "order", left=80)
         self.assertEqual((answer.status, left), (503, 0.04))
 
+    def test_a_home_that_was_asked_in_the_last_moment_is_the_last_one(self):
+        # Another home would be asked without a withdrawal, and the caller was told that
+        # the call might have run.
+        async def scenario():
+            (asked,) = self.homes.attempts
+            self.homes.script[asked] = RUNS
+            await self.advance(3.95)
+            self.homes.end(asked, NotRun("busy", 0.3))
+            await self.settle()
+
+        script = dict.fromkeys("abcd", WAITS)
+        answer, left = self.play(script, "order", scenario)
+        self.assertEqual((answer.status, left), (503, 0.05))
+        self.assertEqual(len(self.homes.attempts), 1)
+
     def test_a_far_home_gets_the_withdrawal_earlier(self):
         # With 30 ms for a round trip, the outcome would come too late or not at all.
         def prepare():
@@ -201,6 +216,29 @@
         status, _ = self.play_hedge({"a": RUNS, "b": RUNS}, scenario)
         self.assertEqual(status, 502)
 
+    def test_a_busy_second_home_does_not_hide_the_loss_of_the_first(self):
+        # A slot request that meets a busy home is no attempt, and the loss beside it
+        # was forgotten.
+        async def scenario():
+            await self.hedge()
+            first, second = self.homes.attempts
+            for instance in self.homes.script:
+                self.homes.script[instance] = FULL
+            self.homes.end(first, LOST)
+            self.homes.end(second, NotRun("busy", 0.3))
+
+        answer, _ = self.play(dict.fromkeys("abcdef", RUNS), "read", scenario)
+        self.assertEqual(answer.status, 502)
+
+    def test_no_second_attempt_is_made_after_a_withdrawal(self):
+        # It would not be withdrawn, and might start without time to end.
+        async def scenario():
+            self.time += 3.95
+            self.entry.withdrawals.run_due(self.time)
+
+        answer, _ = self.play({"a": RUNS, "b": WAITS}, "read", scenario)
+        self.assertEqual(len(self.homes.attempts), 1)
+
     def test_two_refused_attempts_are_reported_as_not_run(self):
         async def scenario():
             await self.hedge()
