--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -126,7 +126,6 @@
             self.entry.handle, self.log_unexpected_error, host, self.memory
         )
         self.callers.policy = self.entry
-        self.callers.counts = self.entry.reasons
         self.links = LinkServer(self.home, self.spread, self.incarnation, self.log)
         self.metrics = SidecarMetrics(self, output)
         pages = HealthPages(
--- a/sequoiaspoke/sidecar/bodypolicy.py
+++ b/sequoiaspoke/sidecar/bodypolicy.py
@@ -1,4 +1,4 @@
-"""Which request bodies are not read."""
+"""What is done with callers whose bodies or unread answers take too much memory."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class BodyPolicy(ABC):
-    """Answers requests whose bodies are not read, given their heads."""
+    """Answers requests whose bodies are not read, given their heads, and takes note."""
 
     @abstractmethod
     def early_refusal(self, head: Request) -> Answer | None:
@@ -28,6 +28,10 @@
     def refuse_for_memory(self, head: Request) -> Answer:
         """Refuse a request whose body does not fit into the memory account."""
 
+    @abstractmethod
+    def caller_closed(self, unread: int) -> None:
+        """Take note that a connection was closed for its unread bytes."""
+
 
 class ReadAllBodies(BodyPolicy):
     """Refuses only bodies that do not fit."""
@@ -39,3 +43,6 @@
     def refuse_for_memory(self, head: Request) -> Answer:  # noqa: ARG002
         """Refuse a request whose body does not fit into the memory account."""
         return local_answer(503, MEMORY_REFUSED, MEMORY_RETRY_AFTER)
+
+    def caller_closed(self, unread: int) -> None:
+        """Do nothing."""
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter, deque
+from collections import deque
 from typing import TYPE_CHECKING
 
 import httptools
@@ -36,8 +36,6 @@
 # account full of request bodies would end the connections of callers that read as fast
 # as their links allow.
 UNREAD_SHARE = 0.125
-# Reason counted when a connection is closed for its unread answers.
-SLOW_CALLER = "slow-caller"
 # Size of the unread answers at which a connection is closed: a caller that does not
 # read would fill this node's memory.
 MAX_UNREAD_BYTES = 16 << 20
@@ -362,7 +360,7 @@
     def write(self, data: bytes) -> None:
         """Send data; close the connection of a caller that does not read."""
         if self.unsent_bytes() > MAX_UNREAD_BYTES:
-            self.close()
+            self.close_unread()
             return
         super().write(data)
         if self.writing_paused:
@@ -383,6 +381,11 @@
         before, self.unread = self.unread, self.unsent_bytes()
         self.server.unread_changed(self, self.unread - before)
 
+    def close_unread(self) -> None:
+        """Close the connection of a caller that does not read its answers."""
+        self.server.policy.caller_closed(self.unsent_bytes())
+        self.close()
+
     def close(self) -> None:
         """Close the connection at once and drop unsent bytes."""
         super().close()
@@ -436,8 +439,6 @@
         Connections with unread answers.
     unread : int
         Total size of the unread answers.
-    counts : Counter of str
-        Connections closed for their unread answers.
     policy : BodyPolicy
         Answers requests whose bodies are not read.
     """
@@ -455,7 +456,6 @@
         self.upstream_host = upstream_host
         self.memory = MemoryAccount() if memory is None else memory
         self.policy: BodyPolicy = ReadAllBodies()
-        self.counts: Counter[str] = Counter()
         self.connections: set[CallerConnection] = set()
         self.slow_callers: set[CallerConnection] = set()
         self.unread = 0
@@ -491,8 +491,7 @@
             # Some of its bytes may have been read since they were counted.
             connection.count_unread()
         while self.holds_too_much_unread:
-            self.counts[SLOW_CALLER] += 1
-            max(self.slow_callers, key=lambda each: each.unread).close()
+            max(self.slow_callers, key=lambda each: each.unread).close_unread()
 
     @property
     def holds_too_much_unread(self) -> bool:
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -53,6 +53,8 @@
 # Attempts of one call that may fail without reaching an upstream. Each costs only a
 # round trip, but if all nodes refuse, the caller should know soon.
 MAX_UNREACHED_ATTEMPTS = 6
+# Reason counted when a connection is closed for its unread answers.
+SLOW_CALLER = "slow-caller"
 # Statuses by which a caller is told that its call has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Seconds before its deadline at which a call is withdrawn: time for the message and
@@ -177,6 +179,11 @@
         """Refuse a call whose body does not fit into the memory account."""
         return self.refuse(head, MEMORY_REFUSED, MEMORY_RETRY_AFTER)
 
+    def caller_closed(self, unread: int) -> None:
+        """Count and log a connection that was closed for its unread bytes."""
+        self.reasons[SLOW_CALLER] += 1
+        self.log.event("caller-closed", unread=unread)
+
     async def serve_until_deadline(self, progress: Progress) -> Answer:
         """Serve a call; raise TimeoutError at its deadline."""
         timer = self.deadlines.call_at(progress.deadline, progress.expire)
--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -47,6 +47,7 @@
     "attempt-failed": "an attempt failed; `again` says whether the call is retried",
     "hedge": "an idempotent call is slow and also sent to a second endpoint",
     "call-refused": "a call was refused with a Retry-After header; it has not run",
+    "caller-closed": "a caller did not read its answers, and its connection was closed",
     "call-failed": "a call failed and may have run",
     "no-route": "a call was answered 404: the version in force has no route for it",
     "home-refused": "the home, the node beside the upstream, refused a call",
--- a/sequoiaspoke/tests/test_callerserver_memory.py
+++ b/sequoiaspoke/tests/test_callerserver_memory.py
@@ -14,7 +14,8 @@
     memory_limit,
 )
 from sequoiaspoke.core.mesh.outcome import Answer
-from sequoiaspoke.sidecar.callerserver import SLOW_CALLER, CallerServer
+from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
+from sequoiaspoke.sidecar.callerserver import CallerServer
 from sequoiaspoke.sidecar.httptext import local_answer
 from sequoiaspoke.tests.test_callerserver import CallerServerTestCase, FakeTransport
 
@@ -208,6 +209,16 @@
         asyncio.get_running_loop().call_soon(self.connection.connection_lost, None)
 
 
+class RecordingPolicy(ReadAllBodies):
+    """Keeps the unread bytes of closed connections."""
+
+    def __init__(self):
+        self.closed = []
+
+    def caller_closed(self, unread):
+        self.closed.append(unread)
+
+
 class UnreadAnswersTests(TestCase):
     """Answers of 1000 bytes and a head to callers that do not read them."""
 
@@ -221,6 +232,7 @@
             self.gate.set()
             self.memory = MemoryAccount(limit)
             self.server = CallerServer(handle, self.fail, memory=self.memory)
+            self.server.policy = RecordingPolicy()
             with socket.socket() as self.sock:
                 await scenario()
 
@@ -254,10 +266,11 @@
         async def scenario():
             one = await self.call()
             three = await self.call(count=3)
+            three_unread = three.unread
             two = await self.call(count=2)
             closed = [each.closed for each in (one, two, three)]
             self.assertEqual(closed, [False, False, True])
-            self.assertEqual(self.server.counts[SLOW_CALLER], 1)
+            self.assertEqual(self.server.policy.closed, [three_unread])
             self.assertEqual(self.memory.held, one.unread + two.unread)
 
         self.play(5000, scenario)
