Release a body that arrives behind the last answer of a stopping node

Cause: the connection ends with that answer, but the bytes stayed reserved until it was closed. Change: the body is dropped with the last answer. Tests: pytest -n 2 of test_callerserver*: 25 passed; the new test fails without the change (trial).

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -343,6 +343,7 @@
             self.write(encode_answer(exchange.answer, close, exchange.head_only))
             if close:
                 self.input_ended = True
+                self.drop_body()
                 self.half_close()
                 return
         if self.continue_due and not self.pending:
--- a/sequoiaspoke/tests/test_callerserver_memory.py
+++ b/sequoiaspoke/tests/test_callerserver_memory.py
@@ -141,6 +141,18 @@
 
         self.play(scenario)
 
+    def test_a_body_behind_the_last_answer_of_a_stopping_node_is_released(self):
+        # The connection ends with that answer, and the body is never served.
+        async def scenario(reader, writer):
+            writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n" + head(BODY))
+            await self.until(lambda: self.memory.held == BODY)
+            self.server.closing = True
+            self.handler.gate.set()
+            self.assertIn(b"Connection: close", await reader.read())
+            self.assertEqual(self.memory.held, 0)
+
+        self.play(scenario)
+
     def test_a_body_that_is_known_not_to_be_servable_is_not_read(self):
         async def scenario(reader, writer):
             self.server.policy.early_refusal = lambda head: local_answer(
