End connecting to an upstream before the deadline of its call

Cause: a call whose connection did not open before its deadline was answered 504, although nothing had been sent. Change: connecting ends 60 ms before the deadline, or after half of the time left, and the call is refused as no-time; after the full second, or if refused, the upstream counts as unreachable as before.

--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -46,23 +46,29 @@
 
 
 async def open_connection(
-    address: tuple[str, int], call_header: str, deadlines: Deadlines
+    address: tuple[str, int],
+    call_header: str,
+    deadlines: Deadlines,
+    timeout: float = CONNECT_TIMEOUT,
 ) -> ClientConnection | None:
-    """Open a connection; None if the server does not accept one."""
+    """Open a connection; None if the server does not accept one in time."""
     try:
-        return await connect(address, call_header, deadlines)
+        return await connect(address, call_header, deadlines, timeout)
     except (TimeoutError, OSError):
         return None
 
 
 async def connect(
-    address: tuple[str, int], call_header: str, deadlines: Deadlines
+    address: tuple[str, int],
+    call_header: str,
+    deadlines: Deadlines,
+    timeout: float = CONNECT_TIMEOUT,
 ) -> ClientConnection:
     """Open a connection; raise TimeoutError or OSError if that fails."""
     connecting = asyncio.get_running_loop().create_connection(
         lambda: ClientConnection(call_header, deadlines), *address
     )
-    async with asyncio.timeout(CONNECT_TIMEOUT):
+    async with asyncio.timeout(timeout):
         _, connection = await connecting
     return connection
 
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -13,8 +13,13 @@
     find_header,
 )
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.deadlines import Deadlines
-from sequoiaspoke.sidecar.httpclient import FRESH_SECONDS, connect, open_connection
+from sequoiaspoke.sidecar.deadlines import TIMER_RESOLUTION, Deadlines
+from sequoiaspoke.sidecar.httpclient import (
+    CONNECT_TIMEOUT,
+    FRESH_SECONDS,
+    connect,
+    open_connection,
+)
 from sequoiaspoke.sidecar.httptext import encode_request, end_to_end
 from sequoiaspoke.sidecar.newheaders import NewHeaders
 from sequoiaspoke.sidecar.upstreamreport import parse_health, parse_report
@@ -35,10 +40,24 @@
 RESET_FRACTION, MIN_RESET_SECONDS = 0.25, 0.02
 # Reason of the outcome if no connection could be opened.
 UNREACHABLE = "upstream-unreachable"
+# Seconds before the deadline of a call by which connecting ends, so that its caller is
+# told in time that it has not run. A call with little time waits for half of it.
+REPORT_SECONDS = 0.06
 # Weight of the newest call in the moving average of call times.
 NEWEST_WEIGHT = 0.05
 
 
+def connect_timeout(left: float) -> float:
+    """Return the seconds for connecting, after which a call is still told in time.
+
+    Parameters
+    ----------
+    left : float
+        Seconds until the deadline of the call.
+    """
+    return min(CONNECT_TIMEOUT, max(left / 2, left - REPORT_SECONDS))
+
+
 class Upstream:
     """Client of the upstream beside this node.
 
@@ -83,9 +102,15 @@
             Called just before the request is sent, which may be long after the start
             of this coroutine, as opening a connection takes time.
         """
-        connection = self.take_idle(idempotent) or await self.connect()
+        connection = self.take_idle(idempotent)
         if connection is None:
-            return NotRun(UNREACHABLE)
+            timeout = connect_timeout(deadline - clock.now())
+            latest = clock.now() + timeout - TIMER_RESOLUTION
+            connection = await self.connect(timeout)
+            if connection is None:
+                # Too short a time does not show that the upstream is down.
+                late = timeout < CONNECT_TIMEOUT and clock.now() >= latest
+                return NotRun("no-time" if late else UNREACHABLE)
         idle_seconds = clock.now() - connection.last_used
         remaining = deadline - clock.now()
         if remaining <= 0:
@@ -161,11 +186,13 @@
             self.idle.pop().close()
         return None
 
-    async def connect(self) -> ClientConnection | None:
+    async def connect(
+        self, timeout: float = CONNECT_TIMEOUT
+    ) -> ClientConnection | None:
         """Open a connection; return None if that fails."""
         self.connects += 1
         return await open_connection(
-            (self.host, self.port), self.names.call_id, self.deadlines
+            (self.host, self.port), self.names.call_id, self.deadlines, timeout
         )
 
     async def refuses_connections(self) -> bool:
--- a/sequoiaspoke/tests/test_sidecar_upstream.py
+++ b/sequoiaspoke/tests/test_sidecar_upstream.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
-from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar import clock, httpclient
 from sequoiaspoke.sidecar.names import HeaderNames
 from sequoiaspoke.sidecar.upstream import Upstream
 
@@ -225,6 +225,29 @@
 
         self.assertEqual(asyncio.run(run()), [b"ok", b"ok"])
 
+    def test_a_call_that_cannot_connect_in_time_is_not_run_before_its_deadline(self):
+        # A full upstream does not accept connections. Told at the deadline, the caller
+        # has already got a timeout.
+        async def hanging(address, call_header, deadlines, timeout):
+            self.time += timeout
+            raise TimeoutError
+
+        async def run(left):
+            self.time = 1000.0
+            upstream = Upstream("127.0.0.1", 1, HeaderNames())
+            request = Request("GET", "/a", (), b"")
+            return await upstream.call(request, "i", 1000 + left, True, self.fail)
+
+        self.patch(httpclient, "connect", hanging)
+        self.patch(clock, "now", lambda: self.time)
+        for left, timeout, reason in (
+            (0.46, 0.4, "no-time"),
+            (0.08, 0.04, "no-time"),
+            (4.0, 1.0, "upstream-unreachable"),
+        ):
+            self.assertEqual(asyncio.run(run(left)), NotRun(reason))
+            self.assertAlmostEqual(self.time, 1000 + timeout)
+
     def test_a_call_to_an_upstream_that_does_not_listen_has_not_run(self):
         async def run():
             upstream = Upstream("127.0.0.1", 1, HeaderNames())
