--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -16,7 +16,10 @@
 where calls that never ran ended as timeouts:
 
 - A nested call is never refused for being late, only if it cannot end by its deadline.
+- A call is refused if the nested calls that it would make are failing (`shortage`).
 - A queued call whose time runs out is refused early enough for its entry to answer.
+- Callers refused for want of room get different times to return (`returns`).
+- Calls that would be late as the upstream has become slow are passed on (`passing`).
 """
 
 from __future__ import annotations
@@ -27,8 +30,12 @@
 
 from sequoiaspoke.core.mesh.coldstart import ColdStart
 from sequoiaspoke.core.mesh.durations import Durations
+from sequoiaspoke.core.mesh.passing import MIN_DURATIONS_LEFT, PassedCalls
 from sequoiaspoke.core.mesh.ratelimit import RateLimit
+from sequoiaspoke.core.mesh.returns import ReturnSchedule
+from sequoiaspoke.core.mesh.shortage import WINDOW_SECONDS, NestedRoom
 from sequoiaspoke.core.mesh.slots import Load, Slots
+from sequoiaspoke.core.mesh.transfers import IncomingTransfers
 
 # Maximum number of queued calls per slot. In a longer queue even the shortest calls
 # would miss every objective.
@@ -76,6 +83,13 @@
     BUSY = "busy"
     WITHDRAWN = "withdrawn"
     NESTED_SHORT = "nested-short"
+    BODY_EXPIRED = "body-expired"
+
+
+# Refusals after which the caller is told when a slot should be free for it.
+FOR_WANT_OF_ROOM = frozenset(
+    {RefusalReason.OVERLOADED, RefusalReason.NO_TIME, RefusalReason.QUEUE_FULL}
+)
 
 
 @dataclass(frozen=True)
@@ -113,6 +127,11 @@
         """Return whether an upstream makes the call while it runs another."""
         return self.rank % RANK_STEP != 0
 
+    @property
+    def kind(self) -> tuple[str, bool]:
+        """Return what calls have in common that make the same nested calls."""
+        return (self.route, self.nested)
+
 
 @dataclass(frozen=True)
 class Refused:
@@ -139,16 +158,25 @@
         They run one at a time, so that another crash identifies the request.
     load_shedding : bool
         Whether load shedding is in force.
+    incomplete : set of object
+        Tickets of queued calls whose bodies are not complete; they cannot start yet.
+    transfers : IncomingTransfers
+        These bodies, which the network link has still to receive.
     """
 
     def __init__(self, slots: int) -> None:
         self.load_shedding = False
         self.suspects: set[object] = set()
+        self.incomplete: set[object] = set()
+        self.transfers = IncomingTransfers()
         self.upstream_slots = Slots(slots)
         self.cold_start = ColdStart()
         self.rate_limit = RateLimit()
         self.queue: dict[object, Arrival] = {}
         self.durations = Durations()
+        self.nested_room = NestedRoom()
+        self.returns = ReturnSchedule()
+        self.passed_calls = PassedCalls()
 
     @property
     def slots(self) -> int:
@@ -167,9 +195,29 @@
         """Record a connection reset; its call still counts as running."""
         self.upstream_slots.record_reset(self.running, now)
 
-    def record_pace(self, pace: float, now: float) -> None:
-        """Record the pace that the upstream reports with an answer."""
-        self.durations.pace.record(pace, now)
+    def record_pace(self, pace: float, now: float) -> list[Refused]:
+        """Record the pace that the upstream reports; return the calls passed on."""
+        risen = self.durations.pace.record(pace, now)
+        return self.pass_on(now) if risen and self.load_shedding else []
+
+    def pass_on(self, now: float) -> list[Refused]:
+        """Remove the queued calls that would be late here and in time elsewhere."""
+        refused = []
+        work = self.durations.mean_running(now)
+        for each in sorted(self.queue.values(), key=lambda x: self.sort_key(x, now)):
+            expected = self.durations.expected(each.route, now)
+            wait = work / max(1, self.slots)
+            if (
+                self.would_be_late(each, now + wait)
+                and now + MIN_DURATIONS_LEFT * expected <= each.deadline
+                and each not in self.passed_calls
+            ):
+                refused.append(Refused(each, RefusalReason.BUSY, wait))
+                del self.queue[each.ticket]
+            else:
+                work += expected
+        self.passed_calls.add((each.arrival for each in refused), now)
+        return refused
 
     def free_slots(self, now: float) -> int:
         """Return the number of further calls that the upstream can run."""
@@ -195,19 +243,23 @@
         if self.would_be_reset(arrival, now):
             return self.refuse_full(arrival, now)
         wait = max(self.queue_wait(arrival, now), self.suspect_wait(arrival, now))
+        wait = max(wait, self.transfers.wait_ahead(arrival.ticket))
         if wait > arrival.max_wait:
             return Refused(arrival, RefusalReason.BUSY, max(wait, MIN_RETRY_AFTER))
+        wait = max(wait, self.transfers.wait(arrival.ticket))
         ahead = sum(each.rank <= arrival.rank for each in self.queue.values())
         limited = self.rate_limit.wait(ahead, now) > 0
         if now + wait + self.min_time_left(arrival, now) > arrival.deadline:
             reason = RefusalReason.RATE_LIMITED if limited else RefusalReason.NO_TIME
-            return Refused(arrival, reason, max(wait, MIN_RETRY_AFTER))
+            return Refused(arrival, reason, self.return_after(reason, wait, now))
         # A single queued call is enough to use up a rate limit.
         enough = 1 if limited else self.slots
         late = ahead >= enough and self.would_be_late(arrival, now + wait)
         if late and not self.may_be_late(arrival):
             reason = RefusalReason.RATE_LIMITED if limited else RefusalReason.OVERLOADED
-            return Refused(arrival, reason, max(wait, MIN_RETRY_AFTER))
+            return Refused(arrival, reason, self.return_after(reason, wait, now))
+        if self.is_nested_short(arrival, now):
+            return Refused(arrival, RefusalReason.NESTED_SHORT, WINDOW_SECONDS)
         refused = self.make_room(arrival, wait, now)
         if refused is None or refused.arrival is not arrival:
             self.queue[arrival.ticket] = arrival
@@ -233,7 +285,31 @@
             last = arrival
         else:
             del self.queue[last.ticket]
-        return Refused(last, RefusalReason.QUEUE_FULL, max(wait, MIN_RETRY_AFTER))
+            if self.load_shedding:
+                wait = self.queue_wait(last, now)
+        reason = RefusalReason.QUEUE_FULL
+        return Refused(last, reason, self.return_after(reason, wait, now))
+
+    def is_nested_short(self, arrival: Arrival, now: float) -> bool:
+        """Return whether a call would only occupy a slot for failing nested calls."""
+        return (
+            self.load_shedding
+            and not arrival.nested
+            and self.nested_room.refuses(arrival.kind, now)
+        )
+
+    def return_after(self, reason: RefusalReason, wait: float, now: float) -> float:
+        """Return the seconds after which the caller of a refused call may return.
+
+        Parameters
+        ----------
+        wait : float
+            Seconds until the queue is served.
+        """
+        if self.load_shedding and wait and reason in FOR_WANT_OF_ROOM:
+            interval = self.durations.expected_overall(now) / max(1, self.slots)
+            wait = self.returns.next_time(now + wait, interval, now) - now
+        return max(wait, MIN_RETRY_AFTER)
 
     def min_duration(self, arrival: Arrival, now: float) -> float:
         """Return the minimum duration of a call in seconds."""
@@ -270,7 +346,7 @@
 
         With all slots busy, one is free after the mean duration divided by the slots.
         """
-        if self.free_slots(now) and not self.queue:
+        if self.free_slots(now) and self.queue.keys() <= self.incomplete:
             return 0.0
         work = self.durations.mean_running(now)
         ahead = 0
@@ -301,12 +377,15 @@
         arrival = min(ready, key=lambda each: self.sort_key(each, now))
         del self.queue[arrival.ticket]
         self.durations.begin(arrival.ticket, arrival.route, now)
+        self.nested_room.begin(arrival.ticket, arrival.kind)
         self.cold_start.begin(arrival.ticket)
         self.rate_limit.take(now)
         return arrival, refused
 
     def may_run_now(self, arrival: Arrival) -> bool:
         """Return whether a call may run; only one suspect runs at a time."""
+        if arrival.ticket in self.incomplete:
+            return False
         if arrival.ticket not in self.suspects:
             return True
         return self.suspects.isdisjoint(self.durations.running)
@@ -327,12 +406,19 @@
             if self.would_be_reset(arrival, now):
                 refused.append(self.refuse_full(arrival, now))
             elif now + self.min_time_left(arrival, now) > arrival.deadline:
-                wait = self.durations.expected_overall(now)
-                refused.append(Refused(arrival, RefusalReason.NO_TIME, wait))
+                refused.append(self.refuse_overdue(arrival, now))
         for each in refused:
             del self.queue[each.arrival.ticket]
         return refused
 
+    def refuse_overdue(self, arrival: Arrival, now: float) -> Refused:
+        """Refuse a queued call that can no longer be answered."""
+        wait = self.durations.expected_overall(now)
+        if self.load_shedding:
+            wait = self.queue_wait(arrival, now)
+        reason = RefusalReason.NO_TIME
+        return Refused(arrival, reason, self.return_after(reason, wait, now))
+
     def would_be_reset(self, arrival: Arrival, now: float) -> bool:
         """Return whether the upstream would reset this non-idempotent call."""
         return not arrival.idempotent and self.upstream_slots.resetting(now)
@@ -354,12 +440,14 @@
         """Free the slot of a call; record its duration if it was answered."""
         self.cold_start.end(ticket)
         self.durations.end(ticket, answered, now)
+        self.nested_room.end(ticket, answered, now)
 
     def abandon(self, ticket: object, now: float) -> None:
         """Record a cancelled running call; its slot may still be occupied."""
         self.upstream_slots.abandon(now)
         self.cold_start.end(ticket)
         self.durations.end(ticket, False, now)
+        self.nested_room.end(ticket, False, now)
 
     def restarted(self) -> None:
         """Reset the state after a restart of the upstream."""
@@ -367,3 +455,4 @@
         self.upstream_slots.restarted()
         self.cold_start.restarted()
         self.rate_limit.forget()
+        self.nested_room.restarted()
--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -268,6 +268,7 @@
             progress.on_time,
             progress.deadline,
             attempt.max_wait,
+            large_body=progress.route.large_bodies,
         )
         if endpoint.host == self.peers.identity.host:
             self.run_locally(attempt, call)
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -66,6 +66,8 @@
 # Maximum share of a call's time that is left when it is withdrawn. A call that has only
 # a tenth of a second would otherwise be withdrawn on its arrival.
 MAX_WITHDRAW_SHARE = 0.5
+# Statuses of nested calls that were refused or timed out, as their service lacks room.
+SHORTAGE_STATUSES = frozenset({503, 504})
 
 
 class Entry(BodyPolicy):
@@ -155,6 +157,9 @@
         except asyncio.CancelledError:
             self.counts[service, "caller-left"] += 1
             raise
+        if request.nested:
+            failed = answer.status in SHORTAGE_STATUSES
+            self.attempts.home.nested_room.record(service, failed, clock.now())
         self.counts[service, str(answer.status)] += 1
         self.latency.record_value(max(1, int((clock.now() - arrived) * 1000)))
         return answer
--- a/sequoiaspoke/sidecar/metrics.py
+++ b/sequoiaspoke/sidecar/metrics.py
@@ -29,6 +29,8 @@
 GAUGES = {
     "running": "calls at the upstream",
     "waiting": "calls that wait for a slot",
+    "bodies_waiting": "announced bodies that are not complete",
+    "body_bytes_to_come": "bytes of these bodies that have not arrived",
     "config_version": "version in force, 0 without one",
     "state_age_seconds": "age of what is known of the platform",
     "endpoints": "upstreams known",
@@ -36,6 +38,7 @@
     "evacuated_zones": "zones that are evacuated as far as this node knows",
     "cold": "1 while the upstream is taken for cold and its calls are bounded",
     "rate_limit": "calls a second that the upstream takes, -1 without a limit",
+    "pace": "how long work takes at the upstream at this moment, 1 as usual",
     "suspected": "requests that may have crashed an upstream",
     "held": "requests that are held back as they crash upstreams",
     "reads_store": "1 if this node reads the store, for others or for itself",
@@ -88,6 +91,8 @@
         gauges = {
             "running": lambda: home.admission.running,
             "waiting": lambda: home.admission.waiting,
+            "bodies_waiting": lambda: len(home.bodies.bodies),
+            "body_bytes_to_come": lambda: home.admission.transfers.bytes_to_come,
             "config_version": lambda: state.version,
             "state_age_seconds": lambda: state.age(clock.now()),
             "endpoints": lambda: len(state.directory.records),
@@ -95,6 +100,7 @@
             "evacuated_zones": lambda: len(state.evacuations.zones),
             "cold": lambda: int(home.admission.cold_start.cold(clock.now())),
             "rate_limit": lambda: rate_limit_gauge(home.admission.rate_limit),
+            "pace": lambda: home.admission.durations.pace.current(clock.now()),
             "suspected": lambda: len(home.crash_guard.quarantine.crashes.by_request),
             "held": lambda: len(home.crash_guard.quarantine.held_requests(clock.now())),
             "reads_store": lambda: int(node.duty.must_read(clock.now())),
