Report calls whose body was not sent whole as not run at the deadline

Cause: the entry took them for sent, although their home cannot start them. Change: the attempt asks the pending call whether it has certainly not run. Tests: pytest -n 3 of test_sidecar_withdrawal, test_callerserver*, test_sidecar_metrics, test_bodies, test_sidecar_entry, test_sidecar_upstream and test_sidecar_asking: 106 passed.

--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -207,10 +207,10 @@
     def withdraw_unsent(self) -> None:
         """Withdraw the attempt if that takes no message to another node.
 
-        A call that was not sent to its home, or waits at the home of this node, has
-        certainly not run.
+        A call that was not sent whole to its home, or waits at the home of this node,
+        has certainly not run.
         """
-        if self.pending is None or self.pending.home_incarnation is None:
+        if self.pending is None or self.pending.not_run:
             self.withdraw()
 
 
--- a/sequoiaspoke/tests/test_sidecar_withdrawal.py
+++ b/sequoiaspoke/tests/test_sidecar_withdrawal.py
@@ -11,6 +11,8 @@
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.attempts import Attempts
 from sequoiaspoke.sidecar.frames import Dialer
+from sequoiaspoke.sidecar.pending import PendingCall
+from sequoiaspoke.sidecar.transfers import OutgoingBody
 from sequoiaspoke.tests.test_sidecar_entry import make_entry, request
 from sequoiaspoke.tests.test_sidecar_home import BlockingUpstream
 
@@ -28,10 +30,12 @@
     def __init__(self, script):
         self.script = script
         self.attempts = {}
+        self.pending = None
 
     def send_to_home(self, attempt):
         instance = attempt.endpoint.instance
         self.attempts[instance] = attempt
+        attempt.pending = self.pending
         attempt.withdraw_at_home = lambda: self.withdraw(instance)
         if self.script[instance] not in (WAITS, RUNS):
             self.end(instance, self.script[instance])
@@ -275,6 +279,21 @@
         # Sent later, it would run although it was reported as not run.
         self.assertEqual(self.entry.peers.link("10.0.0.0").pending, {})
 
+    def test_only_a_call_whose_body_was_sent_whole_may_have_run(self):
+        # Its home cannot start it without the rest of the body.
+        def prepare():
+            self.homes.pending = PendingCall(1, None, None)
+            self.homes.pending.home_incarnation = 7
+            self.homes.pending.body = body
+
+        for sent_whole, status in ((False, 503), (True, 504)):
+            body = OutgoingBody(b"all of it")
+            body.sent_whole = sent_whole
+            answer, _ = self.play(
+                {"a": WAITS}, "order", large_bodies=False, prepare=prepare
+            )
+            self.assertEqual(answer.status, status)
+
     def test_a_call_that_waits_at_this_nodes_own_home_has_not_run(self):
         def prepare():
             self.use_real_homes()
