--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -20,6 +20,11 @@
 from sequoiaspoke.core.routing.split import Splitter
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.attempts import Attempts, is_busy
+from sequoiaspoke.sidecar.bodypolicy import (
+    MEMORY_REFUSED,
+    MEMORY_RETRY_AFTER,
+    BodyPolicy,
+)
 from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.httptext import end_to_end, local_answer
 from sequoiaspoke.sidecar.race import RETRYABLE_STATUSES, Progress
@@ -48,6 +53,8 @@
 # Attempts of one call that may fail without reaching an upstream. Each costs only a
 # round trip, but if all nodes refuse, the caller should know soon.
 MAX_UNREACHED_ATTEMPTS = 6
+# Reason counted when a connection is closed for its unread answers.
+SLOW_CALLER = "slow-caller"
 # Statuses by which a caller is told that its call has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Seconds before its deadline at which a call is withdrawn: time for the message and
@@ -63,7 +70,7 @@
 SHORTAGE_STATUSES = frozenset({503, 504})
 
 
-class Entry:
+class Entry(BodyPolicy):
     """Serves calls from callers and from the upstream on this VM.
 
     Attributes
@@ -157,6 +164,31 @@
         self.latency.record_value(max(1, int((clock.now() - arrived) * 1000)))
         return answer
 
+    def early_refusal(self, head: Request) -> Answer | None:
+        """Refuse a call with a large body if it is known not to be servable.
+
+        Without a configuration nothing is known of its route.
+        """
+        table = self.state.table
+        if table is None:
+            return self.refuse(head, "no-configuration", RETRY_AFTER_SECONDS)
+        route = table.match(head.header("host"), head.target)
+        if route is None or not route.large_bodies:
+            return None
+        services = [each.service for each in route.split]
+        if any(self.state.directory.serving(service) for service in services):
+            return None
+        return self.refuse(head, "no-endpoint", RETRY_AFTER_SECONDS, services[0])
+
+    def refuse_for_memory(self, head: Request) -> Answer:
+        """Refuse a call whose body does not fit into the memory account."""
+        return self.refuse(head, MEMORY_REFUSED, MEMORY_RETRY_AFTER)
+
+    def caller_closed(self, unread: int) -> None:
+        """Count and log a connection that was closed for its unread bytes."""
+        self.reasons[SLOW_CALLER] += 1
+        self.log.event("caller-closed", unread=unread)
+
     async def serve_until_deadline(self, progress: Progress) -> Answer:
         """Serve a call; raise TimeoutError at its deadline."""
         timer = self.deadlines.call_at(progress.deadline, progress.expire)
@@ -271,7 +303,7 @@
                     progress, self.attempts.no_endpoint_reason(progress)
                 )
             endpoint, outcome = await self.attempts.call(progress, endpoint)
-            if is_busy(progress, outcome):
+            if is_busy(progress, outcome) and not progress.ending:
                 continue
             progress.last_outcome = outcome
             progress.record_other_attempt(endpoint)
