--- a/sequoiaspoke/tests/meshsim.py
+++ b/sequoiaspoke/tests/meshsim.py
@@ -331,6 +331,14 @@
 
     # Callers.
 
+    def request(self, name, call_id):
+        headers = (
+            ("Host", "x"),
+            ("X-Request-Id", call_id),
+            ("X-Time-Left-Ms", str(int(TIMEOUT * 1000))),
+        )
+        return Request("GET", f"/{name}/1", headers, b"")
+
     async def make_call(self, number):
         """Make one call and check its answer."""
         rng = self.rng
@@ -340,14 +348,8 @@
             return
         name = rng.choice(("read", "order"))
         call_id = f"{name}-{number}"
-        headers = (
-            ("Host", "x"),
-            ("X-Request-Id", call_id),
-            ("X-Time-Left-Ms", str(int(TIMEOUT * 1000))),
-        )
-        request = Request("GET", f"/{name}/1", headers, b"")
         started = self.sent[call_id] = self.now()
-        task = node.spawn(node.entry.handle(request))
+        task = node.spawn(node.entry.handle(self.request(name, call_id)))
         try:
             answer = await asyncio.shield(task)
         except asyncio.CancelledError:
