Compare slot requests with load reports, and let requests wait a little

Change: `measure mesh` plays services by load reports and with slot requests. Every request may wait a fifth of the time until the objective, and the zone is left where the gain in the probability of a late answer, times the share of free homes there, is above the margin. Result: the tests of slot requests, of the model and of the entry pass.

--- a/sequoiaspoke/commands/measure.py
+++ b/sequoiaspoke/commands/measure.py
@@ -259,7 +259,7 @@
 
 
 def mesh(*, seeds: int = 3, scenarios: tuple[str, ...] = ()) -> None:
-    """Simulate faults of zones; the last line is JSON.
+    """Simulate faults of zones and slot requests; the last line is JSON.
 
     Parameters
     ----------
--- a/sequoiaspoke/core/mesh/asking.py
+++ b/sequoiaspoke/core/mesh/asking.py
@@ -2,8 +2,8 @@
 
 What an entry has heard of a home is too old to place calls by if one large body can
 occupy the home's link for half a second. A slot request is the call itself with a bound
-on its wait: the home starts it at once or refuses it as busy with a load report. After
-a few refusals the call waits at the best of the homes asked.
+on its wait: the home accepts it, or refuses it at once as busy with a load report.
+After a few refusals the call waits at the best of the homes asked.
 """
 
 from __future__ import annotations
@@ -31,9 +31,10 @@
 FEW_UPSTREAMS = 3
 # Homes of the own zone that a call asks, and that a nested call asks.
 MAX_REQUESTS, MAX_NESTED_REQUESTS = 3, 2
-# Part of the time until its objective that a nested call may wait where it asks. It
-# goes ahead of fresh calls and would be next at most homes.
-NESTED_WAIT_SHARE = 0.25
+# Part of the time until its objective that a call may wait where it asks. With 0, calls
+# leave homes at which they would be next: more requests, more of them to other zones.
+# A nested call goes ahead of fresh ones and would be refused by homes that run it next.
+WAIT_SHARE = 0.2
 # Endpoints of a zone that are compared for one slot request.
 DRAWS = 2
 # Half-life of what an entry knows of the room in a zone, in seconds.
@@ -111,9 +112,7 @@
 
     def max_wait(self, now: float) -> float:
         """Return the seconds that the call may wait where it asks."""
-        if not self.nested:
-            return 0.0
-        return NESTED_WAIT_SHARE * max(0.0, self.on_time - now)
+        return WAIT_SHARE * max(0.0, self.on_time - now)
 
     def record_busy(self, endpoint: Endpoint, wait: float) -> None:
         """Record that a home refused a slot request."""
@@ -234,8 +233,6 @@
             self.seconds(call, each.endpoint, choices, now)
             for each in call.busy.values()
         )
-        if here <= left:
-            return False
         there = self.seconds_if_granted(call, endpoint, choices, now)
         gain = late_probability(here, left) - late_probability(there, left)
         return gain * (1 - busy_share) > self.margin(call)
