--- a/sequoiaspoke/core/mesh/shortage.py
+++ b/sequoiaspoke/core/mesh/shortage.py
@@ -98,17 +98,21 @@
             self.doubtful_until = now + DOUBT_SECONDS
         self.running.pop(ticket, None)
 
-    def record(self, service: str, failed: bool, now: float) -> None:
+    def record(
+        self, service: str, failed: bool, now: float, kind: Hashable | None = None
+    ) -> None:
         """Record the outcome of a nested call of the upstream.
 
         Parameters
         ----------
         failed : bool
             Whether it was refused or timed out.
+        kind : Hashable or None
+            Kind of the call that made it, None if not known.
         """
         self.outcomes[service].append((now, failed))
         self.expire(service, now)
-        kind = self.only_kind(now)
+        kind = self.only_kind(now) if kind is None else kind
         if kind is not None:
             self.kinds[kind].nested[service] += 1
 
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -83,6 +83,7 @@
         if store.new_headers is not None:
             store.new_headers.on_new = self.log_store_header
         self.home = Home(self.upstream, self.state.directory, self.log)
+        self.home.call_id_header = settings.names.call_id
         self.home.expect_earlier_calls()
         self.home.admission.transfers.set_link_mbps(settings.link_mbps)
         identity = LinkIdentity(settings.links[0], settings.zone, self.incarnation)
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -138,6 +138,12 @@
             return self.refuse(request, "no-time", RETRY_AFTER_SECONDS)
         if self.would_outlast_node(route, arrived):
             return self.refuse(request, "stopping", RESTART_SECONDS, service)
+        parent = None
+        if table.has_large_bodies:
+            parent = self.attempts.home.parents.kind_of_parent(
+                request.header(self.names.call_id)
+            )
+            request = replace(request, nested=parent is not None)
         progress = Progress(
             self.forwarded(request),
             route,
@@ -157,9 +163,10 @@
         except asyncio.CancelledError:
             self.counts[service, "caller-left"] += 1
             raise
-        if request.nested:
+        if parent is not None:
             failed = answer.status in SHORTAGE_STATUSES
-            self.attempts.home.nested_room.record(service, failed, clock.now())
+            room = self.attempts.home.nested_room
+            room.record(service, failed, clock.now(), parent)
         self.counts[service, str(answer.status)] += 1
         self.latency.record_value(max(1, int((clock.now() - arrived) * 1000)))
         return answer
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -11,7 +11,13 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.mesh.admission import Admission, Arrival, RefusalReason, Refused
+from sequoiaspoke.core.mesh.admission import (
+    Admission,
+    Arrival,
+    RefusalReason,
+    Refused,
+    is_nested,
+)
 from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.leaving import LeavingUpstreams
 from sequoiaspoke.core.mesh.ledger import Ledger
@@ -22,6 +28,7 @@
     NotRun,
     Unknown,
 )
+from sequoiaspoke.core.mesh.parents import RunningParents
 from sequoiaspoke.core.mesh.slots import CANCEL_SECONDS
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.crashdetector import CrashDetector, SentCall
@@ -70,6 +77,8 @@
         Current incarnation of the upstream, as last published by the platform.
     last_load : Load or None
         Load that the upstream reported with the last outcome, for the log.
+    call_id_header : str
+        Header with the id of a call; empty if nested calls are not recognized by ids.
     previous_incarnation : Incarnation or None
         The one before the current one; late answers of it say nothing about that one.
     """
@@ -80,6 +89,8 @@
         self.log = log
         self.admission = Admission(INITIAL_SLOTS)
         self.nested_room = self.admission.nested_room
+        self.parents = RunningParents()
+        self.call_id_header = ""
         self.ledger = Ledger()
         self.calls: dict[Hashable, ActiveCall] = {}
         self.leaving = False
@@ -286,6 +297,8 @@
         """Record that a call is being sent to the upstream."""
         call, running.sent_at = running.call, clock.now()
         self.admission.send(key, running.sent_at)
+        kind = (call.route, is_nested(call.rank))
+        self.parents.begin(call.request.header(self.call_id_header), kind)
         sent = SentCall(call.request, call.incarnation, self.suspected(call))
         self.crash_detector.call_sent(key, sent)
 
@@ -379,6 +392,7 @@
     def finish(self, key: Hashable, outcome: Outcome) -> None:
         """Store a call's outcome and report it."""
         running = self.calls.pop(key)
+        self.parents.end(running.call.request.header(self.call_id_header))
         self.admission.suspects.discard(key)
         self.bodies.drop(key)
         size = len(outcome.body) if isinstance(outcome, Answer) else 0
--- a/sequoiaspoke/tests/test_mesh_overload.py
+++ b/sequoiaspoke/tests/test_mesh_overload.py
@@ -169,7 +169,12 @@
 
         async def run():
             entry = make_entry(script)
-            await entry.handle(replace(request("order"), nested=nested))
+            entry.state.table.has_large_bodies = True
+            home = entry.attempts.home
+            home.parents.begin("parent" if nested else "other", ("parents", False))
+            call = request("order")
+            headers = (("X-Request-Id", "parent.1"), *call.headers)
+            await entry.handle(replace(call, headers=headers))
             return entry.attempts.home.nested_room.outcomes
 
         found = asyncio.run(run())
