Let a node that cannot read all items find others by the endpoints

A store that refuses the large reads of one node leaves it without a configuration if no other node has a link to it: it knows nobody whom it could ask.

Now a node without any state whose fourth read in a row has failed also reads the endpoints alone. It then opens its links, and the zone's readers tell it everything.

--- a/sequoiaspoke/sidecar/follower.py
+++ b/sequoiaspoke/sidecar/follower.py
@@ -22,6 +22,9 @@
 # retries of all nodes of a large fleet twice a second make thousands of failed requests
 # in an outage.
 INITIAL_RETRY_DELAY, MAX_RETRY_DELAY, MAX_RETRY_DELAY_OFF_DUTY = 0.05, 0.5, 2.0
+# Delay before the next retry from which a node without any state also reads the
+# endpoints alone: the fourth read in a row has failed.
+FIND_NODES_DELAY = 0.4
 # Seconds between a change and the next read, so that one read returns several changes
 # if there are several a second. Short against the two seconds within which a version or
 # a drain has to be acted on.
@@ -148,12 +151,26 @@
             await self.follow_known_revision()
             return
         begun = clock.now()
-        snapshot = await self.read_snapshot()
+        try:
+            snapshot = await self.read_snapshot()
+        except StoreError:
+            if not self.state.complete and self.retry_delay >= FIND_NODES_DELAY:
+                await self.find_nodes()
+            raise
         self.duty.read_seconds = clock.now() - begun
         if snapshot is not None:
             self.state.apply_snapshot(snapshot)
             self.has_snapshot = True
 
+    async def find_nodes(self) -> None:
+        """Read the endpoints, so that this node can ask the nodes beside them.
+
+        The store may refuse the large reads of one node only. If no other node had a
+        link to it, it stayed without a configuration that all others knew.
+        """
+        begun = clock.now()
+        self.state.apply_endpoint_changes(await self.store.read_endpoints(), begun)
+
     async def follow_known_revision(self) -> None:
         """Read the changes since a revision that other nodes have told.
 
--- a/sequoiaspoke/sidecar/source.py
+++ b/sequoiaspoke/sidecar/source.py
@@ -120,6 +120,13 @@
         Raises StoreError, or HistoryLostError if all items must be read again.
         """
 
+    async def read_endpoints(self) -> Changes:
+        """Return every endpoint without the other items; raise StoreError.
+
+        By default the changes since the first revision are read.
+        """
+        return await self.endpoints_since(0)
+
     @abstractmethod
     async def confirm(self) -> int:
         """Return the store's revision; raise StoreError."""
