--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -18,7 +18,6 @@
 - A nested call is never refused for being late, only if it cannot end by its deadline.
 - A call is refused if the nested calls that it would make are failing (`shortage`).
 - A queued call whose time runs out is refused early enough for its entry to answer.
-- Fresh calls leave free the slots that nested calls need.
 - Callers refused for want of room get different times to return (`returns`).
 - Calls that would be late as the upstream has become slow are passed on (`passing`).
 """
@@ -33,7 +32,6 @@
 from sequoiaspoke.core.mesh.durations import Durations
 from sequoiaspoke.core.mesh.passing import MIN_DURATIONS_LEFT, PassedCalls
 from sequoiaspoke.core.mesh.ratelimit import RateLimit
-from sequoiaspoke.core.mesh.reserve import NestedReserve
 from sequoiaspoke.core.mesh.returns import ReturnSchedule
 from sequoiaspoke.core.mesh.shortage import WINDOW_SECONDS, NestedRoom
 from sequoiaspoke.core.mesh.slots import Load, Slots
@@ -182,7 +180,6 @@
         self.queue: dict[object, Arrival] = {}
         self.durations = Durations()
         self.nested_room = NestedRoom()
-        self.reserve = NestedReserve()
         self.returns = ReturnSchedule()
         self.passed_calls = PassedCalls()
 
@@ -236,13 +233,6 @@
         )
         return min(limit for limit in limits if limit is not None)
 
-    def free_for(self, nested: bool, now: float) -> int:
-        """Return the number of free slots that nested or fresh calls may use."""
-        free = self.free_slots(now)
-        if not nested and self.load_shedding:
-            return 0 if self.reserve.holds(free, self.slots, now) else free
-        return free
-
     @property
     def running(self) -> int:
         """Return the number of running calls."""
@@ -361,7 +351,7 @@
 
         With all slots busy, one is free after the mean duration divided by the slots.
         """
-        if self.queue.keys() <= self.incomplete and self.free_for(is_nested(rank), now):
+        if self.free_slots(now) and self.queue.keys() <= self.incomplete:
             return 0.0
         work = self.durations.mean_running(now)
         ahead = 0
@@ -380,13 +370,11 @@
         refused = self.drop_overdue(now)
         if not self.queue or not self.free_slots(now):
             return None, refused
-        fresh_may_start = self.free_for(False, now) > 0
         ready = [
             each
             for each in self.queue.values()
             if self.upstream_slots.admits(each.idempotent, self.running, now)
             and self.may_run_now(each)
-            and (each.nested or fresh_may_start)
         ]
         if not ready:
             return None, refused
@@ -395,7 +383,6 @@
         del self.queue[arrival.ticket]
         self.durations.begin(arrival.ticket, arrival.route, now)
         self.nested_room.begin(arrival.ticket, arrival.kind)
-        self.reserve.begin(arrival.ticket, arrival.nested, now)
         self.cold_start.begin(arrival.ticket)
         self.rate_limit.take(now)
         return arrival, refused
@@ -459,7 +446,6 @@
         self.cold_start.end(ticket)
         self.durations.end(ticket, answered, now)
         self.nested_room.end(ticket, answered, now)
-        self.reserve.end(ticket, now)
 
     def abandon(self, ticket: object, now: float) -> None:
         """Record a cancelled running call; its slot may still be occupied."""
@@ -467,7 +453,6 @@
         self.cold_start.end(ticket)
         self.durations.end(ticket, False, now)
         self.nested_room.end(ticket, False, now)
-        self.reserve.end(ticket, now)
 
     def restarted(self) -> None:
         """Reset the state after a restart of the upstream."""
