Return the upstream's answer to a read whose retry is refused

Cause: the final answer followed the last outcome only. After an answer 500 and a retry that homes refused, the node answered 502 gave-up. Change: such a read gets the answer of the attempt before. Calls that run at most once are not retried after an answer, so nothing changes for them. Tests: the new test failed before (502) and passes; test_sidecar_entry, test_sidecar_withdrawal and test_sidecar_asking pass.

--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -355,6 +355,7 @@
         If so, the retry is taken out of the budget.
         """
         if isinstance(outcome, Answer):
+            progress.last_answer = outcome
             if (
                 outcome.status not in RETRYABLE_STATUSES
                 or not progress.route.idempotent
@@ -375,6 +376,9 @@
     def final_answer(self, progress: Progress, reason: str) -> Answer:
         """Return the final answer to a call that is not tried again."""
         last_outcome = progress.last_outcome
+        if isinstance(last_outcome, NotRun) and progress.route.idempotent:
+            # The answer before a refused retry, if any, is complete and true.
+            last_outcome = progress.last_answer or last_outcome
         if isinstance(last_outcome, Answer):
             if progress.possible_runs > 1 and last_outcome.status in NOT_RUN_STATUSES:
                 # True of the last attempt, but another one may have run.
--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -42,6 +42,8 @@
         Number of attempts that reached no upstream.
     retry_after : float
         Shortest Retry-After of the homes that refused the call, in seconds.
+    last_answer : Answer or None
+        Last answer of an upstream.
     may_withdraw : bool
         Whether the call is withdrawn before its deadline.
     withdraw_seconds : float
@@ -69,6 +71,7 @@
     unreached: int = 0
     retry_after: float = float("inf")
     last_outcome: Outcome | None = None
+    last_answer: Answer | None = None
     race: Race | None = None
     may_withdraw: bool = False
     withdraw_seconds: float = 0.0
--- a/sequoiaspoke/tests/test_sidecar_entry.py
+++ b/sequoiaspoke/tests/test_sidecar_entry.py
@@ -32,6 +32,7 @@
 LOST = Unknown("connection-lost")
 SHED = NotRun("upstream-refused", 0.2, from_upstream=True)
 SERVED = Answer(200, (), b"served")
+FAILED = Answer(500, (), b"failed")
 
 
 class NoItems(ItemDecoder):
@@ -99,9 +100,12 @@
 
 
 class FinalAnswersTests(TestCase):
-    def play(self, script, name, left=4000):
+    def play(self, script, name, left=4000, attempts=2):
         async def run():
             self.entry = make_entry(script)
+            config = self.entry.state.table.config
+            routes = [replace(each, attempts=attempts) for each in config.routes]
+            self.entry.state.table = RouteTable(replace(config, routes=routes))
             async with asyncio.timeout(WAIT):
                 return await self.entry.handle(request(name, left))
 
@@ -132,6 +136,21 @@
         answer = self.play({"a": LOST, "b": SHED}, "read")
         self.assertEqual((answer.status, self.entry.attempts.sent), (502, ("a", "b")))
 
+    def test_the_answer_before_a_refused_retry_of_a_read_is_returned(self):
+        # The upstream's own answer is complete and true; a 502 was returned instead.
+        for refusal in (SHED, NotRun("overloaded", 0.2)):
+            answer = self.play({"a": FAILED, "b": refusal}, "read")
+            self.assertEqual(answer, FAILED)
+            self.assertEqual(self.entry.attempts.sent, ("a", "b"))
+
+    def test_an_answer_not_run_does_not_hide_a_lost_attempt(self):
+        # A read is lost, then answered 503, which is true of that attempt only, and
+        # then refused.
+        script = {"a": LOST, "b": Answer(503, (), b""), "c": SHED}
+        answer = self.play(script, "read", attempts=3)
+        self.assertEqual(self.entry.attempts.sent, ("a", "b", "c"))
+        self.assertEqual(answer.status, 502)
+
     def test_a_refusal_has_a_retry_after_header(self):
         answer = self.play({"a": SHED}, "order")
         self.assertIn(("Retry-After", "0.200"), answer.headers)
