Ignore a time left that is no number

Cause: a caller's header "nan" became the deadline of its call. The heap of deadlines was then out of order, and the call itself never timed out. Change: such a value counts as missing, like any other text. Tests: the new test failed before (no answer within 20 s) and passes with the others of test_sidecar_entry.

--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -11,7 +11,7 @@
 from collections import Counter
 from dataclasses import replace
 from functools import cached_property, partial
-from math import isinf
+from math import isinf, isnan
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.admission import MIN_RETRY_AFTER, RefusalReason
@@ -274,7 +274,7 @@
             requested = float(text) / 1000
         except ValueError:
             return route.timeout
-        return min(requested, route.timeout)
+        return route.timeout if isnan(requested) else min(requested, route.timeout)
 
     def would_outlast_node(self, route: Route, now: float) -> bool:
         """Return whether this node might exit before a new call is done.
--- a/sequoiaspoke/tests/test_sidecar_entry.py
+++ b/sequoiaspoke/tests/test_sidecar_entry.py
@@ -100,11 +100,11 @@
 
 
 class FinalAnswersTests(TestCase):
-    def play(self, script, name, left=4000, attempts=2):
+    def play(self, script, name, left=4000, **changes):
         async def run():
             self.entry = make_entry(script)
             config = self.entry.state.table.config
-            routes = [replace(each, attempts=attempts) for each in config.routes]
+            routes = [replace(each, **changes) for each in config.routes]
             self.entry.state.table = RouteTable(replace(config, routes=routes))
             async with asyncio.timeout(WAIT):
                 return await self.entry.handle(request(name, left))
@@ -164,6 +164,12 @@
         answer = self.play({"a": SERVED}, "read", left=0)
         self.assertEqual((answer.status, self.entry.attempts.sent), (503, ()))
 
+    def test_a_time_left_that_is_no_number_is_ignored(self):
+        # A deadline that is no number disordered the timers of all calls, and the call
+        # itself was never answered.
+        answer = self.play({"a": None}, "order", left="nan", timeout=0.05)
+        self.assertEqual(answer.status, 504)
+
     def test_a_route_that_may_be_missing_here_is_not_answered_with_404(self):
         # This node has not read the store for a minute, and a caller uses a route added
         # meanwhile. After a 404 the caller would not try again.
