Make no second attempt after the deadline of a call

Cause: if the timers of the deadline and of the hedge run in one iteration of the event loop, the hedge was sent after the deadline and taken out of the retry budget. Change: a hedge is made only while further attempts are. Tests: the new test failed before (2 attempts) and passes with the others of test_sidecar_withdrawal, test_sidecar_asking and test_sidecar_entry.

--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -239,7 +239,7 @@
         (first,) = race.attempts
         if first.finished or progress.reached + 2 > progress.route.attempts:
             return
-        if progress.withdrawn or self.suspected(progress):
+        if progress.ending or self.suspected(progress):
             return
         progress.tried.add(first.endpoint.incarnation)
         second = self.choose_by_reports(progress)
--- a/sequoiaspoke/tests/test_sidecar_withdrawal.py
+++ b/sequoiaspoke/tests/test_sidecar_withdrawal.py
@@ -243,6 +243,17 @@
         answer, _ = self.play({"a": RUNS, "b": WAITS}, "read", scenario)
         self.assertEqual(len(self.homes.attempts), 1)
 
+    def test_no_second_attempt_is_made_after_the_deadline(self):
+        # A busy node runs both timers at once. The attempt would be taken out of the
+        # retry budget and end at once.
+        async def scenario():
+            self.time += 4.0
+            self.entry.deadlines.run_due(self.time)
+            self.entry.attempts.deadlines.run_due(self.time)
+
+        self.play({"a": RUNS, "b": RUNS}, "read", scenario, large_bodies=False)
+        self.assertEqual(len(self.homes.attempts), 1)
+
     def test_two_refused_attempts_are_reported_as_not_run(self):
         async def scenario():
             await self.hedge()
