Pass announced bodies through the homes of the slot request simulation

Cause: Home.submit got a parameter for bodies in parts, and the replacement in this test did not take it. Change: the replacement takes the body and passes it on. Tests: test_asking_sim, 7 of 8 failed before, all 8 pass.

--- a/sequoiaspoke/tests/test_asking_sim.py
+++ b/sequoiaspoke/tests/test_asking_sim.py
@@ -30,10 +30,10 @@
         super().__init__(seed, nodes)
         submit, old = Home.submit, {f"i-{host}" for host in self.old}
 
-        def submit_to_old(home, key, call, on_outcome):
+        def submit_to_old(home, key, call, on_outcome, body=None):
             if home.upstream.instance in old:
                 call = replace(call, max_wait=float("inf"))
-            submit(home, key, call, on_outcome)
+            submit(home, key, call, on_outcome, body)
 
         case.patch(Home, "submit", submit_to_old)
 
