Let no call wait at a home whose upstream drains or has gone

Cause: the homes that a call had asked were remembered with their endpoints, and the best of them was chosen without a look at the directory. A call could be sent to an upstream that had begun to drain, to a zone that was evacuated, or to a VM that had left. Change: only endpoints that the service still has are compared. Tests: the new test failed before ('z0-1' was chosen) and passes with the others of test_mesh_asking, test_asking_sim and test_sidecar_asking.

--- a/sequoiaspoke/core/mesh/asking.py
+++ b/sequoiaspoke/core/mesh/asking.py
@@ -245,9 +245,13 @@
     def wait_at_best(
         self, call: SlotRequests, choices: Choices, now: float
     ) -> Placement | None:
-        """Return the best of the homes that were asked, to wait there."""
+        """Return the best of the homes that were asked, to wait there.
+
+        Not one whose upstream has left the service or drains since it was asked.
+        """
         call.waiting = True
-        asked = [each.endpoint for each in call.busy.values()]
+        present = {each.incarnation for each in choices.group.endpoints}
+        asked = [home.endpoint for name, home in call.busy.items() if name in present]
         endpoint = self.balancer.choose(
             call.route,
             filter(choices.is_eligible, asked),
--- a/sequoiaspoke/tests/test_mesh_asking.py
+++ b/sequoiaspoke/tests/test_mesh_asking.py
@@ -102,6 +102,15 @@
         service.unusable.add("z0-1")
         self.assertEqual(service.place().endpoint.instance, "z0-0")
 
+    def test_a_home_whose_upstream_drains_or_has_gone_is_not_waited_at(self):
+        # The service no longer has the endpoint, while its node can still be reached.
+        # The call would arrive just before the upstream exits.
+        service = AskedService({"z0-0": 0.1, "z0-1": 0.05})
+        for _ in range(2):
+            service.refuse(service.place().endpoint)
+        del service.endpoints[1]
+        self.assertEqual(service.place().endpoint.instance, "z0-0")
+
     def test_a_call_that_was_refused_where_it_waited_asks_no_more(self):
         # Guards against calls that ask for ever.
         service = AskedService({f"z0-{n}": 0.1 for n in range(9)})
