--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -11,7 +11,7 @@
 from collections import Counter
 from dataclasses import replace
 from functools import cached_property, partial
-from math import isinf
+from math import isinf, isnan
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.admission import MIN_RETRY_AFTER, RefusalReason
@@ -281,7 +281,7 @@
             requested = float(text) / 1000
         except ValueError:
             return route.timeout
-        return min(requested, route.timeout)
+        return route.timeout if isnan(requested) else min(requested, route.timeout)
 
     def would_outlast_node(self, route: Route, now: float) -> bool:
         """Return whether this node might exit before a new call is done.
@@ -362,6 +362,7 @@
         If so, the retry is taken out of the budget.
         """
         if isinstance(outcome, Answer):
+            progress.last_answer = outcome
             if (
                 outcome.status not in RETRYABLE_STATUSES
                 or not progress.route.idempotent
@@ -382,6 +383,9 @@
     def final_answer(self, progress: Progress, reason: str) -> Answer:
         """Return the final answer to a call that is not tried again."""
         last_outcome = progress.last_outcome
+        if isinstance(last_outcome, NotRun) and progress.route.idempotent:
+            # The answer before a refused retry, if any, is complete and true.
+            last_outcome = progress.last_answer or last_outcome
         if isinstance(last_outcome, Answer):
             if progress.possible_runs > 1 and last_outcome.status in NOT_RUN_STATUSES:
                 # True of the last attempt, but another one may have run.
