Keep withdrawals over a lost link, and end calls that were not sent as not run

Cause: a call on a stream that was closed but not read to its end counted as sent, and a withdrawal without a link was lost, so that both could end as unknown. A started call that the upstream had not got yet could not be withdrawn, and its cancellation was recorded as unknown and kept its slot. Change: LinkClient.send_call leaves the call unsent on a closed stream, and sends Withdraw in place of a withdrawn call after the handshake. Home.withdraw records an unknown call as withdrawn and reports over the link of the withdrawal. A call whose task ends before it was sent is NotRun, and its slot is free at once.

--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -46,6 +46,7 @@
     from sequoiaspoke.sidecar.upstream import Upstream
     from sequoiaspoke.sidecar.upstreamreport import UpstreamReport
 
+WITHDRAWN = RefusalReason.WITHDRAWN
 # Slots assumed until the platform publishes a number; every upstream has at least one.
 INITIAL_SLOTS = 1
 # Retry-After, in seconds, of refusals by a node that is about to stop.
@@ -276,8 +277,7 @@
         finally:
             self.crash_detector.call_ended(key)
             if outcome is None:
-                self.abandon(key)
-                self.finish(key, Unknown("cancelled"))
+                self.end_interrupted(key, running)
             else:
                 self.free_slot(key, isinstance(outcome, Answer))
                 self.finish(key, outcome)
@@ -291,9 +291,21 @@
 
     def task_ended(self, key: Hashable, task: asyncio.Task[None]) -> None:  # noqa: ARG002
         """Finish a call whose task was cancelled before it started."""
-        if key in self.calls:
+        running = self.calls.get(key)
+        if running is not None:
+            self.end_interrupted(key, running)
+
+    def end_interrupted(self, key: Hashable, running: ActiveCall) -> None:
+        """Finish a call whose task has ended without an outcome.
+
+        One that was not sent to the upstream has not run and occupies nothing there.
+        """
+        if running.sent:
             self.abandon(key)
-            self.finish(key, Unknown("cancelled"))
+            self.finish(key, Unknown(running.stop_reason))
+        else:
+            self.free_slot(key, answered=False)
+            self.finish(key, NotRun(running.stop_reason))
 
     def apply_outcome(self, running: ActiveCall, outcome: Outcome) -> None:
         """Update admission from the upstream's report, or from the kind of failure."""
@@ -445,8 +457,8 @@
     def cancel(self, key: Hashable) -> None:
         """Cancel a call whose caller has gone.
 
-        A running call that is not idempotent continues, as it would be unknown whether
-        an interrupted one took effect.
+        A call that was sent to the upstream and is not idempotent continues, as it
+        would be unknown whether an interrupted one took effect.
         """
         running = self.calls.get(key)
         if running is None:
@@ -455,17 +467,44 @@
             running.cancelled = True
             self.finish(key, NotRun("cancelled"))
             self.bodies.request(clock.now())
-        elif running.call.idempotent and running.task is not None:
+        elif running.task is not None and (running.call.idempotent or not running.sent):
             running.cancelled = True
             running.task.cancel()
 
-    def withdraw(self, key: Hashable) -> None:
-        """Take a queued call back as not run; a call that has started goes on."""
+    def withdraw(
+        self, key: Hashable, on_outcome: Callable[[Outcome], None] | None = None
+    ) -> None:
+        """Take a call back as not run, unless it was sent to the upstream.
+
+        An unknown call is recorded as withdrawn, so that a late copy of it is not
+        started.
+
+        Parameters
+        ----------
+        on_outcome : callable or None
+            Replaces the callback of the call, as its link may have ended; also called
+            for a call that has ended. None if the outcome is reported in any case.
+        """
         running = self.calls.get(key)
-        if running is not None and self.admission.cancel(key):
-            self.counts[RefusalReason.WITHDRAWN] += 1
-            self.finish(key, NotRun(RefusalReason.WITHDRAWN))
+        if running is None:
+            known = self.ledger.find(key)
+            if known is None:
+                self.ledger.begin(key)
+                self.ledger.finish(key, NotRun(WITHDRAWN), 0, clock.now())
+                known = self.ledger.calls[key]
+            if on_outcome is not None:
+                on_outcome(known.outcome or Unknown("answer-forgotten"))
+            return
+        running.on_outcome = on_outcome or running.on_outcome
+        if self.admission.cancel(key):
+            self.counts[WITHDRAWN] += 1
+            self.finish(key, NotRun(WITHDRAWN))
             self.bodies.request(clock.now())
+        elif running.task is not None and not running.sent:
+            # Whether it was sent shows for certain once its task has ended.
+            self.counts[WITHDRAWN] += 1
+            running.stop_reason = WITHDRAWN
+            running.task.cancel()
 
     def tick(self, now: float) -> None:
         """Expire old outcomes and connections, and refuse overdue calls."""
--- a/sequoiaspoke/sidecar/homecall.py
+++ b/sequoiaspoke/sidecar/homecall.py
@@ -51,11 +51,19 @@
     on_outcome : callable
         Called with the outcome unless the call was cancelled.
     sent_at : float
-        When it was sent to the upstream.
+        When it was sent to the upstream; minus infinity if it was not.
+    stop_reason : str
+        Reason of its outcome if its task is cancelled.
     """
 
     call: HomeCall
     on_outcome: Callable[[Outcome], None]
     task: asyncio.Task[None] | None = None
     cancelled: bool = False
-    sent_at: float = float("-inf")
+    sent_at: float = -inf
+    stop_reason: str = "cancelled"
+
+    @property
+    def sent(self) -> bool:
+        """Return whether it was sent to the upstream, at least in part."""
+        return self.sent_at != -inf
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -163,7 +163,8 @@
         """Take a call back; its outcome tells whether it has run.
 
         One that was not sent yet, or not with its whole body, has not run. For any
-        other, the home tells whether it has started.
+        other, the home tells whether it has started, after the next handshake if the
+        link has ended.
         """
         if pending.done:
             return
@@ -171,7 +172,12 @@
             self.send_cancel(pending)
             pending.resolve(NotRun(RefusalReason.WITHDRAWN))
         elif self.features & LinkFeatures.PARTS:
-            self.send(wire.Frame(withdraw=wire.Withdraw(pending.number)))
+            pending.withdrawn = True
+            self.send_withdraw(pending)
+
+    def send_withdraw(self, pending: PendingCall) -> None:
+        """Ask the home to take a call back unless it has started."""
+        self.send(wire.Frame(withdraw=wire.Withdraw(pending.number)))
 
     def stale(self) -> bool:
         """Return whether the home has sent nothing recently.
@@ -193,17 +199,24 @@
 
     def send_call(self, pending: PendingCall) -> None:
         """Send a call on the established link."""
+        assert self.stream is not None
+        if self.stream.closed:
+            # Its end has not been read yet. Nothing would be sent, so the call stays
+            # unsent and goes with the next connection.
+            return
         if pending.done:
             # It has just failed, for example because it was sent to an earlier
             # incarnation of the home: sent again it would run twice.
             return
+        if pending.withdrawn:
+            self.send_withdraw(pending)
+            return
         call = pending.call
         parts = call.large_body and bool(self.features & LinkFeatures.PARTS)
         if parts and len(call.request.body) > PART_BYTES:
             pending.body = pending.body or OutgoingBody(call.request.body)
             pending.body.announced()
         pending.home_incarnation = self.incarnation
-        assert self.stream is not None
         in_parts = pending.body is not None
         self.stream.send(pack_call(call, pending.number, self.clock_offset, in_parts))
 
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -53,7 +53,7 @@
         elif frame.cancel is not None:
             self.server.home.cancel((self.peer, frame.cancel.number))
         elif frame.withdraw is not None:
-            self.server.home.withdraw((self.peer, frame.withdraw.number))
+            self.handle_withdraw(frame.withdraw)
         elif frame.ping is not None:
             load_report = pack_load_report(self.server.home.load_report())
             pong = wire.Pong(frame.ping.sent, clock.now(), load_report)
@@ -105,6 +105,18 @@
             None if size is None else AnnouncedBody(size, self),
         )
 
+    def handle_withdraw(self, message: wire.Withdraw) -> None:
+        """Have the home take a call back; raise MessageError."""
+        number = message.number
+        if number is None:
+            raise MessageError("withdrawal without a number")
+        key = (self.peer, number)
+        running = self.server.home.calls.get(key)
+        call = None if running is None else running.call
+        self.server.home.withdraw(
+            key, lambda outcome: self.send_outcome(number, call, outcome)
+        )
+
     def handle_part(self, message: wire.BodyPart) -> None:
         """Pass on a part of a body; raise MessageError."""
         number, offset, data = unpack_part(message)
@@ -116,9 +128,12 @@
         _, number = key
         self.stream.send(wire.Frame(fetch=wire.Fetch(number, offset, upto)))
 
-    def send_outcome(self, number: int, call: HomeCall, outcome: Outcome) -> None:
-        """Send the outcome of a call, with a load report."""
-        load_report = self.server.home.load_report(call.route, call.rank)
+    def send_outcome(
+        self, number: int, call: HomeCall | None, outcome: Outcome
+    ) -> None:
+        """Send the outcome of a call, with a load report for its route if known."""
+        kind = () if call is None else (call.route, call.rank)
+        load_report = self.server.home.load_report(*kind)
         self.stream.send(pack_outcome(number, outcome, load_report))
 
 
--- a/sequoiaspoke/sidecar/pending.py
+++ b/sequoiaspoke/sidecar/pending.py
@@ -21,7 +21,8 @@
         Incarnation of the home that it was sent to, None while it is not sent.
     done : bool
         Whether its outcome was reported or nobody waits for it any more.
-
+    withdrawn : bool
+        Whether the home has to take it back unless it has started.
     body : OutgoingBody or None
         Its body, if that is sent in parts.
     """
@@ -33,6 +34,7 @@
         self.call = call
         self.on_outcome = on_outcome
         self.done = False
+        self.withdrawn = False
         self.home_incarnation: int | None = None
         self.body: OutgoingBody | None = None
 
--- a/sequoiaspoke/tests/test_bodies.py
+++ b/sequoiaspoke/tests/test_bodies.py
@@ -1,5 +1,7 @@
 """Tests of bodies in parts between entries and a home, on a virtual clock."""
 
+import asyncio
+
 from testtools import TestCase
 
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
@@ -205,6 +207,64 @@
         self.play(scenario)
 
 
+class LinkLossTests(BodiesCase):
+    def test_a_call_on_a_stream_that_has_just_closed_stays_unsent(self):
+        # Counted as sent, an upload that no home has would be reported as unknown.
+        async def scenario(world):
+            world.send("/1", 10)
+            await world.until(lambda: world.outcomes)
+            world.entries[0].stream.close()
+            pending = world.send("/2", SIZE)
+            self.assertIsNone(pending.home_incarnation)
+            await world.until(lambda: "/2" in world.outcomes)
+            self.assertEqual(len(world.upstream.runs), 2)
+
+        self.play(scenario)
+
+    def test_a_withdrawal_without_a_link_follows_the_next_handshake(self):
+        # A lost withdrawal ended as a timeout of a call that certainly had not run.
+        async def scenario(world):
+            world.home.admission.free_slots = lambda now: 0
+            pending = world.send("/1", 10)
+            await world.until(lambda: world.home.calls)
+            world.break_links()
+            await world.until(lambda: not world.entries[0].established)
+            world.entries[0].withdraw(pending)
+            await world.until(lambda: world.outcomes)
+            self.assertEqual(world.outcomes["/1"], NotRun("withdrawn"))
+            self.assertEqual(world.upstream.runs, [])
+
+        self.play(scenario)
+
+    def test_a_call_that_runs_is_answered_over_the_link_of_its_withdrawal(self):
+        # The answer went to the link that had ended.
+        async def scenario(world):
+            pending = world.send("/1", 10)
+            await world.until(lambda: world.upstream.runs)
+            world.break_links()
+            await world.until(lambda: not world.entries[0].established)
+            world.entries[0].withdraw(pending)
+            await world.until(lambda: world.outcomes)
+            self.assertIsInstance(world.outcomes["/1"], Answer)
+            self.assertEqual(len(world.upstream.runs), 1)
+
+        self.play(scenario)
+
+    def test_a_call_that_arrives_after_its_withdrawal_does_not_start(self):
+        # Its caller was told that it has not run.
+        async def scenario(world):
+            pending = world.send("/1", 10)
+            await world.until(lambda: world.entries[0].established)
+            (link,) = world.server.links
+            link.handle_frame(wire.Frame(withdraw=wire.Withdraw(pending.number)))
+            await world.until(lambda: world.outcomes)
+            self.assertEqual(world.outcomes["/1"], NotRun("withdrawn"))
+            await asyncio.sleep(1)
+            self.assertEqual(world.upstream.runs, [])
+
+        self.play(scenario)
+
+
 class MessageTests(BodiesCase):
     def test_invalid_messages_close_the_link_with_a_typed_error(self):
         # A body with a gap, or of another size than announced, must not run.
--- a/sequoiaspoke/tests/test_sidecar_home.py
+++ b/sequoiaspoke/tests/test_sidecar_home.py
@@ -8,7 +8,7 @@
 from sequoiaspoke.core.mesh.directory import Directory
 from sequoiaspoke.core.mesh.leaving import LEAVING_QUEUE_SECONDS
 from sequoiaspoke.core.mesh.model import Endpoint
-from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.home import Home
 from sequoiaspoke.sidecar.homecall import HomeCall
@@ -104,6 +104,72 @@
         self.play(scenario)
 
 
+class ConnectingUpstream(BlockingUpstream):
+    """Opens connections only once its gate is opened, and then never answers."""
+
+    async def call(self, request, instance, deadline, idempotent, on_send):
+        await self.gate.wait()
+        on_send()
+        self.ran.append(request.target)
+        await asyncio.Event().wait()
+
+
+class UnsentCallTests(TestCase):
+    """Calls end whose upstream has not accepted a connection yet, and after that."""
+
+    def play(self, stop, idempotent, connected):
+        """Return the outcome, the free slots and the calls that the upstream got."""
+        outcomes = []
+
+        async def scenario():
+            log = EventLog("x-request-id")
+            log.allowed = lambda kind: False
+            self.upstream = ConnectingUpstream()
+            self.home = Home(self.upstream, Directory(), log)
+            request, until = Request("POST", "/a", (), b""), clock.now() + 9
+            call = HomeCall(
+                request, ENDPOINT.incarnation, "r", 0, idempotent, until, until
+            )
+            self.home.submit("k", call, outcomes.append)
+            await asyncio.sleep(0)
+            if connected:
+                self.upstream.gate.set()
+                await asyncio.sleep(0.01)
+            stop(self.home)
+            self.upstream.gate.set()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            self.free = self.home.admission.free_slots(clock.now())
+            return self.home.ledger.find("k").outcome, list(outcomes)
+
+        return asyncio.run(scenario())
+
+    def test_a_call_that_was_not_sent_is_withdrawn(self):
+        # While the upstream accepted no connection, callers got 504 for calls that it
+        # never saw, and their slots stayed occupied.
+        for idempotent in (False, True):
+            ended = self.play(lambda home: home.withdraw("k"), idempotent, False)
+            self.assertEqual(ended, (NotRun("withdrawn"), [NotRun("withdrawn")]))
+            self.assertEqual((self.free, self.upstream.ran), (1, []))
+
+    def test_a_call_that_was_sent_goes_on_after_its_withdrawal(self):
+        # Reported as not run, an order would run twice.
+        for idempotent in (False, True):
+            ended = self.play(lambda home: home.withdraw("k"), idempotent, True)
+            self.assertEqual((ended, self.upstream.ran), ((None, []), ["/a"]))
+
+    def test_a_cancelled_call_has_not_run_only_if_it_was_not_sent(self):
+        for idempotent, connected, expected in (
+            (False, False, NotRun("cancelled")),
+            (True, False, NotRun("cancelled")),
+            (True, True, Unknown("cancelled")),
+            (False, True, None),
+        ):
+            outcome, _ = self.play(lambda home: home.cancel("k"), idempotent, connected)
+            self.assertEqual(outcome, expected)
+            self.assertEqual(self.free, 0 if connected else 1)
+
+
 class DownUpstream(BlockingUpstream):
     """Refuses connections while it is down."""
 
