Start the wait for idempotent calls only with an order that can start

Cause: Admission.next asked Slots.admits of orders whose bodies were incomplete, which starts the 0.2 s in which an idempotent call goes first after a restart. The order was then sent at once when its body was complete. Change: may_run_now is asked before admits. Tests: transfers, mesh_slots, mesh_coldstart, mesh_overload (one known red), mesh_shedding and bodies passed; the new test fails without the change.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -368,8 +368,8 @@
         ready = [
             each
             for each in self.queue.values()
-            if self.upstream_slots.admits(each.idempotent, self.running, now)
-            and self.may_run_now(each)
+            if self.may_run_now(each)
+            and self.upstream_slots.admits(each.idempotent, self.running, now)
         ]
         if not ready:
             return None, refused
--- a/sequoiaspoke/tests/test_transfers.py
+++ b/sequoiaspoke/tests/test_transfers.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 
 from sequoiaspoke.core.mesh.admission import Admission, Arrival, RefusalReason
+from sequoiaspoke.core.mesh.slots import IDEMPOTENT_FIRST_SECONDS
 from sequoiaspoke.core.mesh.transfers import (
     DEFAULT_WINDOW,
     MAX_WINDOW,
@@ -180,6 +181,17 @@
         self.admission.incomplete.discard("a")
         self.assertEqual(self.admission.next(0.0)[0].ticket, "a")
 
+    def test_an_incomplete_order_does_not_start_the_wait_for_idempotent_calls(self):
+        # The first order after a restart would be sent at once if its body took 0.2 s,
+        # without the wait for an idempotent call.
+        self.admission.upstream_slots.has_answered = False
+        self.arrive("a", 100 * KB)
+        self.assertIsNone(self.admission.next(0.0)[0])
+        self.admission.incomplete.discard("a")
+        self.assertIsNone(self.admission.next(IDEMPOTENT_FIRST_SECONDS)[0])
+        later = 2 * IDEMPOTENT_FIRST_SECONDS
+        self.assertEqual(self.admission.next(later)[0].ticket, "a")
+
     def test_a_body_that_cannot_arrive_in_time_is_refused_at_once(self):
         # 400 KB take 0.66 s. Accepted, the call would fill the link for nothing.
         self.assertEqual(
