Count the bodies held at a home as memory of its node

Cause: bodies that a home fetched did not count in the node's memory account, so that many large ones beside slow callers could exceed the memory of its VM. Change: Home takes the MemoryAccount of the node. IncomingBodies reserves a whole body when it first requests it, skips bodies that do not fit, and releases the bytes when the call ends, whatever its outcome. Bodies that arrive whole over a link count too.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -82,7 +82,7 @@
         self.upstream.new_headers.on_new = self.log_upstream_header
         if store.new_headers is not None:
             store.new_headers.on_new = self.log_store_header
-        self.home = Home(self.upstream, self.state.directory, self.log)
+        self.home = Home(self.upstream, self.state.directory, self.log, self.memory)
         self.home.expect_earlier_calls()
         self.home.admission.transfers.set_link_mbps(settings.link_mbps)
         identity = LinkIdentity(settings.links[0], settings.zone, self.incarnation)
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -15,6 +15,7 @@
 from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.leaving import LeavingUpstreams
 from sequoiaspoke.core.mesh.ledger import Ledger
+from sequoiaspoke.core.mesh.memory import MemoryAccount
 from sequoiaspoke.core.mesh.outcome import (
     RESET_AT_ONCE,
     UPSTREAM_CRASHED,
@@ -75,7 +76,13 @@
         The one before the current one; late answers of it say nothing about that one.
     """
 
-    def __init__(self, upstream: Upstream, directory: Directory, log: EventLog) -> None:
+    def __init__(
+        self,
+        upstream: Upstream,
+        directory: Directory,
+        log: EventLog,
+        memory: MemoryAccount | None = None,
+    ) -> None:
         self.upstream = upstream
         self.directory = directory
         self.log = log
@@ -103,7 +110,8 @@
         self.leaving_upstreams = LeavingUpstreams(directory.is_leaving)
         self.counts: Counter[str] = Counter()
         self.overdue_timer = OverdueTimer(self.admission, self.dispatch)
-        self.bodies = IncomingBodies(self.admission, self.counts, self)
+        memory = MemoryAccount() if memory is None else memory
+        self.bodies = IncomingBodies(self.admission, self.counts, self, memory)
 
     def submit(
         self,
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -97,13 +97,16 @@
     def handle_call(self, call: wire.Call) -> None:
         """Submit a call to the home; raise MessageError."""
         number, home_call = call.number, unpack_call(call)
-        size = body_size(call)
-        self.server.home.submit(
-            (self.peer, number),
+        key, size = (self.peer, number), body_size(call)
+        home = self.server.home
+        home.submit(
+            key,
             home_call,
             lambda outcome: self.send_outcome(number, home_call, outcome),
             None if size is None else AnnouncedBody(size, self),
         )
+        if size is None and key in home.calls:
+            home.bodies.hold(key, len(home_call.request.body))
 
     def handle_withdraw(self, message: wire.Withdraw) -> None:
         """Have the home take a call back; raise MessageError."""
--- a/sequoiaspoke/sidecar/transfers.py
+++ b/sequoiaspoke/sidecar/transfers.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable, Hashable
 
     from sequoiaspoke.core.mesh.admission import Admission
+    from sequoiaspoke.core.mesh.memory import MemoryAccount
 
 # Bytes in the buffer of a link above which no part is added, and seconds until the next
 # attempt. A frame written now waits behind two parts at most.
@@ -61,10 +62,18 @@
         The current links of the incomplete bodies.
     complete : set of Hashable
         Calls with complete bodies, until they end.
+    memory : MemoryAccount
+        Memory of the node, shared with its other parts.
+    reserved : dict of Hashable to int
+        Bytes reserved for the bodies of calls that have not ended.
     """
 
     def __init__(
-        self, admission: Admission, counts: Counter[str], receiver: BodyReceiver
+        self,
+        admission: Admission,
+        counts: Counter[str],
+        receiver: BodyReceiver,
+        memory: MemoryAccount,
     ) -> None:
         self.admission = admission
         self.transfers = admission.transfers
@@ -73,6 +82,8 @@
         self.bodies: dict[Hashable, bytearray] = {}
         self.sources: dict[Hashable, BodySource] = {}
         self.complete: set[Hashable] = set()
+        self.memory = memory
+        self.reserved: dict[Hashable, int] = {}
 
     def announce(
         self, key: Hashable, route: str, rank: int, body: AnnouncedBody
@@ -83,6 +94,12 @@
         self.bodies[key] = bytearray()
         self.sources[key] = body.source
 
+    def hold(self, key: Hashable, size: int) -> None:
+        """Count the memory of a body, once and until its call ends."""
+        if key not in self.reserved:
+            self.memory.reserve(size)
+            self.reserved[key] = size
+
     def resume(self, key: Hashable, body: AnnouncedBody, now: float) -> None:
         """Continue a body whose entry announced it again, unless it is complete."""
         if key in self.bodies:
@@ -114,9 +131,10 @@
     def drop(self, key: Hashable) -> bool:
         """Forget the body of a call that has ended; return whether it was incomplete.
 
-        Its credit is free for the next `request`.
+        Its credit and its memory are free for the next `request`.
         """
         self.complete.discard(key)
+        self.memory.release(self.reserved.pop(key, 0))
         if not self.transfers.drop(key):
             return False
         del self.bodies[key], self.sources[key]
@@ -144,10 +162,28 @@
         waiting.sort(key=lambda arrival: admission.sort_key(arrival, now))
         complete = sum(key in admission.queue for key in self.complete)
         most = admission.slots + 1 - complete
-        order = [each.ticket for each in waiting]
+        order = self.fitting([each.ticket for each in waiting])
         for grant in self.transfers.grant(order, most, now):
+            self.hold(grant.ticket, self.transfers.transfers[grant.ticket].size)
             self.sources[grant.ticket].fetch(grant.ticket, grant.offset, grant.upto)
 
+    def fitting(self, order: list[Hashable]) -> list[Hashable]:
+        """Return the bodies that have memory, or fit beside those before them.
+
+        Memory is reserved for a whole body when it is first requested: if several were
+        requested that do not fit together, none of them would become complete.
+        """
+        free = self.memory.limit - self.memory.held
+        fitting = []
+        for key in order:
+            size = self.transfers.transfers[key].size
+            if key in self.reserved:
+                fitting.append(key)
+            elif size <= free:
+                free -= size
+                fitting.append(key)
+        return fitting
+
     def tick(self, now: float) -> None:
         """Return unused credit, and refuse calls whose bodies cannot come in time."""
         if not self.bodies:
--- a/sequoiaspoke/tests/bodysim.py
+++ b/sequoiaspoke/tests/bodysim.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from sequoiaspoke.core.mesh.directory import Directory
+from sequoiaspoke.core.mesh.memory import MemoryAccount
 from sequoiaspoke.core.mesh.model import Endpoint
 from sequoiaspoke.core.mesh.outcome import Answer, Request
 from sequoiaspoke.sidecar import clock
@@ -45,7 +46,8 @@
             await asyncio.sleep(3600)
         if not world.up:
             raise ConnectionRefusedError(host)
-        pipes = [RatePipe(world, (self.host, host)) for _ in range(2)]
+        ways = ("there", "back")
+        pipes = [RatePipe(world, (self.host, host, way)) for way in ways]
         world.links.append(pipes)
         there, back = pipes
         world.spawn(world.server.serve(PipeFrames(there, back)))
@@ -98,7 +100,8 @@
         self.incarnation += 1
         self.directory = Directory()
         self.directory.put(ENDPOINT, 5, self.now())
-        self.home = Home(self.upstream, self.directory, self.log)
+        self.memory = MemoryAccount()
+        self.home = Home(self.upstream, self.directory, self.log, self.memory)
         self.home.set_slots(ENDPOINT.slots)
         self.home.admission.transfers.set_link_mbps(MBPS)
         self.server = LinkServer(self.home, NoGossip(), self.incarnation, self.log)
@@ -125,7 +128,8 @@
         return DELAY
 
     def is_cut(self, *ends):
-        return ends in self.cuts
+        """Return whether a direction of a link, or the whole link, is cut."""
+        return ends in self.cuts or ends[:2] in self.cuts
 
     def spawn(self, work):
         task = asyncio.ensure_future(work)
--- a/sequoiaspoke/tests/test_bodies.py
+++ b/sequoiaspoke/tests/test_bodies.py
@@ -207,6 +207,43 @@
         self.play(scenario)
 
 
+class MemoryTests(BodiesCase):
+    def test_a_body_is_fetched_only_once_it_fits(self):
+        # A home beside many slow callers would exceed the memory of its VM.
+        async def scenario(world):
+            world.memory.limit = int(1.5 * SIZE)
+            for number in range(2):
+                world.send(f"/{number}", SIZE, entry=number)
+            await world.arrived("/0")
+            self.assertEqual(world.memory.held, SIZE)
+            await world.until(lambda: len(world.outcomes) == 2)
+            self.assertEqual(len(world.upstream.runs), 2)
+            self.assertEqual(world.memory.held, 0)
+
+        self.play(scenario)
+
+    def test_a_smaller_body_goes_ahead_of_one_that_does_not_fit(self):
+        async def scenario(world):
+            world.memory.limit = 2 * SIZE
+            world.send("/1", 3 * SIZE, seconds=1.5)
+            world.send("/2", SIZE, entry=1)
+            await world.until(lambda: len(world.outcomes) == 2)
+            self.assertEqual([name for name, _ in world.upstream.runs], ["/2"])
+            self.assertEqual(world.outcomes["/1"].reason, "no-time")
+
+        self.play(scenario)
+
+    def test_a_body_that_arrives_with_its_call_is_counted_until_its_end(self):
+        async def scenario(world):
+            world.send("/1", PART_BYTES)
+            await world.until(lambda: world.upstream.runs)
+            self.assertEqual(world.memory.held, PART_BYTES)
+            await world.until(lambda: world.outcomes)
+            self.assertEqual(world.memory.held, 0)
+
+        self.play(scenario)
+
+
 class LinkLossTests(BodiesCase):
     def test_a_call_on_a_stream_that_has_just_closed_stays_unsent(self):
         # Counted as sent, an upload that no home has would be reported as unknown.
