Measure small calls beside bodies on a narrow link

Nothing measured what bodies in parts change for the small calls of the same link, nor the memory of nodes during slow uploads.

`measure bodies` runs an entry and a home as processes of the sidecar, with a loopback proxy of 5 Mbit/s between them. Bodies of 60 KB are sent whole, as to a home without LinkFeatures.PARTS, in parts, or whole through a second entry, which stands for a second connection for bodies. The memory of both nodes is sampled during uploads from slow callers.

The new tests of test_measure.py check that the proxy delivers bytes unchanged and that each way serves its calls; they check no times.

--- a/sequoiaspoke/commands/measure.py
+++ b/sequoiaspoke/commands/measure.py
@@ -275,7 +275,65 @@
     print(json.dumps([dataclasses.asdict(each) for each in results]))
 
 
+def bodies(
+    *,
+    loads: tuple[float, ...] = (0.7, 1.0),
+    seconds: float = 40.0,
+    uploads: int = 200,
+    seed: int = 1,
+) -> None:
+    """Measure small calls beside bodies on a narrow link; the last line is JSON.
+
+    Parameters
+    ----------
+    loads : tuple[float, ...]
+        Shares of the link's rate that the bodies take.
+    seconds : float
+        Seconds of calls for each way and load.
+    uploads : int
+        Uploads from slow callers at once, for the memory of the nodes.
+    seed : int
+        Seed of the times of calls, which are the same for each way.
+    """
+    from sequoiaspoke.measure.bodies import BodyPlan, measure_bodies
+
+    report = run_measurement(measure_bodies(BodyPlan(loads, seconds, uploads, seed)))
+    for each in report.latency:
+        print(
+            f"{each.load:4} {each.way:17} small p50={each.small_p50_ms} "
+            f"p99={each.small_p99_ms} {each.small} bodies p50={each.body_p50_ms} "
+            f"p99={each.body_p99_ms} {each.bodies}"
+        )
+    print(json.dumps(dataclasses.asdict(report)))
+
+
+def body_node(
+    host: str, upstream_port: int, link_port: int, *, whole: bool = False
+) -> None:
+    """Run an entry or the home of a measurement of bodies.
+
+    Parameters
+    ----------
+    host : str
+        Address of the node, which says what it is.
+    upstream_port : int
+        Port of the upstream beside the home.
+    link_port : int
+        Port through which an entry reaches the home.
+    whole : bool
+        Whether bodies are sent whole with the first frame of their call.
+    """
+    import uvloop
+
+    from sequoiaspoke.measure.bodynode import BodyNode, run_body_node
+
+    node = BodyNode(host, upstream_port, link_port, parts=not whole)
+    uvloop.run(run_body_node(node))
+
+
 COMMANDS = {
+    "bodies": bodies,
+    "body-node": body_node,
     "cost": cost,
     "cost-node": cost_node,
     "idempotency": idempotency,
--- a/sequoiaspoke/tests/test_measure.py
+++ b/sequoiaspoke/tests/test_measure.py
@@ -9,12 +9,15 @@
 from sequoiaspoke.core.snapshot.codec import DOCUMENT_LIMIT
 from sequoiaspoke.errors import MeasureError
 from sequoiaspoke.measure.bench import Totals
+from sequoiaspoke.measure.bodies import PARTS, WAYS, WHOLE, BodyPlan, measure_bodies
+from sequoiaspoke.measure.bodynode import make_config
 from sequoiaspoke.measure.cost import measure_cost
 from sequoiaspoke.measure.costreport import FIGURES, cost_plot, cost_table
 from sequoiaspoke.measure.faults import Pause, make_fault
 from sequoiaspoke.measure.percentiles import Percentiles
 from sequoiaspoke.measure.plan import FleetPlan
 from sequoiaspoke.measure.processes import Process
+from sequoiaspoke.measure.slowlink import SlowLink
 from sequoiaspoke.measure.spread import Rates, SpreadPlan, measure_spread
 from sequoiaspoke.settings.load import parse_settings
 
@@ -126,3 +129,59 @@
         with tempfile.TemporaryDirectory() as path:
             error = self.assertRaises(MeasureError, asyncio.run, test(path))
         self.assertIn("address-in-use", str(error))
+
+
+class SlowLinkTests(TestCase):
+    def test_bytes_arrive_unchanged_in_both_directions(self):
+        # Guards against a link that loses or mixes bytes: the figures of calls that
+        # end with a broken link would pass for slow ones.
+        data = bytes(range(256)) * 100
+
+        async def echo(reader, writer):
+            writer.write(await reader.readexactly(len(data)))
+            await writer.drain()
+            writer.close()
+
+        async def exchange(port):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(data)
+            try:
+                return await reader.read()
+            finally:
+                writer.close()
+
+        async def test():
+            server = await asyncio.start_server(echo, "127.0.0.1", 0)
+            link = SlowLink(50.0, server.sockets[0].getsockname())
+            try:
+                async with asyncio.timeout(20):
+                    return await asyncio.gather(*(exchange(link.port) for _ in "ab"))
+            finally:
+                await link.close()
+                server.close()
+
+        self.assertEqual([data, data], asyncio.run(test()))
+
+
+class BodiesTests(TestCase):
+    def test_uploads_have_large_bodies_and_run_once(self):
+        # Guards against a comparison in which neither way sends parts.
+        kinds = {
+            each.name: (each.large_bodies, each.idempotent)
+            for each in make_config().routes
+        }
+        upload = (True, False)
+        expected = {"small": (False, True), "upload": upload, "batch": upload}
+        self.assertEqual(expected, kinds)
+
+    def test_every_way_and_the_memory_are_measured(self):
+        # Guards against figures of calls that failed or were never made.
+        report = asyncio.run(measure_bodies(BodyPlan((0.7,), 1.0, 3)))
+        self.assertEqual(list(WAYS), [each.way for each in report.latency])
+        self.assertEqual([WHOLE, PARTS], [each.way for each in report.memory])
+        for each in report.latency:
+            self.assertGreater(each.small.get("200", 0), 0)
+            self.assertGreater(each.bodies.get("200", 0), 0)
+        for each in report.memory:
+            self.assertEqual({"200": 3}, each.answers)
+            self.assertGreater(each.entry_before_mb, 0)
