Look only at the zones of the homes that were asked before a call waits

Change: the check that an endpoint is still there built a set of all endpoints of the service, up to 42, for each call that waits. Tests: test_mesh_asking and test_asking_sim pass.

--- a/sequoiaspoke/core/mesh/asking.py
+++ b/sequoiaspoke/core/mesh/asking.py
@@ -250,7 +250,10 @@
         Not one whose upstream has left the service or drains since it was asked.
         """
         call.waiting = True
-        present = {each.incarnation for each in choices.group.endpoints}
+        zones = {home.endpoint.zone for home in call.busy.values()}
+        present = {
+            each.incarnation for zone in zones for each in choices.group.in_zone(zone)
+        }
         asked = [home.endpoint for name, home in call.busy.items() if name in present]
         endpoint = self.balancer.choose(
             call.route,
