Let a busy home not hide the refusal of the attempt beside it

Cause: if the first home passed a read on as busy and the hedge beside it was refused, the race gave the busy one as its result. The time that the other home told was lost, and that home was asked again. Change: among refusals, busy is the result only if all attempts met busy homes. Tests: the new test failed before (Retry-After 0.900) and passes; test_sidecar_withdrawal, test_sidecar_entry, test_sidecar_asking and test_asking_sim pass.

--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -268,8 +268,15 @@
             attempt.cancel()
 
 
-def nearness_to_run(attempt: Attempt) -> tuple[int, bool]:
-    """Return a key that orders attempts from unreached to answered."""
+def nearness_to_run(attempt: Attempt) -> tuple[int, bool, bool]:
+    """Return a key that orders attempts from unreached to answered.
+
+    A busy home comes first, as it hides nothing: the call may ask it again.
+    """
     outcome = attempt.outcome
-    refused_there = isinstance(outcome, NotRun) and outcome.from_upstream
-    return (NotRun, Unknown, Answer).index(type(outcome)), refused_there
+    refused = isinstance(outcome, NotRun)
+    return (
+        (NotRun, Unknown, Answer).index(type(outcome)),
+        refused and outcome.from_upstream,
+        not (refused and outcome.reason == RefusalReason.BUSY),
+    )
--- a/sequoiaspoke/tests/test_sidecar_withdrawal.py
+++ b/sequoiaspoke/tests/test_sidecar_withdrawal.py
@@ -234,6 +234,19 @@
         answer, _ = self.play(dict.fromkeys("abcdef", RUNS), "read", scenario)
         self.assertEqual(answer.status, 502)
 
+    def test_a_call_that_is_passed_on_does_not_hide_a_refusal_beside_it(self):
+        # The time that the second home told was lost, and it was asked again.
+        async def scenario():
+            await self.hedge()
+            first, second = self.homes.attempts
+            for instance in self.homes.script:
+                self.homes.script[instance] = NotRun("overloaded", 0.9)
+            self.homes.end(second, FULL)
+            self.homes.end(first, NotRun("busy", 0.3))
+
+        answer, _ = self.play(dict.fromkeys("abcdef", RUNS), "read", scenario)
+        self.assertIn(("Retry-After", "0.200"), answer.headers)
+
     def test_no_second_attempt_is_made_after_a_withdrawal(self):
         # It would not be withdrawn, and might start without time to end.
         async def scenario():
