Bound the bytes of bodies that run at an upstream after a crash under them

Cause: an upstream crashes when the requests that it holds exceed its memory, and then got the same bytes again; each request that ran became a suspect. Change: UpstreamBytes learns a bound from a crash under more than 256 KB of bodies, half of what ran, and raises it by a tenth with each answered call with a body over 16 KB. Admission starts no call whose body does not fit; a body above the bound runs alone. Such a crash is logged with its bytes, but suspects no request and is not sent to other nodes, unless a single body ran. Tests: mesh_upstreambytes, sidecar_crashdetector, bodies, bodies_property, sidecar_home, mesh_quarantine, transfers, mesh_overload (one known red) and mesh_shedding passed.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -36,6 +36,7 @@
 from sequoiaspoke.core.mesh.shortage import WINDOW_SECONDS, NestedRoom
 from sequoiaspoke.core.mesh.slots import Load, Slots
 from sequoiaspoke.core.mesh.transfers import IncomingTransfers
+from sequoiaspoke.core.mesh.upstreambytes import UpstreamBytes
 
 # Maximum number of queued calls per slot. In a longer queue even the shortest calls
 # would miss every objective.
@@ -162,6 +163,8 @@
         Tickets of queued calls whose bodies are not complete; they cannot start yet.
     transfers : IncomingTransfers
         These bodies, which the network link has still to receive.
+    upstream_bytes : UpstreamBytes
+        The complete bodies, and how many bytes of them may run at once.
     """
 
     def __init__(self, slots: int) -> None:
@@ -169,6 +172,7 @@
         self.suspects: set[object] = set()
         self.incomplete: set[object] = set()
         self.transfers = IncomingTransfers()
+        self.upstream_bytes = UpstreamBytes()
         self.upstream_slots = Slots(slots)
         self.cold_start = ColdStart()
         self.rate_limit = RateLimit()
@@ -377,6 +381,7 @@
         arrival = min(ready, key=lambda each: self.sort_key(each, now))
         del self.queue[arrival.ticket]
         self.durations.begin(arrival.ticket, arrival.route, now)
+        self.upstream_bytes.begin(arrival.ticket)
         self.nested_room.begin(arrival.ticket, arrival.kind)
         self.cold_start.begin(arrival.ticket)
         self.rate_limit.take(now)
@@ -386,6 +391,8 @@
         """Return whether a call may run; only one suspect runs at a time."""
         if arrival.ticket in self.incomplete:
             return False
+        if not self.upstream_bytes.fits(arrival.ticket):
+            return False
         if arrival.ticket not in self.suspects:
             return True
         return self.suspects.isdisjoint(self.durations.running)
--- a/sequoiaspoke/sidecar/crashdetector.py
+++ b/sequoiaspoke/sidecar/crashdetector.py
@@ -47,6 +47,11 @@
     suspected: bool
 
 
+def never_explained(sizes: list[int]) -> bool:  # noqa: ARG001
+    """Return False; default without a bound on the bytes of bodies."""
+    return False
+
+
 class CrashDetector:
     """Tracks the calls at the upstream and detects its crash.
 
@@ -58,6 +63,9 @@
         Returns the service of an incarnation, empty if it is draining or unknown.
     on_crash : callable
         Called with the crash report and the calls that were lost.
+    explained_by : callable
+        Called with the sizes of their bodies; returns whether these explain the crash,
+        so that no request is suspected.
     """
 
     def __init__(
@@ -65,10 +73,12 @@
         refuses_connections: Callable[[], Awaitable[bool]],
         service_of: Callable[[Incarnation], str],
         on_crash: Callable[[Crash, list[SentCall]], None],
+        explained_by: Callable[[list[int]], bool] = never_explained,
     ) -> None:
         self.refuses_connections = refuses_connections
         self.service_of = service_of
         self.on_crash = on_crash
+        self.explained_by = explained_by
         self.sent: dict[Hashable, SentCall] = {}
         # Keys of the lost calls in the order of their loss.
         self.lost: dict[Hashable, None] = {}
@@ -95,7 +105,9 @@
         if self.detection is None:
             self.detection = asyncio.ensure_future(self.detect())
         crash = await asyncio.shield(self.detection)
-        return outcome if crash is None else Unknown(UPSTREAM_CRASHED, crash)
+        if crash is None:
+            return outcome
+        return Unknown(UPSTREAM_CRASHED, crash if crash.suspects else None)
 
     async def detect(self) -> Crash | None:
         """Return the crash behind the lost connections, None if there was none."""
@@ -129,8 +141,9 @@
         service = self.service_of(incarnation)
         if not service:
             return None
+        explained = self.explained_by([len(call.request.body) for call in calls])
         suspects: dict[str, bool] = {}
-        for call in calls:
+        for call in () if explained else calls:
             fingerprint = call.request.fingerprint
             suspects[fingerprint] = suspects.get(fingerprint, False) or call.suspected
         now = clock.now()
--- a/sequoiaspoke/sidecar/crashguard.py
+++ b/sequoiaspoke/sidecar/crashguard.py
@@ -91,14 +91,20 @@
         return changed
 
     def report(self, crash: Crash, calls: list[SentCall]) -> None:
-        """Log, record and publish a crash of the upstream beside this node."""
+        """Log, record and publish a crash of the upstream beside this node.
+
+        One without suspects concerns no other node.
+        """
         self.log.event(
             "upstream-crashed",
             instance=crash.instance,
             service=crash.service,
             calls=len(calls),
+            bytes=sum(len(call.request.body) for call in calls),
             proven=",".join(sorted(crash.proven)) or "none",
         )
+        if not crash.suspects:
+            return
         for call in calls:
             self.log.request(
                 "call-suspected",
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -88,6 +88,7 @@
         self.log = log
         self.admission = Admission(INITIAL_SLOTS)
         self.nested_room = self.admission.nested_room
+        self.upstream_bytes = self.admission.upstream_bytes
         self.ledger = Ledger()
         self.calls: dict[Hashable, ActiveCall] = {}
         self.leaving = False
@@ -102,6 +103,7 @@
             lambda: self.upstream.refuses_connections(),
             self.crash_guard.service_of,
             self.crash_guard.report,
+            self.upstream_bytes.record_crash,
         )
         self.incarnation: Incarnation | None = None
         self.last_load: Load | None = None
@@ -168,6 +170,7 @@
             return
         self.ledger.begin(key)
         self.calls[key] = ActiveCall(call, on_outcome)
+        self.upstream_bytes.add(key, len(call.request.body))
         if refused is not None:
             self.refuse(refused)
         self.dispatch()
@@ -181,6 +184,7 @@
         call = running.call
         call = replace(call, request=replace(call.request, body=body))
         running.call = call
+        self.upstream_bytes.add(key, len(body))
         seconds = self.held_seconds(call)
         if seconds:
             arrival = self.admission.queue[key]
@@ -385,6 +389,7 @@
 
     def free_slot(self, key: Hashable, answered: bool) -> None:
         """Release a call's slot and start the next call."""
+        self.upstream_bytes.end(key, answered)
         self.admission.finish(key, answered, clock.now())
         self.dispatch()
 
@@ -401,6 +406,7 @@
         running = self.calls.pop(key)
         self.admission.suspects.discard(key)
         self.bodies.drop(key)
+        self.upstream_bytes.end(key, answered=False)
         size = len(outcome.body) if isinstance(outcome, Answer) else 0
         self.ledger.finish(key, outcome, size, clock.now())
         self.counts[type(outcome).__name__] += 1
--- a/sequoiaspoke/tests/test_sidecar_crashdetector.py
+++ b/sequoiaspoke/tests/test_sidecar_crashdetector.py
@@ -115,6 +115,19 @@
             len(known.for_request("fleet", sent_call("/a").request.fingerprint)), 1
         )
 
+    def test_bodies_that_explain_a_crash_make_no_request_a_suspect(self):
+        # Innocent uploads would run one at a time, and be held back after the next.
+        async def scenario(detector):
+            detector.explained_by = lambda sizes: sizes == [0, 0]
+            for name in ("/a", "/b"):
+                detector.call_sent(name, sent_call(name, suspected=name == "/b"))
+            lost = [detector.classify(name, LOST) for name in ("/a", "/b")]
+            return await asyncio.gather(*lost)
+
+        self.assertEqual(set(self.play(scenario)), {Unknown(UPSTREAM_CRASHED)})
+        ((crash, _),) = self.reports
+        self.assertEqual(crash.suspects | crash.proven, frozenset())
+
     def test_the_planned_end_of_an_upstream_is_not_a_crash(self):
         async def scenario(detector):
             detector.call_sent("/a", sent_call("/a"))
