Refuse frames between nodes with missing or absurd fields, and fuzz them

Cause: the decoder leaves missing fields as None and accepts numbers that are not finite, so that handlers raised untyped errors, and times that are not numbers reached queues. Change: wirefields.require raises MessageError for a missing field or a number that is not finite; it covers hello, welcome, ping, pong, calls, fetches, parts, withdrawals and outcomes. Messages of the gossip (knowledge, crashes, rates) are checked as before, and not fuzzed here.

--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -27,6 +27,7 @@
     unpack_load_report,
     unpack_outcome,
 )
+from sequoiaspoke.sidecar.wirefields import require
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 if TYPE_CHECKING:
@@ -337,6 +338,7 @@
         elif frame.fetch is not None:
             self.handle_fetch(frame.fetch)
         elif frame.pong is not None:
+            require(frame.pong, "sent", "clock")
             self.update_clock_offset(frame.pong.sent, frame.pong.clock)
             self.on_load_report(unpack_load_report(frame.pong.news))
         elif frame.confirmed is not None:
@@ -407,7 +409,11 @@
             pending.resolve(outcome)
 
     def handle_welcome(self, welcome: wire.Welcome) -> None:
-        """Complete the handshake, and send the pending calls and queued frames."""
+        """Complete the handshake, and send the pending calls and queued frames.
+
+        Raises MessageError.
+        """
+        require(welcome, "incarnation", "clock")
         assert self.stream is not None
         self.round_trip = float("inf")
         self.update_clock_offset(self.last_pinged, welcome.clock)
@@ -417,7 +423,7 @@
         self.features = LinkFeatures(welcome.features or 0)
         self.established = True
         self.failing = False
-        self.leaving = welcome.leaving
+        self.leaving = bool(welcome.leaving)
         self.log.event("link-up", peer=self.address[0], incarnation=welcome.incarnation)
         for pending in list(self.pending.values()):
             self.send_call(pending)
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -18,6 +18,7 @@
     unpack_call,
     unpack_part,
 )
+from sequoiaspoke.sidecar.wirefields import require
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 if TYPE_CHECKING:
@@ -55,6 +56,7 @@
         elif frame.withdraw is not None:
             self.handle_withdraw(frame.withdraw)
         elif frame.ping is not None:
+            require(frame.ping, "sent")
             load_report = pack_load_report(self.server.home.load_report())
             pong = wire.Pong(frame.ping.sent, clock.now(), load_report)
             self.stream.send(wire.Frame(pong=pong))
@@ -77,7 +79,11 @@
                 self.stream.send(wire.Frame(ask=self.server.gossip.knowledge_request()))
 
     def handle_hello(self, hello: wire.Hello) -> None:
-        """Record the other node's identity, and close its older links unread."""
+        """Record the other node's identity, and close its older links unread.
+
+        Raises MessageError.
+        """
+        require(hello, "host", "incarnation", "zone", "clock")
         self.peer = (hello.host, hello.incarnation)
         self.zone = hello.zone
         self.clock_offset = hello.clock - clock.now()
@@ -110,9 +116,8 @@
 
     def handle_withdraw(self, message: wire.Withdraw) -> None:
         """Have the home take a call back; raise MessageError."""
+        require(message, "number")
         number = message.number
-        if number is None:
-            raise MessageError("withdrawal without a number")
         key = (self.peer, number)
         running = self.server.home.calls.get(key)
         call = None if running is None else running.call
--- a/sequoiaspoke/sidecar/wirecalls.py
+++ b/sequoiaspoke/sidecar/wirecalls.py
@@ -13,11 +13,30 @@
 from sequoiaspoke.sidecar.crashwire import pack_crash, unpack_crash
 from sequoiaspoke.sidecar.frames import FRAME_LIMIT
 from sequoiaspoke.sidecar.homecall import HomeCall
+from sequoiaspoke.sidecar.wirefields import require
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 if TYPE_CHECKING:
     from sequoiaspoke.core.mesh.outcome import Headers, Outcome
 
+# Fields that a call must have; older nodes send no others.
+CALL_FIELDS = (
+    "number",
+    "instance",
+    "route",
+    "method",
+    "target",
+    "headers",
+    "rank",
+    "on_time",
+    "deadline",
+)
+# Seconds until the latest deadline of a call. Callers wait for minutes at most; a time
+# far beyond it cannot be written in milliseconds or given to a timer.
+MAX_SECONDS_LEFT = 86_400.0
+# Statuses that fit into the first line of an answer.
+MIN_STATUS, MAX_STATUS = 100, 999
+
 
 def pack_call(
     call: HomeCall, number: int, clock_offset: float, in_parts: bool = False
@@ -52,7 +71,12 @@
 
 
 def unpack_call(message: wire.Call) -> HomeCall:
-    """Return a call from its message."""
+    """Return a call from its message; raise MessageError."""
+    require(message, *CALL_FIELDS)
+    if message.max_wait is not None:
+        require(message, "max_wait")
+    if message.deadline > clock.now() + MAX_SECONDS_LEFT:
+        raise MessageError(f"call with the deadline {message.deadline}")
     request = Request(
         message.method,
         message.target,
@@ -61,10 +85,10 @@
     )
     return HomeCall(
         request,
-        Incarnation(message.instance, message.born),
+        Incarnation(message.instance, message.born or 0),
         message.route,
         message.rank,
-        message.idempotent,
+        bool(message.idempotent),
         message.on_time,
         message.deadline,
         inf if message.max_wait is None else message.max_wait,
@@ -82,18 +106,14 @@
 
 def unpack_fetch(message: wire.Fetch) -> tuple[int, int, int]:
     """Return number, offset and end of a request for a body; raise MessageError."""
-    fields = (message.number, message.offset, message.upto)
-    if None in fields:
-        raise MessageError("request for a body without all fields")
-    return fields
+    require(message, "number", "offset", "upto")
+    return message.number, message.offset, message.upto
 
 
 def unpack_part(message: wire.BodyPart) -> tuple[int, int, bytes]:
     """Return number, offset and bytes of a part; raise MessageError."""
-    fields = (message.number, message.offset, message.data)
-    if None in fields:
-        raise MessageError("part of a body without all fields")
-    return fields
+    require(message, "number", "offset", "data")
+    return message.number, message.offset, message.data
 
 
 def pack_outcome(number: int, outcome: Outcome, load_report: LoadReport) -> wire.Frame:
@@ -126,10 +146,13 @@
 def unpack_outcome(frame: wire.Frame) -> tuple[int, Outcome, LoadReport | None] | None:
     """Return a call's number, its outcome and the home's load report, if any.
 
-    None if the frame holds no outcome.
+    None if the frame holds no outcome. Raises MessageError.
     """
     if frame.answer is not None:
         message = frame.answer
+        require(message, "number", "status", "headers", "seconds")
+        if not MIN_STATUS <= message.status <= MAX_STATUS:
+            raise MessageError(f"answer with the status {message.status}")
         answer = Answer(
             message.status,
             unflatten_headers(message.headers),
@@ -139,10 +162,13 @@
         return message.number, answer, unpack_load_report(message.news)
     if frame.not_run is not None:
         refusal = frame.not_run
-        outcome = NotRun(refusal.reason, refusal.retry_after, refusal.reached)
+        require(refusal, "number", "reason", "retry_after")
+        reached = bool(refusal.reached)
+        outcome = NotRun(refusal.reason, refusal.retry_after, reached)
         return refusal.number, outcome, unpack_load_report(refusal.news)
     if frame.unknown is not None:
         message = frame.unknown
+        require(message, "number", "reason")
         crash = None
         if message.crash is not None:
             crash = unpack_crash(message.crash, clock.now())
@@ -156,7 +182,8 @@
 
 
 def unpack_load_report(message: wire.News) -> LoadReport:
-    """Return a home's load report from its message."""
+    """Return a home's load report from its message; raise MessageError."""
+    require(message, "strain", "expected", "wait")
     return LoadReport(message.strain, message.expected, message.wait)
 
 
@@ -166,5 +193,7 @@
 
 
 def unflatten_headers(flat: list[str]) -> Headers:
-    """Return pairs of header name and value from an alternating list."""
+    """Return pairs of name and value from an alternating list; raise MessageError."""
+    if len(flat) % 2:
+        raise MessageError(f"{len(flat)} names and values of headers")
     return tuple(zip(flat[::2], flat[1::2], strict=True))
--- a/sequoiaspoke/tests/test_fuzz_links.py
+++ b/sequoiaspoke/tests/test_fuzz_links.py
@@ -1,7 +1,10 @@
 """Fuzz tests of frames and messages from other nodes."""
 
+import asyncio
 import contextlib
 import random
+from functools import partial
+from math import inf, nan
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -9,13 +12,17 @@
 
 from sequoiaspoke.core.idempotency import messages as idempotency_messages
 from sequoiaspoke.core.idempotency.epoch import Epoch
+from sequoiaspoke.core.mesh.transfers import PART_BYTES
 from sequoiaspoke.core.spread import events, messages
 from sequoiaspoke.core.spread.core import SpreadCore
 from sequoiaspoke.core.spread.state import Identity
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.settings.schema import NodeSettings, Settings
+from sequoiaspoke.sidecar import frames
+from sequoiaspoke.tests.bodysim import play_bodies
 from sequoiaspoke.tests.test_fuzz import FUZZ
 from sequoiaspoke.wire.codec import decode_message, encode_message
+from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 TEXT = st.one_of(st.sampled_from(["", "rules", "ab" * 16, "v1"]), st.text(max_size=4))
 DIGESTS = st.sampled_from(["ab" * 16, "cd" * 16, "", "zz"])
@@ -110,6 +117,120 @@
             self.assertRaises(MessageError, decode_message, payload)
 
 
+INTS = (
+    st.none() | st.integers(-1, 3) | st.sampled_from([2**31 - 1, -(2**31), PART_BYTES])
+)
+FLOATS = st.none() | st.sampled_from(
+    [0.0, -1.0, 0.5, 5.0, 1e308, -1e308, inf, -inf, nan]
+)
+WORDS = st.none() | st.sampled_from(["", "x", "i-1"])
+BYTES = st.none() | st.builds(bytes, st.sampled_from([0, 1, PART_BYTES]))
+HEADERS = st.none() | st.lists(st.text(max_size=2), max_size=3)
+BOOLS = st.none() | st.booleans()
+NEWS = st.none() | st.builds(wire.News, FLOATS, FLOATS, FLOATS)
+CALLS = st.builds(
+    wire.Call,
+    number=INTS,
+    instance=WORDS,
+    route=WORDS,
+    method=WORDS,
+    target=WORDS,
+    headers=HEADERS,
+    body=BYTES,
+    deadline=FLOATS,
+    on_time=FLOATS,
+    rank=INTS,
+    born=INTS,
+    body_size=INTS,
+    max_wait=FLOATS,
+)
+VALID_CALLS = st.builds(
+    partial(
+        wire.Call, method="POST", target="/", headers=[], deadline=5.0, on_time=5.0
+    ),
+    number=st.integers(1, 3),
+    instance=st.just("i-1"),
+    route=st.just("up"),
+    rank=st.integers(0, 2),
+    idempotent=st.booleans(),
+    body_size=st.sampled_from([1, PART_BYTES, 3 * PART_BYTES]),
+    max_wait=st.none() | st.just(0.0),
+)
+FRAMES = st.one_of(
+    st.builds(wire.Frame, call=VALID_CALLS),
+    st.builds(wire.Frame, call=CALLS),
+    st.builds(wire.Frame, fetch=st.builds(wire.Fetch, INTS, INTS, INTS)),
+    st.builds(wire.Frame, body_part=st.builds(wire.BodyPart, INTS, INTS, BYTES)),
+    st.builds(wire.Frame, withdraw=st.builds(wire.Withdraw, INTS)),
+    st.builds(wire.Frame, cancel=st.builds(wire.Cancel, INTS)),
+    st.builds(wire.Frame, hello=st.builds(wire.Hello, WORDS, INTS, WORDS, FLOATS)),
+    st.builds(
+        wire.Frame,
+        welcome=st.builds(wire.Welcome, INTS, FLOATS, BOOLS, BOOLS, INTS),
+    ),
+    st.builds(wire.Frame, ping=st.builds(wire.Ping, FLOATS)),
+    st.builds(wire.Frame, pong=st.builds(wire.Pong, FLOATS, FLOATS, NEWS)),
+    st.builds(
+        wire.Frame,
+        answer=st.builds(wire.Answer, INTS, INTS, HEADERS, BYTES, FLOATS, NEWS),
+    ),
+    st.builds(
+        wire.Frame, not_run=st.builds(wire.NotRun, INTS, WORDS, FLOATS, BOOLS, NEWS)
+    ),
+    st.builds(wire.Frame, unknown=st.builds(wire.Unknown, INTS, WORDS)),
+)
+
+
+def frame_payload(frame):
+    """Return an encoded frame without its length."""
+    return frames.encode(frame)[frames.HEADER.size :]
+
+
+class MeshFrameFuzzTests(TestCase):
+    """Arbitrary frames arrive on a link between nodes, in any order.
+
+    An exception other than MessageError would end the link without a reason in the log,
+    and an absurd time or size would stay in the queue or the account of the home.
+    """
+
+    @FUZZ
+    @given(st.binary(max_size=64))
+    def test_any_bytes(self, payload):
+        with contextlib.suppress(MessageError):
+            frames.decode(payload)
+
+    @FUZZ
+    @given(FRAMES, CHANGES)
+    def test_frames_with_bytes_changed(self, frame, changes):
+        payload = bytearray(frame_payload(frame))
+        for index, value in changes:
+            payload[index % len(payload)] = value
+        with contextlib.suppress(MessageError):
+            frames.decode(bytes(payload))
+
+    @FUZZ
+    @given(st.lists(FRAMES, max_size=12))
+    def test_both_ends_of_a_link_take_any_sequence(self, sequence):
+        async def scenario(world):
+            world.send("/1", 3 * PART_BYTES)
+            await world.until(lambda: world.server.links and world.server.links[0].peer)
+            link, entry = world.server.links[0], world.entries[0]
+            for frame in sequence:
+                received = frames.decode(frame_payload(frame))
+                for end in (link, entry):
+                    with contextlib.suppress(MessageError):
+                        end.handle_frame(received)
+                await asyncio.sleep(0.01)
+            world.break_links()
+            entry.close()
+            await asyncio.sleep(7)
+            home = world.home
+            left = (home.calls, home.bodies.bodies, world.memory.held)
+            self.assertEqual(left, ({}, {}, 0))
+
+        play_bodies(self, scenario, entries=1)
+
+
 class MessageFuzzTests(TestCase):
     """Well-formed messages with arbitrary values arrive in any order."""
 
