Test upstreams that leave, restart or are down, and old entries, with bodies in parts

Cause: rows of the failure table had no test. Change: tests only. A drained upstream refuses an incomplete call as not run, a restart keeps its transfer, an upstream that is down after it has not run the call, and an old entry's whole body runs and counts as memory.

--- a/sequoiaspoke/tests/test_bodies.py
+++ b/sequoiaspoke/tests/test_bodies.py
@@ -1,6 +1,8 @@
 """Tests of bodies in parts between entries and a home, on a virtual clock."""
 
 import asyncio
+from dataclasses import replace
+from unittest.mock import Mock
 
 from testtools import TestCase
 
@@ -9,8 +11,10 @@
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import linkserver
 from sequoiaspoke.sidecar.linkfeatures import LinkFeatures
+from sequoiaspoke.sidecar.linkserver import AcceptedLink
 from sequoiaspoke.sidecar.transfers import OutgoingBody
-from sequoiaspoke.tests.bodysim import body_of, play_bodies
+from sequoiaspoke.sidecar.upstream import UNREACHABLE
+from sequoiaspoke.tests.bodysim import ENDPOINT, body_of, play_bodies
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 SIZE = 100 << 10
@@ -195,6 +199,75 @@
 
         self.play(scenario)
 
+    def test_an_upstream_that_drains_refuses_incomplete_calls(self):
+        # The body would be fetched for an upstream that exits before the call ends.
+        async def scenario(world):
+            world.send("/1", 9 * SIZE)
+            await world.arrived("/1")
+            world.directory.put(replace(ENDPOINT, draining=True), 6, world.now())
+            await world.until(lambda: world.outcomes)
+            self.assertEqual(world.outcomes["/1"].reason, "instance-leaving")
+            self.assertEqual(world.upstream.runs, [])
+            self.assertEqual((world.home.bodies.bodies, world.memory.held), ({}, 0))
+
+        self.play(scenario)
+
+    def test_a_restart_of_the_upstream_keeps_the_transfer(self):
+        # A queued call runs at the later incarnation; its body is not fetched again.
+        async def scenario(world):
+            world.send("/1", SIZE)
+            await world.arrived("/1")
+            restarted = replace(ENDPOINT, born=99)
+            world.directory.put(restarted, 6, world.now())
+            world.home.update_endpoint(restarted)
+            await world.until(lambda: world.outcomes)
+            self.assertEqual(world.upstream.runs, [("/1", body_of("/1", SIZE))])
+            self.assertEqual(sum(len(part.data) for part in world.parts), SIZE)
+
+        self.play(scenario)
+
+    def test_an_upstream_that_is_down_after_the_transfer_has_not_run_the_call(self):
+        # Reported as unknown, an upload would be lost although it can run elsewhere.
+        async def scenario(world):
+            world.send("/1", SIZE)
+            await world.arrived("/1")
+
+            async def call(*arguments):
+                return NotRun(UNREACHABLE)
+
+            world.upstream.call = call
+            await world.until(lambda: world.outcomes)
+            self.assertEqual(world.outcomes["/1"], NotRun(UNREACHABLE))
+            self.assertEqual(
+                (world.home.bodies.complete, world.memory.held), (set(), 0)
+            )
+
+        self.play(scenario)
+
+    def test_an_old_entry_sends_a_whole_body_to_a_new_home(self):
+        # During a rolling update the home would wait for parts that never come.
+        async def scenario(world):
+            stream = Mock()
+            link = AcceptedLink(stream, world.server)
+            link.handle_frame(
+                wire.Frame(hello=wire.Hello("old", 1, "akaki", 0.0, False))
+            )
+            until, body = world.now() + 3, body_of("/1", SIZE)
+            call = wire.Call(1, "i-1", "up", "POST", "/1", [], body)
+            call.deadline = call.on_time = until
+            call.rank, call.idempotent, call.born = 2, False, 0
+            link.handle_frame(wire.Frame(call=call))
+            self.assertEqual(world.memory.held, SIZE)
+            await world.until(lambda: not world.home.calls)
+            self.assertEqual(world.upstream.runs, [("/1", body)])
+            sent = [each.args[0] for each in stream.send.call_args_list]
+            self.assertEqual(
+                [each.answer.status for each in sent if each.answer], [200]
+            )
+            self.assertFalse(any(each.fetch for each in sent))
+
+        self.play(scenario)
+
     def test_a_request_in_quarantine_is_refused_once_its_body_is_known(self):
         # The fingerprint covers the body: a request that crashes upstreams would run.
         async def scenario(world):
