--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -99,6 +99,7 @@
         self.nested_room = self.admission.nested_room
         self.parents = RunningParents()
         self.call_id_header = ""
+        self.upstream_bytes = self.admission.upstream_bytes
         self.ledger = Ledger()
         self.calls: dict[Hashable, ActiveCall] = {}
         self.leaving = False
@@ -113,6 +114,7 @@
             lambda: self.upstream.refuses_connections(),
             self.crash_guard.service_of,
             self.crash_guard.report,
+            self.upstream_bytes.record_crash,
         )
         self.incarnation: Incarnation | None = None
         self.last_load: Load | None = None
@@ -179,6 +181,7 @@
             return
         self.ledger.begin(key)
         self.calls[key] = ActiveCall(call, on_outcome)
+        self.upstream_bytes.add(key, len(call.request.body))
         if refused is not None:
             self.refuse(refused)
         self.dispatch()
@@ -192,6 +195,7 @@
         call = running.call
         call = replace(call, request=replace(call.request, body=body))
         running.call = call
+        self.upstream_bytes.add(key, len(body))
         seconds = self.held_seconds(call)
         if seconds:
             arrival = self.admission.queue[key]
@@ -398,6 +402,7 @@
 
     def free_slot(self, key: Hashable, answered: bool) -> None:
         """Release a call's slot and start the next call."""
+        self.upstream_bytes.end(key, answered)
         self.admission.finish(key, answered, clock.now())
         self.dispatch()
 
@@ -415,6 +420,7 @@
         self.parents.end(running.call.request.header(self.call_id_header))
         self.admission.suspects.discard(key)
         self.bodies.drop(key)
+        self.upstream_bytes.end(key, answered=False)
         size = len(outcome.body) if isinstance(outcome, Answer) else 0
         self.ledger.finish(key, outcome, size, clock.now())
         self.counts[type(outcome).__name__] += 1
