--- a/sequoiaspoke/core/mesh/asking.py
+++ b/sequoiaspoke/core/mesh/asking.py
@@ -110,6 +110,15 @@
         """Return the number of homes of the own zone that the call asks."""
         return MAX_NESTED_REQUESTS if self.nested else MAX_REQUESTS
 
+    @property
+    def exhausted(self) -> bool:
+        """Return whether the best of enough homes has been asked to let the call wait.
+
+        If it has no room, the others that were asked have none either. A nested call
+        goes on: its refusal fails its parent.
+        """
+        return self.waiting and not self.nested and len(self.busy) >= MAX_REQUESTS
+
     def max_wait(self, now: float) -> float:
         """Return the seconds that the call may wait where it asks."""
         return WAIT_SHARE * max(0.0, self.on_time - now)
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -328,6 +328,7 @@
             retry = (
                 outcome.reason != RefusalReason.HELD_BACK
                 and progress.unreached <= MAX_UNREACHED_ATTEMPTS
+                and not progress.out_of_homes(outcome)
                 and not progress.ending
             )
         else:
--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -7,7 +7,7 @@
 from math import inf
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.mesh.admission import RefusalReason
+from sequoiaspoke.core.mesh.admission import FOR_WANT_OF_ROOM, RefusalReason
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
 
 if TYPE_CHECKING:
@@ -81,6 +81,14 @@
     requests: SlotRequests | None = None
     max_wait: float = inf
 
+    def out_of_homes(self, outcome: NotRun) -> bool:
+        """Return whether the other homes of the service would refuse the call too."""
+        return (
+            self.requests is not None
+            and self.requests.exhausted
+            and outcome.reason in FOR_WANT_OF_ROOM
+        )
+
     def told_wait(self) -> dict[str, str]:
         """Return the wait told by the home at which the call waits, for the log."""
         if self.requests is None or self.requests.told_wait is None:
