--- a/sequoiaspoke/core/mesh/asking.py
+++ b/sequoiaspoke/core/mesh/asking.py
@@ -30,7 +30,7 @@
 # an entry hears of each of so few with every few calls.
 FEW_UPSTREAMS = 3
 # Homes of the own zone that a call asks, and that a nested call asks.
-MAX_REQUESTS, MAX_NESTED_REQUESTS = 3, 2
+MAX_REQUESTS, MAX_NESTED_REQUESTS = 2, 2
 # Part of the time until its objective that a call may wait where it asks. With 0, calls
 # leave homes at which they would be next: more requests, more of them to other zones.
 # A nested call goes ahead of fresh ones and would be refused by homes that run it next.
@@ -210,6 +210,9 @@
         """
         own, group = self.balancer.zone, choices.group
         asked = {each.endpoint.zone for each in call.busy.values()}
+        if len(asked) > 1:
+            # In a shortage of all zones, each further request would be refused too.
+            return None
         zones = [each for each in group.by_zone if each != own and each not in asked]
         service = group.endpoints[0].service if group.endpoints else ""
         room = self.room(service)
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -447,6 +447,9 @@
     def record_refusal(self, refused: Refused, call: HomeCall) -> None:
         """Count and log a refusal."""
         self.counts[refused.reason] += 1
+        if refused.reason == RefusalReason.BUSY:
+            # One for each slot request of an overload; the entry asks elsewhere.
+            return
         self.log.call(
             "home-refused",
             call.request,
