Read the kind of a running call where it is kept

Cause: the home built the kind of a call from its route and rank, as Arrival does; the admission has recorded it when the call was started, so the same rule stood twice. Change: the home reads it from the running calls of NestedRoom; the function that the two shared is folded back into Arrival. No behaviour changes.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -68,11 +68,6 @@
     return RANK_STEP * priority - (NESTED_AHEAD if nested else 0)
 
 
-def is_nested(rank: int) -> bool:
-    """Return whether a rank is that of a nested call."""
-    return rank % RANK_STEP != 0
-
-
 class RefusalReason(StrEnum):
     """Reason of a refusal; each has a counter and is reported to the entry."""
 
@@ -131,7 +126,7 @@
     @property
     def nested(self) -> bool:
         """Return whether an upstream makes the call while it runs another."""
-        return is_nested(self.rank)
+        return self.rank % RANK_STEP != 0
 
     @property
     def kind(self) -> tuple[str, bool]:
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -11,13 +11,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.mesh.admission import (
-    Admission,
-    Arrival,
-    RefusalReason,
-    Refused,
-    is_nested,
-)
+from sequoiaspoke.core.mesh.admission import Admission, Arrival, RefusalReason, Refused
 from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.leaving import LeavingUpstreams
 from sequoiaspoke.core.mesh.ledger import Ledger
@@ -309,7 +303,7 @@
         """Record that a call is being sent to the upstream."""
         call, running.sent_at = running.call, clock.now()
         self.admission.send(key, running.sent_at)
-        kind = (call.route, is_nested(call.rank))
+        kind = self.nested_room.running[key]
         self.parents.begin(call.request.header(self.call_id_header), kind)
         sent = SentCall(call.request, call.incarnation, self.suspected(call))
         self.crash_detector.call_sent(key, sent)
