--- a/review/3/case.py
+++ b/review/3/case.py
@@ -22,8 +22,8 @@
 )
 from standins import Proxy  # noqa: E402
 
-ZONES = ["akaki", "bole", "kality"]
-SERVICES = ["booking", "fleet", "fleet"]
+ZONES = ["akaki", "akaki", "bole", "bole", "kality", "kality"]
+SERVICES = ["booking", "fleet"] * 3
 ROUTE, OLD_SERVICE, NEW_SERVICE = "hire-book", "booking", "fleet"
 BUDGET_SECONDS, TIMEOUT_SECONDS = 3, 1.5
 # Routes beside those of the requests.
--- a/review/mesh.py
+++ b/review/mesh.py
@@ -9,6 +9,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -21,7 +22,6 @@
 from standins import Store, Target, encode
 
 if TYPE_CHECKING:
-    import signal
     from collections.abc import Awaitable, Callable
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -344,12 +344,14 @@
     """Play a case and exit with its result."""
 
     async def bounded() -> int:
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(LONGEST_SECONDS):
             return await scenario(folder)
 
     try:
         result = asyncio.run(bounded())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         with (folder / "record.txt").open("a", encoding="utf-8") as record:
             traceback.print_exc(file=record)
         print(f"cannot run: {type(error).__name__}, see record.txt", file=sys.stderr)
--- a/review/standins.py
+++ b/review/standins.py
@@ -277,12 +277,18 @@
 
 
 class Proxy:
-    """Forwards connections; while it is cut, nothing comes through."""
+    """Forwards connections; while it is cut, nothing comes through.
+
+    Connections that lived through a cut, or were dialled in it, end with it. Between
+    real machines the processes' keep-alive ends them within some three seconds, and a
+    connection cannot be opened.
+    """
 
     def __init__(self, target: tuple[str, int]) -> None:
         self.target = target
         self.open = asyncio.Event()
         self.open.set()
+        self.transports: set[asyncio.Transport] = set()
 
     async def start(self, host: str, port: int = 0) -> None:
         """Listen on a port of a host."""
@@ -291,25 +297,35 @@
 
     async def accept(self, reader, writer) -> None:
         """Forward a connection in both directions."""
-        await self.open.wait()
+        self.transports.add(writer.transport)
         try:
-            other_reader, other_writer = await asyncio.open_connection(*self.target)
+            await self.open.wait()
+            if not writer.is_closing():
+                await self.connect(reader, writer)
         except OSError:
+            pass
+        finally:
+            self.transports.discard(writer.transport)
             writer.transport.abort()
-            return
-        await asyncio.gather(
-            self.forward(reader, other_writer), self.forward(other_reader, writer)
-        )
+
+    async def connect(self, reader, writer) -> None:
+        """Connect to the target and forward until both directions have ended."""
+        other_reader, other_writer = await asyncio.open_connection(*self.target)
+        self.transports.add(other_writer.transport)
+        try:
+            await asyncio.gather(
+                self.forward(reader, other_writer), self.forward(other_reader, writer)
+            )
+        finally:
+            self.transports.discard(other_writer.transport)
+            other_writer.transport.abort()
 
     async def forward(self, reader, writer) -> None:
         """Forward one direction."""
-        try:
-            while data := await reader.read(65536):
-                await self.open.wait()
-                writer.write(data)
-                await writer.drain()
-        except OSError:
-            pass
+        while data := await reader.read(65536):
+            await self.open.wait()
+            writer.write(data)
+            await writer.drain()
         await self.open.wait()
         writer.close()
 
@@ -318,5 +334,7 @@
         self.open.clear()
 
     def heal(self) -> None:
-        """Let everything through again."""
+        """Let new connections through again."""
+        for transport in self.transports:
+            transport.abort()
         self.open.set()
