Replace review case 3: a stopping node breaks off long requests

A node that was told to stop admits unsafe requests 3.4 s later, as four times their usual duration is left, and ends them with 504 at 5.2 s while their targets are at work (LOST).

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""Versions written while the store is cut off don't come into force after the cut."""
+"""A stopping node cuts off requests that it has admitted and that take long."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
@@ -10,105 +11,83 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from mesh import (  # noqa: E402
-    BROKEN,
-    HELD,
-    TROUBLE,
-    CannotRunError,
-    Node,
-    World,
-    play,
-    route,
-)
-from standins import Proxy  # noqa: E402
+from mesh import BROKEN, HELD, TROUBLE, CannotRunError, World, play, route  # noqa: E402
 
-ZONES = ["akaki", "akaki", "bole", "bole", "kality", "kality"]
-SERVICES = ["booking", "fleet"] * 3
-ROUTE, OLD_SERVICE, NEW_SERVICE = "hire-book", "booking", "fleet"
-BUDGET_SECONDS, TIMEOUT_SECONDS = 3, 1.5
-# Routes beside those of the requests.
-OTHER_ROUTES = 3000
-# A configuration each gap, for so long, and the length of the cut.
-STORM_SECONDS, STORM_GAP, CUT_SECONDS = 5.0, 0.15, 6.0
-# Bounds of the settings.
-STABLE_SECONDS, APPLY_SECONDS, SKEW_SECONDS = 3, 2, 5
-# Seconds from the end of the cut until the last request, and between two requests.
-WATCHED_SECONDS, REQUEST_GAP = 11, 0.25
-
-
-class CutWorld(World):
-    """A deployment whose path to the store leads through a proxy."""
-
-    async def before_nodes(self) -> None:
-        """Start the proxy before the store."""
-        host, port = self.store.address.split(":")
-        self.proxy = Proxy((host, int(port)))
-        await self.proxy.start(self.host(251))
-
-    def store_address(self, node: Node) -> str:  # noqa: ARG002
-        """Return the address of the proxy."""
-        return self.proxy.address
-
-    def publish_version(self, number: int, service: str) -> None:
-        """Write a version in which a service runs the requests."""
-        others = [
-            route(f"other-{each:04}", service, prefix=f"/other-{each:04}/2f/")
-            for each in range(OTHER_ROUTES)
-        ]
-        booking = route(ROUTE, service, "unsafe", timeoutS=TIMEOUT_SECONDS)
-        self.publish(number, [booking, *others], [OLD_SERVICE, NEW_SERVICE])
+ZONES = ["monza-sala", "bergamo-sala", "lecco-sala"]
+ROUTE, SERVICE = "omaggio-floreale", "cordoglio"
+# Time budget, timeout, mean work and long work of omaggio-floreale; its longest is 2.1.
+BUDGET_SECONDS, TIMEOUT_SECONDS = 5, 2.5
+WORK_SECONDS, LONG_SECONDS = 0.29, 2.0
+# Requesters that send one request after the other, and the long requests among some
+# 120 others.
+REQUESTERS, LONG_REQUESTS = 6, 2
+WARM_SECONDS = 3
+# Seconds from the SIGTERM to the long requests.
+LONG_AFTER = 3.4
 
 
 async def scenario(folder: Path) -> int:
-    """Write versions during a cut; return whether they come into force after it."""
-    world = CutWorld(folder)
+    """Stop a node under traffic; return whether it cuts off an admitted request."""
+    world = World(folder)
     try:
-        world.publish_version(1, OLD_SERVICE)
-        await world.start(ZONES, SERVICES)
-        begun = time.monotonic()
+        fields = {"timeoutS": TIMEOUT_SECONDS, "targetLatencyS": 0.8}
+        world.publish(1, [route(ROUTE, SERVICE, "unsafe", **fields)], [SERVICE])
+        await world.start(ZONES, [SERVICE] * len(ZONES))
+        for node in world.nodes:
+            node.target.work_seconds = WORK_SECONDS
+        node = world.nodes[0]
+        until = time.monotonic() + WARM_SECONDS + LONG_AFTER
+        flow = [
+            asyncio.ensure_future(send_in_turn(world, f"flow-{number}", until))
+            for number in range(REQUESTERS)
+        ]
+        await asyncio.sleep(WARM_SECONDS)
         if TROUBLE:
-            world.record.line("cut      all machines from the store")
-            world.proxy.cut()
-        await asyncio.sleep(0.3)
-        for number in range(int(STORM_SECONDS / STORM_GAP)):
-            world.publish_version(2 + number, NEW_SERVICE)
-            await asyncio.sleep(STORM_GAP)
-        acked = time.monotonic()
-        await asyncio.sleep(max(0.0, begun + CUT_SECONDS - acked))
-        world.record.line("healed")
-        world.proxy.heal()
-        healed = time.monotonic()
-        binding = max(healed + STABLE_SECONDS, acked + APPLY_SECONDS + SKEW_SECONDS)
-        old, judged = await send_requests(world, healed + WATCHED_SECONDS, binding)
-        if not judged:
-            raise CannotRunError("no request to judge")
+            node.signal(signal.SIGTERM)
+        await asyncio.sleep(LONG_AFTER)
+        lost = await send_long(world)
+        await asyncio.gather(*flow)
         world.record.line(
-            f"result   {len(old)} of {judged} requests were run by {OLD_SERVICE},"
-            f" which only r1 allows: {old}"
+            f"result   {len(lost)} of {LONG_REQUESTS} long requests were broken off at"
+            f" their targets and got an answer of the node: {lost}"
         )
-        return BROKEN if old else HELD
+        return BROKEN if lost else HELD
     finally:
         await world.stop()
 
 
-async def send_requests(
-    world: World, until: float, binding: float
-) -> tuple[list[str], int]:
-    """Send requests through all machines; return those run by the old service.
-
-    Only those count that are sent when all versions have to be in force.
-    """
-    number, binds = 0, set()
+async def send_in_turn(world: World, name: str, until: float) -> None:
+    """Send one request after the other to the first machine."""
+    number = 0
     while time.monotonic() < until:
-        node = world.nodes[number % len(world.nodes)]
-        call = f"request-{number}"
+        call = f"{name}-{number}"
+        await world.send_once(world.nodes[0], call, ROUTE, BUDGET_SECONDS)
         number += 1
-        if time.monotonic() > binding:
-            binds.add(call)
-        await world.send_once(node, call, ROUTE, BUDGET_SECONDS)
-        await asyncio.sleep(REQUEST_GAP)
-    old = [call for call, service in world.runs if service == OLD_SERVICE]
-    return [call for call in old if call in binds], len(binds)
+
+
+async def send_long(world: World) -> list[str]:
+    """Send long requests; return those that ran and were broken off.
+
+    Not counted are those that reached the route's timeout.
+    """
+    calls = [f"long-{number}" for number in range(LONG_REQUESTS)]
+    world.work_seconds = dict.fromkeys(calls, LONG_SECONDS)
+    sent = time.monotonic()
+    statuses = await asyncio.gather(
+        *(world.send_once(world.nodes[0], c, ROUTE, BUDGET_SECONDS) for c in calls)
+    )
+    seconds = time.monotonic() - sent
+    world.record.line(f"answered long requests {seconds:.2f} s after they were sent")
+    ran = {call for call, _ in world.runs}
+    if not ran.issuperset(calls):
+        raise CannotRunError("a long request was not passed on")
+    if seconds >= TIMEOUT_SECONDS:
+        return []
+    return [
+        call
+        for call, status in zip(calls, statuses, strict=True)
+        if status != 200 and call not in world.finished
+    ]
 
 
 play(HERE, scenario)
--- a/review/mesh.py
+++ b/review/mesh.py
@@ -30,6 +30,7 @@
 BROKEN, HELD, NOT_RUN = 10, 0, 2
 # Longest run of a case, in seconds.
 LONGEST_SECONDS = 115
+REGION = "region-1"
 LIMITS = {
     "maxHeaderBytes": 16384,
     "maxBodyBytes": 1048576,
@@ -56,7 +57,7 @@
 serves = ["sidecar"]
 ip = "{host}"
 zone = "{zone}"
-region = "addis"
+region = "{region}"
 seeds = []
 bootstrap = true
 lossCounts = false
@@ -67,9 +68,7 @@
 appAddr = "{host}:{app}"
 service = "{service}"
 [zones]
-akaki = "addis"
-bole = "addis"
-kality = "addis"
+{zones}
 [listen]
 inbound = "{host}:{inbound}"
 outbound = "{host}:{outbound}"
@@ -147,6 +146,8 @@
         folder = Path(self.world.folder)
         text = SETTINGS.format(
             name=f"sidecar-{self.zone}-{self.number}",
+            region=REGION,
+            zones="\n".join(f'{zone} = "{REGION}"' for zone in self.world.zones),
             host=self.host,
             zone=self.zone,
             service=self.service,
@@ -204,6 +205,9 @@
         self.nodes: list[Node] = []
         self.runs: list[tuple[str, str]] = []
         self.finished: list[str] = []
+        # Seconds that single requests take, in place of those of their target.
+        self.work_seconds: dict[str, float] = {}
+        self.zones: list[str] = []
 
     def host(self, number: int) -> str:
         """Return the address of a machine."""
@@ -220,6 +224,7 @@
     async def start(self, zones: list[str], services: list[str]) -> None:
         """Start a machine for each zone and service, and wait until all are ready."""
         await self.store.start(self.host(250))
+        self.zones = sorted(set(zones))
         for number, (zone, service) in enumerate(
             zip(zones, services, strict=True), start=1
         ):
@@ -285,21 +290,23 @@
             headers["Connection"] = "close"
         return encode(f"{method} /{name}/1 HTTP/1.1", headers, body)
 
-    async def send_once(self, node: Node, call: str, name: str, budget: float) -> None:
-        """Send one POST request on a new connection, and record its answer."""
+    async def send_once(self, node: Node, call: str, name: str, budget: float) -> int:
+        """Send one POST request on a new connection; return the status, 0 for none."""
         self.record.line(f"sent     {call} to {node.host}")
-        reader, writer = await asyncio.open_connection(node.host, self.ports[1])
-        writer.write(self.request(call, name, budget, "POST", b"a crusher", close=True))
         try:
-            answer = await asyncio.wait_for(reader.read(), budget + 1)
+            async with asyncio.timeout(budget + 1):
+                reader, writer = await asyncio.open_connection(node.host, self.ports[1])
+                body = b"a crusher"
+                writer.write(self.request(call, name, budget, "POST", body, close=True))
+                answer = await reader.read()
+                writer.close()
         except (OSError, TimeoutError) as error:
             self.record.line(f"answer   {call} none: {type(error).__name__}")
-            return
-        finally:
-            writer.close()
+            return 0
         first, _, rest = answer.partition(b"\r\n")
         body = rest.partition(b"\r\n\r\n")[2][:40]
         self.record.line(f"answer   {call} {first.decode()} {body!r}")
+        return int(first.split()[1]) if first else 0
 
     async def stop(self) -> None:
         """End the processes of this world and remove its files."""
--- a/review/standins.py
+++ b/review/standins.py
@@ -252,7 +252,7 @@
         self.world.record.line(f"run      {call} {method} {path} at {self.instance}")
         self.running += 1
         try:
-            await asyncio.sleep(self.work_seconds)
+            await asyncio.sleep(self.world.work_seconds.get(call, self.work_seconds))
         except asyncio.CancelledError:
             self.world.record.line(f"dropped  {call} at {self.instance}")
             raise
