--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,9 +13,9 @@
 from mesh import BROKEN, HELD, TROUBLE, Node, World, play, route  # noqa: E402
 from standins import Proxy  # noqa: E402
 
-ZONES = ["akaki", "bole", "kality"]
-SERVICES = ["fleet", "booking", "booking"]
-ROUTE, SERVICE = "hire-book", "booking"
+ZONES = ["monza-sala", "bergamo-sala", "lecco-sala"]
+SERVICES = ["sportello", "cordoglio", "cordoglio"]
+ROUTE, SERVICE = "omaggio-floreale", "cordoglio"
 # Time budget of the requests and timeout of their route.
 BUDGET_SECONDS = 15
 WORK_SECONDS = 0.3
@@ -57,7 +57,7 @@
     world = LinkWorld(folder)
     try:
         routes = [route(ROUTE, SERVICE, "unsafe", timeoutS=BUDGET_SECONDS)]
-        world.publish(1, routes, [SERVICE, "fleet"])
+        world.publish(1, routes, [SERVICE, "sportello"])
         await world.start(ZONES, SERVICES)
         for node in world.nodes:
             node.target.work_seconds = WORK_SECONDS
