Accept calls at a stopping node only if they end before its exit

Cause: the node judged a call by four times the usual duration of its route.

Evidence: the 504 comes 0.7 s before the calls' own deadline and for both at once; a call cut off by the exit was logged as a timeout and is now told apart (reason=exiting).

Change: once the callers of the node have been moved away (2.6 s), a call is accepted only if its timeout ends before the exit; such a call ends at its own deadline. A home that leaves refuses queued calls that its exit might cut off, so that they can be served elsewhere.

The tests failed before: 504 for 200 and (504, sent) for (503, not sent) in AcceptedCallTests and GraceTests; the queued call ran in QueuedCallTests.

--- a/sequoiaspoke/core/mesh/durations.py
+++ b/sequoiaspoke/core/mesh/durations.py
@@ -23,6 +23,8 @@
 STALE_SECONDS = 4.0
 # Assumed duration in seconds before the first measurement.
 INITIAL_ESTIMATE = 0.1
+# Multiple of the mean duration that 99 in 100 calls of a route stay below.
+LONGEST_CALL_FACTOR = 4.0
 # Ratio to the expected duration from which running calls show that their upstream is
 # slow. Durations vary by a third and more; one call in a hundred takes five times as
 # long.
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -51,7 +51,9 @@
 # Seconds for which a stopping node keeps serving without calls in progress. Callers are
 # moved away after two readiness checks, a second apart, have failed.
 LINGER_SECONDS = 2.6
-# Seconds before its end by which a stopping node should have answered all calls.
+# Seconds before its exit at which a stopping node answers all calls that would outlast
+# it. There may be hundreds, and a VM whose share of a core is used up stands still for
+# a tenth of a second.
 ANSWER_MARGIN_SECONDS = 0.2
 
 # Characters of a new header's value that are logged.
@@ -336,9 +338,16 @@
             return
         self.stopping = clock.now()
         self.callers.closing = True
-        self.entry.stop_at(self.stopping + self.settings.drain - ANSWER_MARGIN_SECONDS)
+        exits_at = self.stopping + self.settings.drain
+        self.entry.stop_at(
+            exits_at - ANSWER_MARGIN_SECONDS, exits_at, self.stopping + LINGER_SECONDS
+        )
+        self.home.exits_at = exits_at
         self.log.event(
-            "stop", running=self.home.admission.running, calls=len(self.home.calls)
+            "stop",
+            running=self.home.admission.running,
+            calls=len(self.home.calls),
+            exit=f"{self.settings.drain:.2f}",
         )
 
     def finish_if_idle(self, now: float) -> None:
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.admission import MIN_RETRY_AFTER, RefusalReason
-from sequoiaspoke.core.mesh.durations import INITIAL_ESTIMATE
+from sequoiaspoke.core.mesh.durations import INITIAL_ESTIMATE, LONGEST_CALL_FACTOR
 from sequoiaspoke.core.mesh.outcome import TIMED_OUT, Answer, NotRun, Unknown
 from sequoiaspoke.core.routing.split import Splitter
 from sequoiaspoke.sidecar import clock
@@ -47,9 +47,8 @@
 RETRY_AFTER_SECONDS = 0.3
 # Retry-After of a stopping node in seconds: the rest of its shutdown and its restart.
 RESTART_SECONDS = 1.0
-# Multiple of a route's mean duration that 99 in 100 calls stay below. A stopping node
-# refuses calls that could take longer than it has left by this estimate.
-LONGEST_CALL_FACTOR = 4.0
+# Reason of the answer to a call that was cut off because this process exits.
+EXITING = "exiting"
 # Attempts of one call that may fail without reaching an upstream. Each costs only a
 # round trip, but if all nodes refuse, the caller should know soon.
 MAX_UNREACHED_ATTEMPTS = 6
@@ -76,7 +75,13 @@
     Attributes
     ----------
     closes_at : float
-        Time at which this process exits; infinite until it is told to stop.
+        When the calls that would outlast this process are answered; infinite until it
+        is told to stop.
+    exits_at : float
+        When this process exits at the latest. Calls with a deadline before it end at
+        their deadline.
+    callers_moved_at : float
+        Until when callers that are moved to other nodes still send calls here.
     withdrawals : Deadlines
         Times at which calls are withdrawn if they have not been started.
     counts : Counter of tuple of str and str
@@ -105,6 +110,8 @@
         self.log = log
         self.splitter = Splitter(rng)
         self.closes_at = float("inf")
+        self.exits_at = float("-inf")
+        self.callers_moved_at = float("inf")
         self.deadlines = Deadlines()
         self.withdrawals = Deadlines()
         self.counts: Counter[tuple[str, str]] = Counter()
@@ -136,7 +143,7 @@
         left = self.time_left(request, route)
         if left <= 0:
             return self.refuse(request, "no-time", RETRY_AFTER_SECONDS)
-        if self.would_outlast_node(route, arrived):
+        if self.would_outlast_node(route, arrived, left):
             return self.refuse(request, "stopping", RESTART_SECONDS, service)
         parent = None
         if table.has_large_bodies:
@@ -148,7 +155,7 @@
             self.forwarded(request),
             route,
             service,
-            min(arrived + left, self.closes_at),
+            self.answer_due(arrived + left),
             arrived + route.objective,
             may_withdraw=table.has_large_bodies,
         )
@@ -221,7 +228,7 @@
         """Withdraw a call, or schedule that if the links to its homes allow for it."""
         seconds = min(self.withdraw_seconds(progress), progress.withdraw_seconds)
         when = progress.deadline - seconds
-        if when <= clock.now() or when > self.withdrawals.latest:
+        if when <= clock.now() or when > self.withdrawals.capped(when):
             progress.withdraw()
         else:
             progress.withdrawal = self.withdrawals.call_at(when, progress.withdraw)
@@ -241,7 +248,12 @@
         self.withdrawals.vm_resumed(now)
         self.deadlines.vm_resumed(now)
 
-    def stop_at(self, closes_at: float) -> None:
+    def stop_at(
+        self,
+        closes_at: float,
+        exits_at: float = float("-inf"),
+        callers_moved_at: float = float("inf"),
+    ) -> None:
         """Set the time by which every call is answered before this process exits.
 
         Otherwise a call that runs longer than that ends with a closed connection and no
@@ -249,8 +261,16 @@
         ones, because answers are sent in the order of the requests.
         """
         self.closes_at = closes_at
-        self.deadlines.cap(closes_at)
-        self.withdrawals.cap(closes_at - MAX_WITHDRAW_SECONDS)
+        self.exits_at = exits_at
+        self.callers_moved_at = callers_moved_at
+        self.deadlines.cap(closes_at, beyond=exits_at)
+        self.withdrawals.cap(
+            closes_at - MAX_WITHDRAW_SECONDS, beyond=exits_at - MAX_WITHDRAW_SECONDS
+        )
+
+    def answer_due(self, deadline: float) -> float:
+        """Return when a call with a deadline has to be answered at the latest."""
+        return deadline if deadline <= self.exits_at else min(deadline, self.closes_at)
 
     def no_route(self, request: Request) -> Answer:
         """Answer a call that no route matches.
@@ -283,13 +303,25 @@
             return route.timeout
         return route.timeout if isnan(requested) else min(requested, route.timeout)
 
-    def would_outlast_node(self, route: Route, now: float) -> bool:
+    def would_outlast_node(self, route: Route, now: float, left: float) -> bool:
         """Return whether this node might exit before a new call is done.
 
         A stopping node still serves the callers that have not moved away. A long call
         accepted in its last seconds would be cut off by the exit, and the caller would
-        not know whether it ran.
+        not know whether it ran. The usual duration does not show that: some calls take
+        up to their timeout. So the estimate counts only as long as refusals would meet
+        the callers of a whole node; those who stay have no other node to go to, and
+        their calls are accepted only if they end by their deadline.
+
+        Parameters
+        ----------
+        left : float
+            Seconds until the final answer is due.
         """
+        if now + left <= max(self.closes_at, self.exits_at):
+            return False
+        if now > self.callers_moved_at:
+            return True
         usual = self.attempts.balancer.mean_seconds.get(route.name, INITIAL_ESTIMATE)
         return now + LONGEST_CALL_FACTOR * usual > self.closes_at
 
@@ -408,7 +440,14 @@
         """Answer a call whose deadline passed during or between attempts."""
         if progress.not_run:
             return self.refuse_unserved(progress, TIMED_OUT)
-        return self.fail(progress, 504, TIMED_OUT)
+        return self.fail(
+            progress, 504, EXITING if self.cut_off(progress) else TIMED_OUT
+        )
+
+    def cut_off(self, progress: Progress) -> bool:
+        """Return whether a call that has timed out was cut off as this node exits."""
+        ends_by_itself = self.closes_at < progress.deadline <= self.exits_at
+        return clock.now() >= self.closes_at and not ends_by_itself
 
     def refuse_unserved(self, progress: Progress, reason: str) -> Answer:
         """Answer a call that no home has started, with the shortest time they told."""
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -9,10 +9,12 @@
 from collections import Counter
 from dataclasses import replace
 from functools import partial
+from math import inf
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.admission import Admission, Arrival, RefusalReason, Refused
 from sequoiaspoke.core.mesh.balancer import LoadReport
+from sequoiaspoke.core.mesh.durations import LONGEST_CALL_FACTOR
 from sequoiaspoke.core.mesh.leaving import LeavingUpstreams
 from sequoiaspoke.core.mesh.ledger import Ledger
 from sequoiaspoke.core.mesh.memory import MemoryAccount
@@ -65,6 +67,8 @@
     ----------
     leaving : bool
         Whether this node is about to stop and refuses new calls.
+    exits_at : float
+        When this process exits at the latest; infinite until it is told to stop.
     evacuated : bool
         Whether the zone is evacuated and new calls are refused.
     evacuation_ended_at : int
@@ -97,6 +101,7 @@
         self.ledger = Ledger()
         self.calls: dict[Hashable, ActiveCall] = {}
         self.leaving = False
+        self.exits_at = inf
         self.evacuated = False
         self.evacuation_ended_at = 0
         self.health_monitor = HealthMonitor(
@@ -542,6 +547,8 @@
         for refused in self.admission.drop_overdue(now):
             self.refuse(refused)
         self.refuse_calls_to_leaving(now)
+        if self.leaving:
+            self.refuse_calls_beyond_exit(now)
         self.bodies.tick(now)
         self.dispatch()
 
@@ -561,6 +568,20 @@
                 reason = self.departure_reason(incarnation)
                 self.refuse(Refused(arrival, reason, LEAVING_RETRY_AFTER))
 
+    def refuse_calls_beyond_exit(self, now: float) -> None:
+        """Refuse queued calls that the exit of this process might cut off.
+
+        Nobody would know whether they took effect. Refused before they start, they can
+        be served elsewhere.
+        """
+        for arrival in list(self.admission.queue.values()):
+            expected = self.admission.durations.expected(arrival.route, now)
+            latest = min(arrival.deadline, now + LONGEST_CALL_FACTOR * expected)
+            if latest > self.exits_at:
+                self.refuse_queued(
+                    Refused(arrival, RefusalReason.LEAVING, LEAVING_RETRY_AFTER)
+                )
+
     def set_evacuated(self, evacuated: bool, ended_at: int) -> None:
         """Set whether the zone is evacuated; while it is, the upstream gets no calls.
 
--- /dev/null
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -0,0 +1,176 @@
+"""Tests of the calls that a node accepts, starts and ends after it was told to stop."""
+
+import asyncio
+from dataclasses import replace
+from random import Random
+from types import SimpleNamespace
+
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.balancer import LoadReport
+from sequoiaspoke.core.mesh.model import MeshConfig, Service
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
+from sequoiaspoke.core.mesh.table import RouteTable
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.app import ANSWER_MARGIN_SECONDS, LINGER_SECONDS, Sidecar
+from sequoiaspoke.sidecar.homecall import HomeCall
+from sequoiaspoke.sidecar.settings import SidecarSettings
+from sequoiaspoke.tests.meshsim import VirtualLoop
+from sequoiaspoke.tests.test_sidecar_entry import NoItems, request, route
+from sequoiaspoke.tests.test_sidecar_home import ENDPOINT, BlockingUpstream
+
+ADDRESS = ("10.0.0.1", 1)
+DRAIN = 5.9
+SETTINGS = SidecarSettings("n", "fleet", "akaki", *[ADDRESS] * 5, drain=DRAIN)
+# Timeout of the routes and usual duration of their calls, in seconds.
+TIMEOUT, USUAL = 2.5, 0.3
+
+
+class StoppingCase(TestCase):
+    """Runs a node that was told to stop on a virtual clock."""
+
+    settings = SETTINGS
+    timeout = TIMEOUT
+
+    def play(self, scenario):
+        loop = VirtualLoop()
+        self.patch(clock, "now", loop.time)
+        try:
+            asyncio.set_event_loop(loop)
+            return loop.run_until_complete(self.run_scenario(scenario))
+        finally:
+            asyncio.set_event_loop(None)
+            loop.close()
+
+    async def run_scenario(self, scenario):
+        store = SimpleNamespace(new_headers=None)
+        self.sidecar = Sidecar(self.settings, store, NoItems(), None, None, Random(1))
+        self.sidecar.log.allowed = lambda kind: False
+        routes = [
+            replace(route(name, name == "read"), timeout=self.timeout, objective=0.8)
+            for name in ("read", "order")
+        ]
+        table = RouteTable(MeshConfig(1, tuple(routes), {"fleet": Service("fleet")}))
+        self.sidecar.state.table = table
+        self.sidecar.state.directory.put(ENDPOINT, 1, clock.now())
+        self.stopped_at = clock.now()
+        self.sidecar.stop()
+        return await scenario()
+
+    def elapsed(self):
+        """Return the seconds since the node was told to stop."""
+        return clock.now() - self.stopped_at
+
+
+class StoppingCallCase(StoppingCase):
+    """Makes calls at a node that was told to stop."""
+
+    def send_to_upstream(self, attempt):
+        """Answer a call after `self.work` seconds."""
+        self.sent += 1
+        asyncio.get_running_loop().call_later(
+            self.work, attempt.finish, Answer(200, (), b"served"), LoadReport()
+        )
+
+    def call(self, after, work, name="order"):
+        """Return status and time of the answer to a call, and whether it was sent.
+
+        It comes `after` seconds after the signal and takes its upstream `work` seconds.
+        """
+        self.work, self.sent = work, 0
+
+        async def scenario():
+            entry = self.sidecar.entry
+            entry.attempts.usable = lambda endpoint: True
+            entry.attempts.send_to_home = self.send_to_upstream
+            entry.attempts.balancer.mean_seconds[name] = USUAL
+            await asyncio.sleep(after)
+            answer = await entry.handle(request(name, left=5000))
+            return answer.status, self.elapsed(), self.sent > 0
+
+        return self.play(scenario)
+
+
+class AcceptedCallTests(StoppingCallCase):
+    def test_a_call_that_takes_several_times_as_long_as_usual_is_answered(self):
+        # A call in a hundred does. It was cut off at its upstream, and the order lost.
+        status, _, _ = self.call(after=3.3, work=2.0)
+        self.assertEqual(status, 200)
+
+    def test_a_call_that_may_outlast_the_node_is_refused(self):
+        # By its usual duration it fits, by its timeout it does not. Accepted and cut
+        # off, nobody would know whether it ran.
+        for name in ("order", "read"):
+            status, elapsed, sent = self.call(after=4.0, work=2.0, name=name)
+            self.assertEqual((status, sent), (503, False))
+            self.assertAlmostEqual(elapsed, 4.0, delta=0.01)
+
+    def test_no_call_of_those_who_stay_is_cut_off(self):
+        # Whatever the moment and the duration, a call is answered by its upstream,
+        # refused unsent, or ends at its own timeout.
+        for tenths in range(int(10 * LINGER_SECONDS) + 1, int(10 * DRAIN)):
+            for work in (0.1, 1.0, 2.0, 2.4, 9.0):
+                after = tenths / 10
+                status, elapsed, sent = self.call(after, work)
+                if status == 503:
+                    self.assertFalse(sent)
+                    continue
+                expected = 200 if work < TIMEOUT else 504
+                self.assertEqual(status, expected, (after, work))
+                self.assertAlmostEqual(elapsed, after + min(work, TIMEOUT), delta=0.01)
+
+    def test_callers_that_are_moved_away_are_served_meanwhile(self):
+        # Refused for their timeout, all calls of routes with long ones would fail until
+        # the platform has noticed that the node stops.
+        for tenths in range(int(10 * LINGER_SECONDS)):
+            status, _, _ = self.call(after=tenths / 10, work=USUAL)
+            self.assertEqual(status, 200, tenths)
+
+    def test_a_call_that_outlasts_the_node_is_answered_before_its_exit(self):
+        # Hundreds may end at that moment, and their answers take some time to be sent.
+        self.timeout = 10.0
+        status, elapsed, _ = self.call(after=1.0, work=9.0)
+        self.assertEqual(status, 504)
+        self.assertAlmostEqual(elapsed, DRAIN - ANSWER_MARGIN_SECONDS, delta=0.01)
+
+
+class QueuedCallTests(StoppingCase):
+    def submit(self, name, left):
+        call = HomeCall(
+            Request("GET", name, (), b""),
+            ENDPOINT.incarnation,
+            "r",
+            0,
+            False,
+            clock.now() + left,
+            clock.now() + left,
+        )
+        self.sidecar.home.submit(
+            name, call, lambda outcome: self.outcomes.update({name: outcome})
+        )
+
+    def test_queued_calls_are_refused_before_the_exit_would_cut_them_off(self):
+        # Started late by a node that stops, the call of another node was cut off by the
+        # exit of the process.
+        self.outcomes = {}
+
+        async def scenario():
+            home = self.sidecar.home
+            home.upstream = BlockingUpstream()
+            home.set_slots(1)
+            for name, left in (("runs", 30.0), ("long", 30.0), ("short", 2.0)):
+                self.submit(name, left)
+            home.leaving = True
+            while self.elapsed() < DRAIN:
+                await asyncio.sleep(0.1)
+                home.tick(clock.now())
+            home.upstream.gate.set()
+            await asyncio.sleep(0.1)
+            return home.upstream.ran
+
+        self.assertEqual(self.play(scenario), ["runs"])
+        self.assertEqual(self.outcomes.pop("runs").status, 200)
+        self.assertEqual(
+            {name: (type(each), each.reason) for name, each in self.outcomes.items()},
+            {"long": (NotRun, "leaving"), "short": (NotRun, "no-time")},
+        )
