Keep a call that may run only once until its deadline

Cause: an entry sends a pending order again to the same home until the deadline of the order; the home forgot a finished call after a fixed 10 s and ran it anew.

Evidence: link-up now tells how many calls are sent again. In a run of the case that kept records for 10 s only, the entry sent six after the cut to the incarnation that it had sent them to before, with no failed attempt between, and all six ran again.

Change: such a call is kept until 2 s past its deadline. Two handshakes could differ by more than that margin if a VM was suspended during one: such a handshake is dropped. A call whose deadline has passed is not sent again.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -85,6 +85,7 @@
     WITHDRAWN = "withdrawn"
     NESTED_SHORT = "nested-short"
     BODY_EXPIRED = "body-expired"
+    LEDGER_FULL = "ledger-full"
 
 
 # Refusals after which the caller is told when a slot should be free for it.
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -12,7 +12,13 @@
 from math import inf
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.mesh.admission import Admission, Arrival, RefusalReason, Refused
+from sequoiaspoke.core.mesh.admission import (
+    MIN_RETRY_AFTER,
+    Admission,
+    Arrival,
+    RefusalReason,
+    Refused,
+)
 from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.durations import LONGEST_CALL_FACTOR
 from sequoiaspoke.core.mesh.leaving import LeavingUpstreams
@@ -55,6 +61,8 @@
 INITIAL_SLOTS = 1
 # Retry-After, in seconds, of refusals by a node that is about to stop.
 LEAVING_RETRY_AFTER = 0.3
+# Longest Retry-After, in seconds, of refusals by a node that keeps too many calls.
+LEDGER_RETRY_AFTER = 5.0
 # Retry-After, in seconds, of refusals by a node whose zone is evacuated. A caller gets
 # it only if no other zone has served its call.
 EVACUATED_RETRY_AFTER = 0.3
@@ -178,7 +186,7 @@
             self.record_refusal(refused, call)
             on_outcome(NotRun(refused.reason, refused.retry_after))
             return
-        self.ledger.begin(key)
+        self.ledger.begin(key, None if call.idempotent else call.deadline)
         self.calls[key] = ActiveCall(call, on_outcome)
         self.upstream_bytes.add(key, len(call.request.body))
         if refused is not None:
@@ -235,6 +243,13 @@
         if seconds:
             self.counts[RefusalReason.HELD_BACK] += 1
             return NotRun(RefusalReason.HELD_BACK, seconds)
+        if self.ledger.full and not call.idempotent:
+            self.counts[RefusalReason.LEDGER_FULL] += 1
+            seconds = self.ledger.next_expiry() - clock.now()
+            return NotRun(
+                RefusalReason.LEDGER_FULL,
+                min(max(seconds, MIN_RETRY_AFTER), LEDGER_RETRY_AFTER),
+            )
         return None
 
     def departure_reason(self, incarnation: Incarnation) -> RefusalReason:
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -209,6 +209,10 @@
             # It has just failed, for example because it was sent to an earlier
             # incarnation of the home: sent again it would run twice.
             return
+        if pending.call.deadline <= clock.now():
+            # This VM was suspended, and the timer that ends the call is due. The home
+            # may have forgotten it.
+            return
         if pending.withdrawn:
             self.send_withdraw(pending)
             return
@@ -415,6 +419,11 @@
         """
         require(welcome, "incarnation", "clock")
         assert self.stream is not None
+        if clock.now() - self.last_pinged > HANDSHAKE_TIMEOUT:
+            # This VM was suspended meanwhile. The clock offset, and so the deadlines of
+            # all calls on this link, would be wrong by half of that time.
+            self.stream.close()
+            return
         self.round_trip = float("inf")
         self.update_clock_offset(self.last_pinged, welcome.clock)
         if welcome.incarnation != self.incarnation:
@@ -424,7 +433,12 @@
         self.established = True
         self.failing = False
         self.leaving = bool(welcome.leaving)
-        self.log.event("link-up", peer=self.address[0], incarnation=welcome.incarnation)
+        self.log.event(
+            "link-up",
+            peer=self.address[0],
+            incarnation=welcome.incarnation,
+            resent=sum(not each.not_run for each in self.pending.values()),
+        )
         for pending in list(self.pending.values()):
             self.send_call(pending)
         while self.outbox:
