Set the kernel's timeout only where the peer reads at once

Cause: TCP_USER_TIMEOUT was set on every connection, to find peers that have vanished. Linux applies it to a peer that lives and keeps its receive buffer full, too.

Evidence: a connection that the kernel ended had no line; caller-lost now tells it.

Change: the option stays on links, on connections to the store and for requests to the upstream that fit into any receive buffer. It is not set for callers, nor while the upstream reads a larger request, which the deadline of the call bounds. Related: an answer that closes its connection, and those of a node that stops, wait for a caller that still reads; the idle timeout counts from the last progress.

--- a/sequoiaspoke/sidecar/bodypolicy.py
+++ b/sequoiaspoke/sidecar/bodypolicy.py
@@ -32,6 +32,10 @@
     def caller_closed(self, unread: int) -> None:
         """Take note that a connection was closed for its unread bytes."""
 
+    @abstractmethod
+    def caller_lost(self, error: str, calls: int, unread: int) -> None:
+        """Take note that the kernel ended a connection with answers or calls on it."""
+
 
 class ReadAllBodies(BodyPolicy):
     """Refuses only bodies that do not fit."""
@@ -46,3 +50,6 @@
 
     def caller_closed(self, unread: int) -> None:
         """Do nothing."""
+
+    def caller_lost(self, error: str, calls: int, unread: int) -> None:
+        """Do nothing."""
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from collections import deque
+from errno import errorcode
 from typing import TYPE_CHECKING
 
 import httptools
@@ -150,8 +151,12 @@
             self.reading_paused = True
             self.transport.pause_reading()
 
-    def lost(self, error: Exception | None, closed_locally: bool) -> None:  # noqa: ARG002
+    def lost(self, error: Exception | None, closed_locally: bool) -> None:
         """Cancel the calls of a caller that has disconnected."""
+        if isinstance(error, OSError) and not closed_locally:
+            code = errorcode.get(error.errno, "unknown")
+            if self.unread or isinstance(error, TimeoutError):
+                self.server.policy.caller_lost(code, len(self.pending), self.unread)
         self.server.connections.discard(self)
         self.drop_body()
         self.count_unread()
@@ -405,13 +410,32 @@
             )
 
     def close_if_silent(self, latest: float) -> None:
-        """Close the connection unless the caller still sends a refused body."""
-        left = min(latest, self.last_active + CLOSE_TIMEOUT) - clock.now()
+        """Close the connection unless the caller still sends a refused body.
+
+        A caller that reads slowly first gets all that it was sent.
+        """
+        now = clock.now()
+        if self.unsent_bytes() and not self.stalled(now):
+            left, latest = CLOSE_TIMEOUT, now + MAX_CLOSE_SECONDS
+        else:
+            left = min(latest, self.last_active + CLOSE_TIMEOUT) - now
         if left <= 0:
             self.close()
         else:
             asyncio.get_running_loop().call_later(left, self.close_if_silent, latest)
 
+    def stalled(self, now: float) -> bool:
+        """Return whether the caller has neither sent nor read for the idle timeout.
+
+        A caller that has vanished is found by this if it has not acknowledged all that
+        it was sent; otherwise the kernel's probes find it earlier.
+        """
+        before = self.unread
+        self.count_unread()
+        if self.unread < before:
+            self.last_active = now
+        return now - self.last_active > self.limits.idle_timeout
+
     def tick(self, now: float) -> None:
         """Close an idle connection; refuse a head that takes too long."""
         if self.pending or self.closed:
@@ -419,7 +443,7 @@
         if self.request_started is not None and not self.head_complete:
             if now - self.request_started > self.limits.header_timeout:
                 self.refuse(408, "headers took too long")
-        elif now - self.last_active > self.limits.idle_timeout:
+        elif self.stalled(now):
             self.close()
 
 
@@ -506,5 +530,8 @@
             connection.tick(now)
 
     def busy(self) -> bool:
-        """Return whether any caller waits for an answer."""
-        return any(connection.pending for connection in self.connections)
+        """Return whether any caller waits for an answer, or has not read it yet."""
+        return any(
+            connection.pending or connection.unsent_bytes()
+            for connection in self.connections
+        )
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -54,6 +54,8 @@
 MAX_UNREACHED_ATTEMPTS = 6
 # Reason counted when a connection is closed for its unread answers.
 SLOW_CALLER = "slow-caller"
+# Reason counted when the kernel ends a connection with unread answers or for a timeout.
+LOST_CALLER = "lost-caller"
 # Statuses by which a caller is told that its call has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Seconds before its deadline at which a call is withdrawn: time for the message and
@@ -203,6 +205,11 @@
         self.reasons[SLOW_CALLER] += 1
         self.log.event("caller-closed", unread=unread)
 
+    def caller_lost(self, error: str, calls: int, unread: int) -> None:
+        """Count and log a connection that the kernel ended."""
+        self.reasons[LOST_CALLER] += 1
+        self.log.event("caller-lost", error=error, calls=calls, unread=unread)
+
     async def serve_until_deadline(self, progress: Progress) -> Answer:
         """Serve a call; raise TimeoutError at its deadline."""
         timer = self.deadlines.call_at(progress.deadline, progress.expire)
--- a/sequoiaspoke/sidecar/frames.py
+++ b/sequoiaspoke/sidecar/frames.py
@@ -115,6 +115,8 @@
 class TcpFrameStream(Connection, FrameStream):
     """A frame stream over a TCP connection."""
 
+    peer_reads_at_once = True
+
     def __init__(self) -> None:
         super().__init__()
         self.chunks: list[bytes] = []
--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -23,7 +23,11 @@
 )
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.httptext import BODILESS_STATUSES
-from sequoiaspoke.sidecar.sockets import Connection
+from sequoiaspoke.sidecar.sockets import (
+    USER_TIMEOUT_MS,
+    Connection,
+    set_user_timeout,
+)
 
 if TYPE_CHECKING:
     from sequoiaspoke.core.mesh.outcome import Headers
@@ -41,6 +45,9 @@
 # the server may have dropped an older one, and the reset that follows does not show
 # whether the call ran.
 FRESH_SECONDS = 1.0
+# Largest request in bytes that fits into the receive buffer of a server, whether it is
+# read at once or not.
+MAX_BUFFERED_REQUEST = 4096
 # Seconds past its deadline by which an answer that keeps arriving has to be complete.
 MAX_EXTENSION_SECONDS = 10.0
 
@@ -94,8 +101,12 @@
         When the call ends even if bytes keep coming.
     until_close : bool
         Whether the answer has no length and ends with the connection.
+    may_read_slowly : bool
+        Whether the server may leave the last request unread for a while.
     """
 
+    peer_reads_at_once = True
+
     def __init__(self, call_header: str, deadlines: Deadlines) -> None:
         super().__init__()
         self.call_header = call_header
@@ -104,6 +115,7 @@
         self.call_id = ""
         self.head_only = False
         self.not_reusable = False
+        self.may_read_slowly = False
         self.answer_started = False
         self.last_received = float("-inf")
         self.silence = 0.0
@@ -236,6 +248,7 @@
         self.latest = deadline + MAX_EXTENSION_SECONDS
         self.pending = asyncio.get_running_loop().create_future()
         self.timer = self.deadlines.call_at(deadline, self.timed_out)
+        self.expect_slow_reading(len(text) > MAX_BUFFERED_REQUEST)
         self.write(text)
         if self.closed:
             self.fail(CONNECTION_LOST)
@@ -254,6 +267,16 @@
         self.last_used = clock.now()
         return outcome
 
+    def expect_slow_reading(self, slow: bool) -> None:
+        """Allow the server to take until the deadline to read a request, or do not.
+
+        A request that fits into its receive buffer is acknowledged at once, and shows
+        early that the connection is dead.
+        """
+        if slow != self.may_read_slowly and not self.closing:
+            self.may_read_slowly = slow
+            set_user_timeout(self.socket, 0 if slow else USER_TIMEOUT_MS)
+
     def timed_out(self) -> None:
         """End the call under way with a timeout, unless its answer is arriving."""
         silent_at = min(self.last_received + self.silence, self.latest)
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -18,10 +18,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Seconds until a silent peer is probed and between probes, number of probes, and
-# milliseconds within which sent bytes must be acknowledged. A dead connection is found
-# within about two seconds.
+# Seconds until a silent peer is probed and between probes, and number of probes. A dead
+# connection on which all sent bytes are acknowledged is found within two seconds.
 KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES = 1, 1, 1
+# Milliseconds within which a peer that reads at once must acknowledge what it is sent.
 USER_TIMEOUT_MS = 2000
 # Connections that may wait to be accepted. Callers reconnect all at once after this
 # node restarts, and one that does not fit is retried only after a second.
@@ -33,10 +33,17 @@
 
     Attributes
     ----------
+    peer_reads_at_once : bool
+        Whether a peer that lives reads what it is sent without delay. Such a connection
+        is dead if sent bytes are not acknowledged for some time. A peer that reads
+        slowly acknowledges them, too, but the kernel applies the same timeout to the
+        time for which its receive buffer is full.
     closed : bool
         Whether this end was closed or the connection has ended.
     """
 
+    peer_reads_at_once = False
+
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.closed = False
@@ -44,9 +51,16 @@
     def connection_made(self, transport: Any) -> None:
         """Start to use an established connection."""
         self.transport = transport
-        enable_keepalive(transport.get_extra_info("socket"))
+        enable_keepalive(self.socket)
+        if self.peer_reads_at_once:
+            set_user_timeout(self.socket, USER_TIMEOUT_MS)
         self.opened()
 
+    @property
+    def socket(self) -> socket.socket:
+        """Return the socket of an established connection."""
+        return self.transport.get_extra_info("socket")
+
     def opened(self) -> None:
         """Handle the start of the connection; does nothing by default."""
 
@@ -154,4 +168,12 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def set_user_timeout(sock: socket.socket, milliseconds: int) -> None:
+    """Limit the time for which sent bytes may stay unacknowledged; 0 for the default.
+
+    Source: RFC 5482. On Linux it also limits the time for which the peer's receive
+    buffer may be full, although the peer answers the probes that are sent meanwhile.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
