Report an outcome for a call that is too late to be sent again

Cause: a call whose deadline has passed was not sent again and stayed pending, for the timer of its entry to end. A link that is used without an entry has no such timer.

--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -14,7 +14,7 @@
 
 from sequoiaspoke.core.mesh.admission import RefusalReason
 from sequoiaspoke.core.mesh.balancer import LoadReport
-from sequoiaspoke.core.mesh.outcome import NotRun, Unknown
+from sequoiaspoke.core.mesh.outcome import TIMED_OUT, NotRun, Unknown
 from sequoiaspoke.core.mesh.transfers import PART_BYTES
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.linkfeatures import SUPPORTED, LinkFeatures
@@ -57,6 +57,10 @@
 REDIAL_MIN, REDIAL_MAX = 0.1, 0.4
 
 
+# Outcome of a call that was sent and whose deadline has passed.
+TOO_LATE = Unknown(TIMED_OUT)
+
+
 def ignore_load_report(load_report: LoadReport) -> None:
     """Do nothing; the default of links whose load reports are not used."""
 
@@ -212,6 +216,8 @@
         if pending.call.deadline <= clock.now():
             # This VM was suspended, and the timer that ends the call is due. The home
             # may have forgotten it.
+            late = NotRun(RefusalReason.NO_TIME) if pending.not_run else TOO_LATE
+            self.fail(pending, late)
             return
         if pending.withdrawn:
             self.send_withdraw(pending)
--- a/sequoiaspoke/tests/test_mesh_cut.py
+++ b/sequoiaspoke/tests/test_mesh_cut.py
@@ -8,7 +8,7 @@
 from sequoiaspoke.core.mesh import ledger as ledger_module
 from sequoiaspoke.core.mesh.directory import Directory
 from sequoiaspoke.core.mesh.ledger import DEADLINE_MARGIN, RETENTION_SECONDS, Ledger
-from sequoiaspoke.core.mesh.outcome import NotRun, Request
+from sequoiaspoke.core.mesh.outcome import NotRun, Request, Unknown
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.home import Home
 from sequoiaspoke.sidecar.homecall import HomeCall
@@ -221,7 +221,8 @@
             Request("GET", "/", (), b""), ENDPOINT.incarnation, "r", 0, False,
             self.time + left, self.time + left,
         )  # fmt: skip
-        link.pending[1] = PendingCall(1, order, lambda outcome: None)
+        self.outcomes = []
+        link.pending[1] = PendingCall(1, order, self.outcomes.append)
         link.pending[1].home_incarnation = link.incarnation = 7
         self.time += seconds
         link.handle_welcome(wire.Welcome(7, 5000.0, False, False, 0))
@@ -244,3 +245,4 @@
         # The VM was suspended, and the timer of the call had not run yet. Its home may
         # have forgotten that it ran.
         self.assertEqual(self.play(0.5, left=0.4).stream.sent, [])
+        self.assertEqual(self.outcomes, [Unknown("timeout")])
