Release the answer of a call with the call

A node that passed on 18 answers of 7.9 MB held all of them: 193 MB at its peak, where 150 are allowed.

Cause: the attempts of a call, its race and its pending call refer to each other, so that their answers were freed by the garbage collector only, seconds later. Evidence: the size of the process, written beside each answer that was decoded, grew by one answer each time, while the memory account was empty.

Change: a call that has its final answer drops its attempts, and a pending call that is done drops its callback. A large body is not copied to be sent behind its head.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -345,7 +345,8 @@
             assert exchange.answer is not None
             self.last_active = clock.now()
             self.server.memory.release(exchange.answer_bytes)
-            self.write(encode_answer(exchange.answer, close, exchange.head_only))
+            for part in encode_answer(exchange.answer, close, exchange.head_only):
+                self.write(part)
             if close:
                 self.input_ended = True
                 self.drop_body()
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -172,6 +172,8 @@
         except asyncio.CancelledError:
             self.counts[service, "caller-left"] += 1
             raise
+        finally:
+            progress.discard()
         if parent is not None:
             failed = answer.status in SHORTAGE_STATUSES
             room = self.attempts.home.nested_room
--- a/sequoiaspoke/sidecar/httptext.py
+++ b/sequoiaspoke/sidecar/httptext.py
@@ -28,6 +28,8 @@
 )
 # Statuses of answers without a body.
 BODILESS_STATUSES = frozenset({204, 304})
+# Bytes of the largest body that is copied to be sent together with its head.
+MAX_JOINED_BYTES = 64 << 10
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -65,8 +67,12 @@
     return head.encode("latin-1") + request.body
 
 
-def encode_answer(answer: Answer, close: bool, head_only: bool = False) -> bytes:
-    """Return the bytes of an answer.
+def encode_answer(
+    answer: Answer, close: bool, head_only: bool = False
+) -> tuple[bytes, ...]:
+    """Return the bytes of an answer, a large body as a part of its own.
+
+    Joined with the head it would be in memory twice until it is sent.
 
     Parameters
     ----------
@@ -86,7 +92,11 @@
     if close:
         lines.append("Connection: close")
     head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-    return head if head_only else head + answer.body
+    if head_only:
+        return (head,)
+    if len(answer.body) > MAX_JOINED_BYTES:
+        return head, answer.body
+    return (head + answer.body,)
 
 
 def local_answer(status: int, reason: str, retry_after: float | None = None) -> Answer:
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -154,7 +154,7 @@
 
     def cancel(self, pending: PendingCall) -> None:
         """Drop a call, and tell the home that its outcome is no longer wanted."""
-        pending.done = True
+        pending.drop()
         self.send_cancel(pending)
 
     def send_cancel(self, pending: PendingCall) -> None:
--- a/sequoiaspoke/sidecar/pending.py
+++ b/sequoiaspoke/sidecar/pending.py
@@ -12,6 +12,10 @@
     from sequoiaspoke.sidecar.transfers import OutgoingBody
 
 
+def ignore_outcome(outcome: Outcome) -> None:
+    """Do nothing; replaces the callback of a call that is done."""
+
+
 class PendingCall:
     """A call for another node whose outcome is not known yet.
 
@@ -51,8 +55,14 @@
     def resolve(self, outcome: Outcome) -> None:
         """Report the outcome of the call, unless it is done."""
         if not self.done:
-            self.done = True
-            self.on_outcome(outcome)
+            on_outcome = self.on_outcome
+            self.drop()
+            on_outcome(outcome)
+
+    def drop(self) -> None:
+        """Report no outcome from now on, and hold nothing of who waits for one."""
+        self.done = True
+        self.on_outcome = ignore_outcome
 
 
 class LinkIdentity:
--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -139,6 +139,16 @@
         attempts = [] if self.race is None else self.race.attempts
         return [each for each in attempts if not each.finished]
 
+    def discard(self) -> None:
+        """Drop the attempts of a call that has its final answer.
+
+        They refer to each other, and large answers would stay in memory until the next
+        run of the garbage collector.
+        """
+        if self.race is not None:
+            self.race.attempts.clear()
+            self.race = None
+
     def withdraw(self) -> None:
         """Withdraw the attempts under way from homes that have not started them."""
         self.withdrawn = True
