Bound what an upstream may send, and all large answers together

Bytes that are no answer may come without end. Header lines took a node of 150 MB to 3 GB within the deadline of the calls; a reason phrase, a chunk extension, interim answers and trailers kept a core busy until then. 18 answers just below their bound took the home to 307 MB.

Cause: the bound of 8 MB counted bodies only, and nothing added large answers up.

Change: bytes that are no body are limited to 64 KB a call, and 8 for each byte of the body; the connection is closed at once. A length that is too large is rejected before the body is read; an answer to a health check may have 64 KB. A large answer is read once all of it has room in the memory account and in 16 MB for the answers that are read or wait in links; until then it stays in the kernel's buffers.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -7,6 +7,7 @@
 import signal
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.mesh.answerroom import AnswerRoom
 from sequoiaspoke.core.mesh.memory import MemoryAccount, memory_limit
 from sequoiaspoke.core.mesh.reading import DEFAULT_ACT_SECONDS, ReadingDuty
 from sequoiaspoke.errors import SettingsError
@@ -80,7 +81,8 @@
         self.state = MeshState(decoder, self.log, self.on_state_change)
         self.state.max_no_route_age = NO_ROUTE_AGE_FRACTION * settings.act_within
         host, port = settings.upstream
-        self.upstream = Upstream(host, port, settings.names)
+        room = AnswerRoom(self.memory)
+        self.upstream = Upstream(host, port, settings.names, room)
         self.upstream.new_headers.on_new = self.log_upstream_header
         if store.new_headers is not None:
             store.new_headers.on_new = self.log_store_header
@@ -130,7 +132,9 @@
             self.entry.handle, self.log_unexpected_error, host, self.memory
         )
         self.callers.policy = self.entry
-        self.links = LinkServer(self.home, self.spread, self.incarnation, self.log)
+        self.links = LinkServer(
+            self.home, self.spread, self.incarnation, self.log, room
+        )
         self.metrics = SidecarMetrics(self, output)
         pages = HealthPages(
             settings.health_path,
--- a/sequoiaspoke/sidecar/frames.py
+++ b/sequoiaspoke/sidecar/frames.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sequoiaspoke.core.mesh.answerroom import AnswerRoom
 
 HEADER = struct.Struct("!I")
 # Bytes; more than the largest body that a request or an upstream's answer may have.
@@ -113,12 +114,23 @@
 
 
 class TcpFrameStream(Connection, FrameStream):
-    """A frame stream over a TCP connection."""
+    """A frame stream over a TCP connection.
+
+    Attributes
+    ----------
+    room : AnswerRoom or None
+        Counts the bytes that the peer has not read, None if they are not counted.
+    unread : int
+        Bytes counted so far.
+    """
 
     peer_reads_at_once = True
 
-    def __init__(self) -> None:
+    def __init__(self, room: AnswerRoom | None = None) -> None:
         super().__init__()
+        self.room = room
+        self.unread = 0
+        self.writing_paused = False
         self.chunks: list[bytes] = []
         self.buffered = 0
         self.bytes_needed = HEADER.size
@@ -140,6 +152,30 @@
             self.close()
         else:
             self.write(data)
+            if self.writing_paused:
+                self.count_unread()
+
+    def pause_writing(self) -> None:
+        """Count the bytes that the transport buffers, as they are many."""
+        self.writing_paused = True
+        self.count_unread()
+
+    def resume_writing(self) -> None:
+        """Note that the transport has few bytes left to send."""
+        self.writing_paused = False
+        self.count_unread()
+
+    def count_unread(self) -> None:
+        """Count the bytes that the peer has not read, unless they are few."""
+        before = self.unread
+        self.unread = self.unsent_bytes() if self.writing_paused else 0
+        if self.room is not None:
+            self.room.change_held(self.unread - before)
+
+    def close(self) -> None:
+        """Close the link at once and drop unsent bytes."""
+        super().close()
+        self.count_unread()
 
     async def read(self, on_frame: Callable[[wire.Frame], None]) -> str:
         """Pass on frames until the link ends; return why it ended."""
@@ -160,6 +196,8 @@
     def parse(self) -> None:
         """Pass on the complete frames; close the link at an invalid one."""
         buffer = self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks)
+        # Not kept beside the buffer while large frames are handled.
+        self.chunks.clear()
         start = 0
         try:
             while not self.closed:
@@ -175,7 +213,9 @@
                     break
                 payload = buffer[start + HEADER.size : end]
                 start = end
-                self.on_frame(decode(payload))
+                frame = decode(payload)
+                del payload
+                self.on_frame(frame)
         except MessageError as error:
             self.reason = str(error)
             self.close()
@@ -184,6 +224,7 @@
 
     def lost(self, error: Exception | None, closed_locally: bool) -> None:  # noqa: ARG002
         """Let `read` return why the link has ended."""
+        self.count_unread()
         if not self.ended.done():
             ended = "closed-here" if closed_locally else "closed"
             self.ended.set_result(self.reason or ended)
--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -30,6 +30,7 @@
 )
 
 if TYPE_CHECKING:
+    from sequoiaspoke.core.mesh.answerroom import AnswerRoom
     from sequoiaspoke.core.mesh.outcome import Headers
     from sequoiaspoke.sidecar.deadlines import Deadlines
 
@@ -38,6 +39,9 @@
 # Largest accepted answer. Answers are buffered whole, so that a truncated one is
 # detected before its first byte goes to the caller.
 MAX_ANSWER_BYTES = 8 << 20
+# Bytes accepted besides bodies: of the head, of interim answers and of chunk lines; and
+# further ones for each byte of a body, as a server may send it in chunks of a byte.
+MAX_HEAD_BYTES, FRAMING_PER_BYTE = 64 << 10, 8
 # Seconds for which an idle connection is reused if the server's Keep-Alive header names
 # no timeout, and the margin taken off a timeout for clock error and transit.
 IDLE_SECONDS, IDLE_MARGIN = 3.0, 1.0
@@ -103,6 +107,12 @@
         Whether the answer has no length and ends with the connection.
     may_read_slowly : bool
         Whether the server may leave the last request unread for a while.
+    room : AnswerRoom or None
+        Memory for its answers, None if that is not limited beyond their size.
+    max_body : int
+        Bytes of the largest accepted body of the call under way.
+    bytes_received, body_bytes : int
+        Bytes of all kinds, and of bodies, that have come since the last request.
     """
 
     peer_reads_at_once = True
@@ -110,6 +120,9 @@
     def __init__(self, call_header: str, deadlines: Deadlines) -> None:
         super().__init__()
         self.call_header = call_header
+        self.room: AnswerRoom | None = None
+        self.max_body = MAX_ANSWER_BYTES
+        self.bytes_received = self.body_bytes = 0
         self.deadlines = deadlines
         self.pending: asyncio.Future[Answer | Unknown] | None = None
         self.call_id = ""
@@ -140,11 +153,15 @@
             return
         if self.silence:
             self.last_received = clock.now()
+        self.bytes_received += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
-            self.fail("answer-malformed")
-            self.close()
+            self.reject("answer-malformed")
+            return
+        framing = self.bytes_received - self.body_bytes
+        if framing > MAX_HEAD_BYTES + FRAMING_PER_BYTE * self.body_bytes:
+            self.reject("answer-head-too-large")
 
     def lost(self, error: Exception | None, closed_locally: bool) -> None:  # noqa: ARG002
         """End the call under way, as the connection has ended."""
@@ -155,15 +172,28 @@
     def fail(self, reason: str) -> None:
         """End the call under way with an unknown outcome."""
         self.not_reusable = True
-        if self.pending is not None and not self.pending.done():
+        if self.awaited:
             self.pending.set_result(Unknown(reason))
 
+    @property
+    def awaited(self) -> bool:
+        """Return whether a call under way has no outcome yet."""
+        return self.pending is not None and not self.pending.done()
+
+    def reject(self, reason: str) -> None:
+        """End the call under way, and read no more of what the server sends.
+
+        A server may go on for as long as the connection is open.
+        """
+        self.fail(reason)
+        self.close()
+
     # Called by the parser.
 
     def on_message_begin(self) -> None:
         """Start an answer; a second one makes the connection not reusable."""
         self.answer_started = True
-        if self.pending is None or self.pending.done():
+        if not self.awaited:
             self.not_reusable = True
         self.reset_answer()
 
@@ -183,16 +213,44 @@
         )
         self.until_close = not has_length and not bodiless
         self.not_reusable |= self.until_close
+        length = find_header(headers, "content-length")
+        if length.isdecimal() and not bodiless:
+            self.expect_body(int(length))
+
+    def expect_body(self, size: int) -> None:
+        """Wait until a body of known size has room; reject one that never has."""
+        if self.body_bytes + size > self.max_body:
+            self.reject("answer-too-large")
+        elif self.room is not None and self.awaited:
+            if not self.room.possible(size):
+                self.reject("answer-too-large")
+            elif not self.room.request(self, size, self.resume_reading):
+                self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on, as the body has room now."""
+        if not self.closing:
+            self.transport.resume_reading()
 
     def on_body(self, data: bytes) -> None:
         """Append to the body unless it is too large."""
         self.body_size += len(data)
-        if self.body_size > MAX_ANSWER_BYTES:
-            self.fail("answer-too-large")
-            self.body.clear()
+        self.body_bytes += len(data)
+        if self.closed:
+            return
+        if self.body_bytes > self.max_body:
+            self.reject("answer-too-large")
+        elif not self.has_room():
+            self.reject("answer-without-room")
         else:
             self.body.append(data)
 
+    def has_room(self) -> bool:
+        """Return whether the body so far has room, or waits for it as a whole."""
+        if self.room is None or self in self.room.waiting:
+            return True
+        return self.room.extend(self, self.body_bytes)
+
     def on_message_complete(self) -> None:
         """Complete an answer unless its status is informational (1xx)."""
         if self.status >= 200:
@@ -200,7 +258,7 @@
 
     def complete(self) -> None:
         """Return a complete answer to the call under way."""
-        if self.pending is None or self.pending.done():
+        if not self.awaited:
             self.not_reusable = True
             return
         headers = tuple(self.headers)
@@ -209,8 +267,9 @@
             # A late second answer to an earlier call; this call's is still to come.
             return
         self.read_keep_alive(headers)
-        answer = Answer(self.status, headers, b"".join(self.body))
-        self.pending.set_result(answer)
+        body = b"".join(self.body)
+        self.body.clear()
+        self.pending.set_result(Answer(self.status, headers, body))
 
     def read_keep_alive(self, headers: Headers) -> None:
         """Read how long the server keeps the connection open."""
@@ -228,6 +287,7 @@
         head: bool,
         deadline: float,
         silence: float = 0.0,
+        max_body: int = MAX_ANSWER_BYTES,
     ) -> Answer | Unknown:
         """Send a request and return its outcome by the deadline.
 
@@ -239,9 +299,13 @@
         silence : float
             Seconds without further bytes after which an answer that has begun to arrive
             by the deadline times out; 0 if it has to be complete by then.
+        max_body : int
+            Bytes of the largest accepted body.
         """
         self.call_id = call_id
         self.head_only = head
+        self.max_body = max_body
+        self.bytes_received = self.body_bytes = 0
         self.answer_started = False
         self.last_received = float("-inf")
         self.silence = silence
@@ -260,6 +324,8 @@
         finally:
             self.timer.cancel()
             self.pending = None
+            if self.room is not None:
+                self.room.release(self)
         if self.unsent_bytes():
             # Answered before the request was sent completely: the server would read
             # the rest as a request.
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Hashable
 
+    from sequoiaspoke.core.mesh.answerroom import AnswerRoom
     from sequoiaspoke.core.mesh.outcome import Outcome
     from sequoiaspoke.sidecar.frames import FrameStream
     from sequoiaspoke.sidecar.gossip import Gossip
@@ -149,9 +150,15 @@
     """Accepts links from other nodes."""
 
     def __init__(
-        self, home: Home, gossip: Gossip, incarnation: int, log: EventLog
+        self,
+        home: Home,
+        gossip: Gossip,
+        incarnation: int,
+        log: EventLog,
+        room: AnswerRoom | None = None,
     ) -> None:
         super().__init__()
+        self.room = room
         self.home = home
         self.gossip = gossip
         self.incarnation = incarnation
@@ -161,7 +168,7 @@
 
     def new_connection(self) -> TcpFrameStream:
         """Return the stream of the next link, and start to serve it."""
-        stream = TcpFrameStream()
+        stream = TcpFrameStream(self.room)
         task = asyncio.ensure_future(self.serve(stream))
         self.link_tasks.add(task)
         task.add_done_callback(self.link_tasks.discard)
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sequoiaspoke.core.mesh.answerroom import AnswerRoom
     from sequoiaspoke.core.mesh.outcome import Outcome, Request
     from sequoiaspoke.sidecar.httpclient import ClientConnection
     from sequoiaspoke.sidecar.names import HeaderNames
@@ -43,6 +44,8 @@
 # Seconds before the deadline of a call by which connecting ends, so that its caller is
 # told in time that it has not run. A call with little time waits for half of it.
 REPORT_SECONDS = 0.06
+# Bytes of the largest accepted body of an answer to a health check.
+MAX_HEALTH_BYTES = 64 << 10
 # Weight of the newest call in the moving average of call times.
 NEWEST_WEIGHT = 0.05
 
@@ -63,6 +66,8 @@
 
     Attributes
     ----------
+    room : AnswerRoom or None
+        Memory for its answers, None if that is not limited beyond their size.
     idle : list of ClientConnection
         Connections that may be reused, the last used at the end.
     connects : int
@@ -75,7 +80,14 @@
         Moving average of the time from sending a call to its answer.
     """
 
-    def __init__(self, host: str, port: int, names: HeaderNames) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        names: HeaderNames,
+        room: AnswerRoom | None = None,
+    ) -> None:
+        self.room = room
         self.host = host
         self.port = port
         self.names = names
@@ -149,7 +161,9 @@
         if connection is None:
             return None
         text = f"GET {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n"
-        outcome = await connection.exchange(text.encode(), "", False, deadline)
+        outcome = await connection.exchange(
+            text.encode(), "", False, deadline, max_body=MAX_HEALTH_BYTES
+        )
         self.release(connection)
         if not isinstance(outcome, Answer):
             return None
@@ -191,9 +205,12 @@
     ) -> ClientConnection | None:
         """Open a connection; return None if that fails."""
         self.connects += 1
-        return await open_connection(
+        connection = await open_connection(
             (self.host, self.port), self.names.call_id, self.deadlines, timeout
         )
+        if connection is not None:
+            connection.room = self.room
+        return connection
 
     async def refuses_connections(self) -> bool:
         """Return whether the upstream actively refuses connections.
@@ -204,6 +221,7 @@
             connection = await connect(
                 (self.host, self.port), self.names.call_id, self.deadlines
             )
+            connection.room = self.room
         except ConnectionRefusedError:
             return True
         except (TimeoutError, OSError):
@@ -226,7 +244,12 @@
         self.idle.clear()
 
     def tick(self, now: float) -> None:
-        """Close idle connections that are too old to be reused."""
+        """Close idle connections that are too old, and admit waiting answers.
+
+        Memory is also freed by other parts of the node.
+        """
+        if self.room is not None:
+            self.room.admit_waiting()
         # Sorted by last use, the oldest first.
         while self.idle and not self.idle[0].usable(idempotent=True, now=now):
             self.idle.pop(0).close()
