Count the unread bytes of callers and links in one place

Cause: connections of callers and links counted what their peers had not read by the same lines, each in its own class. The docstring of would_outlast_node says plainly when the estimate is used. 127 tests of connections, links and the entry pass.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -90,10 +90,6 @@
         Bytes reserved for the body that is arriving.
     continue_due : bool
         Whether `100 Continue` is to be sent after the answers before it.
-    unread : int
-        Bytes reserved for answers that the caller has not read.
-    writing_paused : bool
-        Whether the transport buffers bytes that the caller has not read.
     """
 
     def __init__(self, server: CallerServer) -> None:
@@ -107,8 +103,6 @@
         self.last_active = clock.now()
         self.input_ended = False
         self.reserved = 0
-        self.unread = 0
-        self.writing_paused = False
         self.reset_request()
 
     def opened(self) -> None:
@@ -159,7 +153,6 @@
                 self.server.policy.caller_lost(code, len(self.pending), self.unread)
         self.server.connections.discard(self)
         self.drop_body()
-        self.count_unread()
         for exchange in self.pending:
             self.server.memory.release(exchange.answer_bytes)
             if exchange.task is not None:
@@ -370,34 +363,16 @@
             self.close_unread()
             return
         super().write(data)
-        if self.writing_paused:
-            self.count_unread()
 
-    def pause_writing(self) -> None:
-        """Count the bytes that the transport has begun to buffer."""
-        self.writing_paused = True
-        self.count_unread()
-
-    def resume_writing(self) -> None:
-        """Note that the transport has no bytes left to send."""
-        self.writing_paused = False
-        self.count_unread()
-
-    def count_unread(self) -> None:
-        """Reserve the bytes that the caller has not read, as they are now."""
-        before, self.unread = self.unread, self.unsent_bytes()
-        self.server.unread_changed(self, self.unread - before)
+    def unread_changed(self, change: int) -> None:
+        """Reserve the memory of answers that the caller has not read."""
+        self.server.unread_changed(self, change)
 
     def close_unread(self) -> None:
         """Close the connection of a caller that does not read its answers."""
         self.server.policy.caller_closed(self.unsent_bytes())
         self.close()
 
-    def close(self) -> None:
-        """Close the connection at once and drop unsent bytes."""
-        super().close()
-        self.count_unread()
-
     def half_close(self) -> None:
         """Close the sending side and keep reading for a while before closing.
 
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -317,10 +317,10 @@
 
         A stopping node still serves the callers that have not moved away. A long call
         accepted in its last seconds would be cut off by the exit, and the caller would
-        not know whether it ran. The usual duration does not show that: some calls take
-        up to their timeout. So the estimate counts only as long as refusals would meet
-        the callers of a whole node; those who stay have no other node to go to, and
-        their calls are accepted only if they end by their deadline.
+        not know whether it ran. The usual duration is no bound, as some calls take up
+        to their timeout. It is used only while callers are moved away, because refusing
+        every call with a long timeout would fail all callers of the node. Calls that
+        come later are accepted only if their deadline is before the exit.
 
         Parameters
         ----------
--- a/sequoiaspoke/sidecar/frames.py
+++ b/sequoiaspoke/sidecar/frames.py
@@ -120,8 +120,6 @@
     ----------
     room : AnswerRoom or None
         Counts the bytes that the peer has not read, None if they are not counted.
-    unread : int
-        Bytes counted so far.
     """
 
     peer_reads_at_once = True
@@ -129,8 +127,6 @@
     def __init__(self, room: AnswerRoom | None = None) -> None:
         super().__init__()
         self.room = room
-        self.unread = 0
-        self.writing_paused = False
         self.chunks: list[bytes] = []
         self.buffered = 0
         self.bytes_needed = HEADER.size
@@ -152,30 +148,11 @@
             self.close()
         else:
             self.write(data)
-            if self.writing_paused:
-                self.count_unread()
-
-    def pause_writing(self) -> None:
-        """Count the bytes that the transport buffers, as they are many."""
-        self.writing_paused = True
-        self.count_unread()
-
-    def resume_writing(self) -> None:
-        """Note that the transport has few bytes left to send."""
-        self.writing_paused = False
-        self.count_unread()
-
-    def count_unread(self) -> None:
-        """Count the bytes that the peer has not read, unless they are few."""
-        before = self.unread
-        self.unread = self.unsent_bytes() if self.writing_paused else 0
-        if self.room is not None:
-            self.room.change_held(self.unread - before)
 
-    def close(self) -> None:
-        """Close the link at once and drop unsent bytes."""
-        super().close()
-        self.count_unread()
+    def unread_changed(self, change: int) -> None:
+        """Count the change, if that is of interest to this node."""
+        if self.room is not None:
+            self.room.change_held(change)
 
     async def read(self, on_frame: Callable[[wire.Frame], None]) -> str:
         """Pass on frames until the link ends; return why it ended."""
@@ -224,7 +201,6 @@
 
     def lost(self, error: Exception | None, closed_locally: bool) -> None:  # noqa: ARG002
         """Let `read` return why the link has ended."""
-        self.count_unread()
         if not self.ended.done():
             ended = "closed-here" if closed_locally else "closed"
             self.ended.set_result(self.reason or ended)
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -40,6 +40,11 @@
         time for which its receive buffer is full.
     closed : bool
         Whether this end was closed or the connection has ended.
+    writing_paused : bool
+        Whether the transport buffers more bytes than its limit.
+    unread : int
+        Bytes that the peer has not read, as counted last; 0 if they are below the
+        limit of the transport.
     """
 
     peer_reads_at_once = False
@@ -47,6 +52,8 @@
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.closed = False
+        self.writing_paused = False
+        self.unread = 0
 
     def connection_made(self, transport: Any) -> None:
         """Start to use an established connection."""
@@ -77,6 +84,7 @@
         """Handle the end of the connection."""
         closed_locally, self.closed = self.closed, True
         self.lost(error, closed_locally)
+        self.count_unread()
 
     @abstractmethod
     def received(self, data: bytes) -> None:
@@ -104,6 +112,28 @@
         if not self.closed:
             assert self.transport is not None
             self.transport.write(data)
+            if self.writing_paused:
+                self.count_unread()
+
+    def pause_writing(self) -> None:
+        """Count the bytes that the transport has begun to buffer."""
+        self.writing_paused = True
+        self.count_unread()
+
+    def resume_writing(self) -> None:
+        """Note that the transport has few bytes left to send."""
+        self.writing_paused = False
+        self.count_unread()
+
+    def count_unread(self) -> None:
+        """Count the bytes that the peer has not read, as they are now."""
+        before = self.unread
+        self.unread = self.unsent_bytes() if self.writing_paused else 0
+        if self.unread != before:
+            self.unread_changed(self.unread - before)
+
+    def unread_changed(self, change: int) -> None:
+        """Handle a change of the unread bytes; does nothing by default."""
 
     def unsent_bytes(self) -> int:
         """Return how many bytes are buffered for a peer that does not read."""
@@ -114,6 +144,7 @@
         if not self.closed:
             self.closed = True
             self.transport.abort()
+            self.count_unread()
 
 
 class ConnectionServer(ABC):
--- a/sequoiaspoke/tests/test_slow_reading.py
+++ b/sequoiaspoke/tests/test_slow_reading.py
@@ -153,6 +153,7 @@
             with socket.socket() as sock:
                 transport = BufferingTransport(sock)
                 connection.connection_made(transport)
+                connection.pause_writing()
                 for number, size in enumerate(sizes):
                     transport.buffered = size
                     server.tick(self.time)
