Carry no two calls with the same id over one connection to an upstream

Callers saw 503 for orders that ran (REFUSED): they had been refused by a full upstream, and came back with the same id.

Cause: an answer counts as late if it echoes another id than that of the call under way. Two attempts at one request have the same id, and the idle connection that was used last is taken first, so the late second answer to the first attempt was taken for the answer to the second one, which then ran.

Evidence: on the code before, one process and its upstream on loopback, six orders of which each came back once: 6 refused at their return and run.

Change: a connection remembers the ids of its last 64 calls, and is not chosen for a call with one of them. The second answer can then only meet other ids, which tell that it is late. Other calls go on using the connection.

Both tests of LateAnswerTests failed before (NotRun for the second attempt; one connection for four calls). 70 tests of the upstream's client pass.

--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -4,12 +4,14 @@
 or drop an idle connection. So each connection carries one call at a time, an answer
 counts only if it is complete and does not echo the id of another call, and a connection
 with any unexpected data is not reused. Otherwise the bytes of one call could be taken
-for the answer to the next.
+for the answer to the next. A second answer may arrive with that of a later call, so a
+connection carries no two calls with the same id.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from typing import TYPE_CHECKING
 
 import httptools
@@ -51,6 +53,9 @@
 # the server may have dropped an older one, and the reset that follows does not show
 # whether the call ran.
 FRESH_SECONDS = 1.0
+# Number of the last calls whose ids a connection remembers. Answers come in the order
+# of the calls, so a second one is not far behind.
+REMEMBERED_CALLS = 64
 # Largest request in bytes that fits into the receive buffer of a server, whether it is
 # read at once or not.
 MAX_BUFFERED_REQUEST = 4096
@@ -115,6 +120,8 @@
         Bytes of the largest accepted body of the call under way.
     bytes_received, body_bytes : int
         Bytes of all kinds, and of bodies, that have come since the last request.
+    recent_calls : deque of int
+        Hashes of the ids of the last calls; their size is not limited.
     number : int
         Number of this connection among those of its owner, 0 if they have none.
     exchanges : int
@@ -134,6 +141,7 @@
         self.deadlines = deadlines
         self.pending: asyncio.Future[Answer | Unknown] | None = None
         self.call_id = ""
+        self.recent_calls: deque[int] = deque(maxlen=REMEMBERED_CALLS)
         self.number = self.exchanges = 0
         self.answer_log: AnswerLog | None = None
         self.head_only = False
@@ -323,6 +331,8 @@
         """
         self.call_id = call_id
         self.exchanges += 1
+        if call_id:
+            self.recent_calls.append(hash(call_id))
         self.head_only = head
         self.max_body = max_body
         self.bytes_received = self.body_bytes = 0
@@ -381,6 +391,10 @@
         )
         return now - self.last_used < limit
 
+    def has_carried(self, call_id: str) -> bool:
+        """Return whether a second answer may be taken for that to a call with an id."""
+        return hash(call_id) in self.recent_calls
+
     def close(self) -> None:
         """Close the connection; the server drops the call that runs on it."""
         self.not_reusable = True
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -119,7 +119,8 @@
             Called just before the request is sent, which may be long after the start
             of this coroutine, as opening a connection takes time.
         """
-        connection = self.take_idle(idempotent)
+        call_id = request.header(self.names.call_id)
+        connection = self.take_idle(idempotent, call_id)
         if connection is None:
             timeout = connect_timeout(deadline - clock.now())
             latest = clock.now() + timeout - TIMER_RESOLUTION
@@ -137,7 +138,6 @@
             (self.names.time_left, str(int(remaining * 1000))),
             (self.names.instance, instance),
         )
-        call_id = request.header(self.names.call_id)
         text = encode_request(request, extra)
         if connection.closing:
             # Nothing has been written on it, and nothing would be sent any more.
@@ -193,19 +193,21 @@
             return Unknown("answer-encoded")
         return Answer(answer.status, end_to_end(answer.headers), answer.body, seconds)
 
-    def take_idle(self, idempotent: bool) -> ClientConnection | None:
-        """Take the most recently used connection, None if this call may not reuse it.
+    def take_idle(self, idempotent: bool, call_id: str = "") -> ClientConnection | None:
+        """Take the most recently used connection that a call may reuse, if any.
 
         Connections that no call may use any more are closed.
         """
         now = clock.now()
-        while self.idle:
-            connection = self.idle[-1]
-            if connection.usable(idempotent=True, now=now):
-                if not connection.usable(idempotent, now):
-                    return None
-                return self.idle.pop()
-            self.idle.pop().close()
+        for position in reversed(range(len(self.idle))):
+            connection = self.idle[position]
+            if not connection.usable(idempotent=True, now=now):
+                self.idle.pop(position).close()
+            elif not connection.usable(idempotent, now):
+                # The others were used even earlier.
+                return None
+            elif not connection.has_carried(call_id):
+                return self.idle.pop(position)
         return None
 
     async def connect(
--- /dev/null
+++ b/sequoiaspoke/tests/test_answer_matching.py
@@ -0,0 +1,135 @@
+"""Tests that an upstream's answer is used only for the call that it belongs to."""
+
+import asyncio
+from dataclasses import dataclass
+
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.outcome import NotRun, Request
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.names import HeaderNames
+from sequoiaspoke.sidecar.upstream import Upstream
+from sequoiaspoke.tests.test_sidecar_upstream import answer
+
+TIMEOUT = 20.0  # seconds; only a failing test takes so long
+HEALTH_CHECK = "health-check"
+NO_ID = ""
+
+
+@dataclass(frozen=True)
+class Exchange:
+    """A request and how the upstream answers it.
+
+    Attributes
+    ----------
+    call_id : str
+        Id of the call; NO_ID for one without an id, or HEALTH_CHECK.
+    late : bytes
+        Second answer, sent when the next request arrives on the connection.
+    ends : bool
+        Whether the upstream closes the connection after the answer.
+    """
+
+    call_id: str
+    answer: bytes
+    late: bytes = b""
+    ends: bool = False
+
+
+def refusal(call_id):
+    """Return an answer that says that a call has not run."""
+    return answer(call_id, status=503, headers="X-Not-Run: 1\r\n")
+
+
+def without_id(status, headers=""):
+    """Return an answer that has no call id."""
+    return f"HTTP/1.1 {status} x\r\n{headers}Content-Length: 0\r\n\r\n".encode()
+
+
+class SecondAnswers:
+    """An upstream that sends second answers late.
+
+    Attributes
+    ----------
+    connections : list of int
+        Number of the connection of each request.
+    """
+
+    def __init__(self, exchanges):
+        self.exchanges = list(exchanges)
+        self.opened = 0
+        self.connections = []
+        self.writers = []
+
+    async def serve(self, reader, writer):
+        """Answer the requests of one connection."""
+        self.opened += 1
+        number, late = self.opened, b""
+        self.writers.append(writer)
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.connections.append(number)
+                exchange = self.exchanges.pop(0)
+                writer.write(late + exchange.answer)
+                late = exchange.late
+                if exchange.ends:
+                    writer.close()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+class MatchingCase(TestCase):
+    """Makes requests one after the other and returns the outcomes of the calls."""
+
+    def play(self, *exchanges, idempotent=False):
+        async def run():
+            self.server = SecondAnswers(exchanges)
+            server = await asyncio.start_server(self.server.serve, "127.0.0.1", 0)
+            self.upstream = Upstream(*server.sockets[0].getsockname(), HeaderNames())
+            outcomes = []
+            async with asyncio.timeout(TIMEOUT):
+                for exchange in exchanges:
+                    outcomes.append(await self.request(exchange.call_id, idempotent))
+            self.upstream.close_idle_connections()
+            server.close()
+            for writer in self.server.writers:
+                writer.transport.abort()
+            # The event loop needs two iterations to close the connections.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            return outcomes
+
+        return asyncio.run(run())
+
+    async def request(self, call_id, idempotent):
+        """Make a call or a health check."""
+        deadline = clock.now() + TIMEOUT
+        if call_id == HEALTH_CHECK:
+            return await self.upstream.check_health("/health", deadline)
+        headers = (("X-Request-Id", call_id),) if call_id else ()
+        request = Request("POST", "/a", headers, b"")
+        return await self.upstream.call(
+            request, "i-1", deadline, idempotent, on_send=lambda: None
+        )
+
+
+class LateAnswerTests(MatchingCase):
+    def test_a_late_refusal_of_an_attempt_is_not_taken_for_that_of_the_next_one(self):
+        # Both attempts have the same id. The second one ran, and its caller was told
+        # that it had not.
+        first, second = self.play(
+            Exchange("c", refusal("c"), late=refusal("c")),
+            Exchange("c", answer("c", "mine")),
+        )
+        self.assertEqual(first, NotRun("upstream-refused", from_upstream=True))
+        self.assertEqual(second.body, b"mine")
+
+    def test_other_calls_reuse_the_connection_of_a_refused_one(self):
+        self.play(
+            Exchange("c0", refusal("c0")),
+            Exchange("c1", answer("c1")),
+            Exchange("c0", answer("c0")),
+            Exchange("c2", answer("c2")),
+        )
+        self.assertEqual(self.server.connections, [1, 1, 2, 2])
