Use only answers that repeat the id of the call

Callers saw 503 for orders that ran (REFUSED), and orders that were then made again elsewhere ran twice.

Cause: an answer without any id counted as that to the call under way. Answers to health checks have none, and checks share the connections of calls: a late second answer to a check (503, as from an upstream that is not healthy yet) was told to the caller of the next call, which ran. Stray bytes that look like an answer did the same.

Change: an answer counts only if it repeats the id. Another one is skipped and logged, as the one to the call is still to come; on the first call of a connection it cannot be late, so the upstream repeats no ids and the call fails at once with an unknown outcome (answer-without-id). A call that has no id itself is the first on its connection, as nothing would tell a late answer from its own.

--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -2,10 +2,11 @@
 
 A server may answer before it has read the request, answer twice, truncate an answer,
 or drop an idle connection. So each connection carries one call at a time, an answer
-counts only if it is complete and does not echo the id of another call, and a connection
-with any unexpected data is not reused. Otherwise the bytes of one call could be taken
-for the answer to the next. A second answer may arrive with that of a later call, so a
-connection carries no two calls with the same id.
+counts only if it is complete and echoes the id of the call, and a connection with any
+unexpected data is not reused. Otherwise the bytes of one call could be taken for the
+answer to the next. A second answer may arrive with that of a later call, so a
+connection carries no two calls with the same id, and a call without an id is the first
+one on its connection.
 """
 
 from __future__ import annotations
@@ -281,10 +282,13 @@
             return
         headers = tuple(self.headers)
         echoed = find_header(headers, self.call_header)
-        if echoed and echoed != self.call_id:
+        if echoed != self.call_id:
             # A late second answer to an earlier call; this call's is still to come.
             if self.answer_log is not None:
                 self.answer_log.skipped(self.source(headers))
+            if not echoed and self.exchanges == 1:
+                # There was no earlier call: this server repeats no ids.
+                self.reject("answer-without-id")
             return
         self.read_keep_alive(headers)
         body = b"".join(self.body)
@@ -391,8 +395,10 @@
         )
         return now - self.last_used < limit
 
-    def has_carried(self, call_id: str) -> bool:
-        """Return whether a second answer may be taken for that to a call with an id."""
+    def may_confuse(self, call_id: str) -> bool:
+        """Return whether a late answer could be taken for that to the next call."""
+        if not call_id:
+            return self.exchanges > 0
         return hash(call_id) in self.recent_calls
 
     def close(self) -> None:
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -193,10 +193,18 @@
             return Unknown("answer-encoded")
         return Answer(answer.status, end_to_end(answer.headers), answer.body, seconds)
 
-    def take_idle(self, idempotent: bool, call_id: str = "") -> ClientConnection | None:
+    def take_idle(
+        self, idempotent: bool, call_id: str | None = None
+    ) -> ClientConnection | None:
         """Take the most recently used connection that a call may reuse, if any.
 
         Connections that no call may use any more are closed.
+
+        Parameters
+        ----------
+        call_id : str or None
+            Id of the call; None for a health check, for which a late answer to an
+            earlier check will do.
         """
         now = clock.now()
         for position in reversed(range(len(self.idle))):
@@ -206,7 +214,7 @@
             elif not connection.usable(idempotent, now):
                 # The others were used even earlier.
                 return None
-            elif not connection.has_carried(call_id):
+            elif call_id is None or not connection.may_confuse(call_id):
                 return self.idle.pop(position)
         return None
 
--- a/sequoiaspoke/tests/test_answer_matching.py
+++ b/sequoiaspoke/tests/test_answer_matching.py
@@ -5,11 +5,11 @@
 
 from testtools import TestCase
 
-from sequoiaspoke.core.mesh.outcome import NotRun, Request
+from sequoiaspoke.core.mesh.outcome import NotRun, Request, Unknown
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.names import HeaderNames
 from sequoiaspoke.sidecar.upstream import Upstream
-from sequoiaspoke.tests.test_sidecar_upstream import answer
+from sequoiaspoke.tests.test_sidecar_upstream import STAMP, answer
 
 TIMEOUT = 20.0  # seconds; only a failing test takes so long
 HEALTH_CHECK = "health-check"
@@ -133,3 +133,39 @@
             Exchange("c2", answer("c2")),
         )
         self.assertEqual(self.server.connections, [1, 1, 2, 2])
+
+
+class AnswersWithoutIdTests(MatchingCase):
+    def test_an_answer_without_an_id_does_not_refuse_a_call_that_runs(self):
+        # Stray bytes after an earlier answer were told as the refusal of the next call.
+        for mark in ("X-Not-Run: 1\r\n", ""):
+            _, second = self.play(
+                Exchange("c0", answer("c0"), late=without_id(503, mark)),
+                Exchange("c1", answer("c1", "mine")),
+            )
+            self.assertEqual(second.body, b"mine")
+
+    def test_a_late_answer_to_a_health_check_does_not_refuse_a_call_that_runs(self):
+        # An upstream that becomes healthy answers a check twice, first 503, then 200.
+        _, second = self.play(
+            Exchange(HEALTH_CHECK, without_id(200), late=without_id(503)),
+            Exchange("c", answer("c", "mine")),
+        )
+        self.assertEqual(second.body, b"mine")
+
+    def test_an_upstream_that_repeats_no_ids_fails_at_once(self):
+        # Waiting for another answer would take until the deadline.
+        outcomes = self.play(
+            Exchange("c0", without_id(200, STAMP)), Exchange("c1", without_id(503))
+        )
+        self.assertEqual(outcomes, [Unknown("answer-without-id")] * 2)
+        self.assertEqual(self.server.connections, [1, 2])
+
+    def test_a_call_without_an_id_reuses_no_connection(self):
+        # Nothing tells a late answer from its own.
+        outcomes = self.play(
+            Exchange(HEALTH_CHECK, without_id(200), late=without_id(503)),
+            Exchange(NO_ID, without_id(400, "X-Not-Run: 1\r\n")),
+        )
+        self.assertEqual(outcomes[1], NotRun("upstream-refused", from_upstream=True))
+        self.assertEqual(self.server.connections, [1, 2])
