Tell no order as not run by an unmarked status of its upstream

Callers saw 503 for orders that an upstream had run (REFUSED).

Cause: 408, 421, 429 and 503 tell a caller that its call has not run and will not run. The node passed on such an answer of an upstream as it was, unless two attempts may have run; but only the mark of the upstream shows that it did not run the call, and 421 that it was another instance.

Evidence: on the code before, one process and its upstream on loopback, which ran each order and answered 503: 6 of 6 orders told as not run. upstream-refusal shows marked=False.

Change: the outcome of such an order is unknown at its home (refusal-unmarked), and the entry makes a 502 of its own of such an answer from a home of an earlier version; the answer of the upstream does not go out under another status. Reads are answered as before.

Two tests failed before: UnmarkedRefusalTests (Answer for Unknown) and FinalAnswersTests (503 for 502). 103 tests of the entry, the upstream's client and withdrawals pass; test_an_answer_of_another_upstream_is_marked only names the new argument.

--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -433,8 +433,10 @@
             # The answer before a refused retry, if any, is complete and true.
             last_outcome = progress.last_answer or last_outcome
         if isinstance(last_outcome, Answer):
-            if progress.possible_runs > 1 and last_outcome.status in NOT_RUN_STATUSES:
-                # True of the last attempt, but another one may have run.
+            if last_outcome.status in NOT_RUN_STATUSES and (
+                progress.possible_runs > 1 or not progress.route.idempotent
+            ):
+                # It may have run, in this attempt or in another one.
                 return self.fail(progress, 502, reason)
             return last_outcome
         if isinstance(last_outcome, Unknown):
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -161,7 +161,7 @@
         if self.answer_log is not None and outcome.status in NOT_RUN_STATUSES:
             marked = bool(find_header(outcome.headers, self.names.not_run))
             self.answer_log.refused(connection.source(outcome.headers), marked)
-        return self.classify(outcome, seconds)
+        return self.classify(outcome, seconds, idempotent)
 
     async def check_health(self, path: str, deadline: float) -> HealthAnswer | None:
         """Make a health check; return None if the upstream gives no answer."""
@@ -177,8 +177,12 @@
             return None
         return parse_health(outcome.headers, self.names)
 
-    def classify(self, answer: Answer, seconds: float) -> Outcome:
-        """Return the outcome of a call by the status and headers of its answer."""
+    def classify(self, answer: Answer, seconds: float, idempotent: bool) -> Outcome:
+        """Return the outcome of a call by the status and headers of its answer.
+
+        Callers take some statuses for a promise that the call has not run, but only a
+        mark of the upstream shows that.
+        """
         self.new_headers.record(answer.headers)
         replaced = answer.status == 421
         self.report = parse_report(answer.headers, self.names, replaced)
@@ -186,6 +190,8 @@
             return NotRun("upstream-refused", from_upstream=True)
         if replaced:
             return NotRun("instance-replaced", from_upstream=True)
+        if answer.status in NOT_RUN_STATUSES and not idempotent:
+            return Unknown("refusal-unmarked")
         success = 200 <= answer.status < 300
         if success and not find_header(answer.headers, self.names.stamp):
             return Unknown("answer-unstamped")
--- a/sequoiaspoke/tests/test_answer_matching.py
+++ b/sequoiaspoke/tests/test_answer_matching.py
@@ -169,3 +169,20 @@
         )
         self.assertEqual(outcomes[1], NotRun("upstream-refused", from_upstream=True))
         self.assertEqual(self.server.connections, [1, 2])
+
+
+class UnmarkedRefusalTests(MatchingCase):
+    def test_an_unmarked_refusal_of_an_order_is_an_unknown_outcome(self):
+        # An upstream ran an order and answered 503 by itself; its caller was told that
+        # the order had not run.
+        for status in (408, 429, 503):
+            (outcome,) = self.play(Exchange("c", answer("c", status=status)))
+            self.assertEqual(outcome, Unknown("refusal-unmarked"))
+
+    def test_an_unmarked_refusal_of_a_read_is_passed_on(self):
+        (outcome,) = self.play(Exchange("c", answer("c", status=503)), idempotent=True)
+        self.assertEqual(outcome.status, 503)
+
+    def test_a_refusal_by_another_instance_needs_no_mark(self):
+        (outcome,) = self.play(Exchange("c", answer("c", status=421, headers="")))
+        self.assertEqual(outcome, NotRun("instance-replaced", from_upstream=True))
--- a/sequoiaspoke/tests/test_sidecar_entry.py
+++ b/sequoiaspoke/tests/test_sidecar_entry.py
@@ -124,6 +124,12 @@
         answer = self.play({"a": SHED, "b": SHED}, "order")
         self.assertEqual((answer.status, len(self.entry.attempts.sent)), (503, 2))
 
+    def test_an_answer_to_an_order_never_says_that_it_has_not_run(self):
+        # A home of an earlier version passes on unmarked refusals of its upstream.
+        for status in (408, 421, 429, 503):
+            answer = self.play({"a": Answer(status, (), b"")}, "order")
+            self.assertEqual((answer.status, answer.headers[1:]), (502, ()))
+
     def test_an_order_whose_time_ran_out_at_its_home_is_a_timeout(self):
         # The home's timer expires a moment before the entry's; the caller gets the same
         # answer from either.
--- a/sequoiaspoke/tests/test_sidecar_upstreamreport.py
+++ b/sequoiaspoke/tests/test_sidecar_upstreamreport.py
@@ -59,7 +59,9 @@
 
     def test_an_answer_of_another_upstream_is_marked(self):
         upstream = Upstream("127.0.0.1", 1, HeaderNames())
-        outcome = upstream.classify(Answer(421, ((LIMIT, "2"),), b""), 0.1)
+        outcome = upstream.classify(
+            Answer(421, ((LIMIT, "2"),), b""), 0.1, idempotent=False
+        )
         self.assertEqual(outcome, NotRun("instance-replaced", from_upstream=True))
         self.assertTrue(upstream.report.replaced)
 
