--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = $(VENV)/bin/python -m
 WORKERS ?= auto
 
-.PHONY: demo test lint format golden property property-idempotency mesh-property thrift docs reference dist dist-check
+.PHONY: demo test lint format golden property soak property-idempotency mesh-property thrift docs reference dist dist-check
 
 $(VENV)/.ready: requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -20,6 +20,10 @@
 property: $(VENV)/.ready
 	SPREAD_EXAMPLES=2000 $(RUN) pytest -n $(WORKERS) sequoiaspoke/tests/test_spread_property.py
 
+soak: $(VENV)/.ready
+	SOAK_SEED=$(or $(SEED),1) SOAK_SECONDS=$(or $(LENGTH),60) SOAK_NODES=$(or $(NODES),3) \
+		$(RUN) pytest -n 2 -s platform/tests/test_platform_soak.py
+
 thrift:
 	rm -rf sequoiaspoke/wire/gen
 	thrift --gen py:slots -out sequoiaspoke/wire sequoiaspoke/wire/sequoiaspoke.thrift
