Do not reuse a node's connection with bytes that belong to no call

An upstream that answers twice, at once or while the connection is idle, has its second answer given to the next caller, who gets another's page.

Change: an idle connection that holds unread bytes is closed. A second answer that comes only after the next call was sent is still taken for its answer: this interface has no ids of calls.

--- a/sequoiaspoke/node/client.py
+++ b/sequoiaspoke/node/client.py
@@ -163,7 +163,7 @@
         oldest = time.monotonic() - REUSE_FRACTION * self.limits.keepalive
         while self.idle:
             stream, since = self.idle.pop()
-            if not stream.closed() and since > oldest:
+            if not stream.closed() and since > oldest and not has_unread(stream):
                 return stream
             stream.close()
         try:
@@ -189,7 +189,7 @@
             stream.close()
             return
         # With a close callback Tornado watches the idle stream, so that a close by
-        # the server is noticed before a call is sent on the connection.
+        # the server, or a second answer, is noticed before a call is sent on it.
         stream.set_close_callback(_ignore_close)
         self.idle.append((stream, time.monotonic()))
 
@@ -310,5 +310,14 @@
             task.cancel()
 
 
+def has_unread(stream: IOStream) -> bool:
+    """Return whether bytes have come that belong to no call.
+
+    They would be taken for the answer to the next one. Tornado has no public attribute
+    for them.
+    """
+    return stream._read_buffer_size > 0
+
+
 def _ignore_close() -> None:
     return None
