Give each connection to an upstream a number of its own in the log

Connections that were being opened at the same time got the same number, as it was that of the last attempt to connect. Only the log is concerned; 25 tests of the upstream's client pass.

--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -72,8 +72,8 @@
         Memory for its answers, None if that is not limited beyond their size.
     idle : list of ClientConnection
         Connections that may be reused, the last used at the end.
-    connects : int
-        Number of connections opened so far.
+    connects, opened : int
+        Number of attempts to connect so far, and of connections that were opened.
     report : UpstreamReport or None
         Report with the last answer, until the home reads it.
     new_headers : NewHeaders
@@ -97,7 +97,7 @@
         self.names = names
         self.deadlines = Deadlines()
         self.idle: list[ClientConnection] = []
-        self.connects = 0
+        self.connects = self.opened = 0
         self.report: UpstreamReport | None = None
         self.average_seconds = 0.0
         self.new_headers = NewHeaders()
@@ -238,7 +238,8 @@
 
     def adopt(self, connection: ClientConnection) -> None:
         """Number a new connection, and have it use this upstream's memory and log."""
-        connection.number = self.connects
+        self.opened += 1
+        connection.number = self.opened
         connection.room = self.room
         connection.answer_log = self.answer_log
 
