--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 
 soak: $(VENV)/.ready
 	SOAK_SEED=$(or $(SEED),1) SOAK_SECONDS=$(or $(LENGTH),60) SOAK_NODES=$(or $(NODES),3) \
-		$(RUN) pytest -n 2 -s platform/tests/test_platform_soak.py
+		$(RUN) pytest -n 3 -s platform/tests/test_platform_soak.py
 
 thrift:
 	rm -rf sequoiaspoke/wire/gen
