--- a/sequoiaspoke/tests/test_answer_matching.py
+++ b/sequoiaspoke/tests/test_answer_matching.py
@@ -26,14 +26,11 @@
         Id of the call; NO_ID for one without an id, or HEALTH_CHECK.
     late : bytes
         Second answer, sent when the next request arrives on the connection.
-    ends : bool
-        Whether the upstream closes the connection after the answer.
     """
 
     call_id: str
     answer: bytes
     late: bytes = b""
-    ends: bool = False
 
 
 def refusal(call_id):
@@ -73,8 +70,6 @@
                 exchange = self.exchanges.pop(0)
                 writer.write(late + exchange.answer)
                 late = exchange.late
-                if exchange.ends:
-                    writer.close()
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
