Log what is left when a process ends, and calls cut off while their callers wait

A node that stopped said `end` and nothing of the calls that it still had, so that a request read in its last moments, a kill before the exit and a call cancelled for another reason looked alike. `end` now has the seconds since the signal and since the last request, and the calls, connections and unsent bytes that are left; `call-cut` names each call that is cancelled although its caller waits. No behaviour changes.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -267,7 +267,22 @@
         self.run_ticks()
         await self.stopped.wait()
         follower.cancel()
-        self.log.event("end", node=self.settings.node)
+        self.log_end()
+
+    def log_end(self) -> None:
+        """Log what is left when this node ends, and when the last request came."""
+        assert self.stopping is not None
+        now = clock.now()
+        self.log.event(
+            "end",
+            node=self.settings.node,
+            waited=f"{now - self.stopping:.3f}",
+            last_request=f"{now - self.callers.last_request_at:.3f}",
+            connections=len(self.callers.connections),
+            calls=self.callers.unanswered,
+            unsent=self.callers.unsent,
+            home_calls=len(self.home.calls),
+        )
 
     def follower_ended(self, task: asyncio.Task[None]) -> None:
         """Log an error that ended the follower before the process stops."""
--- a/sequoiaspoke/sidecar/bodypolicy.py
+++ b/sequoiaspoke/sidecar/bodypolicy.py
@@ -36,6 +36,10 @@
     def caller_lost(self, error: str, calls: int, unread: int) -> None:
         """Take note that the kernel ended a connection with answers or calls on it."""
 
+    @abstractmethod
+    def call_cut(self, request: Request) -> None:
+        """Take note that a call ends without an answer although its caller waits."""
+
 
 class ReadAllBodies(BodyPolicy):
     """Refuses only bodies that do not fit."""
@@ -53,3 +57,6 @@
 
     def caller_lost(self, error: str, calls: int, unread: int) -> None:
         """Do nothing."""
+
+    def call_cut(self, request: Request) -> None:
+        """Do nothing."""
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -279,6 +279,7 @@
         """Start to serve a complete request."""
         if self.input_ended:
             return
+        self.server.last_request_at = clock.now()
         keep_alive = self.parser.should_keep_alive()
         request = self.request(b"".join(self.body))
         self.body.clear()
@@ -320,6 +321,10 @@
         """Call the handler and send its answer."""
         try:
             exchange.answer = await self.server.handle(request)
+        except asyncio.CancelledError:
+            if not self.closed:
+                self.server.policy.call_cut(request)
+            raise
         except Exception as error:
             # An error in one call must not affect the others.
             self.server.on_crash(error)
@@ -442,6 +447,8 @@
         Total size of the unread answers.
     policy : BodyPolicy
         Answers requests whose bodies are not read.
+    last_request_at : float
+        When the last request was complete; minus infinity before the first one.
     """
 
     def __init__(
@@ -461,6 +468,7 @@
         self.slow_callers: set[CallerConnection] = set()
         self.unread = 0
         self.closing = False
+        self.last_request_at = float("-inf")
         self.current_limits = CallerLimits()
 
     def limits(self) -> CallerLimits:
@@ -511,3 +519,13 @@
             connection.pending or connection.unsent_bytes()
             for connection in self.connections
         )
+
+    @property
+    def unanswered(self) -> int:
+        """Return the number of requests whose answers have not been sent."""
+        return sum(len(connection.pending) for connection in self.connections)
+
+    @property
+    def unsent(self) -> int:
+        """Return the total size of the answers that callers have not read."""
+        return sum(connection.unsent_bytes() for connection in self.connections)
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -62,6 +62,8 @@
 SLOW_CALLER = "slow-caller"
 # Reason counted when the kernel ends a connection with unread answers or for a timeout.
 LOST_CALLER = "lost-caller"
+# Reason counted when a call is cancelled whose caller waits for an answer.
+CUT = "cut"
 # Seconds before its deadline at which a call is withdrawn: time for the message and
 # the outcome to pass a busy home and link, and for the answer to reach the caller.
 WITHDRAW_SECONDS, MAX_WITHDRAW_SECONDS = 0.06, 0.1
@@ -216,6 +218,11 @@
         self.reasons[LOST_CALLER] += 1
         self.log.event("caller-lost", error=error, calls=calls, unread=unread)
 
+    def call_cut(self, request: Request) -> None:
+        """Count and log a call that ended without an answer to its caller."""
+        self.reasons[CUT] += 1
+        self.log.call("call-cut", request)
+
     async def serve_until_deadline(self, progress: Progress) -> Answer:
         """Serve a call; raise TimeoutError at its deadline."""
         timer = self.deadlines.call_at(progress.deadline, progress.expire)
