Read no request after the decision that a stopping process ends

What callers saw: a request that reached a node some 3 s after its SIGTERM was passed on to an upstream, and its connection closed 1 ms later without an answer.

Cause: a tick found no call in progress and set an event; the coroutine that ends the process ran one turn of the event loop later, and the loop then still turned while it was shut down. Requests read in between were accepted, passed on and cancelled.

Change: the end of the input is one step with the decision. Listeners close, idle connections are closed, and what arrives later is not parsed; what was read before is answered, as before. The process then waits until its callers have closed, a second at most after their last answer, so that a reset cannot overtake that answer. The states of a stop have a module of their own. Class: a check and the action that it allows, with the event loop turning in between.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -25,6 +25,7 @@
 from sequoiaspoke.sidecar.metrics import SidecarMetrics
 from sequoiaspoke.sidecar.peers import Peers
 from sequoiaspoke.sidecar.pending import LinkIdentity
+from sequoiaspoke.sidecar.shutdown import Shutdown
 from sequoiaspoke.sidecar.spread import Spread
 from sequoiaspoke.sidecar.state import MeshState
 from sequoiaspoke.sidecar.upstream import Upstream
@@ -50,13 +51,6 @@
 # Fraction of the time within which a version must be in force. A node whose state was
 # not confirmed for longer refuses calls without a route in place of answering 404.
 NO_ROUTE_AGE_FRACTION = 0.75
-# Seconds for which a stopping node keeps serving without calls in progress. Callers are
-# moved away after two readiness checks, a second apart, have failed.
-LINGER_SECONDS = 2.6
-# Seconds before its exit at which a stopping node answers all calls that would outlast
-# it. There may be hundreds, and a VM whose share of a core is used up stands still for
-# a tenth of a second.
-ANSWER_MARGIN_SECONDS = 0.2
 
 # Characters of a new header's value that are logged.
 MAX_HEADER_TEXT = 64
@@ -147,8 +141,10 @@
         )
         self.health = CallerServer(pages.handle, self.log_unexpected_error)
         self.follower = Follower(store, self.state, self.duty, rng)
-        self.stopping: float | None = None
-        self.stopped = asyncio.Event()
+        self.shutdown = Shutdown(
+            self.callers, self.links, self.entry, self.home, self.log
+        )
+        self.ended = False
         self.ticked_at = clock.now()
         self.loop_delay = 0.0
         self.tick_interval = 0.0
@@ -176,7 +172,7 @@
 
     def unready_reason(self) -> str:
         """Return why this node is not ready for callers, empty if it is."""
-        if self.stopping is not None:
+        if self.stopping:
             return "stopping"
         return "" if self.state.complete else "uninformed"
 
@@ -265,24 +261,10 @@
         follower = asyncio.ensure_future(self.follower.run())
         follower.add_done_callback(self.follower_ended)
         self.run_ticks()
-        await self.stopped.wait()
+        await self.shutdown.finish()
+        self.ended = True
         follower.cancel()
-        self.log_end()
-
-    def log_end(self) -> None:
-        """Log what is left when this node ends, and when the last request came."""
-        assert self.stopping is not None
-        now = clock.now()
-        self.log.event(
-            "end",
-            node=self.settings.node,
-            waited=f"{now - self.stopping:.3f}",
-            last_request=f"{now - self.callers.last_request_at:.3f}",
-            connections=len(self.callers.connections),
-            calls=self.callers.unanswered,
-            unsent=self.callers.unsent,
-            home_calls=len(self.home.calls),
-        )
+        self.shutdown.log_end(self.settings.node)
 
     def follower_ended(self, task: asyncio.Task[None]) -> None:
         """Log an error that ended the follower before the process stops."""
@@ -296,7 +278,7 @@
         except Exception as error:
             # An error in one part must not stop the others and end all calls.
             self.log_unexpected_error(error)
-        if not self.stopped.is_set():
+        if not self.ended:
             pause = self.tick_interval = (
                 IDLE_TICK_SECONDS if self.idle else TICK_SECONDS
             )
@@ -305,8 +287,12 @@
     @property
     def idle(self) -> bool:
         """Return whether no call is in progress and the node is not stopping."""
-        busy = self.home.calls or self.peers.active_links or self.stopping is not None
-        return not busy
+        return not (self.home.calls or self.peers.active_links or self.stopping)
+
+    @property
+    def stopping(self) -> bool:
+        """Return whether the node was told to stop."""
+        return self.shutdown.began_at is not None
 
     def tick(self) -> None:
         """Run the periodic work of all parts."""
@@ -329,8 +315,7 @@
         if now - self.callers_ticked_at > CALLERS_TICK_SECONDS:
             self.callers_ticked_at = now
             self.callers.tick(now)
-        if self.stopping is not None:
-            self.finish_if_idle(now)
+        self.shutdown.tick(now)
 
     def reload_settings(self) -> None:
         """Reload the settings."""
@@ -350,36 +335,6 @@
         for budget in self.entry.attempts.budgets.by_service.values():
             budget.limits = settings.repeats
 
-    # Stopping.
-
     def stop(self) -> None:
-        """Begin to stop, and stay reachable while callers move away.
-
-        The home refuses new calls only after `leave_after` seconds.
-        """
-        if self.stopping is not None:
-            return
-        self.stopping = clock.now()
-        self.callers.closing = True
-        exits_at = self.stopping + self.settings.drain
-        self.entry.stop_at(
-            exits_at - ANSWER_MARGIN_SECONDS, exits_at, self.stopping + LINGER_SECONDS
-        )
-        self.home.exits_at = exits_at
-        self.log.event(
-            "stop",
-            running=self.home.admission.running,
-            calls=len(self.home.calls),
-            exit=f"{self.settings.drain:.2f}",
-        )
-
-    def finish_if_idle(self, now: float) -> None:
-        """End once all calls are answered, or when the time to drain is over."""
-        assert self.stopping is not None
-        elapsed = now - self.stopping
-        if elapsed > self.settings.leave_after and not self.home.leaving:
-            self.home.leaving = True
-            self.links.announce_leaving()
-        busy = self.callers.busy() or bool(self.home.calls)
-        if elapsed > self.settings.drain or (elapsed > LINGER_SECONDS and not busy):
-            self.stopped.set()
+        """Begin to stop."""
+        self.shutdown.begin(self.settings.leave_after, self.settings.drain)
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -112,6 +112,8 @@
         self.server.connections.add(self)
         # The transport then tells as soon as it has to buffer bytes.
         self.transport.set_write_buffer_limits(0)
+        if self.server.input_ended:
+            self.end_input()
 
     def reset_request(self) -> None:
         """Reset the state of the request that is parsed."""
@@ -378,6 +380,17 @@
         self.server.policy.caller_closed(self.unsent_bytes())
         self.close()
 
+    def end_input(self) -> None:
+        """Serve no further request; close the connection once all are answered."""
+        if self.input_ended:
+            return
+        self.input_ended = True
+        self.drop_body()
+        if self.pending:
+            self.pending[-1].keep_alive = False
+        else:
+            self.half_close()
+
     def half_close(self) -> None:
         """Close the sending side and keep reading for a while before closing.
 
@@ -386,9 +399,7 @@
         """
         if not self.closed:
             self.transport.write_eof()
-            asyncio.get_running_loop().call_later(
-                CLOSE_TIMEOUT, self.close_if_silent, clock.now() + MAX_CLOSE_SECONDS
-            )
+            self.close_if_silent(clock.now() + MAX_CLOSE_SECONDS)
 
     def close_if_silent(self, latest: float) -> None:
         """Close the connection unless the caller still sends a refused body.
@@ -449,6 +460,8 @@
         Answers requests whose bodies are not read.
     last_request_at : float
         When the last request was complete; minus infinity before the first one.
+    input_ended : bool
+        Whether no further requests are read.
     """
 
     def __init__(
@@ -469,6 +482,7 @@
         self.unread = 0
         self.closing = False
         self.last_request_at = float("-inf")
+        self.input_ended = False
         self.current_limits = CallerLimits()
 
     def limits(self) -> CallerLimits:
@@ -520,6 +534,16 @@
             for connection in self.connections
         )
 
+    def end_input(self) -> None:
+        """Accept no connections, read no further requests and close idle connections.
+
+        A request that was read later would be passed on and end with this process.
+        """
+        self.input_ended = True
+        self.stop()
+        for connection in list(self.connections):
+            connection.end_input()
+
     @property
     def unanswered(self) -> int:
         """Return the number of requests whose answers have not been sent."""
--- /dev/null
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -0,0 +1,134 @@
+"""End a node without cutting off what its callers wait for."""
+
+from __future__ import annotations
+
+import asyncio
+from math import inf
+from typing import TYPE_CHECKING
+
+from sequoiaspoke.sidecar import clock
+
+if TYPE_CHECKING:
+    from sequoiaspoke.sidecar.callerserver import CallerServer
+    from sequoiaspoke.sidecar.entry import Entry
+    from sequoiaspoke.sidecar.home import Home
+    from sequoiaspoke.sidecar.linkserver import LinkServer
+    from sequoiaspoke.sidecar.logs import EventLog
+
+# Seconds for which a stopping node keeps serving without calls in progress. Callers are
+# moved away after two readiness checks, a second apart, have failed.
+LINGER_SECONDS = 2.6
+# Seconds before its exit at which a stopping node answers all calls that would outlast
+# it. There may be hundreds, and a VM whose share of a core is used up stands still for
+# a tenth of a second.
+ANSWER_MARGIN_SECONDS = 0.2
+# Seconds between two checks whether callers have received their last answers.
+POLL_SECONDS = 0.01
+
+
+class Shutdown:
+    """The time from the signal to stop until the process may exit.
+
+    Calls are served until none is left or the time is over. The input of the callers
+    ends in the same step, so that no request is read which nobody would answer.
+
+    Attributes
+    ----------
+    began_at : float or None
+        When the node was told to stop.
+    leaves_at : float
+        When the home refuses new calls.
+    exits_at : float
+        When the process exits at the latest.
+    input_ended : asyncio.Event
+        Set once no further request is read.
+    """
+
+    def __init__(
+        self,
+        callers: CallerServer,
+        links: LinkServer,
+        entry: Entry,
+        home: Home,
+        log: EventLog,
+    ) -> None:
+        self.callers = callers
+        self.links = links
+        self.entry = entry
+        self.home = home
+        self.log = log
+        self.began_at: float | None = None
+        self.leaves_at = self.exits_at = inf
+        self.input_ended = asyncio.Event()
+
+    def begin(self, leave_after: float, drain: float) -> None:
+        """Begin to stop, and stay reachable while callers move away.
+
+        Parameters
+        ----------
+        leave_after : float
+            Seconds for which the home accepts new calls.
+        drain : float
+            Seconds after which the process exits at the latest.
+        """
+        if self.began_at is not None:
+            return
+        self.began_at = clock.now()
+        self.leaves_at = self.began_at + leave_after
+        self.exits_at = self.began_at + drain
+        self.callers.closing = True
+        self.entry.stop_at(
+            self.exits_at - ANSWER_MARGIN_SECONDS,
+            self.exits_at,
+            self.began_at + LINGER_SECONDS,
+        )
+        self.home.exits_at = self.exits_at
+        self.log.event(
+            "stop",
+            running=self.home.admission.running,
+            calls=len(self.home.calls),
+            exit=f"{drain:.2f}",
+        )
+
+    def tick(self, now: float) -> None:
+        """Let the home leave, and end the input once all calls are answered."""
+        if self.began_at is None:
+            return
+        if now > self.leaves_at and not self.home.leaving:
+            self.home.leaving = True
+            self.links.announce_leaving()
+        idle = now - self.began_at > LINGER_SECONDS and not self.busy
+        if idle or now > self.exits_at:
+            self.end_input()
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a call is in progress or an answer not read yet."""
+        return self.callers.busy() or bool(self.home.calls)
+
+    def end_input(self) -> None:
+        """Read no further requests."""
+        if not self.input_ended.is_set():
+            self.callers.end_input()
+            self.input_ended.set()
+
+    async def finish(self) -> None:
+        """Wait until no request is read and callers have received their answers."""
+        await self.input_ended.wait()
+        while self.callers.connections and clock.now() < self.exits_at:
+            await asyncio.sleep(POLL_SECONDS)
+
+    def log_end(self, node: str) -> None:
+        """Log what is left when the process ends, and when the last request came."""
+        assert self.began_at is not None
+        now = clock.now()
+        self.log.event(
+            "end",
+            node=node,
+            waited=f"{now - self.began_at:.3f}",
+            last_request=f"{now - self.callers.last_request_at:.3f}",
+            connections=len(self.callers.connections),
+            calls=self.callers.unanswered,
+            unsent=self.callers.unsent,
+            home_calls=len(self.home.calls),
+        )
--- a/sequoiaspoke/sidecar/statuspage.py
+++ b/sequoiaspoke/sidecar/statuspage.py
@@ -29,7 +29,7 @@
         "queued": home.admission.waiting,
         "limit": home.admission.slots,
         "ledger": len(home.ledger.calls),
-        "draining": node.stopping is not None,
+        "draining": node.stopping,
         "verified": not state.stale(now),
         "calls": {
             f"{service or 'no-route'}-{status}": count
--- /dev/null
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -0,0 +1,179 @@
+"""Tests of the last moments of a process, over loopback sockets."""
+
+import asyncio
+import contextlib
+import socket
+from random import Random
+
+import uvloop
+from testtools import TestCase
+from tornado.netutil import bind_sockets
+
+from sequoiaspoke.core.mesh.model import MeshConfig, Service
+from sequoiaspoke.core.mesh.table import RouteTable
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.app import Sidecar
+from sequoiaspoke.sidecar.settings import SidecarSettings
+from sequoiaspoke.sidecar.shutdown import LINGER_SECONDS
+from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
+from sequoiaspoke.tests.test_sidecar_entry import NoItems, route
+from sequoiaspoke.tests.test_sidecar_home import ENDPOINT
+
+REQUEST = (
+    b"GET /%s/1 HTTP/1.1\r\nHost: x.example\r\nX-Request-Id: %d\r\n"
+    b"X-Time-Left-Ms: 1000\r\n\r\n"
+)
+WAIT = 20.0  # seconds; only a failing test waits so long
+
+
+class IdleStore:
+    """A store that never answers."""
+
+    new_headers = None
+    request_count = partial_bytes = received_at = 0
+
+    async def read_all(self):
+        await asyncio.Event().wait()
+
+    confirm = wait_for_changes = catch_up = endpoints_since = read_all
+
+    def reconnect(self):
+        """Do nothing."""
+
+
+def free_address():
+    """Return an address on which nothing listens."""
+    (listening,) = bind_sockets(0, "127.0.0.1")
+    address = listening.getsockname()[:2]
+    listening.close()
+    return address
+
+
+class ExitTestCase(TestCase):
+    """Runs a sidecar until it ends by itself, as its process does."""
+
+    def setUp(self):
+        super().setUp()
+        self.skipped, self.sent = 0.0, []
+        steady = clock.now
+        self.patch(clock, "now", lambda: steady() + self.skipped)
+
+    def play(self, scenario):
+        """Run a sidecar and, beside it, the scenario, and end it as a process ends."""
+
+        async def main():
+            addresses = [free_address() for _ in range(5)]
+            settings = SidecarSettings("n", "fleet", "akaki", *addresses)
+            self.sidecar = Sidecar(
+                settings, IdleStore(), NoItems(), None, None, Random(1)
+            )
+            self.serve_fleet()
+            beside = asyncio.ensure_future(scenario())
+            async with asyncio.timeout(WAIT):
+                await self.sidecar.run()
+                # The event loop goes on while it is shut down.
+                await asyncio.sleep(0.02)
+            await beside
+            self.close_sockets()
+
+        uvloop.run(main())
+
+    def close_sockets(self):
+        """Close what the end of a process closes."""
+        sidecar = self.sidecar
+        for server in (sidecar.callers, sidecar.links, sidecar.health):
+            server.stop()
+        for connection in list(sidecar.callers.connections):
+            connection.close()
+
+    def serve_fleet(self):
+        """Let the node pass calls on to another one, which does not answer."""
+        routes = (route("read", True), route("order", False))
+        config = MeshConfig(1, routes, {"fleet": Service("fleet")})
+        self.sidecar.state.table = RouteTable(config)
+        self.sidecar.state.directory.put(ENDPOINT, 1, clock.now())
+        attempts = self.sidecar.entry.attempts
+        attempts.usable = lambda endpoint: True
+        attempts.send_to_home = lambda attempt: self.sent.append(attempt)
+
+    async def connect(self):
+        """Return the socket of a new caller, once the node listens."""
+        while not self.sidecar.callers.servers:
+            await asyncio.sleep(0.005)
+        caller = socket.create_connection(self.sidecar.settings.callers, timeout=WAIT)
+        self.addCleanup(caller.close)
+        while not self.sidecar.callers.connections:
+            await asyncio.sleep(0.005)
+        return caller
+
+    def stop_idle(self):
+        """Tell the node to stop, and let its callers have had time to move away."""
+        self.sidecar.stop()
+        self.skipped += LINGER_SECONDS
+
+    def after_decision(self, action):
+        """Call back in the moment in which the node has decided to end."""
+        decide = self.sidecar.shutdown.input_ended.set
+
+        def decided():
+            decide()
+            action()
+
+        self.sidecar.shutdown.input_ended.set = decided
+
+
+def received(caller):
+    """Return everything that a caller gets until its connection ends."""
+    data = b""
+    try:
+        while part := caller.recv(65536):
+            data += part
+    except ConnectionResetError:
+        pass
+    return data
+
+
+class LateRequestTests(ExitTestCase):
+    def test_no_request_is_passed_on_after_the_decision_to_end(self):
+        # It was read, passed on to its upstream and closed without an answer.
+        for name in (b"read", b"order"):
+
+            async def scenario(name=name):
+                self.caller = await self.connect()
+                self.stop_idle()
+                request = REQUEST % (name, 1)
+                self.after_decision(lambda: self.caller.sendall(request))
+
+            self.play(scenario)
+            self.assertEqual(received(self.caller), b"")
+            self.assertEqual(self.sent, [])
+
+
+class EndOfInputTests(CallerServerTestCase):
+    def test_a_call_in_progress_is_answered_and_the_next_one_not_begun(self):
+        # A node that stops reading must not drop what it has read before.
+        async def scenario(reader, writer):
+            writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+            await self.until(lambda: self.handler.begun)
+            self.server.end_input()
+            writer.write(b"GET /b HTTP/1.1\r\nHost: x\r\n\r\n")
+            self.handler.gate.set()
+            seen = await reader.read()
+            self.assertIn(b"Connection: close", seen)
+            self.assertTrue(seen.endswith(b"/a"))
+            self.assertEqual(len(self.handler.begun), 1)
+
+        self.play(scenario)
+
+    def test_a_connection_that_was_being_accepted_is_closed_unread(self):
+        # Its listener was closed, and the connection itself stayed open.
+        async def scenario(reader, writer):
+            self.server.input_ended = True
+            late_reader, late = await asyncio.open_connection(*self.address)
+            late.write(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+            with contextlib.suppress(ConnectionResetError):
+                self.assertEqual(await late_reader.read(), b"")
+            late.close()
+            self.assertEqual(self.handler.begun, [])
+
+        self.play(scenario)
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -12,9 +12,10 @@
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
 from sequoiaspoke.core.mesh.table import RouteTable
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.app import ANSWER_MARGIN_SECONDS, LINGER_SECONDS, Sidecar
+from sequoiaspoke.sidecar.app import Sidecar
 from sequoiaspoke.sidecar.homecall import HomeCall
 from sequoiaspoke.sidecar.settings import SidecarSettings
+from sequoiaspoke.sidecar.shutdown import ANSWER_MARGIN_SECONDS, LINGER_SECONDS
 from sequoiaspoke.tests.meshsim import VirtualLoop
 from sequoiaspoke.tests.test_sidecar_entry import NoItems, request, route
 from sequoiaspoke.tests.test_sidecar_home import ENDPOINT, BlockingUpstream
