End a stopping process on time, and send the answers of its last moment

Cause: the exit is planned 0.05 s before the kill, and was looked for at each tick, a tenth of a second apart. The process also ended in the turn of the event loop in which the time was over, so that the call whose own time ends then got no answer.

Change: a timer on the clock of the deadlines ends the input when the time is over, and the process goes on for 0.02 s at most while callers have not got their answers.

Measured: ExitTimeTests (virtual clock) failed before, with an end over 0.03 s later than planned; LastAnswerTests fails without the 0.02 s.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -302,6 +302,7 @@
             self.entry.vm_resumed(now)
             self.upstream.deadlines.vm_resumed(now)
             self.home.overdue_timer.deadlines.vm_resumed(now)
+            self.shutdown.timers.vm_resumed(now)
             # What was read before the pause may be out of date.
             self.follower.store.reconnect()
         self.loop_delay = max(0.0, now - self.ticked_at - self.tick_interval)
--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.deadlines import Deadlines
 
 if TYPE_CHECKING:
     from sequoiaspoke.sidecar.callerserver import CallerServer
@@ -22,8 +23,11 @@
 # it. There may be hundreds, and a VM whose share of a core is used up stands still for
 # a tenth of a second.
 ANSWER_MARGIN_SECONDS = 0.2
+# Seconds after the latest end of the input in which the answers to calls that end at
+# that moment are sent.
+LAST_ANSWERS_SECONDS = 0.02
 # Seconds between two checks whether callers have received their last answers.
-POLL_SECONDS = 0.01
+POLL_SECONDS = 0.005
 
 
 class Shutdown:
@@ -39,7 +43,9 @@
     leaves_at : float
         When the home refuses new calls.
     exits_at : float
-        When the process exits at the latest.
+        When no further request is read, and the process exits, at the latest.
+    timers : Deadlines
+        Ends the input on time, also between two ticks.
     input_ended : asyncio.Event
         Set once no further request is read.
     """
@@ -59,6 +65,7 @@
         self.log = log
         self.began_at: float | None = None
         self.leaves_at = self.exits_at = inf
+        self.timers = Deadlines()
         self.input_ended = asyncio.Event()
 
     def begin(self, leave_after: float, drain: float) -> None:
@@ -83,6 +90,7 @@
             self.began_at + LINGER_SECONDS,
         )
         self.home.exits_at = self.exits_at
+        self.timers.call_at(self.exits_at, self.end_input)
         self.log.event(
             "stop",
             running=self.home.admission.running,
@@ -97,8 +105,7 @@
         if now > self.leaves_at and not self.home.leaving:
             self.home.leaving = True
             self.links.announce_leaving()
-        idle = now - self.began_at > LINGER_SECONDS and not self.busy
-        if idle or now > self.exits_at:
+        if now - self.began_at > LINGER_SECONDS and not self.busy:
             self.end_input()
 
     @property
@@ -115,7 +122,8 @@
     async def finish(self) -> None:
         """Wait until no request is read and callers have received their answers."""
         await self.input_ended.wait()
-        while self.callers.connections and clock.now() < self.exits_at:
+        latest = self.exits_at + LAST_ANSWERS_SECONDS
+        while self.callers.connections and clock.now() < latest:
             await asyncio.sleep(POLL_SECONDS)
 
     def log_end(self, node: str) -> None:
--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -15,7 +15,7 @@
 from sequoiaspoke.sidecar.app import Sidecar
 from sequoiaspoke.sidecar.settings import SidecarSettings
 from sequoiaspoke.sidecar.shutdown import LINGER_SECONDS
-from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
+from sequoiaspoke.tests.test_callerserver import CallerServerTestCase, Handler
 from sequoiaspoke.tests.test_sidecar_entry import NoItems, route
 from sequoiaspoke.tests.test_sidecar_home import ENDPOINT
 
@@ -52,6 +52,10 @@
 class ExitTestCase(TestCase):
     """Runs a sidecar until it ends by itself, as its process does."""
 
+    drain = 5.0
+    # Seconds for which the event loop goes on while it is shut down.
+    shutdown_seconds = 0.02
+
     def setUp(self):
         super().setUp()
         self.skipped, self.sent = 0.0, []
@@ -63,7 +67,9 @@
 
         async def main():
             addresses = [free_address() for _ in range(5)]
-            settings = SidecarSettings("n", "fleet", "akaki", *addresses)
+            settings = SidecarSettings(
+                "n", "fleet", "akaki", *addresses, drain=self.drain
+            )
             self.sidecar = Sidecar(
                 settings, IdleStore(), NoItems(), None, None, Random(1)
             )
@@ -71,10 +77,9 @@
             beside = asyncio.ensure_future(scenario())
             async with asyncio.timeout(WAIT):
                 await self.sidecar.run()
-                # The event loop goes on while it is shut down.
-                await asyncio.sleep(0.02)
+                await asyncio.sleep(self.shutdown_seconds)
+                self.close_sockets()
             await beside
-            self.close_sockets()
 
         uvloop.run(main())
 
@@ -149,6 +154,26 @@
             self.assertEqual(self.sent, [])
 
 
+class LastAnswerTests(ExitTestCase):
+    drain, shutdown_seconds = 0.05, 0.0
+
+    def test_an_answer_that_is_ready_just_after_the_exit_is_due_is_sent(self):
+        # The timer of a call that ends with the process may fire a moment later.
+        async def scenario():
+            handler = Handler()
+            self.sidecar.callers.handle = handler.handle
+            self.caller = await self.connect()
+            self.caller.sendall(REQUEST % (b"read", 1))
+            while not handler.begun:
+                await asyncio.sleep(0.005)
+            self.sidecar.stop()
+            later = asyncio.get_running_loop().call_later
+            self.after_decision(lambda: later(0.005, handler.gate.set))
+
+        self.play(scenario)
+        self.assertTrue(received(self.caller).endswith(b"/read/1"))
+
+
 class EndOfInputTests(CallerServerTestCase):
     def test_a_call_in_progress_is_answered_and_the_next_one_not_begun(self):
         # A node that stops reading must not drop what it has read before.
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -175,3 +175,17 @@
             {name: (type(each), each.reason) for name, each in self.outcomes.items()},
             {"long": (NotRun, "leaving"), "short": (NotRun, "no-time")},
         )
+
+
+class ExitTimeTests(StoppingCase):
+    def test_a_node_with_calls_in_progress_exits_on_time(self):
+        # It looked at the clock at each tick, a tenth of a second apart, and was
+        # killed before the tick in which it would have ended.
+        async def scenario():
+            self.sidecar.home.calls["runs"] = None
+            await asyncio.sleep(0.05)
+            self.sidecar.run_ticks()
+            await self.sidecar.shutdown.finish()
+            return self.elapsed()
+
+        self.assertTrue(DRAIN <= self.play(scenario) <= DRAIN + 0.03)
