Let a stopping process finish reading the requests that it has begun to read

What callers saw: a caller whose body was still arriving when the last call of a stopping node had been answered had its connection closed, 2.6 s after the signal, although 3 s were left.

Cause: only answered and unanswered requests were counted, not those that were being read. Change: a node is busy while part of a request has arrived; the time until its exit bounds that, as before.

Measured: IncompleteRequestTests failed before (the connection ended without an answer) and passes.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -115,6 +115,11 @@
         if self.server.input_ended:
             self.end_input()
 
+    @property
+    def reading(self) -> bool:
+        """Return whether part of a request has arrived that is still to be served."""
+        return self.request_started is not None and not self.input_ended
+
     def reset_request(self) -> None:
         """Reset the state of the request that is parsed."""
         self.target = b""
@@ -528,9 +533,9 @@
             connection.tick(now)
 
     def busy(self) -> bool:
-        """Return whether any caller waits for an answer, or has not read it yet."""
+        """Return whether a caller sends a request, or has not got its answer yet."""
         return any(
-            connection.pending or connection.unsent_bytes()
+            connection.pending or connection.reading or connection.unsent_bytes()
             for connection in self.connections
         )
 
--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -23,6 +23,8 @@
     b"GET /%s/1 HTTP/1.1\r\nHost: x.example\r\nX-Request-Id: %d\r\n"
     b"X-Time-Left-Ms: 1000\r\n\r\n"
 )
+# The end of a head, and the first half of a body.
+UPLOAD = b"\r\nContent-Length: 4\r\n\r\nbo"
 WAIT = 20.0  # seconds; only a failing test waits so long
 
 
@@ -154,6 +156,26 @@
             self.assertEqual(self.sent, [])
 
 
+class IncompleteRequestTests(ExitTestCase):
+    def test_a_request_whose_body_is_arriving_is_answered(self):
+        # Once no other call was in progress, its connection was closed.
+        async def scenario():
+            handler = Handler()
+            handler.gate.set()
+            self.sidecar.callers.handle = handler.handle
+            self.caller = await self.connect()
+            self.caller.sendall(REQUEST.replace(b"\r\n\r\n", UPLOAD) % (b"order", 1))
+            (connection,) = self.sidecar.callers.connections
+            while not connection.head_complete:
+                await asyncio.sleep(0.005)
+            self.stop_idle()
+            self.sidecar.shutdown.tick(clock.now())
+            self.caller.sendall(b"dy")
+
+        self.play(scenario)
+        self.assertTrue(received(self.caller).endswith(b"/order/1body"))
+
+
 class LastAnswerTests(ExitTestCase):
     drain, shutdown_seconds = 0.05, 0.0
 
