Exit only after the frames to other nodes have been sent

What callers saw: nothing was reported; found by its shape while the stop was read. A home that stops ends once no call is in progress; the outcome of the last call, or a refusal to a call that crossed its `leaving`, may then still be in the buffer of a slow link. It is dropped with the process, the other node finds a new incarnation and tells the caller of an order 502, although the order was answered or never ran.

Change: the process waits until no frame is left, until its exit at the latest.

Measured: test_a_node_exits_after_its_last_outcomes_have_left (virtual clock) failed before and passes.

--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -188,3 +188,8 @@
         """Tell every connected entry that this home takes no new calls."""
         for link in self.links:
             link.stream.send(wire.Frame(leaving=wire.Leaving()))
+
+    @property
+    def unsent(self) -> int:
+        """Return the total size of the frames that other nodes have not read."""
+        return sum(link.stream.unsent_bytes() for link in self.links)
--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -26,7 +26,7 @@
 # Seconds after the latest end of the input in which the answers to calls that end at
 # that moment are sent.
 LAST_ANSWERS_SECONDS = 0.02
-# Seconds between two checks whether callers have received their last answers.
+# Seconds between two checks whether everything that was sent has been received.
 POLL_SECONDS = 0.005
 
 
@@ -120,12 +120,17 @@
             self.input_ended.set()
 
     async def finish(self) -> None:
-        """Wait until no request is read and callers have received their answers."""
+        """Wait until callers and other nodes have received what they were sent."""
         await self.input_ended.wait()
         latest = self.exits_at + LAST_ANSWERS_SECONDS
-        while self.callers.connections and clock.now() < latest:
+        while not self.delivered and clock.now() < latest:
             await asyncio.sleep(POLL_SECONDS)
 
+    @property
+    def delivered(self) -> bool:
+        """Return whether all connections of callers are closed and no frame is left."""
+        return not self.callers.connections and not self.links.unsent
+
     def log_end(self, node: str) -> None:
         """Log what is left when the process ends, and when the last request came."""
         assert self.began_at is not None
@@ -137,6 +142,6 @@
             last_request=f"{now - self.callers.last_request_at:.3f}",
             connections=len(self.callers.connections),
             calls=self.callers.unanswered,
-            unsent=self.callers.unsent,
+            unsent=self.callers.unsent + self.links.unsent,
             home_calls=len(self.home.calls),
         )
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -177,7 +177,34 @@
         )
 
 
+class SlowStream:
+    """A link whose other end reads the last frames at a given time."""
+
+    def __init__(self, read_at):
+        self.read_at = read_at
+
+    def unsent_bytes(self):
+        return 0 if clock.now() >= self.read_at else 100
+
+    def send(self, frame):
+        """Drop a frame."""
+
+
 class ExitTimeTests(StoppingCase):
+    def test_a_node_exits_after_its_last_outcomes_have_left(self):
+        # A home ended once no call was in progress; the outcome of the last one was
+        # still in the buffer of a slow link, and the order's caller was told 502.
+        async def scenario(read_at):
+            link = SimpleNamespace(stream=SlowStream(self.stopped_at + read_at))
+            self.sidecar.links.links.append(link)
+            self.sidecar.run_ticks()
+            await self.sidecar.shutdown.finish()
+            return self.elapsed()
+
+        for read_at, latest in ((3.5, 3.6), (9.0, DRAIN + 0.03)):
+            elapsed = self.play(lambda read_at=read_at: scenario(read_at))
+            self.assertTrue(min(read_at, DRAIN) <= elapsed <= latest, elapsed)
+
     def test_a_node_with_calls_in_progress_exits_on_time(self):
         # It looked at the clock at each tick, a tenth of a second apart, and was
         # killed before the tick in which it would have ended.
