Serve the requests that follow one with an Upgrade header

What callers saw: a request with `Connection: Upgrade` and `Upgrade: h2c` or `websocket`, which several HTTP clients send by default, was answered, and nothing was read from its connection afterwards: the next request got neither an answer nor a close until its caller gave up. A body was dropped, and the upstream got an empty one.

Cause: the parser stops after such a head and leaves what follows to another protocol; the connection took that for the end of its input and stayed open.

Change: the head is parsed again without the header, so that its body and the next request are read as usual (RFC 9110, 7.8: a server may ignore Upgrade). After a CONNECT, which has no body, the parser goes on behind it.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -84,6 +84,8 @@
         Bytes of bodies in the data now parsed.
     head_began_in_chunk : bool
         Whether a request began in the data now parsed.
+    asks_upgrade : bool
+        Whether the head asks for an upgrade, and is parsed again without that header.
     too_large : bool
         Whether the body exceeds the limit for callers; it is read and dropped.
     reserved : int
@@ -122,7 +124,8 @@
 
     def reset_request(self) -> None:
         """Reset the state of the request that is parsed."""
-        self.target = b""
+        self.method = self.target = b""
+        self.asks_upgrade = False
         self.headers: list[tuple[str, str]] = []
         self.body: list[bytes] = []
         self.body_size = 0
@@ -171,16 +174,39 @@
         self.chunk_body_bytes = 0
         self.head_began_in_chunk = False
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Upgrades are not supported; the request itself is served as usual.
-            self.input_ended = True
+            self.feed(data)
         except httptools.HttpParserError:
             self.refuse(400, "malformed request")
         else:
             if self.request_started is not None and not self.head_complete:
                 self.check_head_size(data)
 
+    def feed(self, data: bytes) -> None:
+        """Feed data to the parser, which stops after a head that asks for an upgrade.
+
+        Upgrades are not supported. The head is parsed again without that header, as the
+        parser would take a body for data of the other protocol.
+        """
+        while data:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as stopped:
+                (end,) = stopped.args
+                head = self.head_without_upgrade() if self.asks_upgrade else b""
+                data = head + data[end:]
+
+    def head_without_upgrade(self) -> bytes:
+        """Return the head that was parsed last, without its Upgrade header."""
+        version = self.parser.get_http_version()
+        lines = [b"%s %s HTTP/%s" % (self.method, self.target, version.encode())]
+        lines += [
+            f"{name}: {value}".encode("latin-1")
+            for name, value in self.headers
+            if name.lower() != "upgrade"
+        ]
+        return b"\r\n".join([*lines, b"", b""])
+
     def check_head_size(self, data: bytes) -> None:
         """Refuse an incomplete head that is already too large."""
         if self.head_began_in_chunk:
@@ -214,6 +240,11 @@
         """Complete the head; refuse the body or let the caller send it."""
         if self.input_ended:
             return
+        self.method = self.parser.get_method()
+        # After a CONNECT the parser stops as well, but it has no body.
+        self.asks_upgrade = self.parser.should_upgrade() and self.method != b"CONNECT"
+        if self.asks_upgrade:
+            return
         self.head_complete = True
         expects = find_header(self.headers, "expect").lower() == "100-continue"
         length = find_header(self.headers, "content-length")
@@ -275,7 +306,7 @@
     def request(self, body: bytes) -> Request:
         """Return the request whose head is complete."""
         return Request(
-            self.parser.get_method().decode("ascii"),
+            self.method.decode("ascii"),
             self.target.decode("latin-1"),
             tuple(self.headers),
             body,
@@ -284,7 +315,7 @@
 
     def on_message_complete(self) -> None:
         """Start to serve a complete request."""
-        if self.input_ended:
+        if self.input_ended or self.asks_upgrade:
             return
         self.server.last_request_at = clock.now()
         keep_alive = self.parser.should_keep_alive()
