Begin no call at the product's own node once its last one has ended

A node that stops waits until no call is in flight, and closes its connections only after it has stopped to follow the configuration and its admin pages. A call on a kept connection was begun meanwhile, passed on to another node and cut off without an answer. The wait also looked at the two servers one after the other.

Change: the input of both servers ends in the step that finds no call in flight in either.

Measured: test_no_call_is_passed_on_once_the_last_one_has_ended failed before (the far upstream ran the call) and passes, with the other tests of nodes over sockets.

--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -131,10 +131,13 @@
             async with asyncio.timeout(self.settings.node.grace):
                 await self.keyed.linger()
                 self.mesh.server.stop()
-                await self.callers.wait_idle()
-                await self.mesh.wait_idle()
+                while self.in_flight():
+                    await self.callers.wait_idle()
+                    await self.mesh.wait_idle()
         except TimeoutError:
             log.warning("grace-over", in_flight=self.in_flight())
+        # In the same step: a call that began later would be cut off.
+        self.callers.input_ended = self.mesh.input_ended = True
         self.mesh.server.stop()
         self.config_poller.stop()
         await self.config.stop()
--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -156,7 +156,15 @@
 
 
 class CallServer(HTTPServerConnectionDelegate):
-    """HTTP server that passes each call to a handler."""
+    """HTTP server that passes each call to a handler.
+
+    Attributes
+    ----------
+    draining : bool
+        Whether connections are closed after the next answer.
+    input_ended : bool
+        Whether connections are closed in place of serving another call.
+    """
 
     def __init__(
         self,
@@ -167,7 +175,7 @@
         self.handler = handler
         self.in_flight = 0
         self.crashed = 0
-        self.draining = False
+        self.draining = self.input_ended = False
         self.idle_callbacks: list[Callable[[], None]] = []
         self.server = HTTPServer(
             self,  # type: ignore[arg-type]
@@ -222,6 +230,9 @@
     ) -> None:
         """Start the handler once the request's head is read; called by Tornado."""
         assert isinstance(start_line, RequestStartLine)
+        if self.server.input_ended:
+            self.connection.close()
+            return
         writer = Writer(self.connection)
         writer.close_after = self.server.draining
         try:
--- a/sequoiaspoke/tests/test_node.py
+++ b/sequoiaspoke/tests/test_node.py
@@ -315,6 +315,26 @@
 
         self.run_with(test)
 
+    def test_no_call_is_passed_on_once_the_last_one_has_ended(self):
+        async def test(deployment):
+            port, far = await two_hops(deployment)
+            (near,) = (s.node for s in deployment.sites if s.node.ports["call"] == port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            stop_config = near.config.stop
+
+            async def send_late():
+                writer.write(request("GET", "/", "Standin-Service-Ms: 1500"))
+                await asyncio.wait({asyncio.ensure_future(reader.read(1))}, timeout=0.3)
+                await stop_config()
+
+            near.config.stop = send_late
+            await near.stop()
+            self.assertEqual(0, total_runs(deployment))
+            self.assertEqual(0, far.upstream.runs_total)
+            writer.close()
+
+        self.run_with(test)
+
 
 class OperatorPagesTests(LoopbackTestCase):
     def test_pages_tell_the_version_and_count_refusals(self):
