Connect at once to a node that is back and has said so

What callers saw: calls for an upstream whose node had just started got 503 `no-endpoint` at the nodes that had found it down, for up to 0.4 s after it was there.

Cause: a home that refused a connection is dialled again after a pause that doubles up to 0.4 s, whatever is heard of it meanwhile.

Change: the hello of a node that opens a link ends the pause before the next dial to it.

ReturningNodeTests (virtual clock) cannot run on the code before, which takes no note of a hello; without the call it fails.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -131,6 +131,7 @@
         self.links = LinkServer(
             self.home, self.spread, self.incarnation, self.log, room
         )
+        self.links.on_hello = self.peers.node_seen
         self.metrics = SidecarMetrics(self, output)
         pages = HealthPages(
             settings.health_path,
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -22,7 +22,7 @@
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 if TYPE_CHECKING:
-    from collections.abc import Hashable
+    from collections.abc import Callable, Hashable
 
     from sequoiaspoke.core.mesh.answerroom import AnswerRoom
     from sequoiaspoke.core.mesh.outcome import Outcome
@@ -88,6 +88,7 @@
         self.peer = (hello.host, hello.incarnation)
         self.zone = hello.zone
         self.clock_offset = hello.clock - clock.now()
+        self.server.on_hello(hello.host)
         for link in list(self.server.links):
             if link is not self and link.peer == self.peer:
                 link.stream.close()
@@ -146,8 +147,18 @@
         self.stream.send(pack_outcome(number, outcome, load_report))
 
 
+def ignore_hello(host: str) -> None:
+    """Do nothing; the default until the links to other nodes are known."""
+
+
 class LinkServer(ConnectionServer):
-    """Accepts links from other nodes."""
+    """Accepts links from other nodes.
+
+    Attributes
+    ----------
+    on_hello : callable
+        Called with the host of a node that has opened a link.
+    """
 
     def __init__(
         self,
@@ -165,6 +176,7 @@
         self.log = log
         self.links: list[AcceptedLink] = []
         self.link_tasks: set[asyncio.Task[None]] = set()
+        self.on_hello: Callable[[str], None] = ignore_hello
 
     def new_connection(self) -> TcpFrameStream:
         """Return the stream of the next link, and start to serve it."""
--- a/sequoiaspoke/sidecar/peers.py
+++ b/sequoiaspoke/sidecar/peers.py
@@ -89,6 +89,12 @@
         link = self.links.get(endpoint.host)
         return link is None or not (link.failing or link.leaving)
 
+    def node_seen(self, host: str) -> None:
+        """Connect without a pause to a node that was unreachable and is back."""
+        link = self.links.get(host)
+        if link is not None and link.failing:
+            link.open()
+
     def refresh(self) -> None:
         """Open and close links as endpoints appear and disappear."""
         endpoints = self.state.members()
--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -9,14 +9,16 @@
 from sequoiaspoke.core.mesh.model import Incarnation
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.frames import TcpDialer
+from sequoiaspoke.sidecar.frames import Dialer, TcpDialer
 from sequoiaspoke.sidecar.gossip import Gossip
 from sequoiaspoke.sidecar.home import CANCEL_SECONDS, Home
 from sequoiaspoke.sidecar.homecall import HomeCall
 from sequoiaspoke.sidecar.linkclient import RECENT_SECONDS, LinkClient
 from sequoiaspoke.sidecar.linkserver import LinkServer
 from sequoiaspoke.sidecar.logs import EventLog
+from sequoiaspoke.sidecar.peers import Peers
 from sequoiaspoke.sidecar.pending import LinkIdentity
+from sequoiaspoke.tests.meshsim import VirtualLoop
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 WAIT = 20.0  # seconds; only a failing test takes as long
@@ -159,6 +161,16 @@
 
         self.run_scenario(scenario)
 
+    def test_the_home_takes_note_of_who_opens_a_link(self):
+        async def scenario(world):
+            seen = []
+            world.server.on_hello = seen.append
+            world.upstream.gate.set()
+            await world.start_call()
+            self.assertEqual(seen, ["10.0.0.1"])
+
+        self.run_scenario(scenario)
+
     def test_a_reset_link_neither_loses_nor_doubles_a_call(self):
         # A middlebox resets the link while a call runs. If the call is not sent again,
         # its outcome is unknown; if it is sent under another number, it runs twice.
@@ -320,3 +332,48 @@
             self.assertEqual((await call).status, 200)
 
         self.run_scenario(scenario)
+
+
+class ReturningNodeTests(TestCase):
+    """A node that was down opens a link as soon as it is back."""
+
+    def redialled_after(self, hello):
+        """Return the seconds from the return of a node until it is dialled."""
+        loop = VirtualLoop()
+        self.patch(clock, "now", loop.time)
+        dials = []
+
+        class RefusingDialer(Dialer):
+            async def dial(self, host, port):
+                dials.append(loop.time())
+                raise ConnectionRefusedError
+
+        async def run():
+            log, gossip = EventLog("x-request-id"), NoGossip()
+            log.allowed = lambda kind: False
+            identity = LinkIdentity("10.0.0.1", "akaki", 99)
+            peers = Peers(identity, 1, None, gossip, None, log, RefusingDialer())
+            server = LinkServer(None, gossip, 7, log)
+            server.on_hello = peers.node_seen
+            link = peers.link("10.0.0.2")
+            link.persistent = True
+            link.open()
+            await asyncio.sleep(3.0)
+            returned, before = loop.time(), len(dials)
+            if hello:
+                server.on_hello("10.0.0.2")
+            while len(dials) == before:
+                await asyncio.sleep(0.005)
+            link.close()
+            return loop.time() - returned
+
+        try:
+            return loop.run_until_complete(run())
+        finally:
+            loop.close()
+
+    def test_a_node_that_is_back_is_dialled_at_once(self):
+        # Calls for its upstream were refused until the pause before the next dial,
+        # 0.4 s, was over, although the node had said that it is there.
+        self.assertTrue(self.redialled_after(hello=True) < 0.05)
+        self.assertTrue(self.redialled_after(hello=False) > 0.05)
