Read on while the connection of a caller with many requests is closed

What callers saw: a caller that sent more than 64 requests behind each other to a node that stops, and reads slowly, got a reset in place of its last answers, although they had been made.

Cause: reading pauses at 64 unanswered requests. Where the first one was answered last, all answers were sent and the connection closed in one step, without reading on; what was unread a second later made the kernel reset the connection and drop what it had not sent yet. Found by listing every place that closes a caller's connection, and what each says of the answers that the caller is still due.

Change: closing the sending side reads on, as its description says.

Measured: the new test failed before with ConnectionResetError and passes, with 44 tests of the caller server, slow readers and the exit.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -392,11 +392,12 @@
             # Sent before the earlier answers, it would be taken for part of them.
             self.continue_due = False
             self.write(CONTINUE)
-        if (
-            self.reading_paused
-            and not self.closed
-            and len(self.pending) < MAX_PIPELINED
-        ):
+        if len(self.pending) < MAX_PIPELINED:
+            self.resume_reading()
+
+    def resume_reading(self) -> None:
+        """Read on if that was paused."""
+        if self.reading_paused and not self.closed:
             self.reading_paused = False
             self.transport.resume_reading()
 
@@ -435,6 +436,7 @@
         """
         if not self.closed:
             self.transport.write_eof()
+            self.resume_reading()
             self.close_if_silent(clock.now() + MAX_CLOSE_SECONDS)
 
     def close_if_silent(self, latest: float) -> None:
--- a/sequoiaspoke/tests/test_slow_reading.py
+++ b/sequoiaspoke/tests/test_slow_reading.py
@@ -13,7 +13,7 @@
 from sequoiaspoke.core.mesh.model import CallerLimits
 from sequoiaspoke.core.mesh.outcome import Answer, Request
 from sequoiaspoke.sidecar import callerserver, clock, httpclient, sockets
-from sequoiaspoke.sidecar.callerserver import CallerServer
+from sequoiaspoke.sidecar.callerserver import MAX_PIPELINED, CallerServer
 from sequoiaspoke.sidecar.frames import TcpDialer, TcpFrameStream
 from sequoiaspoke.sidecar.names import HeaderNames
 from sequoiaspoke.sidecar.upstream import Upstream
@@ -55,8 +55,14 @@
 class SlowCallerTests(SlowReadingCase):
     body = ANSWER
 
+    def setUp(self):
+        super().setUp()
+        self.gate = asyncio.Event()
+
     async def serve(self):
         async def handle(request):
+            if request.target == "/first":
+                await self.gate.wait()
             return Answer(200, (), self.body)
 
         server = CallerServer(handle, self.fail, memory=MemoryAccount())
@@ -105,6 +111,30 @@
 
         self.assertTrue(self.run_bounded(scenario).endswith(self.body))
 
+    def test_a_caller_that_sent_too_many_requests_gets_the_answers_it_is_due(self):
+        # Reading was paused until the end, and what had not been read reset the
+        # connection with the answers that the kernel had not sent yet.
+        self.patch(callerserver, "CLOSE_TIMEOUT", 0.05)
+        self.body = b"x" * 400
+
+        async def scenario():
+            sock = await self.serve()
+            self.server.closing = True
+            loop = asyncio.get_running_loop()
+            request = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+            first = request.replace(b"/a", b"/first")
+            await loop.sock_sendall(sock, first + (MAX_PIPELINED - 1) * request)
+            while not any(each.reading_paused for each in self.server.connections):
+                await asyncio.sleep(0.001)
+            await loop.sock_sendall(sock, 20 * request)
+            self.gate.set()
+            while self.server.connections:
+                await asyncio.sleep(0.01)
+            return await self.read_all(sock, 10**9)
+
+        seen = self.run_bounded(scenario)
+        self.assertEqual(seen.count(b"HTTP/1.1 200"), MAX_PIPELINED)
+
     def test_a_stopping_node_waits_for_a_caller_that_still_reads(self):
         # It exited as soon as the answer was written, with most of it in its memory.
         self.body = ANSWER * 1000
