Refuse requests that never end, and cut their callers off

Cause: only the head and, once it was complete, the body were bounded. Trailers were kept as headers; what came after a refusal was read for 5 s, whatever its size.

Change: what is neither head nor body counts against the limit of a head, with allowance for bodies in chunks of a byte; beyond it the request gets 400. A body over its limit gets 413 at once, in place of after its last byte. Trailers are dropped (RFC 9110, 6.5.1). After the last answer 16 MB are read at most, so that a caller that has sent some of its body gets the refusal and one without end is cut off.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -40,6 +40,11 @@
 # Size of the unread answers at which a connection is closed: a caller that does not
 # read would fill this node's memory.
 MAX_UNREAD_BYTES = 16 << 20
+# Bytes accepted of a request besides its body, beyond those of its head, for each byte
+# of the body: a caller may send it in chunks of a byte.
+FRAMING_PER_BYTE = 8
+# Bytes that a caller may send after the last answer before its connection is closed.
+MAX_DISCARDED_BYTES = 16 << 20
 # Seconds after the last answer of a connection in which the caller may close it. They
 # start again with each part of a refused body that the caller still sends, up to the
 # second value in total.
@@ -82,12 +87,14 @@
         Bytes of the incomplete head so far.
     chunk_body_bytes : int
         Bytes of bodies in the data now parsed.
-    head_began_in_chunk : bool
-        Whether a request began in the data now parsed.
+    boundary_in_chunk : bool
+        Whether a request began or ended in the data now parsed.
+    framing_size : int
+        Bytes besides the body that came after the head, or before one.
+    discarded : int
+        Bytes that came after the last request.
     asks_upgrade : bool
         Whether the head asks for an upgrade, and is parsed again without that header.
-    too_large : bool
-        Whether the body exceeds the limit for callers; it is read and dropped.
     reserved : int
         Bytes reserved for the body that is arriving.
     continue_due : bool
@@ -104,7 +111,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.last_active = clock.now()
         self.input_ended = False
-        self.reserved = 0
+        self.reserved = self.discarded = 0
         self.reset_request()
 
     def opened(self) -> None:
@@ -129,12 +136,11 @@
         self.headers: list[tuple[str, str]] = []
         self.body: list[bytes] = []
         self.body_size = 0
-        self.head_size = 0
+        self.head_size = self.framing_size = 0
         self.chunk_body_bytes = 0
-        self.head_began_in_chunk = False
+        self.boundary_in_chunk = False
         self.request_started: float | None = None
         self.head_complete = False
-        self.too_large = False
         self.continue_due = False
 
     def received(self, data: bytes) -> None:
@@ -145,6 +151,7 @@
         """
         self.last_active = clock.now()
         if self.input_ended:
+            self.discard(data)
             return
         self.parse(data)
         if (
@@ -155,6 +162,12 @@
             self.reading_paused = True
             self.transport.pause_reading()
 
+    def discard(self, data: bytes) -> None:
+        """Count data that is not served; close the connection if there is no end."""
+        self.discarded += len(data)
+        if self.discarded > MAX_DISCARDED_BYTES and not self.pending:
+            self.close()
+
     def lost(self, error: Exception | None, closed_locally: bool) -> None:
         """Cancel the calls of a caller that has disconnected."""
         if isinstance(error, OSError) and not closed_locally:
@@ -172,7 +185,7 @@
     def parse(self, data: bytes) -> None:
         """Feed data to the parser and check the size of an incomplete head."""
         self.chunk_body_bytes = 0
-        self.head_began_in_chunk = False
+        self.boundary_in_chunk = False
         try:
             self.feed(data)
         except httptools.HttpParserError:
@@ -180,6 +193,8 @@
         else:
             if self.request_started is not None and not self.head_complete:
                 self.check_head_size(data)
+            elif not self.boundary_in_chunk:
+                self.check_framing(len(data) - self.chunk_body_bytes)
 
     def feed(self, data: bytes) -> None:
         """Feed data to the parser, which stops after a head that asks for an upgrade.
@@ -209,7 +224,7 @@
 
     def check_head_size(self, data: bytes) -> None:
         """Refuse an incomplete head that is already too large."""
-        if self.head_began_in_chunk:
+        if self.boundary_in_chunk:
             # The data before it belongs to complete requests.
             _, _, tail = data.rpartition(HEAD_END)
             self.head_size = len(tail) - self.chunk_body_bytes
@@ -218,6 +233,13 @@
         if self.head_size > self.limits.header_bytes:
             self.refuse(431, "headers too large")
 
+    def check_framing(self, size: int) -> None:
+        """Refuse a request with too much besides its body, such as trailers."""
+        self.framing_size += size
+        limit = self.limits.header_bytes + FRAMING_PER_BYTE * self.body_size
+        if self.framing_size > limit:
+            self.refuse(400, "request without end")
+
     # Called by the parser.
 
     def on_message_begin(self) -> None:
@@ -225,7 +247,7 @@
         if self.input_ended:
             return
         self.reset_request()
-        self.head_began_in_chunk = True
+        self.boundary_in_chunk = True
         self.request_started = clock.now()
 
     def on_url(self, data: bytes) -> None:
@@ -233,7 +255,9 @@
         self.target += data
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
+        """Add a header; trailers are dropped, as RFC 9110, section 6.5.1, allows."""
+        if self.head_complete:
+            return
         self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -249,10 +273,9 @@
         expects = find_header(self.headers, "expect").lower() == "100-continue"
         length = find_header(self.headers, "content-length")
         size = int(length) if length.isdecimal() else 0
-        self.too_large = size > self.limits.body_bytes
-        if self.too_large and expects:
+        if size > self.limits.body_bytes:
             self.refuse(413, "body")
-        elif size > SMALL_BODY and not self.too_large:
+        elif size > SMALL_BODY:
             self.admit_body(size)
         if expects and not self.input_ended:
             self.continue_due = True
@@ -270,15 +293,14 @@
             self.refuse_with(self.server.policy.refuse_for_memory(head))
 
     def on_body(self, data: bytes) -> None:
-        """Append to the body unless it is too large."""
+        """Append to the body; refuse one that is too large."""
         if self.input_ended:
             return
         self.body_size += len(data)
         self.chunk_body_bytes += len(data)
         self.continue_due = False
-        self.too_large |= self.body_size > self.limits.body_bytes
-        if self.too_large:
-            self.drop_body()
+        if self.body_size > self.limits.body_bytes:
+            self.refuse(413, "body")
         elif self.reserve_body():
             self.body.append(data)
         else:
@@ -318,6 +340,8 @@
         if self.input_ended or self.asks_upgrade:
             return
         self.server.last_request_at = clock.now()
+        self.boundary_in_chunk = True
+        self.framing_size = 0
         keep_alive = self.parser.should_keep_alive()
         request = self.request(b"".join(self.body))
         self.body.clear()
@@ -327,10 +351,6 @@
         self.continue_due = False
         if not keep_alive:
             self.input_ended = True
-        if self.too_large:
-            exchange.answer = local_answer(413, "body")
-            self.flush()
-            return
         reserved, self.reserved = self.reserved, 0
         exchange.task = asyncio.ensure_future(self.serve(exchange, request))
         # In a callback, because a task cancelled before its start runs no code at all.
