Name the settings that a reload does not change, and keep them

Change: eight settings are reloaded; of all others the value in force stays, and a line `setting-kept` has both values. A new cold overage is applied at once, not with the next version. The reference names the settings.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -25,6 +25,7 @@
 from sequoiaspoke.sidecar.metrics import SidecarMetrics
 from sequoiaspoke.sidecar.peers import Peers
 from sequoiaspoke.sidecar.pending import LinkIdentity
+from sequoiaspoke.sidecar.settings import apply_reload
 from sequoiaspoke.sidecar.shutdown import Shutdown
 from sequoiaspoke.sidecar.spread import Spread
 from sequoiaspoke.sidecar.state import MeshState
@@ -322,12 +323,20 @@
     def reload_settings(self) -> None:
         """Reload the settings."""
         try:
-            settings = self.reload()
+            read = self.reload()
         except SettingsError as error:
             # The previous settings remain in effect.
             self.log.event("reload-failed", code=error.code, reason=str(error))
             return
+        settings, kept = apply_reload(self.settings, read)
         self.log.event("reload", changed=settings != self.settings)
+        for name in kept:
+            self.log.event(
+                "setting-kept",
+                name=name,
+                in_force=getattr(settings, name),
+                in_file=getattr(read, name),
+            )
         self.settings = settings
         self.memory.limit = memory_limit(settings.memory_mb)
         self.home.admission.transfers.set_link_mbps(settings.link_mbps)
@@ -336,6 +345,7 @@
         self.entry.attempts.budgets.limits = settings.repeats
         for budget in self.entry.attempts.budgets.by_service.values():
             budget.limits = settings.repeats
+        self.apply_change()
 
     def stop(self) -> None:
         """Begin to stop."""
--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -7,6 +7,7 @@
     "stop": "the process was told to stop and finishes its calls",
     "end": "the process ends, after a stop or because of an invalid setting",
     "reload": "the settings were reloaded",
+    "setting-kept": "a setting differs in the file and needs a restart",
     "reload-failed": "the new settings are invalid; the old ones stay in force",
     "pause": "this VM was paused",
     "crash": "an unexpected error; the operation in which it occurred has failed",
--- a/sequoiaspoke/sidecar/settings.py
+++ b/sequoiaspoke/sidecar/settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields, replace
 
 from sequoiaspoke.core.mesh.coldstart import ColdLimits
 from sequoiaspoke.core.mesh.retrybudget import RetryLimits
@@ -63,3 +63,32 @@
     cold: ColdLimits = field(default_factory=ColdLimits)
     regions: dict[str, str] = field(default_factory=dict)
     names: HeaderNames = field(default_factory=HeaderNames)
+
+
+# Settings that a reload changes. The others need a restart, as the parts of a node
+# were built with them: its addresses, its place and the words of the platform.
+RELOADED = frozenset(
+    {
+        "service",
+        "leave_after",
+        "drain",
+        "link_mbps",
+        "memory_mb",
+        "repeats",
+        "cold",
+        "regions",
+    }
+)
+
+
+def apply_reload(
+    current: SidecarSettings, read: SidecarSettings
+) -> tuple[SidecarSettings, list[str]]:
+    """Return the settings in force after a reload, and the names of those kept."""
+    kept = [
+        each.name
+        for each in fields(SidecarSettings)
+        if each.name not in RELOADED
+        and getattr(current, each.name) != getattr(read, each.name)
+    ]
+    return replace(read, **{name: getattr(current, name) for name in kept}), kept
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -18,6 +18,7 @@
 from sequoiaspoke.settings.option import kind_of, rule_of  # noqa: E402
 from sequoiaspoke.settings.schema import sections  # noqa: E402
 from sequoiaspoke.sidecar import events, metrics  # noqa: E402
+from sequoiaspoke.sidecar.settings import RELOADED  # noqa: E402
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -118,6 +119,9 @@
         rows.append(f"| `{metrics.PREFIX}_{name}` | {text}, by `{label}` |")
     for name, text in (metrics.LATENCY, *metrics.GAUGES.items()):
         rows.append(f"| `{metrics.PREFIX}_{name}` | {text} |")
+    rows.append("\n## Settings that a reload changes\n")
+    rows.append("After SIGHUP; all others need a restart and are logged.\n")
+    rows.append(", ".join(f"`{name}`" for name in sorted(RELOADED)))
     rows.append("")
     return "\n".join(rows)
 
