Count the time of a call from the first byte that its caller has sent

Change: the seconds from the first byte of the head to the last of the body count against the time that the caller names, the timeout of the route and its objective.

--- a/sequoiaspoke/core/mesh/outcome.py
+++ b/sequoiaspoke/core/mesh/outcome.py
@@ -35,6 +35,8 @@
     ----------
     nested : bool
         Whether an upstream sends it while it runs another call.
+    upload_seconds : float
+        Seconds from the first byte of its head until it was complete.
     """
 
     method: str
@@ -42,6 +44,7 @@
     headers: Headers
     body: bytes
     nested: bool = False
+    upload_seconds: float = 0.0
 
     def header(self, name: str) -> str:
         """Return the value of a header, empty if missing."""
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -327,12 +327,14 @@
 
     def request(self, body: bytes) -> Request:
         """Return the request whose head is complete."""
+        assert self.request_started is not None
         return Request(
             self.method.decode("ascii"),
             self.target.decode("latin-1"),
             tuple(self.headers),
             body,
             self.nested,
+            clock.now() - self.request_started,
         )
 
     def on_message_complete(self) -> None:
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -139,8 +139,12 @@
         return HdrHistogram(1, 3_600_000, 2)
 
     async def handle(self, request: Request) -> Answer:
-        """Return the final answer to a call."""
+        """Return the final answer to a call.
+
+        Its time counts from the first byte that its caller has sent.
+        """
         arrived = clock.now()
+        began = arrived - request.upload_seconds
         table = self.state.table
         if table is None:
             return self.refuse(request, "no-configuration", RETRY_AFTER_SECONDS)
@@ -148,7 +152,8 @@
         if route is None:
             return self.no_route(request)
         service = self.splitter.choose(route.name, route.split, "")
-        left = self.time_left(request, route)
+        deadline = began + self.time_left(request, route)
+        left = deadline - arrived
         if left <= 0:
             return self.refuse(request, "no-time", RETRY_AFTER_SECONDS)
         if self.would_outlast_node(route, arrived, left):
@@ -163,8 +168,8 @@
             self.forwarded(request),
             route,
             service,
-            self.answer_due(arrived + left),
-            arrived + route.objective,
+            self.answer_due(deadline),
+            began + route.objective,
             may_withdraw=table.has_large_bodies,
         )
         quarantine = self.attempts.quarantine_seconds(progress)
