--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -44,6 +44,8 @@
 # Largest accepted answer. Answers are buffered whole, so that a truncated one is
 # detected before its first byte goes to the caller.
 MAX_ANSWER_BYTES = 8 << 20
+# Outcome of a call whose answer is larger.
+TOO_LARGE = "answer-too-large"
 # Bytes accepted besides bodies: of the head, of interim answers and of chunk lines; and
 # further ones for each byte of a body, as a server may send it in chunks of a byte.
 MAX_HEAD_BYTES, FRAMING_PER_BYTE = 64 << 10, 8
@@ -238,10 +240,10 @@
     def expect_body(self, size: int) -> None:
         """Wait until a body of known size has room; reject one that never has."""
         if self.body_bytes + size > self.max_body:
-            self.reject("answer-too-large")
+            self.reject(TOO_LARGE)
         elif self.room is not None and self.awaited:
             if not self.room.possible(size):
-                self.reject("answer-too-large")
+                self.reject(TOO_LARGE)
             elif not self.room.request(self, size, self.resume_reading):
                 self.transport.pause_reading()
 
@@ -257,7 +259,7 @@
         if self.closed:
             return
         if self.body_bytes > self.max_body:
-            self.reject("answer-too-large")
+            self.reject(TOO_LARGE)
         elif not self.has_room():
             self.reject("answer-without-room")
         else:
