End a process as usual when it is told to stop while it starts

A node that finds it pending when its handlers stand ends at once, before it listens. A first form raised SystemExit in a handler; it hung once in nine runs of the tests, as the exception can be dropped where the interpreter is at that moment, and is not kept.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -247,8 +247,11 @@
         loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(signal.SIGINT, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload_settings)
-        # A program may block it until now, as it ends a process without a handler.
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        if signal.SIGTERM in signal.sigpending():
+            # A program may block it until now.
+            self.log.event("stopped-early", node=self.settings.node)
+            return
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP, signal.SIGTERM})
         self.listen()
         self.log.event(
             "start",
--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -5,6 +5,7 @@
 EVENTS = {
     "start": "the process has started to serve calls",
     "stop": "the process was told to stop and finishes its calls",
+    "stopped-early": "the process was told to stop before it served, and ends",
     "end": "the process ends, after a stop or because of an invalid setting",
     "reload": "the settings were reloaded",
     "setting-kept": "a setting differs in the file and needs a restart",
