Take an answer that changes the protocol for a malformed one

An upstream or a store that answers 101 raised an error of the parser that nothing caught: the event loop logged a traceback and dropped the connection, and the call ended as connection-lost. The call now ends as answer-malformed, with 502 to its caller as before. The test of it, which asked for any unknown outcome, now asks for that reason; it failed before and passes.

--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -177,7 +177,8 @@
         self.bytes_received += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            # No request asks for an upgrade, so that none may be granted.
             self.reject("answer-malformed")
             return
         framing = self.bytes_received - self.body_bytes
--- a/sequoiaspoke/tests/test_answer_cuts.py
+++ b/sequoiaspoke/tests/test_answer_cuts.py
@@ -118,8 +118,9 @@
             self.assertIsInstance(outcome, Unknown)
 
     def test_an_unasked_change_of_the_protocol_is_no_answer(self):
+        # It was an error of the program, and ended the connection only by that.
         text = b"HTTP/1.1 101 Switching\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n\r\n"
-        self.assertIsInstance(self.outcome(text, reset=False), Unknown)
+        self.assertEqual(self.outcome(text, reset=False), Unknown("answer-malformed"))
 
 
 class NodeCutAnswerTests(CutCase):
