End the task of a link that is cancelled as it is woken or connected

The platform kills such a process.

Cause: `asyncio.wait_for` of Python 3.11 drops a cancellation that comes in the turn in which its result is ready. The end of a process cancels all tasks and waits for them; a link that was woken, or connected, in that turn went on for good, and the event loop with it.

Change: the pause uses `asyncio.timeout`, which drops no cancellation; after the dial, whose connection must not get lost in a timeout, the cancellation is looked for.

Measured: the two tests of this commit failed before and pass.

--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -289,7 +289,8 @@
                 continue
             self.wake.clear()
             try:
-                await asyncio.wait_for(self.wake.wait(), pause)
+                async with asyncio.timeout(pause):
+                    await self.wake.wait()
                 await asyncio.sleep(0.02)
             except TimeoutError:
                 pause = min(2 * pause, REDIAL_MAX)
@@ -310,6 +311,10 @@
             refused = isinstance(error, ConnectionRefusedError)
             self.mark_unreachable("refused" if refused else type(error).__name__)
             return "unreachable"
+        if asyncio.current_task().cancelling():
+            # `wait_for` drops a cancellation that comes together with its result.
+            self.stream.close()
+            raise asyncio.CancelledError
         self.active_links.add(self)
         dialled = clock.now()
         identity = self.identity
--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -9,7 +9,7 @@
 from sequoiaspoke.core.mesh.model import Incarnation
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.frames import Dialer, TcpDialer
+from sequoiaspoke.sidecar.frames import Dialer, FrameStream, TcpDialer
 from sequoiaspoke.sidecar.gossip import Gossip
 from sequoiaspoke.sidecar.home import CANCEL_SECONDS, Home
 from sequoiaspoke.sidecar.homecall import HomeCall
@@ -377,3 +377,69 @@
         # 0.4 s, was over, although the node had said that it is there.
         self.assertTrue(self.redialled_after(hello=True) < 0.05)
         self.assertTrue(self.redialled_after(hello=False) > 0.05)
+
+
+class CancelledLinkTests(TestCase):
+    """The end of a process cancels the tasks of its links and waits for them."""
+
+    def ends(self, dial, cancel):
+        """Return whether the task of a link ends that is cancelled."""
+
+        class ScriptedDialer(Dialer):
+            async def dial(self, host, port):
+                return await dial()
+
+        async def run():
+            log = EventLog("x-request-id")
+            log.allowed = lambda kind: False
+            identity = LinkIdentity("10.0.0.1", "akaki", 99)
+            link = LinkClient(
+                ("10.0.0.2", 1), identity, NoGossip(), log, ScriptedDialer()
+            )
+            link.persistent = True
+            link.open()
+            await asyncio.sleep(0.01)
+            await cancel(link)
+            done, _ = await asyncio.wait({link.run_task}, timeout=1.0)
+            link.closed = True
+            link.run_task.cancel()
+            return bool(done)
+
+        return asyncio.run(run())
+
+    def test_a_link_that_is_woken_and_cancelled_ends(self):
+        # The cancellation was dropped, and the process went on until it was killed.
+        async def refuse():
+            raise ConnectionRefusedError
+
+        async def cancel(link):
+            link.wake.set()
+            await asyncio.sleep(0)
+            link.run_task.cancel()
+
+        self.assertTrue(self.ends(refuse, cancel))
+
+    def test_a_link_that_is_connected_and_cancelled_ends(self):
+        async def cancel(link):
+            self.connected.set_result(SilentStream())
+            await asyncio.sleep(0)
+            link.run_task.cancel()
+
+        async def dial():
+            self.connected = asyncio.get_running_loop().create_future()
+            return await self.connected
+
+        self.assertTrue(self.ends(dial, cancel))
+
+
+class SilentStream(FrameStream):
+    """A connection on which nothing comes."""
+
+    def send(self, frame):
+        """Drop a frame."""
+
+    async def read(self, on_frame):
+        await asyncio.Event().wait()
+
+    def close(self):
+        self.closed = True
