Give both sides of HTTP one allowance for chunk lines

Cause: found by reading the change again; the bound on requests without end brought a second constant of the same name, value and meaning as the one for answers. Change: it stands in `httptext` for both; a doc comment names what is checked now. No bound changes.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -21,7 +21,12 @@
 from sequoiaspoke.core.mesh.outcome import Request, find_header
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
-from sequoiaspoke.sidecar.httptext import CONTINUE, encode_answer, local_answer
+from sequoiaspoke.sidecar.httptext import (
+    CONTINUE,
+    FRAMING_PER_BYTE,
+    encode_answer,
+    local_answer,
+)
 from sequoiaspoke.sidecar.sockets import Connection, ConnectionServer
 
 if TYPE_CHECKING:
@@ -40,9 +45,6 @@
 # Size of the unread answers at which a connection is closed: a caller that does not
 # read would fill this node's memory.
 MAX_UNREAD_BYTES = 16 << 20
-# Bytes accepted of a request besides its body, beyond those of its head, for each byte
-# of the body: a caller may send it in chunks of a byte.
-FRAMING_PER_BYTE = 8
 # Bytes that a caller may send after the last answer before its connection is closed.
 MAX_DISCARDED_BYTES = 16 << 20
 # Seconds after the last answer of a connection in which the caller may close it. They
@@ -183,7 +185,7 @@
         self.pending.clear()
 
     def parse(self, data: bytes) -> None:
-        """Feed data to the parser and check the size of an incomplete head."""
+        """Feed data to the parser, and check the size of what is no body."""
         self.chunk_body_bytes = 0
         self.boundary_in_chunk = False
         try:
--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -26,7 +26,7 @@
 )
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.answerlog import AnswerSource
-from sequoiaspoke.sidecar.httptext import BODILESS_STATUSES
+from sequoiaspoke.sidecar.httptext import BODILESS_STATUSES, FRAMING_PER_BYTE
 from sequoiaspoke.sidecar.sockets import (
     USER_TIMEOUT_MS,
     Connection,
@@ -46,9 +46,9 @@
 MAX_ANSWER_BYTES = 8 << 20
 # Outcome of a call whose answer is larger.
 TOO_LARGE = "answer-too-large"
-# Bytes accepted besides bodies: of the head, of interim answers and of chunk lines; and
-# further ones for each byte of a body, as a server may send it in chunks of a byte.
-MAX_HEAD_BYTES, FRAMING_PER_BYTE = 64 << 10, 8
+# Bytes accepted besides bodies, of the head, of interim answers and of chunk lines,
+# beyond FRAMING_PER_BYTE.
+MAX_HEAD_BYTES = 64 << 10
 # Seconds for which an idle connection is reused if the server's Keep-Alive header names
 # no timeout, and the margin taken off a timeout for clock error and transit.
 IDLE_SECONDS, IDLE_MARGIN = 3.0, 1.0
