Log stalls, and bytes that were not read before a close

Callers saw requests without an answer, and no line told a request that came while the process waited for its processor from one that crossed the close, nor how late a decision was made. `stall` names the wait, `input-dropped` the bytes in the kernel as a connection without calls is closed, and `end` the seconds since the input ended. The kernel is asked only at such a close (FIONREAD).

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -49,6 +49,9 @@
 CALLERS_TICK_SECONDS = 0.5
 # If more seconds than this pass between two ticks, the VM was paused.
 PAUSE_SECONDS = 1.0
+# Delay of a tick, in seconds, from which it is logged: less than a fifth of a second
+# does not show in what callers see.
+STALL_SECONDS = 0.2
 # Fraction of the time within which a version must be in force. A node whose state was
 # not confirmed for longer refuses calls without a route in place of answering 404.
 NO_ROUTE_AGE_FRACTION = 0.75
@@ -311,6 +314,8 @@
             # What was read before the pause may be out of date.
             self.follower.store.reconnect()
         self.loop_delay = max(0.0, now - self.ticked_at - self.tick_interval)
+        if STALL_SECONDS < self.loop_delay <= PAUSE_SECONDS:
+            self.log.event("stall", seconds=f"{self.loop_delay:.3f}")
         self.ticked_at = now
         self.home.tick(now)
         self.state.tick(now)
--- a/sequoiaspoke/sidecar/bodypolicy.py
+++ b/sequoiaspoke/sidecar/bodypolicy.py
@@ -40,6 +40,10 @@
     def call_cut(self, request: Request) -> None:
         """Take note that a call ends without an answer although its caller waits."""
 
+    @abstractmethod
+    def input_dropped(self, reason: str, size: int) -> None:
+        """Take note that a connection is closed with received bytes not read yet."""
+
 
 class ReadAllBodies(BodyPolicy):
     """Refuses only bodies that do not fit."""
@@ -60,3 +64,6 @@
 
     def call_cut(self, request: Request) -> None:
         """Do nothing."""
+
+    def input_dropped(self, reason: str, size: int) -> None:
+        """Do nothing."""
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -51,6 +51,8 @@
 # start again with each part of a refused body that the caller still sends, up to the
 # second value in total.
 CLOSE_TIMEOUT, MAX_CLOSE_SECONDS = 1.0, 5.0
+# Why a connection without calls is closed.
+IDLE, ENDING = "idle", "ending"
 
 
 class Exchange:
@@ -450,8 +452,15 @@
         if self.pending:
             self.pending[-1].keep_alive = False
         else:
+            self.report_dropped_input(ENDING)
             self.half_close()
 
+    def report_dropped_input(self, reason: str) -> None:
+        """Report bytes that have come unread to a connection that is closed."""
+        size = self.waiting_bytes()
+        if size:
+            self.server.policy.input_dropped(reason, size)
+
     def half_close(self) -> None:
         """Close the sending side and keep reading for a while before closing.
 
@@ -498,6 +507,7 @@
             if now - self.request_started > self.limits.header_timeout:
                 self.refuse(408, "headers took too long")
         elif self.stalled(now):
+            self.report_dropped_input(IDLE)
             self.close()
 
 
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -64,6 +64,8 @@
 LOST_CALLER = "lost-caller"
 # Reason counted when a call is cancelled whose caller waits for an answer.
 CUT = "cut"
+# Reason counted when a connection is closed with received bytes that were not read.
+INPUT_DROPPED = "input-dropped"
 # Seconds before its deadline at which a call is withdrawn: time for the message and
 # the outcome to pass a busy home and link, and for the answer to reach the caller.
 WITHDRAW_SECONDS, MAX_WITHDRAW_SECONDS = 0.06, 0.1
@@ -228,6 +230,11 @@
         self.reasons[CUT] += 1
         self.log.call("call-cut", request)
 
+    def input_dropped(self, reason: str, size: int) -> None:
+        """Count and log a connection that is closed with bytes not read yet."""
+        self.reasons[INPUT_DROPPED] += 1
+        self.log.event("input-dropped", reason=reason, bytes=size)
+
     async def serve_until_deadline(self, progress: Progress) -> Answer:
         """Serve a call; raise TimeoutError at its deadline."""
         timer = self.deadlines.call_at(progress.deadline, progress.expire)
--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -48,6 +48,8 @@
         Ends the input on time, also between two ticks.
     input_ended : asyncio.Event
         Set once no further request is read.
+    input_ended_at : float
+        When that was.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self.leaves_at = self.exits_at = inf
         self.timers = Deadlines()
         self.input_ended = asyncio.Event()
+        self.input_ended_at = inf
 
     def begin(self, leave_after: float, drain: float) -> None:
         """Begin to stop, and stay reachable while callers move away.
@@ -116,6 +119,7 @@
     def end_input(self) -> None:
         """Read no further requests."""
         if not self.input_ended.is_set():
+            self.input_ended_at = clock.now()
             self.callers.end_input()
             self.input_ended.set()
 
@@ -139,6 +143,7 @@
             "end",
             node=node,
             waited=f"{now - self.began_at:.3f}",
+            input_ended=f"{now - self.input_ended_at:.3f}",
             last_request=f"{now - self.callers.last_request_at:.3f}",
             connections=len(self.callers.connections),
             calls=self.callers.unanswered,
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -9,7 +9,10 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
+import sys
+import termios
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Any
 
@@ -23,6 +26,8 @@
 KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES = 1, 1, 1
 # Milliseconds within which a peer that reads at once must acknowledge what it is sent.
 USER_TIMEOUT_MS = 2000
+# Bytes of the answer to `FIONREAD`, a C int.
+INT_SIZE = 4
 # Connections that may wait to be accepted. Callers reconnect all at once after this
 # node restarts, and one that does not fit is retried only after a second.
 BACKLOG = 1024
@@ -139,6 +144,10 @@
         """Return how many bytes are buffered for a peer that does not read."""
         return 0 if self.closed else self.transport.get_write_buffer_size()
 
+    def waiting_bytes(self) -> int:
+        """Return how many received bytes the event loop has not read yet."""
+        return 0 if self.closed else count_waiting_bytes(self.socket.fileno())
+
     def close(self) -> None:
         """Close the connection at once and drop unsent bytes."""
         if not self.closed:
@@ -208,3 +217,16 @@
     buffer may be full, although the peer answers the probes that are sent meanwhile.
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
+def count_waiting_bytes(descriptor: int) -> int:
+    """Return how many received bytes of a socket wait in the kernel.
+
+    Returns 0 where the kernel does not tell.
+    """
+    try:
+        answer = fcntl.ioctl(descriptor, termios.FIONREAD, INT_SIZE * b"\0")
+    except (OSError, ValueError):
+        # The transport has closed the socket already, and its descriptor is -1.
+        return 0
+    return int.from_bytes(answer, sys.byteorder)
--- a/sequoiaspoke/tests/test_callerserver.py
+++ b/sequoiaspoke/tests/test_callerserver.py
@@ -216,3 +216,22 @@
             self.assertTrue((await reader.read()).startswith(b"HTTP/1.1 431"))
 
         self.play(scenario)
+
+
+class DroppedInputTests(CallerServerTestCase):
+    def test_a_close_with_bytes_that_were_not_read_is_reported(self):
+        # Nothing told a request that came while the process waited from one that
+        # crossed the close.
+        async def scenario(reader, writer):
+            reported = []
+            self.server.policy.input_dropped = lambda *what: reported.append(what)
+            await self.until(lambda: self.server.connections)
+            (connection,) = self.server.connections
+            writer.get_extra_info("socket").send(b"GET")
+            connection.report_dropped_input("idle")
+            self.assertEqual(reported, [("idle", 3)])
+            connection.close()
+            connection.report_dropped_input("idle")
+            self.assertEqual(len(reported), 1)
+
+        self.play(scenario)
