Answer a request whose task has ended without an answer

What callers saw: nothing that is known for certain. Users report requests that were accepted and got no answer; a call that is cancelled while its caller waits would look like this. Its connection then neither answers nor closes, and no request behind it is answered either.

Cause: the connection left it to the task of a request to set its answer, and re-raised a cancellation. A task that was cancelled before its first step, or that raised an error which is no Exception, left no answer as well. Nothing is known to cancel such a task but the end of the event loop: the only future that a call awaits is that of its race, which nothing cancels, and no timeout scope is entered by its task.

Change: the callback at the end of the task answers what is unanswered, 503 with Retry-After if the task never started, as nothing was passed on then, otherwise 502. The answers behind it are sent as usual, and nothing is sent to a caller that has left. Calls that are cancelled with the event loop are answered too.

Six of the seven new tests failed before; the seventh states what must stay.

--- a/sequoiaspoke/sidecar/bodypolicy.py
+++ b/sequoiaspoke/sidecar/bodypolicy.py
@@ -38,7 +38,7 @@
 
     @abstractmethod
     def call_cut(self, request: Request) -> None:
-        """Take note that a call ends without an answer although its caller waits."""
+        """Take note that a call was cut off although its caller waits."""
 
 
 class ReadAllBodies(BodyPolicy):
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -12,6 +12,7 @@
 import asyncio
 from collections import deque
 from errno import errorcode
+from functools import partial
 from typing import TYPE_CHECKING
 
 import httptools
@@ -51,6 +52,9 @@
 # start again with each part of a refused body that the caller still sends, up to the
 # second value in total.
 CLOSE_TIMEOUT, MAX_CLOSE_SECONDS = 1.0, 5.0
+# Reason of the answer to a call whose task has ended without one, and its Retry-After
+# in seconds if the call was not started: the time for this process to restart.
+CUT, CUT_RETRY_AFTER = "cut", 1.0
 
 
 class Exchange:
@@ -62,6 +66,8 @@
         Whether the connection stays open after the answer.
     head_only : bool
         Whether the answer is sent without its body.
+    started : bool
+        Whether the request may have been passed on.
     answer_bytes : int
         Bytes reserved for an answer that waits for its turn.
     """
@@ -69,6 +75,7 @@
     def __init__(self, keep_alive: bool, head_only: bool = False) -> None:
         self.keep_alive = keep_alive
         self.head_only = head_only
+        self.started = False
         self.task: asyncio.Task[None] | None = None
         self.answer: Answer | None = None
         self.answer_bytes = 0
@@ -358,7 +365,9 @@
         reserved, self.reserved = self.reserved, 0
         exchange.task = asyncio.ensure_future(self.serve(exchange, request))
         # In a callback, because a task cancelled before its start runs no code at all.
-        exchange.task.add_done_callback(lambda _: self.server.memory.release(reserved))
+        exchange.task.add_done_callback(
+            partial(self.task_ended, exchange, request, reserved)
+        )
 
     # Answers.
 
@@ -381,16 +390,39 @@
 
     async def serve(self, exchange: Exchange, request: Request) -> None:
         """Call the handler and send its answer."""
+        exchange.started = True
         try:
-            exchange.answer = await self.server.handle(request)
-        except asyncio.CancelledError:
-            if not self.closed:
-                self.server.policy.call_cut(request)
-            raise
+            answer = await self.server.handle(request)
         except Exception as error:
             # An error in one call must not affect the others.
             self.server.on_crash(error)
-            exchange.answer = local_answer(502, "internal error")
+            answer = local_answer(502, "internal error")
+        self.send_answer(exchange, answer)
+
+    def task_ended(
+        self,
+        exchange: Exchange,
+        request: Request,
+        reserved: int,
+        task: asyncio.Task[None],
+    ) -> None:
+        """Release the body of a request; answer it if its task has not done so."""
+        self.server.memory.release(reserved)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self.server.on_crash(error)
+        if exchange.answer is not None or self.closed:
+            return
+        self.server.policy.call_cut(request)
+        if exchange.started:
+            answer = local_answer(502, CUT)
+        else:
+            answer = local_answer(503, CUT, CUT_RETRY_AFTER)
+        self.send_answer(exchange, answer)
+
+    def send_answer(self, exchange: Exchange, answer: Answer) -> None:
+        """Send an answer once those to the requests before it have been sent."""
+        exchange.answer = answer
         self.flush()
         if exchange in self.pending:
             exchange.answer_bytes = len(exchange.answer.body)
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -31,6 +31,7 @@
     MEMORY_RETRY_AFTER,
     BodyPolicy,
 )
+from sequoiaspoke.sidecar.callerserver import CUT
 from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.httptext import end_to_end, local_answer
 from sequoiaspoke.sidecar.race import RETRYABLE_STATUSES, Progress
@@ -62,8 +63,6 @@
 SLOW_CALLER = "slow-caller"
 # Reason counted when the kernel ends a connection with unread answers or for a timeout.
 LOST_CALLER = "lost-caller"
-# Reason counted when a call is cancelled whose caller waits for an answer.
-CUT = "cut"
 # Seconds before its deadline at which a call is withdrawn: time for the message and
 # the outcome to pass a busy home and link, and for the answer to reach the caller.
 WITHDRAW_SECONDS, MAX_WITHDRAW_SECONDS = 0.06, 0.1
@@ -224,7 +223,7 @@
         self.log.event("caller-lost", error=error, calls=calls, unread=unread)
 
     def call_cut(self, request: Request) -> None:
-        """Count and log a call that ended without an answer to its caller."""
+        """Count and log a call that was cut off while its caller waits."""
         self.reasons[CUT] += 1
         self.log.call("call-cut", request)
 
--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -53,7 +53,7 @@
     "call-refused": "a call was refused with a Retry-After header; it has not run",
     "caller-closed": "a caller did not read its answers, and its connection was closed",
     "caller-lost": "a caller's connection ended by an error, with answers on their way",
-    "call-cut": "a call was cancelled by this node although its caller waits",
+    "call-cut": "a call was cut off although its caller waits; it is answered",
     "call-failed": "a call failed and may have run",
     "no-route": "a call was answered 404: the version in force has no route for it",
     "home-refused": "the home, the node beside the upstream, refused a call",
--- a/sequoiaspoke/tests/test_callerserver.py
+++ b/sequoiaspoke/tests/test_callerserver.py
@@ -76,6 +76,128 @@
             await asyncio.sleep(0.002)
 
 
+class Unforeseen(BaseException):
+    """An error that is no Exception, as raised by an interpreter that shuts down."""
+
+
+class EndedTaskTests(CallerServerTestCase):
+    """A request whose task has ended in whatever way is answered.
+
+    Otherwise its connection would neither answer nor close, nor would any request
+    behind it be answered.
+    """
+
+    async def send_three(self, writer):
+        for target in (b"/a", b"/b", b"/c"):
+            writer.write(b"GET " + target + b" HTTP/1.1\r\nHost: x\r\n\r\n")
+        await self.until(lambda: len(self.handler.begun) == 3)
+        (connection,) = self.server.connections
+        return connection
+
+    async def read_answer(self, reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        _, _, length = head.partition("content-length: ")
+        body = await reader.readexactly(int(length.partition("\r\n")[0]))
+        return int(head.split()[1]), head, body
+
+    def test_a_call_that_is_cancelled_while_its_caller_waits_gets_502(self):
+        # The task of the first request was cancelled: the connection stayed open, and
+        # none of its requests was ever answered.
+        async def scenario(reader, writer):
+            connection = await self.send_three(writer)
+            connection.pending[0].task.cancel()
+            self.assertEqual((await self.read_answer(reader))[0], 502)
+            self.handler.gate.set()
+            for target in (b"/b", b"/c"):
+                status, _, body = await self.read_answer(reader)
+                self.assertEqual((status, body), (200, target))
+
+        self.play(scenario)
+
+    def test_the_answer_to_a_cancelled_call_waits_for_its_turn(self):
+        # Answers are told apart by their order only.
+        async def scenario(reader, writer):
+            connection = await self.send_three(writer)
+            connection.pending[1].task.cancel()
+            await self.until(lambda: self.handler.cancelled)
+            self.handler.gate.set()
+            statuses = [(await self.read_answer(reader))[0] for _ in range(3)]
+            self.assertEqual(statuses, [200, 502, 200])
+            self.assertEqual(self.memory.held, 0)
+
+        self.play(scenario)
+
+    def test_a_call_that_is_cancelled_before_it_started_gets_503(self):
+        # Nothing was passed on, so that the caller may send it again.
+        async def scenario(reader, writer):
+            writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+            await self.until(lambda: self.handler.begun)
+            (connection,) = self.server.connections
+            connection.data_received(b"GET /b HTTP/1.1\r\nHost: x\r\n\r\n")
+            connection.pending[1].task.cancel()
+            self.handler.gate.set()
+            self.assertEqual((await self.read_answer(reader))[0], 200)
+            status, head, _ = await self.read_answer(reader)
+            self.assertEqual(status, 503)
+            self.assertIn("retry-after:", head)
+            self.assertEqual(len(self.handler.begun), 1)
+
+        self.play(scenario)
+
+    def test_a_call_that_ends_with_an_unforeseen_error_gets_502(self):
+        # Only errors of the class Exception were answered.
+        async def fail(request):
+            raise Unforeseen
+
+        async def scenario(reader, writer):
+            self.server.handle = fail
+            writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+            self.assertEqual((await self.read_answer(reader))[0], 502)
+            self.assertIsInstance(self.crashes.pop(), Unforeseen)
+
+        self.play(scenario)
+
+    def test_a_cancelled_call_of_a_stopping_node_closes_its_connection(self):
+        # The connection stayed open until the process was killed.
+        async def scenario(reader, writer):
+            connection = await self.send_three(writer)
+            self.server.end_input()
+            self.handler.gate.set()
+            connection.pending[2].task.cancel()
+            seen = await reader.read()
+            self.assertEqual(seen.count(b"HTTP/1.1 200"), 2)
+            self.assertEqual(seen.count(b"HTTP/1.1 502"), 1)
+
+        self.play(scenario)
+
+    def test_nothing_is_sent_to_a_caller_that_has_left(self):
+        # Its calls are cancelled because it has left.
+        async def scenario(reader, writer):
+            connection = await self.send_three(writer)
+            written = []
+            connection.write = written.append
+            writer.close()
+            await self.until(lambda: len(self.handler.cancelled) == 3)
+            await asyncio.sleep(0.01)
+            self.assertEqual(written, [])
+
+        self.play(scenario)
+
+    def test_calls_that_the_end_of_the_process_cancels_are_answered(self):
+        # Their connections were closed without an answer. The event loop ends once the
+        # tasks that it has cancelled are done.
+        async def scenario(reader, writer):
+            await self.send_three(writer)
+            tasks = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for _ in range(3):
+                self.assertEqual((await self.read_answer(reader))[0], 502)
+
+        self.play(scenario)
+
+
 class CallerServerTests(CallerServerTestCase):
     def test_the_body_of_a_caller_that_disconnects_at_once_is_released(self):
         # A caller sends an order and disconnects before its task has started. Its body
