Read the sockets before a node's call times out

What callers saw: an answer that had arrived in time was replaced by 504 if the process did not run for some tenths of a second around the deadline. An answer in parts was cut off for want of progress although the rest had come, a keyed call was told that its upstream still runs it, a connection that had opened counted as failed, and a document of the platform as overdue.

Cause: the event loop runs a due timer in the iteration in which it reads the sockets again, before the tasks that wait for what was read. The timer cancels them.

Change: a timer that concludes something from silence runs only after some further iterations of the event loop, and starts them over if the process does not run meanwhile, a few times at most. `sequoiaspoke/polling.py` belongs to no part of the program, as the node imports nothing from the sidecar; `node/silence.py` is its use with Tornado, which passes on what it has read in more iterations. A call whose deadline has passed by the time its connection has opened is not sent: it would run although its caller was told that it did not.

--- a/sequoiaspoke/node/client.py
+++ b/sequoiaspoke/node/client.py
@@ -26,6 +26,7 @@
     DeadlineUnknownError,
     TruncatedAnswerError,
 )
+from sequoiaspoke.node import silence
 from sequoiaspoke.node.pipe import BodyPipe
 from sequoiaspoke.node.resolver import NumericResolver
 
@@ -167,7 +168,7 @@
                 return stream
             stream.close()
         try:
-            async with asyncio.timeout(self.limits.connect):
+            async with silence.timeout(self.limits.connect):
                 stream = await self.tcp.connect(
                     self.address.host,
                     self.address.port,
@@ -222,13 +223,16 @@
             The call failed after that.
         """
         try:
-            async with asyncio.timeout_at(deadline):
+            async with silence.timeout_at(deadline):
                 stream = await self.acquire()
         except TimeoutError as error:
             raise DeadlineNotRunError(f"connecting to {self.address}") from error
+        if asyncio.get_running_loop().time() >= deadline:
+            self.release(stream)
+            raise DeadlineNotRunError(f"connected to {self.address} too late")
         exchange = Exchange(self, stream, start_line, headers, body)
         try:
-            async with asyncio.timeout_at(deadline):
+            async with silence.timeout_at(deadline):
                 return await exchange.run()
         except TimeoutError as error:
             raise DeadlineUnknownError(f"waiting for {self.address}") from error
--- a/sequoiaspoke/node/keyedhome.py
+++ b/sequoiaspoke/node/keyedhome.py
@@ -31,6 +31,7 @@
     WrongHomeError,
 )
 from sequoiaspoke.node import headers as names
+from sequoiaspoke.node import silence
 from sequoiaspoke.node.keyedrun import (
     KeyRun,
     fingerprint,
@@ -260,7 +261,7 @@
     ) -> Answer:
         """Wait for a run's answer until this call's deadline."""
         try:
-            async with asyncio.timeout_at(call.deadline):
+            async with silence.timeout_at(call.deadline):
                 kept = await asyncio.shield(key_run.done)
         except TimeoutError:
             key_run.first_caller_gone = key_run.first_caller_gone or not joined
--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -22,6 +22,7 @@
 
 from sequoiaspoke.errors import BadRequestError, CallError, ConnectionLostError
 from sequoiaspoke.node import headers as names
+from sequoiaspoke.node import silence
 from sequoiaspoke.node.pipe import BodyPipe
 
 if TYPE_CHECKING:
@@ -112,7 +113,7 @@
             # node twice for a short answer and add latency to the hop.
             await self.write_head(answer.status, headers, answer.body.take_ready())
             while True:
-                async with asyncio.timeout(idle):
+                async with silence.timeout(idle):
                     chunk = await answer.body.get()
                     if not chunk:
                         break
--- /dev/null
+++ b/sequoiaspoke/node/silence.py
@@ -0,0 +1,22 @@
+"""Conclusions of a node from silence, drawn only after the sockets have been read."""
+
+from __future__ import annotations
+
+import asyncio
+
+from sequoiaspoke.polling import PolledTimeout
+
+# Iterations of the event loop for which reading goes on. What Tornado has read passes
+# through several callbacks and tasks, each in an iteration of its own, until a call is
+# counted or an answer has reached its caller.
+ITERATIONS = 16
+
+
+def timeout(seconds: float) -> PolledTimeout:
+    """Return a context like `asyncio.timeout` that first reads the sockets."""
+    return PolledTimeout(seconds, ITERATIONS)
+
+
+def timeout_at(when: float) -> PolledTimeout:
+    """Return a context like `asyncio.timeout_at` that first reads the sockets."""
+    return timeout(when - asyncio.get_running_loop().time())
--- a/sequoiaspoke/node/watchall.py
+++ b/sequoiaspoke/node/watchall.py
@@ -23,6 +23,7 @@
     VMS_DOCUMENT,
 )
 from sequoiaspoke.errors import CallError, DocumentError, PlatformError
+from sequoiaspoke.node import silence
 from sequoiaspoke.node.client import Address, Pool
 from sequoiaspoke.node.config import ConfigSource, SourceStatus
 
@@ -145,7 +146,7 @@
         answer = await self.pool.call(start_line, headers, None, deadline)
         try:
             chunks = []
-            async with asyncio.timeout(self.settings.timeout):
+            async with silence.timeout(self.settings.timeout):
                 while chunk := await answer.body.get():
                     chunks.append(chunk)
         except TimeoutError as error:
