Read an idle connection before a node closes it

What callers saw: a whole request was dropped, and its connection closed, if the process did not run for some tenths of a second while the connection's idle timeout ran out.

Cause: Tornado's server limits the time until a head has been read with a timer of the event loop. It closes the connection in the iteration in which the request is read from the socket, before the task that waits for it runs.

Change: the node closes idle connections itself, after all sockets were read, and Tornado's limit is off. The time is counted as before, from the end of the previous request to the end of the head.

--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from math import inf
 from typing import TYPE_CHECKING
 
 from loguru import logger as log
@@ -163,6 +164,8 @@
     ----------
     draining : bool
         Whether connections are closed after the next answer.
+    readers : dict of object to CallReader
+        Reader of the current or next request of each connection.
     input_ended : bool
         Whether connections are closed in place of serving another call.
     """
@@ -174,6 +177,8 @@
         tls: ssl.SSLContext | None = None,
     ) -> None:
         self.handler = handler
+        self.keepalive = limits.keepalive
+        self.readers: dict[object, CallReader] = {}
         self.in_flight = 0
         self.crashed = 0
         self.draining = self.input_ended = False
@@ -184,20 +189,25 @@
             max_body_size=limits.body_bytes,
             chunk_size=limits.chunk_bytes,
             max_buffer_size=4 * limits.chunk_bytes + limits.head_bytes,
-            idle_connection_timeout=limits.keepalive,
+            # Tornado would close idle connections without having read them.
+            idle_connection_timeout=inf,
             ssl_options=tls,
         )
 
     def start_request(
         self,
-        server_conn: object,  # noqa: ARG002
+        server_conn: object,
         request_conn: HTTP1Connection,
     ) -> HTTPMessageDelegate:
         """Return the reader of a new request; called by Tornado."""
-        return CallReader(self, request_conn)
+        reader = self.readers[server_conn] = CallReader(self, request_conn)
+        return reader
 
     def on_close(self, server_conn: object) -> None:
-        """Ignore the end of a connection; called by Tornado."""
+        """Forget a connection that has ended; called by Tornado."""
+        reader = self.readers.pop(server_conn, None)
+        if reader is not None:
+            reader.idle_timer.cancel()
 
     async def wait_idle(self) -> None:
         """Wait until no call is in flight."""
@@ -218,11 +228,18 @@
 
 
 class CallReader(HTTPMessageDelegate):
-    """Reader of one request, which runs the handler while the body arrives."""
+    """Reader of one request, which runs the handler while the body arrives.
+
+    Attributes
+    ----------
+    idle_timer : PolledTimer
+        Closes the connection unless the head of the request is read before.
+    """
 
     def __init__(self, server: CallServer, connection: HTTP1Connection) -> None:
         self.server = server
         self.connection = connection
+        self.idle_timer = silence.call_after(server.keepalive, connection.close)
         self.body: BodyPipe | None = None
         self.task: asyncio.Task[None] | None = None
 
@@ -231,6 +248,7 @@
     ) -> None:
         """Start the handler once the request's head is read; called by Tornado."""
         assert isinstance(start_line, RequestStartLine)
+        self.idle_timer.cancel()
         if self.server.input_ended:
             self.connection.close()
             return
--- a/sequoiaspoke/node/silence.py
+++ b/sequoiaspoke/node/silence.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
-from sequoiaspoke.polling import PolledTimeout
+from sequoiaspoke.polling import PolledTimeout, PolledTimer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 # Iterations of the event loop for which reading goes on. What Tornado has read passes
 # through several callbacks and tasks, each in an iteration of its own, until a call is
@@ -12,6 +16,11 @@
 ITERATIONS = 16
 
 
+def call_after(seconds: float, callback: Callable[[], None]) -> PolledTimer:
+    """Schedule a callback after a delay, once the sockets have been read."""
+    return PolledTimer(seconds, callback, ITERATIONS)
+
+
 def timeout(seconds: float) -> PolledTimeout:
     """Return a context like `asyncio.timeout` that first reads the sockets."""
     return PolledTimeout(seconds, ITERATIONS)
--- a/sequoiaspoke/tests/test_node_silence.py
+++ b/sequoiaspoke/tests/test_node_silence.py
@@ -20,7 +20,7 @@
 from sequoiaspoke.node.server import CallHandler, CallServer
 from sequoiaspoke.node.watchall import PlatformWatch
 from sequoiaspoke.settings.schema import LimitSettings, PlatformSettings, Settings
-from sequoiaspoke.tests.loopback import WAIT, LoopbackTestCase, until
+from sequoiaspoke.tests.loopback import WAIT, LoopbackTestCase, status, until
 
 LIMIT = 0.2  # seconds of the timers in these tests
 HOLD = 0.25  # seconds for which the event loop is blocked
@@ -78,12 +78,22 @@
             answer.close()
 
 
+class CountingServer(CallServer):
+    """A server that counts how often a connection waits for a request."""
+
+    waits = 0
+
+    def start_request(self, server_conn, request_conn):
+        self.waits += 1
+        return super().start_request(server_conn, request_conn)
+
+
 class HeldServerTests(TestCase):
     def play(self, scenario, limits):
         async def run():
             self.upstream = PlainServer()
             pool = Pool(self.upstream.address, LimitSettings())
-            self.server = CallServer(RelayHandler(pool), limits)
+            self.server = CountingServer(RelayHandler(pool), limits)
             (listening,) = bind_sockets(0, "127.0.0.1")
             self.server.server.add_sockets([listening])
             try:
@@ -97,6 +107,38 @@
 
         asyncio.run(run())
 
+    def test_a_request_that_came_in_a_hold_is_served_on_an_idle_connection(self):
+        # The connection was closed as idle, and the request dropped with it.
+        async def scenario(caller):
+            await until(lambda: self.server.waits)
+            await asyncio.sleep(0)
+            caller.sendall(REQUEST)
+            time.sleep(HOLD)
+            upstream = await self.upstream.accept()
+            upstream.sendall(HEAD + b"body")
+            self.assertEqual(200, status(await receive(caller)))
+
+        self.play(scenario, LimitSettings(keepalive=LIMIT))
+
+    def test_a_connection_that_stays_idle_is_closed(self):
+        async def scenario(caller):
+            self.assertEqual(b"", await receive(caller))
+
+        self.play(scenario, LimitSettings(keepalive=LIMIT))
+
+    def test_a_connection_that_was_used_is_idle_from_its_answer(self):
+        # A timer that is not set again would leave it open for good.
+        async def scenario(caller):
+            caller.sendall(REQUEST)
+            upstream = await self.upstream.accept()
+            await asyncio.sleep(2 * LIMIT)
+            upstream.sendall(HEAD + b"body")
+            self.assertEqual(200, status(await receive(caller)))
+            await until(lambda: self.server.waits == 2)
+            self.assertEqual(b"", await receive(caller))
+
+        self.play(scenario, LimitSettings(keepalive=LIMIT))
+
     def test_an_answer_is_relayed_whose_rest_came_in_a_hold(self):
         # It was cut off for want of progress although it was complete.
         async def scenario(caller):
