Read the sockets before a stopping node closes its connections

What callers saw: a whole request on a kept connection got no answer if it came while a stopping node was held up, or with the step in which its last call ended. Connections that waited to be accepted were reset when a listener closed, among them those of other nodes with retries of keys that ran here.

Cause: the stop decided on the number of calls in flight. A request that waits in a socket is none of them.

Change: the sockets are read before a listener closes, and the stop ends once no call is in flight after a further read, in the same step.

--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -12,6 +12,7 @@
 
 from sequoiaspoke import __version__
 from sequoiaspoke.errors import AddressInUseError
+from sequoiaspoke.node import silence
 from sequoiaspoke.node.admin import admin_server
 from sequoiaspoke.node.entry import Entry
 from sequoiaspoke.node.home import Home, HomeHandler
@@ -126,14 +127,15 @@
         log.info("node-draining", in_flight=self.in_flight())
         await asyncio.sleep(self.settings.node.drain)
         await self.grants.wait_until_returned(self.settings.node.grace)
+        # Connections that are not accepted before the listener closes are reset.
+        await silence.read_sockets()
         self.callers.server.stop()
         try:
-            async with asyncio.timeout(self.settings.node.grace):
+            async with silence.timeout(self.settings.node.grace):
                 await self.keyed.linger()
+                await silence.read_sockets()
                 self.mesh.server.stop()
-                while self.in_flight():
-                    await self.callers.wait_idle()
-                    await self.mesh.wait_idle()
+                await self.wait_idle()
         except TimeoutError:
             log.warning("grace-over", in_flight=self.in_flight())
         # In the same step: a call that began later would be cut off.
@@ -150,6 +152,14 @@
         self.metrics.close()
         log.info("node-stopped", node=self.settings.node.name)
 
+    async def wait_idle(self) -> None:
+        """Wait until no call is in flight, nor waits in a socket to be read."""
+        await silence.read_sockets()
+        while self.in_flight():
+            await self.callers.wait_idle()
+            await self.mesh.wait_idle()
+            await silence.read_sockets()
+
     def in_flight(self) -> int:
         """Return the number of calls in flight."""
         return self.callers.in_flight + self.mesh.in_flight
--- a/sequoiaspoke/node/silence.py
+++ b/sequoiaspoke/node/silence.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.polling import PolledTimeout, PolledTimer
+from sequoiaspoke.polling import PolledCall, PolledTimeout, PolledTimer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,6 +16,11 @@
 ITERATIONS = 16
 
 
+def call(callback: Callable[[], None]) -> PolledCall:
+    """Run a callback once the sockets have been read."""
+    return PolledCall(callback, ITERATIONS)
+
+
 def call_after(seconds: float, callback: Callable[[], None]) -> PolledTimer:
     """Schedule a callback after a delay, once the sockets have been read."""
     return PolledTimer(seconds, callback, ITERATIONS)
@@ -29,3 +34,13 @@
 def timeout_at(when: float) -> PolledTimeout:
     """Return a context like `asyncio.timeout_at` that first reads the sockets."""
     return timeout(when - asyncio.get_running_loop().time())
+
+
+async def read_sockets() -> None:
+    """Wait until all that had arrived before has been read."""
+    read = asyncio.get_running_loop().create_future()
+    reading = call(lambda: read.done() or read.set_result(None))
+    try:
+        await read
+    finally:
+        reading.cancel()
--- a/sequoiaspoke/tests/test_node_silence.py
+++ b/sequoiaspoke/tests/test_node_silence.py
@@ -282,3 +282,86 @@
                 self.assertFalse(key_run.first_caller_gone)
 
         self.run_with(test)
+
+
+class HeldStopTests(LoopbackTestCase):
+    """Guards against a stop that drops requests which it has not read.
+
+    A stopping node ends once no call is in flight. A request in a socket is none yet.
+    """
+
+    async def stop(self, deployment, hold):
+        """Stop a node and return what a kept connection to it receives."""
+        node = deployment.sites[0].node
+        with socket.create_connection(("127.0.0.1", node.ports["call"])) as caller:
+            caller.sendall(REQUEST)
+            self.assertEqual(200, status(await receive(caller)))
+            stopping = asyncio.ensure_future(node.stop())
+            await hold(node, caller)
+            seen = await receive(caller)
+            await stopping
+        return seen
+
+    def test_a_request_that_came_in_a_hold_is_answered(self):
+        async def test(deployment):
+            async def hold(node, caller):
+                await until(lambda: node.draining)
+                caller.sendall(REQUEST)
+                time.sleep(HOLD)
+
+            seen = await self.stop(deployment, hold)
+            self.assertIn(status(seen), (200, 503), seen)
+
+        self.run_with(test)
+
+    def test_a_request_that_came_while_the_last_call_ended_is_answered(self):
+        async def test(deployment):
+            async def hold(node, caller):
+                # The step in which the last call ends.
+                node.callers.in_flight += 1
+                await until(lambda: node.callers.idle_callbacks)
+                caller.sendall(REQUEST)
+                node.callers.call_ended()
+
+            seen = await self.stop(deployment, hold)
+            self.assertIn(status(seen), (200, 503), seen)
+
+        self.run_with(test)
+
+    def test_a_connection_in_the_backlog_is_answered(self):
+        # Closing the listener resets the connections that it has not accepted.
+        async def test(deployment):
+            node = deployment.sites[0].node
+            callers = []
+
+            async def returned(seconds):
+                address = ("127.0.0.1", node.ports["call"])
+                callers.append(socket.create_connection(address))
+                callers[0].sendall(REQUEST)
+
+            node.grants.wait_until_returned = returned
+            await node.stop()
+            with callers[0] as caller:
+                seen = await receive(caller)
+            self.assertIn(status(seen), (200, 503), seen)
+
+        self.run_with(test)
+
+    def test_a_retry_in_the_backlog_of_other_nodes_is_answered(self):
+        # Only this node knows the answers to the keys that have run here.
+        async def test(deployment):
+            node = deployment.sites[0].node
+            others = []
+
+            async def linger():
+                address = ("127.0.0.1", node.ports["mesh"])
+                others.append(socket.create_connection(address))
+                others[0].sendall(REQUEST)
+
+            node.keyed.linger = linger
+            await node.stop()
+            with others[0] as other:
+                # No node sends it in this form; any answer shows that it was read.
+                self.assertEqual(400, status(await receive(other)))
+
+        self.run_with(test)
