Read the sockets before overdue reads and links of the spread end

What users would see: a read of the platform whose answer had arrived was cancelled as overdue if the node did not run for a while, so that the version came into force later. No request of a caller is lost by this.

Cause: the periodic check of what is overdue ran before the tasks that wait for what was read.

Change: the check runs once the sockets have been read. It does the same for links to other nodes, whose messages were passed on before the check already unless the process stood still between two iterations.

--- a/sequoiaspoke/node/spreadloop.py
+++ b/sequoiaspoke/node/spreadloop.py
@@ -14,6 +14,7 @@
 from sequoiaspoke.core.spread.core import SpreadCore
 from sequoiaspoke.core.spread.state import Identity
 from sequoiaspoke.errors import PlatformError
+from sequoiaspoke.node import silence
 from sequoiaspoke.node.config import ConfigSource, SourceStatus
 from sequoiaspoke.node.peerlink import LinkListener, PeerLinks
 from sequoiaspoke.node.platformclient import (
@@ -57,7 +58,7 @@
         self.links = PeerLinks(self)
         self.platform = PlatformClient(settings.platform)
         self.reads: dict[int, asyncio.Task[None]] = {}
-        self.ticker = PeriodicCallback(self.tick, TICK_SECONDS * 1000)
+        self.ticker = PeriodicCallback(self.read_and_tick, TICK_SECONDS * 1000)
         self.action_handlers: dict[type, Callable[[Any], None]] = {
             events.ReadPlatform: self.read,
             events.CancelRead: self.cancel,
@@ -110,9 +111,14 @@
         self.platform.close()
         await self.links.close()
 
+    def read_and_tick(self) -> None:
+        """Let the core act on timers that are due, once all messages were read."""
+        silence.call(self.tick)
+
     def tick(self) -> None:
         """Let the core act on timers that are due."""
-        self.execute(self.core.tick(now()))
+        if not self.stopped:
+            self.execute(self.core.tick(now()))
 
     def handle_event(self, event: Event) -> None:
         """Pass an event to the core and execute the resulting actions."""
--- a/sequoiaspoke/tests/test_node_silence.py
+++ b/sequoiaspoke/tests/test_node_silence.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 import socket
 import time
 from types import SimpleNamespace
@@ -14,10 +15,13 @@
 from tornado.netutil import bind_sockets
 
 from sequoiaspoke.core.idempotency.calls import KeptAnswer
+from sequoiaspoke.core.spread.events import CancelRead
+from sequoiaspoke.core.spread.settings import SpreadSettings
 from sequoiaspoke.errors import DeadlineNotRunError, DeadlineUnknownError
 from sequoiaspoke.node.client import Address, Pool
 from sequoiaspoke.node.keyedrun import KeyRun
 from sequoiaspoke.node.server import CallHandler, CallServer
+from sequoiaspoke.node.spreadloop import TICK_SECONDS, SpreadSource
 from sequoiaspoke.node.watchall import PlatformWatch
 from sequoiaspoke.settings.schema import LimitSettings, PlatformSettings, Settings
 from sequoiaspoke.tests.loopback import WAIT, LoopbackTestCase, status, until
@@ -284,6 +288,38 @@
         self.run_with(test)
 
 
+class HeldSourceTests(TestCase):
+    def test_a_document_that_came_in_a_hold_is_in_time(self):
+        # Its read was cancelled as overdue, and the version came into force later.
+        async def run():
+            platform = PlainServer()
+            url = f"http://127.0.0.1:{platform.address.port}"
+            settings = Settings(
+                platform=PlatformSettings(url=url),
+                spread=SpreadSettings(exchange=LIMIT),
+            )
+            source = SpreadSource(settings, random.Random(1))
+            cancelled, events = [], []
+            source.action_handlers[CancelRead] = cancelled.append
+            handle = source.core.handle
+
+            def note(event, now):
+                events.append(event)
+                return handle(event, now)
+
+            source.core.handle = note
+            await source.start()
+            sock = await platform.accept()
+            sock.sendall(HEAD.replace(b"OK", b"OK\r\nRevision: 7") + b"body")
+            time.sleep(LIMIT + TICK_SECONDS)
+            await until(lambda: cancelled or events)
+            self.assertEqual(([], [7]), (cancelled, [each.revision for each in events]))
+            await source.stop()
+            platform.close()
+
+        asyncio.run(run())
+
+
 class HeldStopTests(LoopbackTestCase):
     """Guards against a stop that drops requests which it has not read.
 
