Replace an answer that cannot be encoded by a failure

What callers would see: no answer to their request, and the answer to the next one on the connection in its place. Seen by reading only, while looking for requests whose tasks end without an answer: no peer is known to send such a header, as what is read from sockets can be written again.

Cause: an answer was taken off the queue before it was encoded, and an error ended the task of whichever request had caused the queue to be sent.

Change: the caller gets 502, in its turn. The test failed before.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -434,10 +434,9 @@
             exchange = self.pending.popleft()
             last = not self.pending
             close = not exchange.keep_alive or (last and self.server.closing)
-            assert exchange.answer is not None
             self.last_active = clock.now()
             self.server.memory.release(exchange.answer_bytes)
-            for part in encode_answer(exchange.answer, close, exchange.head_only):
+            for part in self.encode(exchange, close):
                 self.write(part)
             if close:
                 self.input_ended = True
@@ -451,6 +450,17 @@
         if len(self.pending) < MAX_PIPELINED:
             self.resume_reading()
 
+    def encode(self, exchange: Exchange, close: bool) -> tuple[bytes, ...]:
+        """Return the bytes of an answer, or of a failure if it has no valid form."""
+        assert exchange.answer is not None
+        try:
+            return encode_answer(exchange.answer, close, exchange.head_only)
+        except ValueError as error:
+            # The next answer would be taken for one that is left out.
+            self.server.on_crash(error)
+            failure = local_answer(502, "internal error")
+            return encode_answer(failure, close, exchange.head_only)
+
     def resume_reading(self) -> None:
         """Read on if that was paused."""
         if self.reading_paused and not self.closed:
--- a/sequoiaspoke/tests/test_callerserver.py
+++ b/sequoiaspoke/tests/test_callerserver.py
@@ -157,6 +157,22 @@
 
         self.play(scenario)
 
+    def test_an_answer_that_cannot_be_sent_is_replaced_by_502(self):
+        # It was dropped, and the next answer on the connection taken for it.
+        async def handle(request):
+            headers = (("X", "\u2603"),) if request.target == "/a" else ()
+            return Answer(200, headers, request.target.encode())
+
+        async def scenario(reader, writer):
+            self.server.handle = handle
+            for target in (b"/a", b"/b"):
+                writer.write(b"GET " + target + b" HTTP/1.1\r\nHost: x\r\n\r\n")
+            self.assertEqual((await self.read_answer(reader))[0], 502)
+            self.assertEqual((await self.read_answer(reader))[2], b"/b")
+            self.assertIsInstance(self.crashes.pop(), UnicodeEncodeError)
+
+        self.play(scenario)
+
     def test_a_cancelled_call_of_a_stopping_node_closes_its_connection(self):
         # The connection stayed open until the process was killed.
         async def scenario(reader, writer):
