Read the sockets before a timer of a sidecar concludes from silence

What callers saw: on a shared machine a process waits for its processor. The event loop then ran the timers that had become due before it read its sockets. A stopping node ended its input, and an idle connection was closed, with whole requests in the kernel: they got no answer, and none had been passed on. A call was answered 504 though its upstream's answer had come, a home whose answer to a ping had come was taken for silent, an open connection for unreachable.

Cause: absence of input concluded without having read. Class: every timer that concludes from silence.

Change: the heap of deadlines and the tick, from which these decisions are made, run what is due only after the sockets have been read, as do the timers of links that wait for a pong, of connects and of half-closed connections.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -11,6 +11,7 @@
 from sequoiaspoke.core.mesh.memory import MemoryAccount, memory_limit
 from sequoiaspoke.core.mesh.reading import DEFAULT_ACT_SECONDS, ReadingDuty
 from sequoiaspoke.errors import SettingsError
+from sequoiaspoke.polling import PolledCall
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.answerlog import AnswerLog
 from sequoiaspoke.sidecar.callerserver import CallerServer
@@ -280,6 +281,10 @@
             self.log.event("crash", error=repr(task.exception()))
 
     def run_ticks(self) -> None:
+        """Tick once the sockets have been read, and go on until the process stops."""
+        PolledCall(self.run_tick)
+
+    def run_tick(self) -> None:
         """Tick, and schedule the next tick until the process stops."""
         try:
             self.tick()
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -20,6 +20,7 @@
 from sequoiaspoke.core.mesh.memory import SMALL_BODY, MemoryAccount
 from sequoiaspoke.core.mesh.model import CallerLimits
 from sequoiaspoke.core.mesh.outcome import Request, find_header
+from sequoiaspoke.polling import PolledTimer
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
 from sequoiaspoke.sidecar.httptext import (
@@ -527,7 +528,7 @@
         if left <= 0:
             self.close()
         else:
-            asyncio.get_running_loop().call_later(left, self.close_if_silent, latest)
+            PolledTimer(left, partial(self.close_if_silent, latest))
 
     def stalled(self, now: float) -> bool:
         """Return whether the caller has neither sent nor read for the idle timeout.
--- a/sequoiaspoke/sidecar/deadlines.py
+++ b/sequoiaspoke/sidecar/deadlines.py
@@ -11,6 +11,7 @@
 import heapq
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.polling import PolledCall
 from sequoiaspoke.sidecar import clock
 
 if TYPE_CHECKING:
@@ -40,8 +41,13 @@
 class Deadlines:
     """Callbacks to run at times of the clock that also advances during a suspend.
 
+    A callback runs only after the sockets have been read since it was due, so that an
+    answer that waits in the kernel then cancels it.
+
     Attributes
     ----------
+    poll : PolledCall or None
+        Runs the callbacks that are due, once the sockets have been read.
     latest : float
         When the callbacks that are due beyond a limit run; infinite without one.
     beyond : float
@@ -59,6 +65,7 @@
         self.beyond = float("inf")
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = float("inf")
+        self.poll: PolledCall | None = None
         self.sweep_size = MIN_SWEEP_SIZE
 
     def call_at(self, when: float, callback: Callable[[], None]) -> Deadline:
@@ -88,8 +95,22 @@
         self.timer = asyncio.get_running_loop().call_later(delay, self.on_timer)
 
     def on_timer(self) -> None:
-        """Run the callbacks that are due when the timer fires."""
+        """Have the sockets read before the callbacks that are due."""
         self.timer, self.timer_at = None, float("inf")
+        self.drop_cancelled()
+        if self.poll is None and self.heap and self.heap[0][0] <= clock.now():
+            self.poll = PolledCall(self.on_polled)
+        elif self.heap:
+            self.arm()
+
+    def drop_cancelled(self) -> None:
+        """Remove the cancelled callbacks before the first other one."""
+        while self.heap and self.heap[0][2].callback is None:
+            heapq.heappop(self.heap)
+
+    def on_polled(self) -> None:
+        """Run the callbacks that are due now that the sockets have been read."""
+        self.poll = None
         self.run_due(clock.now())
 
     def run_due(self, now: float) -> None:
--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -24,6 +24,7 @@
     Unknown,
     find_header,
 )
+from sequoiaspoke.polling import PolledTimeout
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.answerlog import AnswerSource
 from sequoiaspoke.sidecar.httptext import BODILESS_STATUSES, FRAMING_PER_BYTE
@@ -89,7 +90,7 @@
     connecting = asyncio.get_running_loop().create_connection(
         lambda: ClientConnection(call_header, deadlines), *address
     )
-    async with asyncio.timeout(timeout):
+    async with PolledTimeout(timeout):
         _, connection = await connecting
     return connection
 
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -16,6 +16,7 @@
 from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.outcome import TIMED_OUT, NotRun, Unknown
 from sequoiaspoke.core.mesh.transfers import PART_BYTES
+from sequoiaspoke.polling import PolledTimeout
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.linkfeatures import SUPPORTED, LinkFeatures
 from sequoiaspoke.sidecar.liveness import LivenessWait
@@ -304,17 +305,12 @@
     async def run_connection(self) -> str | None:
         """Connect once and read until the link ends; return why connecting failed."""
         try:
-            self.stream = await asyncio.wait_for(
-                self.dialer.dial(*self.address), DIAL_TIMEOUT
-            )
+            async with PolledTimeout(DIAL_TIMEOUT):
+                self.stream = await self.dialer.dial(*self.address)
         except (OSError, TimeoutError) as error:
             refused = isinstance(error, ConnectionRefusedError)
             self.mark_unreachable("refused" if refused else type(error).__name__)
             return "unreachable"
-        if asyncio.current_task().cancelling():
-            # `wait_for` drops a cancellation that comes together with its result.
-            self.stream.close()
-            raise asyncio.CancelledError
         self.active_links.add(self)
         dialled = clock.now()
         identity = self.identity
--- a/sequoiaspoke/sidecar/liveness.py
+++ b/sequoiaspoke/sidecar/liveness.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.polling import PolledTimer
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -30,16 +31,14 @@
     def __init__(self, on_timeout: Callable[[list[PendingCall]], None]) -> None:
         self.on_timeout = on_timeout
         self.held: list[PendingCall] = []
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: PolledTimer | None = None
 
     def hold(self, pending: PendingCall) -> bool:
         """Hold a call; return whether the caller must ping the home."""
         self.held.append(pending)
         if self.timer is not None:
             return False
-        self.timer = asyncio.get_running_loop().call_later(
-            LIVENESS_TIMEOUT, self.time_out
-        )
+        self.timer = PolledTimer(LIVENESS_TIMEOUT, self.time_out)
         return True
 
     def release(self) -> list[PendingCall]:
