--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -431,6 +431,19 @@
 
         self.assertTrue(self.ends(dial, cancel))
 
+    def test_a_link_that_is_refused_and_cancelled_ends(self):
+        # Nodes that stop together are refused by each other while they end.
+        async def cancel(link):
+            self.connected.set_exception(ConnectionRefusedError())
+            await asyncio.sleep(0)
+            link.run_task.cancel()
+
+        async def dial():
+            self.connected = asyncio.get_running_loop().create_future()
+            return await self.connected
+
+        self.assertTrue(self.ends(dial, cancel))
+
 
 class SilentStream(FrameStream):
     """A connection on which nothing comes."""
