Count the grace from before a stall of the process

What was seen: real processes that were held (SIGSTOP) as they got SIGTERM, for 0.1 to 0.9 s, on: 11 of 12 were killed without a line `end`, six of them with 15 calls that they had passed on and that had been accepted more than three seconds after the signal.

Cause: the platform counts the grace from the signal, the process from the moment in which it learns of it. Its exit was then planned after the kill, and calls with a timeout before that exit were accepted.

Change: if the next tick is overdue when the signal is handled, or the last one was late, by 0.1 s or more, the exit is earlier by that time. The signal may have come last, and no call may be broken off before the last sixth of the grace: that bounds the change, and is a setting now, derived from the platform's. The time until which calls are accepted that may be broken off ends three seconds after the earliest moment of the signal. `stop` tells how late it came.

Four tests of `LateSignalTests` failed before; the one on the last sixth failed for a grace of one second.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -351,5 +351,10 @@
         self.apply_change()
 
     def stop(self) -> None:
-        """Begin to stop."""
-        self.shutdown.begin(self.settings.leave_after, self.settings.drain)
+        """Begin to stop.
+
+        If the process got no processor when the signal came, either the next tick is
+        overdue or the last one was late.
+        """
+        overdue = clock.now() - self.ticked_at - self.tick_interval
+        self.shutdown.begin(self.settings, max(self.loop_delay, overdue))
--- a/sequoiaspoke/sidecar/settings.py
+++ b/sequoiaspoke/sidecar/settings.py
@@ -35,6 +35,8 @@
         of this node need that long to be moved away, and the upstream still runs.
     drain : float
         Seconds after a termination signal after which the process exits at the latest.
+    break_off_after : float
+        Seconds after a termination signal before which no call is broken off.
     act_within : float
         Seconds within which a new version or the departure of an upstream takes effect.
     link_mbps : float
@@ -56,6 +58,7 @@
     health_path: str = "/ready"
     leave_after: float = 1.8
     drain: float = 5.0
+    break_off_after: float = 4.0
     act_within: float = 2.0
     link_mbps: float = 0.0
     memory_mb: float = 0.0
@@ -72,6 +75,7 @@
         "service",
         "leave_after",
         "drain",
+        "break_off_after",
         "link_mbps",
         "memory_mb",
         "repeats",
--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -15,6 +15,7 @@
     from sequoiaspoke.sidecar.home import Home
     from sequoiaspoke.sidecar.linkserver import LinkServer
     from sequoiaspoke.sidecar.logs import EventLog
+    from sequoiaspoke.sidecar.settings import SidecarSettings
 
 # Seconds for which a stopping node keeps serving without calls in progress. Callers are
 # moved away after two readiness checks, a second apart, have failed.
@@ -30,6 +31,11 @@
 # Seconds after the latest end of the input in which the answers to calls that end at
 # that moment are sent.
 LAST_ANSWERS_SECONDS = 0.02
+# Seconds after the signal until which calls are accepted that the exit may break off.
+BREAKABLE_SECONDS = 3.0
+# Delay of the event loop in seconds from which a signal counts as late. Shorter delays
+# are frequent on a busy machine.
+STALL_SECONDS = 0.1
 # Seconds between two checks whether everything that was sent has been received.
 POLL_SECONDS = 0.005
 
@@ -73,27 +79,32 @@
         self.timers = Deadlines()
         self.input_ended = asyncio.Event()
 
-    def begin(self, leave_after: float, drain: float) -> None:
+    def begin(self, settings: SidecarSettings, late: float = 0.0) -> None:
         """Begin to stop, and stay reachable while callers move away.
 
         Parameters
         ----------
-        leave_after : float
-            Seconds for which the home accepts new calls.
-        drain : float
-            Seconds after which the process exits at the latest.
+        late : float
+            Seconds for which the signal may have waited until the process ran. The exit
+            is earlier by them, unless calls would be broken off too early if it came
+            last.
         """
         if self.began_at is not None:
             return
+        if late < STALL_SECONDS:
+            late = 0.0
+        shortest = settings.break_off_after + ANSWER_MARGIN_SECONDS
+        drain = max(settings.drain - late, min(settings.drain, shortest))
+        break_off = max(drain - ANSWER_MARGIN_SECONDS, settings.break_off_after)
+        spare = min(SPARE_SECONDS, SPARE_SHARE * drain)
         self.began_at = clock.now()
-        self.leaves_at = self.began_at + leave_after
+        self.leaves_at = self.began_at + settings.leave_after
         self.exits_at = self.began_at + drain
-        spare = min(SPARE_SECONDS, SPARE_SHARE * drain)
         self.callers.closing = True
         self.entry.stop_at(
-            self.exits_at - ANSWER_MARGIN_SECONDS,
+            self.began_at + min(drain, break_off),
             self.exits_at,
-            self.began_at + LINGER_SECONDS,
+            self.began_at + min(LINGER_SECONDS, BREAKABLE_SECONDS - late),
             spare,
         )
         self.home.exits_at = self.exits_at
@@ -103,6 +114,7 @@
             running=self.home.admission.running,
             calls=len(self.home.calls),
             exit=f"{drain:.2f}",
+            late=f"{late:.2f}",
         )
 
     def tick(self, now: float) -> None:
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -36,6 +36,8 @@
 
     settings = SETTINGS
     timeout = TIMEOUT
+    # Seconds for which the process did not run before it learned of the signal.
+    held = 0.0
 
     def play(self, scenario):
         loop = VirtualLoop()
@@ -59,6 +61,7 @@
         self.sidecar.state.table = table
         self.sidecar.state.directory.put(ENDPOINT, 1, clock.now())
         self.stopped_at = clock.now()
+        self.sidecar.ticked_at -= self.held
         self.sidecar.stop()
         return await scenario()
 
@@ -70,6 +73,8 @@
 class StoppingCallCase(StoppingCase):
     """Makes calls at a node that was told to stop."""
 
+    usual, left_ms = USUAL, 5000
+
     def send_to_upstream(self, attempt):
         """Answer a call after `self.work` seconds."""
         self.sent += 1
@@ -88,9 +93,9 @@
             entry = self.sidecar.entry
             entry.attempts.usable = lambda endpoint: True
             entry.attempts.send_to_home = self.send_to_upstream
-            entry.attempts.balancer.mean_seconds[name] = USUAL
+            entry.attempts.balancer.mean_seconds[name] = self.usual
             await asyncio.sleep(after)
-            answer = await entry.handle(request(name, left=5000))
+            answer = await entry.handle(request(name, left=self.left_ms))
             return answer.status, self.elapsed(), self.sent > 0
 
         return self.play(scenario)
@@ -148,6 +153,43 @@
         self.assertAlmostEqual(elapsed, DRAIN - ANSWER_MARGIN_SECONDS, delta=0.01)
 
 
+class LateSignalTests(StoppingCallCase):
+    """The platform counts the grace from the signal, which waits for the process."""
+
+    def test_a_node_that_learns_late_of_the_signal_exits_earlier(self):
+        # It was killed before the calls that it had accepted ended at their deadline.
+        self.held, self.timeout = 0.5, 10.0
+        status, elapsed, _ = self.call(after=1.0, work=9.0)
+        self.assertEqual(status, 504)
+        exits = DRAIN - self.held
+        self.assertAlmostEqual(elapsed, exits - ANSWER_MARGIN_SECONDS, delta=0.01)
+        self.assertAlmostEqual(
+            self.sidecar.shutdown.exits_at, self.stopped_at + exits, delta=0.01
+        )
+
+    def test_no_call_is_accepted_whose_deadline_is_after_the_kill(self):
+        self.held = 0.5
+        for after in (3.1, 3.4):
+            self.assertEqual(self.call(after, work=2.0)[::2], (503, False))
+
+    def test_the_exit_breaks_off_no_call_that_is_accepted_late(self):
+        # Such a call was sent more than three seconds after the signal.
+        self.held, self.timeout = 0.8, 10.0
+        self.assertEqual(self.call(after=2.1, work=USUAL)[0], 200)
+        self.assertEqual(self.call(after=2.3, work=USUAL)[::2], (503, False))
+
+    def test_no_call_is_broken_off_too_early_if_the_signal_came_last(self):
+        self.held, self.timeout = 2.5, 10.0
+        _, elapsed, sent = self.call(after=0.3, work=9.0)
+        self.assertTrue(sent)
+        self.assertAlmostEqual(elapsed, SETTINGS.break_off_after, delta=0.01)
+
+    def test_a_short_delay_changes_nothing(self):
+        self.held, self.timeout = 0.09, 10.0
+        _, elapsed, _ = self.call(after=1.0, work=9.0)
+        self.assertAlmostEqual(elapsed, DRAIN - ANSWER_MARGIN_SECONDS, delta=0.01)
+
+
 class QueuedCallTests(StoppingCase):
     def submit(self, name, left):
         call = HomeCall(
