--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -15,7 +15,11 @@
 from sequoiaspoke.sidecar.app import Sidecar
 from sequoiaspoke.sidecar.homecall import HomeCall
 from sequoiaspoke.sidecar.settings import SidecarSettings
-from sequoiaspoke.sidecar.shutdown import ANSWER_MARGIN_SECONDS, LINGER_SECONDS
+from sequoiaspoke.sidecar.shutdown import (
+    ANSWER_MARGIN_SECONDS,
+    LINGER_SECONDS,
+    SPARE_SHARE,
+)
 from sequoiaspoke.tests.meshsim import VirtualLoop
 from sequoiaspoke.tests.test_sidecar_entry import NoItems, request, route
 from sequoiaspoke.tests.test_sidecar_home import ENDPOINT, BlockingUpstream
@@ -32,6 +36,8 @@
 
     settings = SETTINGS
     timeout = TIMEOUT
+    # Seconds for which the process did not run before it learned of the signal.
+    held = 0.0
 
     def play(self, scenario):
         loop = VirtualLoop()
@@ -55,6 +61,7 @@
         self.sidecar.state.table = table
         self.sidecar.state.directory.put(ENDPOINT, 1, clock.now())
         self.stopped_at = clock.now()
+        self.sidecar.ticked_at -= self.held
         self.sidecar.stop()
         return await scenario()
 
@@ -66,6 +73,8 @@
 class StoppingCallCase(StoppingCase):
     """Makes calls at a node that was told to stop."""
 
+    usual, left_ms = USUAL, 5000
+
     def send_to_upstream(self, attempt):
         """Answer a call after `self.work` seconds."""
         self.sent += 1
@@ -84,9 +93,9 @@
             entry = self.sidecar.entry
             entry.attempts.usable = lambda endpoint: True
             entry.attempts.send_to_home = self.send_to_upstream
-            entry.attempts.balancer.mean_seconds[name] = USUAL
+            entry.attempts.balancer.mean_seconds[name] = self.usual
             await asyncio.sleep(after)
-            answer = await entry.handle(request(name, left=5000))
+            answer = await entry.handle(request(name, left=self.left_ms))
             return answer.status, self.elapsed(), self.sent > 0
 
         return self.play(scenario)
@@ -120,6 +129,15 @@
                 self.assertEqual(status, expected, (after, work))
                 self.assertAlmostEqual(elapsed, after + min(work, TIMEOUT), delta=0.01)
 
+    def test_a_call_that_may_end_just_before_the_exit_is_refused(self):
+        # A process whose processor comes late then was killed with the calls that it
+        # had accepted.
+        self.timeout = 1.0
+        for after in (4.5, 4.8):
+            status, _, sent = self.call(after, work=0.2)
+            self.assertEqual((status, sent), (503, False))
+        self.assertEqual(self.call(after=4.3, work=0.2)[0], 200)
+
     def test_callers_that_are_moved_away_are_served_meanwhile(self):
         # Refused for their timeout, all calls of routes with long ones would fail until
         # the platform has noticed that the node stops.
@@ -135,6 +153,43 @@
         self.assertAlmostEqual(elapsed, DRAIN - ANSWER_MARGIN_SECONDS, delta=0.01)
 
 
+class LateSignalTests(StoppingCallCase):
+    """The platform counts the grace from the signal, which waits for the process."""
+
+    def test_a_node_that_learns_late_of_the_signal_exits_earlier(self):
+        # It was killed before the calls that it had accepted ended at their deadline.
+        self.held, self.timeout = 0.5, 10.0
+        status, elapsed, _ = self.call(after=1.0, work=9.0)
+        self.assertEqual(status, 504)
+        exits = DRAIN - self.held
+        self.assertAlmostEqual(elapsed, exits - ANSWER_MARGIN_SECONDS, delta=0.01)
+        self.assertAlmostEqual(
+            self.sidecar.shutdown.exits_at, self.stopped_at + exits, delta=0.01
+        )
+
+    def test_no_call_is_accepted_whose_deadline_is_after_the_kill(self):
+        self.held = 0.5
+        for after in (3.1, 3.4):
+            self.assertEqual(self.call(after, work=2.0)[::2], (503, False))
+
+    def test_the_exit_breaks_off_no_call_that_is_accepted_late(self):
+        # Such a call was sent more than three seconds after the signal.
+        self.held, self.timeout = 0.8, 10.0
+        self.assertEqual(self.call(after=2.1, work=USUAL)[0], 200)
+        self.assertEqual(self.call(after=2.3, work=USUAL)[::2], (503, False))
+
+    def test_no_call_is_broken_off_too_early_if_the_signal_came_last(self):
+        self.held, self.timeout = 2.5, 10.0
+        _, elapsed, sent = self.call(after=0.3, work=9.0)
+        self.assertTrue(sent)
+        self.assertAlmostEqual(elapsed, SETTINGS.break_off_after, delta=0.01)
+
+    def test_a_short_delay_changes_nothing(self):
+        self.held, self.timeout = 0.09, 10.0
+        _, elapsed, _ = self.call(after=1.0, work=9.0)
+        self.assertAlmostEqual(elapsed, DRAIN - ANSWER_MARGIN_SECONDS, delta=0.01)
+
+
 class QueuedCallTests(StoppingCase):
     def submit(self, name, left):
         call = HomeCall(
@@ -191,6 +246,33 @@
 
 
 class ExitTimeTests(StoppingCase):
+    def test_the_input_ends_some_time_before_the_exit(self):
+        # Requests that came while the process got no processor were unread when it was
+        # killed.
+        async def scenario():
+            self.sidecar.home.calls["runs"] = None
+            self.sidecar.run_ticks()
+            await self.sidecar.shutdown.input_ended.wait()
+            ended = self.elapsed()
+            await self.sidecar.shutdown.finish()
+            return ended, self.elapsed()
+
+        ended, exited = self.play(scenario)
+        self.assertAlmostEqual(ended, DRAIN - SPARE_SHARE * DRAIN, delta=0.01)
+        self.assertTrue(DRAIN <= exited <= DRAIN + 0.03)
+
+    def test_a_node_without_calls_in_progress_exits_once_the_input_has_ended(self):
+        async def scenario():
+            self.sidecar.home.calls["runs"] = None
+            self.sidecar.run_ticks()
+            await self.sidecar.shutdown.input_ended.wait()
+            await asyncio.sleep(0.1)
+            self.sidecar.home.calls.clear()
+            await self.sidecar.shutdown.finish()
+            return self.elapsed()
+
+        self.assertTrue(self.play(scenario) < DRAIN - 0.3)
+
     def test_a_node_exits_after_its_last_outcomes_have_left(self):
         # A home ended once no call was in progress; the outcome of the last one was
         # still in the buffer of a slow link, and the order's caller was told 502.
