Accept no call beyond the earliest kill after a long stall

Cause: the exit cannot be earlier by more than 0.75 s, as calls may not be broken off too early if the signal came last. New calls were accepted by that exit.

Change: after callers have been moved away, calls are accepted by the earliest moment at which the process may be killed. Calls in progress are treated as before.

The test failed before.

--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -86,8 +86,8 @@
         When the calls that would outlast this process are answered; infinite until it
         is told to stop.
     exits_at : float
-        When this process exits at the latest. Calls with a deadline before it end at
-        their deadline.
+        When this process exits, or may be killed, at the latest. Calls with a deadline
+        before it end at their deadline.
     callers_moved_at : float
         Until when callers that are moved to other nodes still send calls here.
     spare : float
@@ -351,8 +351,9 @@
         left : float
             Seconds until the final answer is due.
         """
-        deadline, latest = now + left, max(self.closes_at, self.exits_at)
         moved = now > self.callers_moved_at
+        latest = self.exits_at if moved else max(self.closes_at, self.exits_at)
+        deadline = now + left
         if deadline <= (latest - self.spare if moved else latest):
             return False
         if moved and deadline > latest:
--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -95,7 +95,7 @@
         late : float
             Seconds for which the signal may have waited until the process ran. The exit
             is earlier by them, unless calls would be broken off too early if it came
-            last.
+            last. New calls have to fit in any case.
         """
         if self.began_at is not None:
             return
@@ -111,7 +111,7 @@
         self.callers.closing = True
         self.entry.stop_at(
             self.began_at + min(drain, break_off),
-            self.exits_at,
+            self.began_at + settings.drain - late,
             self.began_at + min(LINGER_SECONDS, BREAKABLE_SECONDS - late),
             spare,
         )
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -172,6 +172,12 @@
         for after in (3.1, 3.4):
             self.assertEqual(self.call(after, work=2.0)[::2], (503, False))
 
+    def test_after_a_long_delay_calls_have_to_end_before_the_earliest_kill(self):
+        # The exit was planned later than that, as no call may be broken off too early.
+        self.held = 2.0
+        self.assertEqual(self.call(after=0.5, work=2.0)[0], 200)
+        self.assertEqual(self.call(after=1.5, work=2.0)[::2], (503, False))
+
     def test_the_exit_breaks_off_no_call_that_is_accepted_late(self):
         # Such a call was sent more than three seconds after the signal.
         self.held, self.timeout = 0.8, 10.0
