Try no call again after its deadline

Cause: the timers of the entry and of the upstream are due at the same time. Where the upstream's fires first, its outcome came before the call was marked as expired, and a retry without time left was sent, and charged to the budget.

Change: a call whose deadline has passed is ending, whichever timer fires first. The test failed before (502 after a second attempt).

--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -9,6 +9,7 @@
 
 from sequoiaspoke.core.mesh.admission import FOR_WANT_OF_ROOM, RefusalReason
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
+from sequoiaspoke.sidecar import clock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -98,7 +99,7 @@
     @property
     def ending(self) -> bool:
         """Return whether no further attempt is made for want of time."""
-        return self.withdrawn or self.expired
+        return self.withdrawn or self.expired or clock.now() >= self.deadline
 
     @property
     def may_have_run(self) -> bool:
--- a/sequoiaspoke/tests/test_sidecar_entry.py
+++ b/sequoiaspoke/tests/test_sidecar_entry.py
@@ -136,6 +136,19 @@
         answer = self.play({"a": Unknown(TIMED_OUT)}, "order")
         self.assertEqual(answer.status, 504)
 
+    def test_a_read_is_not_tried_again_after_its_deadline(self):
+        # The timer of the upstream fired before that of the call, and the caller got
+        # 502 for a retry without time in place of 504.
+        steady, send = clock.now, ScriptedAttempts.send_to_home
+
+        def send_late(attempts, attempt):
+            send(attempts, attempt)
+            self.patch(clock, "now", lambda: steady() + 5.0)
+
+        self.patch(ScriptedAttempts, "send_to_home", send_late)
+        answer = self.play({"a": Unknown(TIMED_OUT), "b": NotRun("no-time")}, "read")
+        self.assertEqual((answer.status, self.entry.attempts.sent), (504, ("a",)))
+
     def test_a_read_that_may_have_run_is_not_reported_as_not_run(self):
         # The first attempt was lost and the second refused. Reported as not run, the
         # first one's run would be missing from the caller's count of runs.
