Answer what would outlast a node half a second before its exit

What callers saw: a process that was held from 5.70 to 6.05 s after SIGTERM, and killed at 6.00 s, took finished answers with it that waited behind a long call on their connection.

Change: calls that would outlast the process are answered when its input ends, half a second before the exit, no longer 0.2 s before it, and as before never in the first five sixths of the grace. What this costs are answers that would have come in these 0.3 s, to calls that were accepted over 2.8 s before.

Three tests that state this moment by the clock have the new one; they failed on the code before.

--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -20,13 +20,14 @@
 # Seconds for which a stopping node keeps serving without calls in progress. Callers are
 # moved away after two readiness checks, a second apart, have failed.
 LINGER_SECONDS = 2.6
-# Seconds before its exit at which a stopping node answers all calls that would outlast
-# it. There may be hundreds, and a VM whose share of a core is used up stands still for
-# a tenth of a second.
+# Shortest time before its exit, in seconds, at which a stopping node answers all calls
+# that would outlast it. There may be hundreds, and a VM whose share of a core is used
+# up stands still for a tenth of a second.
 ANSWER_MARGIN_SECONDS = 0.2
-# Time before its latest exit by which a stopping node expects to have ended, in seconds
-# and as a share of the time until the exit. A process that gets its processor late just
-# before the exit is killed with the calls that it still has.
+# Time before its latest exit by which a stopping node expects to have ended and answers
+# what would outlast it, in seconds and as a share of the time until the exit. A process
+# that gets its processor late just before the exit is killed with the calls that it
+# still has.
 SPARE_SECONDS, SPARE_SHARE = 0.5, 1 / 12
 # Seconds after the latest end of the input in which the answers to calls that end at
 # that moment are sent.
@@ -106,8 +107,9 @@
             late = 0.0
         shortest = settings.break_off_after + ANSWER_MARGIN_SECONDS
         drain = max(settings.drain - late, min(settings.drain, shortest))
-        break_off = max(drain - ANSWER_MARGIN_SECONDS, settings.break_off_after)
         spare = min(SPARE_SECONDS, SPARE_SHARE * drain)
+        margin = max(spare, ANSWER_MARGIN_SECONDS)
+        break_off = max(drain - margin, settings.break_off_after)
         self.began_at = clock.now()
         self.leaves_at = self.began_at + settings.leave_after
         self.exits_at = self.began_at + drain
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -15,11 +15,7 @@
 from sequoiaspoke.sidecar.app import Sidecar
 from sequoiaspoke.sidecar.homecall import HomeCall
 from sequoiaspoke.sidecar.settings import SidecarSettings
-from sequoiaspoke.sidecar.shutdown import (
-    ANSWER_MARGIN_SECONDS,
-    LINGER_SECONDS,
-    SPARE_SHARE,
-)
+from sequoiaspoke.sidecar.shutdown import LINGER_SECONDS, SPARE_SHARE
 from sequoiaspoke.tests.meshsim import VirtualLoop
 from sequoiaspoke.tests.test_sidecar_entry import NoItems, request, route
 from sequoiaspoke.tests.test_sidecar_home import ENDPOINT, BlockingUpstream
@@ -146,11 +142,12 @@
             self.assertEqual(status, 200, tenths)
 
     def test_a_call_that_outlasts_the_node_is_answered_before_its_exit(self):
-        # Hundreds may end at that moment, and their answers take some time to be sent.
+        # A process that was held just before its exit was killed with finished answers
+        # that waited behind such a call on their connection.
         self.timeout = 10.0
         status, elapsed, _ = self.call(after=1.0, work=9.0)
         self.assertEqual(status, 504)
-        self.assertAlmostEqual(elapsed, DRAIN - ANSWER_MARGIN_SECONDS, delta=0.01)
+        self.assertAlmostEqual(elapsed, DRAIN - SPARE_SHARE * DRAIN, delta=0.01)
 
 
 class LateSignalTests(StoppingCallCase):
@@ -162,7 +159,7 @@
         status, elapsed, _ = self.call(after=1.0, work=9.0)
         self.assertEqual(status, 504)
         exits = DRAIN - self.held
-        self.assertAlmostEqual(elapsed, exits - ANSWER_MARGIN_SECONDS, delta=0.01)
+        self.assertAlmostEqual(elapsed, exits - SPARE_SHARE * exits, delta=0.01)
         self.assertAlmostEqual(
             self.sidecar.shutdown.exits_at, self.stopped_at + exits, delta=0.01
         )
@@ -193,7 +190,7 @@
     def test_a_short_delay_changes_nothing(self):
         self.held, self.timeout = 0.09, 10.0
         _, elapsed, _ = self.call(after=1.0, work=9.0)
-        self.assertAlmostEqual(elapsed, DRAIN - ANSWER_MARGIN_SECONDS, delta=0.01)
+        self.assertAlmostEqual(elapsed, DRAIN - SPARE_SHARE * DRAIN, delta=0.01)
 
 
 class QueuedCallTests(StoppingCase):
