Keep a connection whose bytes wait in the kernel

What callers saw: a connection was closed as idle, or as the input of a node ended, though the kernel told that bytes of it were waiting: they may have come while the process did not run after the last read.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -54,7 +54,7 @@
 # second value in total.
 CLOSE_TIMEOUT, MAX_CLOSE_SECONDS = 1.0, 5.0
 # Why a connection without calls is closed.
-IDLE, ENDING = "idle", "ending"
+ENDING = "ending"
 # Reason of the answer to a call whose task has ended without one, and its Retry-After
 # in seconds if the call was not started: the time for this process to restart.
 CUT, CUT_RETRY_AFTER = "cut", 1.0
@@ -549,8 +549,7 @@
         if self.request_started is not None and not self.head_complete:
             if now - self.request_started > self.limits.header_timeout:
                 self.refuse(408, "headers took too long")
-        elif self.stalled(now):
-            self.report_dropped_input(IDLE)
+        elif self.stalled(now) and not self.waiting_bytes():
             self.close()
 
 
@@ -646,9 +645,15 @@
             connection.tick(now)
 
     def busy(self) -> bool:
-        """Return whether a caller sends a request, or has not got its answer yet."""
-        return any(
-            connection.pending or connection.reading or connection.unsent_bytes()
+        """Return whether a caller sends a request, or has not got its answer yet.
+
+        A request may have arrived since the sockets were read.
+        """
+        return self.has_backlog() or any(
+            connection.pending
+            or connection.reading
+            or connection.unsent_bytes()
+            or (connection.waiting_bytes() and not connection.input_ended)
             for connection in self.connections
         )
 
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import fcntl
+import select
 import socket
 import sys
 import termios
@@ -191,6 +192,17 @@
         )
         self.servers.append(server)
 
+    def has_backlog(self) -> bool:
+        """Return whether a connection waits to be accepted.
+
+        The event loop accepts only one in each iteration.
+        """
+        poll = select.poll()
+        for listener in self.listeners:
+            if listener.fileno() >= 0:
+                poll.register(listener, select.POLLIN)
+        return bool(poll.poll(0))
+
     def stop(self) -> None:
         """Accept no more connections; open ones are not closed."""
         for task in self.accept_tasks:
