--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import signal
+from math import inf
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.answerroom import AnswerRoom
@@ -152,6 +153,8 @@
         )
         self.ended = False
         self.ticked_at = clock.now()
+        # When the timer of the next tick fired; infinite if it has not.
+        self.polled_at = inf
         self.loop_delay = 0.0
         self.tick_interval = 0.0
         self.callers_ticked_at = 0.0
@@ -282,6 +285,7 @@
 
     def run_ticks(self) -> None:
         """Tick once the sockets have been read, and go on until the process stops."""
+        self.polled_at = clock.now()
         PolledCall(self.run_tick)
 
     def run_tick(self) -> None:
@@ -310,15 +314,18 @@
     def tick(self) -> None:
         """Run the periodic work of all parts."""
         now = clock.now()
-        if now - self.ticked_at > PAUSE_SECONDS:
-            self.log.event("pause", seconds=f"{now - self.ticked_at:.2f}")
+        # Reading the sockets takes several iterations, which may be long.
+        due, self.polled_at = min(now, self.polled_at), inf
+        longest = max(due - self.ticked_at, now - due)
+        if longest > PAUSE_SECONDS:
+            self.log.event("pause", seconds=f"{longest:.2f}")
             self.entry.vm_resumed(now)
             self.upstream.deadlines.vm_resumed(now)
             self.home.overdue_timer.deadlines.vm_resumed(now)
             self.shutdown.timers.vm_resumed(now)
             # What was read before the pause may be out of date.
             self.follower.store.reconnect()
-        self.loop_delay = max(0.0, now - self.ticked_at - self.tick_interval)
+        self.loop_delay = max(0.0, due - self.ticked_at - self.tick_interval)
         if STALL_SECONDS < self.loop_delay <= PAUSE_SECONDS:
             self.log.event("stall", seconds=f"{self.loop_delay:.3f}")
         self.ticked_at = now
--- a/sequoiaspoke/tests/test_sidecar_unread.py
+++ b/sequoiaspoke/tests/test_sidecar_unread.py
@@ -28,6 +28,40 @@
         return caller
 
 
+class PauseTests(UnreadTestCase):
+    def test_long_iterations_between_timer_and_tick_are_no_pause(self):
+        # A busy node read the store anew with every tick.
+        async def scenario():
+            await self.connect()
+            node, self.events = self.sidecar, []
+            self.patch(node.log, "event", lambda name, **_: self.events.append(name))
+            ticked = asyncio.Event()
+            self.patch(node.callers, "tick", lambda now: ticked.set())  # noqa: ARG005
+            node.ticked_at = clock.now() - 0.6
+            node.callers_ticked_at = 0.0
+            node.run_ticks()
+            self.skipped += 0.6
+            await ticked.wait()
+            self.stop_idle()
+
+        self.play(scenario)
+        self.assertEqual(self.events.count("pause"), 1, self.events)
+
+    def test_a_pause_between_timer_and_tick_is_found(self):
+        # The timers of the calls would not be set anew.
+        async def scenario():
+            await self.connect()
+            node, self.events = self.sidecar, []
+            self.patch(node.log, "event", lambda name, **_: self.events.append(name))
+            node.run_ticks()
+            self.skipped += 1.1
+            while "pause" not in self.events:
+                await asyncio.sleep(0.005)
+            self.stop_idle()
+
+        self.play(scenario)
+
+
 class UnreadTests(UnreadTestCase):
     def test_connections_behind_silent_ones_are_accepted_before_the_input_ends(self):
         # The event loop accepts one in each iteration; the others were reset.
