Delay timers by fewer iterations in a busy loop

Change: a loop whose iterations take more than 0.05 s together leaves the last two out, and iterations start over once only. The callback is then late by three to four iterations.

--- a/sequoiaspoke/polling.py
+++ b/sequoiaspoke/polling.py
@@ -20,9 +20,13 @@
 # read and new connections accepted, in the second and third one their protocols are
 # connected, and in the fourth one these are read.
 ITERATIONS = 5
+# Last iterations that are left out in a busy loop, whose callbacks would come too late.
+# A new connection may then be accepted and not read.
+SPARED_ITERATIONS = 2
 # Seconds between two iterations after which all are run again, as the process may not
-# have run meanwhile, and number of times that they are run.
-MAX_READ_AGE, MAX_ROUNDS = 0.05, 4
+# have run meanwhile, and in all of them after which a loop is busy; number of times
+# that they are run.
+MAX_READ_AGE, MAX_ROUNDS = 0.05, 2
 
 
 class PolledCall:
@@ -36,8 +40,8 @@
         Iterations that are left in this round.
     rounds : int
         Rounds that may follow if the process does not run for a while.
-    iterated_at : float
-        When the last iteration began.
+    began_at, iterated_at : float
+        When this round and the last iteration began.
     """
 
     def __init__(
@@ -47,7 +51,7 @@
         self.iterations = self.left = iterations
         self.rounds = MAX_ROUNDS - 1
         self.loop = asyncio.get_running_loop()
-        self.iterated_at = self.loop.time()
+        self.began_at = self.iterated_at = self.loop.time()
         self.loop.call_soon(self.iterate)
 
     def iterate(self) -> None:
@@ -58,8 +62,10 @@
         if self.rounds and self.iterated_at - before > MAX_READ_AGE:
             self.rounds -= 1
             self.left = self.iterations
+            self.began_at = self.iterated_at
         self.left -= 1
-        if self.left:
+        busy = self.iterated_at - self.began_at > MAX_READ_AGE
+        if self.left > (SPARED_ITERATIONS if busy else 0):
             self.loop.call_soon(self.iterate)
         else:
             self.callback()
--- a/sequoiaspoke/tests/test_polling.py
+++ b/sequoiaspoke/tests/test_polling.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from sequoiaspoke.polling import (
+    ITERATIONS,
     MAX_READ_AGE,
     MAX_ROUNDS,
     PolledCall,
@@ -128,6 +129,21 @@
 
         self.assertLessEqual(play(scenario), 2 * MAX_ROUNDS)
 
+    def test_a_busy_loop_delays_a_callback_by_few_iterations(self):
+        # The answers to calls that end with the process came after its kill.
+        async def scenario(loop):
+            sleeps = []
+
+            def work():
+                sleeps.append(time.sleep(0.6 * MAX_READ_AGE))
+                loop.call_soon(work)
+
+            loop.call_soon(work)
+            await run_call(lambda: None)
+            return len(sleeps)
+
+        self.assertLess(play(scenario), ITERATIONS)
+
     def test_a_cancelled_timer_runs_no_callback(self):
         # Also one that was due, and has the sockets read.
         async def scenario(loop):
