--- a/sequoiaspoke/tests/test_sidecar_unread.py
+++ b/sequoiaspoke/tests/test_sidecar_unread.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from sequoiaspoke.core.mesh.model import CallerLimits
-from sequoiaspoke.sidecar import shutdown
+from sequoiaspoke.sidecar import clock, shutdown
 from sequoiaspoke.tests.test_callerserver import Handler
 from sequoiaspoke.tests.test_sidecar_exit import REQUEST, WAIT, ExitTestCase, received
 
