Begin a handshake again that a stall of the process has made late

What callers saw: reads that an upstream was running were answered 502 `home-unreachable` by a stopping node.

Cause: a process that was held for over 0.8 s between hello and welcome read the welcome, rightly did not use its clock, and closed the connection; a connection that ends before its handshake counts as an unreachable home, and the calls sent earlier that may run again were failed, though the home ran them.

Change: the hello is sent again on the same connection, once; a second late welcome closes it as before. The new test failed before; the one that a late handshake is not used states it for the second one too.

--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -81,6 +81,8 @@
         Whether the home has announced that it takes no new calls.
     features : LinkFeatures
         Features of the home, as of the last handshake.
+    hellos : int
+        Number of handshakes that were begun on this connection.
     fetched : dict of int to PendingCall
         Calls whose bodies the home has requested further than they were sent.
     """
@@ -112,6 +114,7 @@
         self.on_load_report: Callable[[LoadReport], None] = ignore_load_report
         self.last_heard = 0.0
         self.last_pinged = 0.0
+        self.hellos = 0
         self.clock_offset = 0.0
         self.round_trip = float("inf")
         self.probe = LivenessWait(self.probe_failed)
@@ -315,19 +318,9 @@
             self.mark_unreachable("refused" if refused else type(error).__name__)
             return "unreachable"
         self.active_links.add(self)
-        dialled = clock.now()
-        identity = self.identity
-        hello = wire.Hello(
-            identity.host,
-            identity.incarnation,
-            identity.zone,
-            dialled,
-            self.gossip.uninformed(),
-            SUPPORTED,
-        )
-        self.stream.send(wire.Frame(hello=hello))
-        # The hello is answered like a ping.
-        self.last_heard = self.last_pinged = dialled
+        self.last_heard = clock.now()
+        self.hellos = 0
+        self.send_hello()
         reason = await self.stream.read(self.handle_frame)
         was_established, self.established = self.established, False
         self.fetched.clear()
@@ -342,6 +335,22 @@
         self.mark_unreachable("no-greeting")
         return "no-greeting"
 
+    def send_hello(self) -> None:
+        """Begin the handshake; the hello is answered like a ping."""
+        assert self.stream is not None
+        self.hellos += 1
+        self.last_pinged = clock.now()
+        identity = self.identity
+        hello = wire.Hello(
+            identity.host,
+            identity.incarnation,
+            identity.zone,
+            self.last_pinged,
+            self.gossip.uninformed(),
+            SUPPORTED,
+        )
+        self.stream.send(wire.Frame(hello=hello))
+
     def handle_frame(self, frame: wire.Frame) -> None:
         """Handle one frame from the home."""
         self.last_heard = clock.now()
@@ -430,9 +439,12 @@
         require(welcome, "incarnation", "clock")
         assert self.stream is not None
         if clock.now() - self.last_pinged > HANDSHAKE_TIMEOUT:
-            # This VM was suspended meanwhile. The clock offset, and so the deadlines of
-            # all calls on this link, would be wrong by half of that time.
-            self.stream.close()
+            # This process did not run meanwhile. The clock offset, and so the deadlines
+            # of all calls on this link, would be wrong by half of that time.
+            if self.hellos > 1:
+                self.stream.close()
+            else:
+                self.send_hello()
             return
         self.round_trip = float("inf")
         self.update_clock_offset(self.last_pinged, welcome.clock)
--- a/sequoiaspoke/tests/test_mesh_cut.py
+++ b/sequoiaspoke/tests/test_mesh_cut.py
@@ -184,6 +184,9 @@
 class FakeGossip:
     """Takes no part in what nodes tell each other."""
 
+    def uninformed(self):
+        return False
+
     def link_up(self, link):
         pass
 
@@ -216,7 +219,7 @@
         identity = LinkIdentity("x", "z", 1)
         link = LinkClient(("h", 1), identity, FakeGossip(), log, None)
         link.stream = FakeStream()
-        link.last_pinged = self.time
+        link.last_pinged, link.hellos = self.time, 1
         order = HomeCall(
             Request("GET", "/", (), b""), ENDPOINT.incarnation, "r", 0, False,
             self.time + left, self.time + left,
@@ -232,9 +235,23 @@
         # The clock offset was wrong by half of the time for which the VM was suspended,
         # and a home took the deadlines of all calls to be so much earlier.
         link = self.play(HANDSHAKE_TIMEOUT + 3.0)
+        self.assertFalse(link.established)
+        self.time += HANDSHAKE_TIMEOUT + 3.0
+        link.handle_welcome(wire.Welcome(7, 5000.0, False, False, 0))
         self.assertTrue(link.stream.closed)
         self.assertFalse(link.established)
 
+    def test_a_handshake_that_took_too_long_is_begun_again(self):
+        # The connection was closed, and the home taken for unreachable: reads that it
+        # ran were answered 502.
+        link = self.play(HANDSHAKE_TIMEOUT + 3.0)
+        (frame,) = link.stream.sent
+        self.assertEqual(frame.hello.clock, self.time)
+        link.handle_welcome(wire.Welcome(7, 5000.0, False, False, 0))
+        self.assertTrue(link.established)
+        self.assertAlmostEqual(link.clock_offset, 5000.0 - self.time, delta=0.001)
+        self.assertEqual(self.outcomes, [])
+
     def test_a_usual_handshake_is_used(self):
         link = self.play(0.01)
         self.assertTrue(link.established)
