Make no deadline early after a handshake that was held up

Cause: the offset between the clocks of two nodes is estimated from the round trip of the handshake, half of it for each way. One process was held in a handshake of 0.78 s, so that the home took deadlines to be earlier by 0.25 s, and only a silent link corrects the estimate.

Change: no more than 0.1 s is estimated for one way, which errs on the late side (the entry ends calls at their deadlines itself), and a ping follows a handshake that took over 0.05 s.

--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -50,6 +50,10 @@
 # A link that received a frame within this many seconds is taken to be alive. On any
 # other the home is pinged before a call is sent that may run only once.
 RECENT_SECONDS = 0.1
+# Round trip in seconds from which one of the processes may not have run meanwhile, and
+# the longest time that a message takes. A longer estimate would have a home end calls
+# before their deadlines.
+SHORT_ROUND_TRIP, MAX_ONE_WAY = 0.05, 0.1
 # Age in seconds that stands for a node without any knowledge.
 UNKNOWN_AGE = 1e6
 # Frames queued until the link is established; the oldest are dropped first.
@@ -464,15 +468,16 @@
             self.send(self.outbox.popleft())
         if welcome.uninformed:
             self.send_knowledge(wire.Ask(0, UNKNOWN_AGE))
+        if self.round_trip > SHORT_ROUND_TRIP:
+            self.ping(clock.now())
         self.gossip.link_up(self)
 
     def update_clock_offset(self, sent: float, peer_clock: float) -> None:
         """Estimate the clock offset if the round trip was short or the shortest yet."""
-        now = clock.now()
-        round_trip = now - sent
-        if round_trip < self.round_trip or round_trip < 0.05:
+        round_trip = clock.now() - sent
+        if round_trip < self.round_trip or round_trip < SHORT_ROUND_TRIP:
             self.round_trip = round_trip
-            self.clock_offset = peer_clock - (sent + now) / 2
+            self.clock_offset = peer_clock - sent - min(round_trip / 2, MAX_ONE_WAY)
 
     # Failures.
 
