--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -36,7 +36,7 @@
 BREAKABLE_SECONDS = 3.0
 # Delay of the event loop in seconds from which a signal counts as late. Shorter delays
 # are frequent on a busy machine.
-STALL_SECONDS = 0.1
+LATE_SIGNAL_SECONDS = 0.1
 # Turns of the event loop without new input after which all that had arrived was read: a
 # turn accepts one connection, and the next one reads from it.
 QUIET_TURNS = 3
@@ -103,7 +103,7 @@
         """
         if self.began_at is not None:
             return
-        if late < STALL_SECONDS:
+        if late < LATE_SIGNAL_SECONDS:
             late = 0.0
         shortest = settings.break_off_after + ANSWER_MARGIN_SECONDS
         drain = max(settings.drain - late, min(settings.drain, shortest))
