Share the late connection and the dial of the tests of this change

The comment on the iterations of a polled call said that all waiting connections are accepted in the first one; the loop of the sidecar accepts one.

--- a/sequoiaspoke/polling.py
+++ b/sequoiaspoke/polling.py
@@ -17,8 +17,8 @@
     from types import TracebackType
 
 # Iterations of the event loop until the callback runs. In the first one all sockets are
-# read and new connections accepted, in the second and third one their protocols are
-# connected, and in the fourth one these are read.
+# read and a new connection is accepted, in the second and third one its protocol is
+# connected, and in the fourth one it is read.
 ITERATIONS = 5
 # Last iterations that are left out in a busy loop, whose callbacks would come too late.
 # A new connection may then be accepted and not read.
--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -407,6 +407,20 @@
 
         return asyncio.run(run())
 
+    def ends_after_dial(self, finish_dial):
+        """Return whether a link ends that is cancelled as its dial is finished."""
+
+        async def cancel(link):
+            finish_dial(self.connected)
+            await asyncio.sleep(0)
+            link.run_task.cancel()
+
+        async def dial():
+            self.connected = asyncio.get_running_loop().create_future()
+            return await self.connected
+
+        return self.ends(dial, cancel)
+
     def test_a_link_that_is_woken_and_cancelled_ends(self):
         # The cancellation was dropped, and the process went on until it was killed.
         async def refuse():
@@ -420,29 +434,13 @@
         self.assertTrue(self.ends(refuse, cancel))
 
     def test_a_link_that_is_connected_and_cancelled_ends(self):
-        async def cancel(link):
-            self.connected.set_result(SilentStream())
-            await asyncio.sleep(0)
-            link.run_task.cancel()
-
-        async def dial():
-            self.connected = asyncio.get_running_loop().create_future()
-            return await self.connected
-
-        self.assertTrue(self.ends(dial, cancel))
+        stream = SilentStream()
+        self.assertTrue(self.ends_after_dial(lambda dial: dial.set_result(stream)))
 
     def test_a_link_that_is_refused_and_cancelled_ends(self):
         # Nodes that stop together are refused by each other while they end.
-        async def cancel(link):
-            self.connected.set_exception(ConnectionRefusedError())
-            await asyncio.sleep(0)
-            link.run_task.cancel()
-
-        async def dial():
-            self.connected = asyncio.get_running_loop().create_future()
-            return await self.connected
-
-        self.assertTrue(self.ends(dial, cancel))
+        error = ConnectionRefusedError()
+        self.assertTrue(self.ends_after_dial(lambda dial: dial.set_exception(error)))
 
 
 class SilentStream(FrameStream):
--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -121,6 +121,13 @@
             await asyncio.sleep(0.005)
         return caller
 
+    def connect_late(self):
+        """Return the socket of a new caller that waits to be accepted."""
+        address = self.sidecar.settings.callers
+        caller = socket.create_connection(address, timeout=WAIT)
+        self.addCleanup(caller.close)
+        return caller
+
     def stop_idle(self):
         """Tell the node to stop, and let its callers have had time to move away."""
         self.sidecar.stop()
--- a/sequoiaspoke/tests/test_sidecar_polling.py
+++ b/sequoiaspoke/tests/test_sidecar_polling.py
@@ -51,9 +51,7 @@
             self.serve_callers()
             await self.connect()
             self.stop_idle()
-            address = self.sidecar.settings.callers
-            self.late = socket.create_connection(address, timeout=WAIT)
-            self.addCleanup(self.late.close)
+            self.late = self.connect_late()
             self.late.sendall(REQUEST % (b"read", 2))
             self.sidecar.run_ticks()
 
--- a/sequoiaspoke/tests/test_sidecar_unread.py
+++ b/sequoiaspoke/tests/test_sidecar_unread.py
@@ -1,27 +1,17 @@
 """Tests that nothing which waits in the kernel is dropped, over loopback sockets."""
 
 import asyncio
-import socket
 from dataclasses import replace
 
 from sequoiaspoke.core.mesh.model import CallerLimits
 from sequoiaspoke.sidecar import clock, shutdown
-from sequoiaspoke.tests.test_sidecar_exit import REQUEST, WAIT, ExitTestCase, received
+from sequoiaspoke.tests.test_sidecar_exit import REQUEST, ExitTestCase, received
 
 # More than the event loop accepts until a timer runs that has the sockets read.
 CALLERS = 20
 
 
-class UnreadTestCase(ExitTestCase):
-    def connect_late(self):
-        """Return the socket of a new caller that waits to be accepted."""
-        address = self.sidecar.settings.callers
-        caller = socket.create_connection(address, timeout=WAIT)
-        self.addCleanup(caller.close)
-        return caller
-
-
-class PauseTests(UnreadTestCase):
+class PauseTests(ExitTestCase):
     def test_long_iterations_between_timer_and_tick_are_no_pause(self):
         # A busy node read the store anew with every tick.
         async def scenario():
@@ -55,7 +45,7 @@
         self.play(scenario)
 
 
-class UnreadTests(UnreadTestCase):
+class UnreadTests(ExitTestCase):
     def test_connections_behind_silent_ones_are_accepted_before_the_input_ends(self):
         # The event loop accepts one in each iteration; the others were reset.
         async def scenario():
