Send long calls of other nodes to homes that do not stop

What callers saw: 502 for a call whose upstream was at work, at an entry that was told to stop one to five seconds after the home of the call. A home takes calls for 1.8 s after its own signal, and one that takes longer than the rest of its time is cut off by its exit, earlier than the entry may break it off.

Cause: a home that stops compared only queued calls with its exit. Those that start at once were taken whatever their deadline.

The new test of such a call failed before.

Change: a home that stops refuses a new call of another node that may run only once and has a deadline after its exit, unless no other home of the service is known to take calls. Calls of its own callers run as before: their entry ends with it. Calls that may run again are taken, as they can be tried elsewhere.

--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -7,15 +7,19 @@
 
 from testtools import TestCase
 
+from sequoiaspoke.core.mesh.admission import RefusalReason
 from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.model import MeshConfig, Service
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
 from sequoiaspoke.core.mesh.table import RouteTable
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.app import Sidecar
+from sequoiaspoke.sidecar.home import LEAVING_RETRY_AFTER
 from sequoiaspoke.sidecar.homecall import HomeCall
+from sequoiaspoke.sidecar.linkserver import AcceptedLink
 from sequoiaspoke.sidecar.settings import SidecarSettings
 from sequoiaspoke.sidecar.shutdown import LINGER_SECONDS, SPARE_SHARE
+from sequoiaspoke.sidecar.wirecalls import pack_call, unpack_outcome
 from sequoiaspoke.tests.meshsim import VirtualLoop
 from sequoiaspoke.tests.test_sidecar_entry import NoItems, request, route
 from sequoiaspoke.tests.test_sidecar_home import ENDPOINT, BlockingUpstream
@@ -235,6 +239,81 @@
         )
 
 
+class OutlastingCallTests(StoppingCase):
+    """A home takes calls of other nodes for a while after the signal."""
+
+    other = replace(ENDPOINT, instance="i-2", host="10.0.0.3")
+
+    async def submit(self, left, own=False, idempotent=False):
+        """Return the outcome, if any, of a call and whether its upstream got it.
+
+        Parameters
+        ----------
+        own : bool
+            Whether a caller of this node has made it, and no other node.
+        """
+        home, outcomes = self.sidecar.home, []
+        home.upstream = BlockingUpstream()
+        home.set_slots(9)
+        home.admission.upstream_slots.has_answered = True
+        until = clock.now() + left
+        request = Request("POST", "/", (), b"")
+        incarnation = ENDPOINT.incarnation
+        call = HomeCall(request, incarnation, "r", 0, idempotent, until, until)
+        if own:
+            home.submit("k", call, outcomes.append)
+        else:
+            stream = SimpleNamespace(send=outcomes.append)
+            link = AcceptedLink(stream, self.sidecar.links)
+            link.peer = ("10.0.0.2", 1)
+            link.handle_frame(pack_call(call, 1, 0.0))
+        await asyncio.sleep(0.1)
+        return [unpack_outcome(each)[1] for each in outcomes], bool(home.upstream.ran)
+
+    def test_a_call_that_the_exit_may_cut_off_goes_to_another_home(self):
+        # Its upstream was at work when the process ended, and its caller was told 502.
+        async def scenario():
+            self.sidecar.state.directory.put(self.other, 2, clock.now())
+            return await self.submit(left=9.0)
+
+        refusal = NotRun(RefusalReason.LEAVING, LEAVING_RETRY_AFTER)
+        self.assertEqual(self.play(scenario), ([refusal], False))
+
+    def test_a_call_that_may_be_tried_again_is_run(self):
+        async def scenario():
+            self.sidecar.state.directory.put(self.other, 2, clock.now())
+            return await self.submit(left=9.0, idempotent=True)
+
+        self.assertEqual(self.play(scenario), ([], True))
+
+    def test_a_call_that_ends_before_the_exit_is_run(self):
+        async def scenario():
+            self.sidecar.state.directory.put(self.other, 2, clock.now())
+            return await self.submit(left=5.0)
+
+        self.assertEqual(self.play(scenario), ([], True))
+
+    def test_a_call_that_no_other_home_takes_is_run(self):
+        # All calls with long timeouts would be refused where all homes are restarted.
+        async def scenario(other_leaves):
+            if other_leaves:
+                self.sidecar.state.directory.put(self.other, 2, clock.now())
+                self.sidecar.peers.link(self.other.host).leaving = True
+            return await self.submit(left=9.0)
+
+        for other_leaves in (False, True):
+            found = self.play(lambda leaves=other_leaves: scenario(leaves))
+            self.assertEqual(found, ([], True))
+
+    def test_a_call_of_a_caller_of_the_node_is_run(self):
+        # Its entry ends with the same process, wherever it runs.
+        async def scenario():
+            self.sidecar.state.directory.put(self.other, 2, clock.now())
+            return await self.submit(left=9.0, own=True)
+
+        self.assertEqual(self.play(scenario), ([], True))
+
+
 class SlowStream:
     """A link whose other end reads the last frames at a given time."""
 
