Wait for taken addresses when a sidecar starts

What callers saw: a process that started while one of its ports was taken, by an outgoing connection or by another process, ended after one try, and callers found nobody until it was started again. If a later address was the taken one, callers were in the backlog of the first listener already and were reset.

Cause: the listeners were opened one after the other, with one try each.

Evidence: real processes with a port taken for 2 s by a connection: the process ended by itself after 0.24 to 0.49 s with exit code 5, on and on (2 of 2 ports each); with the port of the links taken, a caller had connected and got ECONNRESET, or the end of the connection.

Change: all addresses are bound before the first one listens, that of the callers last, or none is kept. A taken address is tried again for 10 s; the wait and its end are logged, SIGTERM ends it. Then the process ends with the same error as before.

--- a/sequoiaspoke/measure/bodynode.py
+++ b/sequoiaspoke/measure/bodynode.py
@@ -154,15 +154,17 @@
 class BodySidecar(Sidecar):
     """A sidecar that prints the ports that the system chose."""
 
-    def listen(self) -> None:
+    async def listen(self) -> bool:
         """Listen, and print the ports as one line of JSON."""
-        super().listen()
+        if not await super().listen():
+            return False
         servers = {"callers": self.callers, "links": self.links, "health": self.health}
         ports = {
             name: server.listeners[0].getsockname()[1]
             for name, server in servers.items()
         }
         print(json.dumps(ports), flush=True)
+        return True
 
 
 def settings_of(node: BodyNode) -> SidecarSettings:
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import signal
+from functools import partial
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 from sequoiaspoke.core.mesh.memory import MemoryAccount, memory_limit
 from sequoiaspoke.core.mesh.reading import DEFAULT_ACT_SECONDS, ReadingDuty
 from sequoiaspoke.errors import SettingsError
+from sequoiaspoke.listening import listen_on_all, open_when_free
 from sequoiaspoke.polling import PolledCall
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.answerlog import AnswerLog
@@ -239,15 +241,29 @@
         )
         self.entry.attempts.balancer.retain(incarnations)
 
-    def listen(self) -> None:
-        """Listen on the addresses of the settings."""
-        servers = (
-            (self.callers, self.settings.callers),
-            (self.links, self.settings.links),
-            (self.health, self.settings.health),
+    async def listen(self) -> bool:
+        """Listen on the addresses of the settings, which may be taken for a while.
+
+        Return False if the node was told to stop meanwhile.
+
+        Raises
+        ------
+        AddressInUseError
+            An address stays taken.
+        """
+        addresses = self.settings.callers, self.settings.links, self.settings.health
+        listeners = await open_when_free(
+            partial(listen_on_all, addresses),
+            lambda reason: self.log.event("address-taken", reason=reason),
+            lambda waited: self.log.event("address-free", waited=f"{waited:.3f}"),
+            lambda: self.stopping,
         )
-        for server, (host, port) in servers:
-            server.listen(host, port)
+        if listeners is None:
+            return False
+        servers = self.callers, self.links, self.health
+        for server, listener in zip(servers, listeners, strict=True):
+            server.add_sockets([listener])
+        return True
 
     async def run(self) -> None:
         """Serve until the process is told to stop."""
@@ -255,12 +271,15 @@
         loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(signal.SIGINT, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload_settings)
-        if signal.SIGTERM in signal.sigpending():
-            # A program may block it until now.
+        # A program may block it until now.
+        told_to_stop = signal.SIGTERM in signal.sigpending()
+        if not told_to_stop:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP, signal.SIGTERM})
+        if told_to_stop or not await self.listen():
             self.log.event("stopped-early", node=self.settings.node)
             return
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP, signal.SIGTERM})
-        self.listen()
+        # The wait for the addresses is no pause.
+        self.ticked_at = clock.now()
         self.log.event(
             "start",
             node=self.settings.node,
--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -6,6 +6,8 @@
     "start": "the process has started to serve calls",
     "stop": "the process was told to stop and finishes its calls",
     "stopped-early": "the process was told to stop before it served, and ends",
+    "address-taken": "an address to listen on is taken; the process waits for it",
+    "address-free": "the addresses to listen on are free after a wait",
     "end": "the process ends, after a stop or because of an invalid setting",
     "reload": "the settings were reloaded",
     "setting-kept": "a setting differs in the file and needs a restart",
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -17,7 +17,7 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Any
 
-from sequoiaspoke.errors import AddressInUseError
+from sequoiaspoke.listening import BACKLOG
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -29,9 +29,6 @@
 USER_TIMEOUT_MS = 2000
 # Bytes of the answer to `FIONREAD`, a C int.
 INT_SIZE = 4
-# Connections that may wait to be accepted. Callers reconnect all at once after this
-# node restarts, and one that does not fit is retried only after a second.
-BACKLOG = 1024
 
 
 class Connection(asyncio.Protocol, ABC):
@@ -169,14 +166,6 @@
     def new_connection(self) -> Connection:
         """Return the protocol object that serves the next connection."""
 
-    def listen(self, host: str, port: int) -> None:
-        """Listen on an address; raise AddressInUseError."""
-        try:
-            listener = socket.create_server((host, port), backlog=BACKLOG)
-        except OSError as error:
-            raise AddressInUseError(f"{host}:{port}: {error}") from error
-        self.add_sockets([listener])
-
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Accept connections on listening sockets."""
         for listener in sockets:
