Probe callers five times before they count as gone

What callers saw: a caller that waited for seconds over a link that loses packets had its connection reset, although its call was accepted and ran.

Cause: keep-alive probes a silent peer after 1 s, and one unanswered probe ended the connection. The first lost packet of a probe or of its answer is enough, once in each second of waiting (tcp(7), TCP_KEEPCNT).

Change: callers get five probes, 6 s in all. Links, upstreams and the store keep the one probe and 2 s, as their calls go on over another connection; tested, too. Rules on callers that leave are not touched: a close or a reset that arrives ends the call as before.

A caller that vanishes for good with all acknowledged is found after 6 s in place of 2.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -29,7 +29,11 @@
     encode_answer,
     local_answer,
 )
-from sequoiaspoke.sidecar.sockets import Connection, ConnectionServer
+from sequoiaspoke.sidecar.sockets import (
+    PATIENT_PROBES,
+    Connection,
+    ConnectionServer,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -111,6 +115,8 @@
         Whether `100 Continue` is to be sent after the answers before it.
     """
 
+    keep_alive = PATIENT_PROBES
+
     def __init__(self, server: CallerServer) -> None:
         super().__init__()
         self.server = server
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -15,6 +15,7 @@
 import sys
 import termios
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from sequoiaspoke.listening import BACKLOG
@@ -22,9 +23,31 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Seconds until a silent peer is probed and between probes, and number of probes. A dead
-# connection on which all sent bytes are acknowledged is found within two seconds.
-KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES = 1, 1, 1
+
+@dataclass(frozen=True)
+class KeepAlive:
+    """How the kernel finds that the peer of a silent connection is gone.
+
+    Attributes
+    ----------
+    idle, interval : int
+        Seconds until a silent peer is probed, and between probes.
+    probes : int
+        Unanswered probes that end the connection.
+    """
+
+    idle: int = 1
+    interval: int = 1
+    probes: int = 1
+
+
+# A dead connection on which all sent bytes are acknowledged is found within two
+# seconds. Calls on it are sent over another one if a live peer lost a packet.
+FAST_PROBES = KeepAlive()
+# A caller can get its answer on this connection only. If one packet in thirty is lost
+# in each direction, one probe in fifteen stays unanswered, and five in a row one time
+# in 760,000.
+PATIENT_PROBES = KeepAlive(probes=5)
 # Milliseconds within which a peer that reads at once must acknowledge what it is sent.
 USER_TIMEOUT_MS = 2000
 # Bytes of the answer to `FIONREAD`, a C int.
@@ -41,6 +64,8 @@
         is dead if sent bytes are not acknowledged for some time. A peer that reads
         slowly acknowledges them, too, but the kernel applies the same timeout to the
         time for which its receive buffer is full.
+    keep_alive : KeepAlive
+        How a peer that is gone is found.
     closed : bool
         Whether this end was closed or the connection has ended.
     writing_paused : bool
@@ -51,6 +76,7 @@
     """
 
     peer_reads_at_once = False
+    keep_alive = FAST_PROBES
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
@@ -61,7 +87,7 @@
     def connection_made(self, transport: Any) -> None:
         """Start to use an established connection."""
         self.transport = transport
-        enable_keepalive(self.socket)
+        enable_keepalive(self.socket, self.keep_alive)
         if self.peer_reads_at_once:
             set_user_timeout(self.socket, USER_TIMEOUT_MS)
         self.opened()
@@ -203,12 +229,12 @@
             listener.close()
 
 
-def enable_keepalive(sock: socket.socket) -> None:
+def enable_keepalive(sock: socket.socket, probing: KeepAlive) -> None:
     """Have the kernel detect a connection whose peer is gone."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, probing.idle)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, probing.interval)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probing.probes)
 
 
 def set_user_timeout(sock: socket.socket, milliseconds: int) -> None:
--- a/sequoiaspoke/tests/test_slow_reading.py
+++ b/sequoiaspoke/tests/test_slow_reading.py
@@ -27,6 +27,8 @@
 ANSWER = b"x" * 9000
 CALLS = 8
 NAMES = HeaderNames()
+# Until the first probe, between probes, and their number.
+PROBE_OPTIONS = (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT)
 
 
 def small_socket():
@@ -277,6 +279,20 @@
 
         self.play(scenario)
 
+    def test_a_link_that_has_nothing_to_send_is_found_as_early(self):
+        # Its calls can be sent over another link.
+        async def scenario(address):
+            link = await TcpDialer().dial(*address)
+            idle, interval, probes = (
+                link.socket.getsockopt(socket.IPPROTO_TCP, option)
+                for option in PROBE_OPTIONS
+            )
+            milliseconds = 1000 * (idle + interval * probes)
+            self.assertEqual(milliseconds, sockets.USER_TIMEOUT_MS)
+            link.close()
+
+        self.play(scenario)
+
     def test_an_upstream_connection_that_is_silent_is_found_if_a_request_is_small(self):
         # A call would wait for its deadline in place of being tried elsewhere.
         async def scenario(address):
