Wait for taken ports when the product's node starts

What callers saw: a node that started while one of its ports was taken ended after one try. If a later port was the taken one, it had accepted callers before.

Cause: as in the sidecar: one listener after the other, one try each.

Evidence: `sequoiaspoke node` with its peer port taken by another socket ended by itself after 0.9 s with exit code 5, on and on, and a caller had connected 0.15 s before.

Change: the node opens its ports the same way as the sidecar: all bound, the witness's too, before one listens; a taken one is tried for 10 s, with a line at its begin and its end; a stop ends the wait.

--- a/sequoiaspoke/commands/node.py
+++ b/sequoiaspoke/commands/node.py
@@ -28,7 +28,8 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
-    await process.start()
+    if not await process.start(stop_requested.is_set):
+        return
     spare_the_collector()
     await stop_requested.wait()
     await process.stop()
--- a/sequoiaspoke/listening.py
+++ b/sequoiaspoke/listening.py
@@ -32,10 +32,14 @@
     """Return a socket that is bound to an IP address; raise OSError that names it."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, kind)
+    sock.setblocking(False)
     try:
         if kind == socket.SOCK_STREAM:
             # Connections of the process before may still be closing.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if family == socket.AF_INET6:
+            # The same port may be bound separately for IPv4.
+            sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
         sock.bind((host, port))
     except OSError as error:
         sock.close()
--- a/sequoiaspoke/measure/bareproxy.py
+++ b/sequoiaspoke/measure/bareproxy.py
@@ -7,8 +7,9 @@
 
 from tornado.httputil import RequestStartLine
 
+from sequoiaspoke.errors import AddressInUseError
+from sequoiaspoke.listening import listen_on_all
 from sequoiaspoke.node import headers as names
-from sequoiaspoke.node.app import listen
 from sequoiaspoke.node.client import Address, Pool
 from sequoiaspoke.node.pipe import ReplayableBody
 from sequoiaspoke.node.server import CallHandler, CallServer, IncomingCall
@@ -44,6 +45,10 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
     limits = LimitSettings()
     server = CallServer(BareProxy(upstream, limits), limits)
-    listen(server.server, listening.host, listening.port)
+    try:
+        sockets = listen_on_all([(listening.host, listening.port)])
+    except OSError as error:
+        raise AddressInUseError(error.strerror) from error
+    server.server.add_sockets(sockets)
     await stopping.wait()
     server.server.stop()
--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import random
+import socket
 import time
+from contextlib import ExitStack
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger as log
-from tornado.netutil import bind_sockets
 
 from sequoiaspoke import __version__
-from sequoiaspoke.errors import AddressInUseError
+from sequoiaspoke.listening import BACKLOG, bind, open_when_free
 from sequoiaspoke.node import silence
 from sequoiaspoke.node.admin import admin_server
 from sequoiaspoke.node.entry import Entry
@@ -24,7 +25,7 @@
 from sequoiaspoke.node.watchall import PlatformWatch
 
 if TYPE_CHECKING:
-    import socket
+    from collections.abc import Callable
 
     from tornado.tcpserver import TCPServer
 
@@ -32,6 +33,11 @@
     from sequoiaspoke.settings.schema import Settings
 
 
+def never() -> bool:
+    """Return False; the default for a node that is not told to stop."""
+    return False
+
+
 class Node:
     """The process that runs beside one upstream."""
 
@@ -59,31 +65,73 @@
         """Return whether the node can serve callers."""
         return self.config.verified and not self.draining
 
-    async def start(self) -> None:
+    async def start(self, stopping: Callable[[], bool] = never) -> bool:
         """Start the listeners, then follow the configuration.
 
+        Ports may be taken for a while. Return False if `stopping` returns true while
+        the node waits for them.
+
         Raises
         ------
         AddressInUseError
-            A configured port is in use.
+            A configured port stays taken.
         """
-        node = self.settings.node
-        listeners: dict[str, tuple[TCPServer, str, int]] = {
-            "call": (self.callers.server, node.address, node.call_port),
-            "mesh": (self.mesh.server, node.address, node.mesh_port),
-            "admin": (self.admin, node.admin_address, node.admin_port),
-        }
-        if self.config.peer_server:
-            peer = (self.config.peer_server, node.address, node.peer_port)
-            listeners["peer"] = peer
-        for name, (server, address, port) in listeners.items():
-            self.ports[name] = listen(server, address, port)
-        peer_port = self.ports.get("peer", node.peer_port)
-        self.ports["witness"] = await self.keyed.start(node.address, peer_port)
+        sockets = await open_when_free(
+            self.open_sockets,
+            lambda reason: log.warning("address-taken", reason=reason),
+            lambda waited: log.info("address-free", waited=f"{waited:.3f}"),
+            stopping,
+        )
+        if sockets is None:
+            return False
+        self.ports = {name: each.getsockname()[1] for name, each in sockets.items()}
+        await self.keyed.start(sockets.pop("witness"))
+        for name, server in self.servers().items():
+            server.add_sockets([sockets[name]])
         self.publish_metrics()
         await self.config.start()
         self.config_poller.start()
+        node = self.settings.node
         log.info("node-started", node=node.name, zone=node.zone, **self.ports)
+        return True
+
+    def servers(self) -> dict[str, TCPServer]:
+        """Return the servers by the names of their ports."""
+        servers: dict[str, TCPServer] = {
+            "call": self.callers.server,
+            "mesh": self.mesh.server,
+            "admin": self.admin,
+        }
+        if self.config.peer_server:
+            servers["peer"] = self.config.peer_server
+        return servers
+
+    def open_sockets(self) -> dict[str, socket.socket]:
+        """Return the sockets by the names of their ports; raise OSError.
+
+        None listens before all are bound, that of the callers last.
+        """
+        node = self.settings.node
+        addresses = {
+            "call": (node.address, node.call_port),
+            "mesh": (node.address, node.mesh_port),
+            "admin": (node.admin_address, node.admin_port),
+            "peer": (node.address, node.peer_port),
+        }
+        with ExitStack() as opened:
+            sockets = {
+                name: opened.enter_context(bind(*addresses[name]))
+                for name in self.servers()
+            }
+            listeners = list(sockets.values())
+            peer = sockets.get("peer")
+            port = peer.getsockname()[1] if peer else node.peer_port
+            witness = bind(node.address, port, socket.SOCK_DGRAM)
+            sockets["witness"] = opened.enter_context(witness)
+            for listener in reversed(listeners):
+                listener.listen(BACKLOG)
+            opened.pop_all()
+        return sockets
 
     def publish_metrics(self) -> None:
         """Register the counters and gauges of every component."""
@@ -211,19 +259,3 @@
     if settings.spread.strategy == "watch-all":
         return PlatformWatch(settings, rng)
     return SpreadSource(settings, rng)
-
-
-def listen(server: TCPServer, address: str, port: int) -> int:
-    """Listen and return the port; for port 0 the system picks a free one.
-
-    Raises
-    ------
-    AddressInUseError
-        The port is in use.
-    """
-    try:
-        sockets: list[socket.socket] = bind_sockets(port, address)
-    except OSError as error:
-        raise AddressInUseError(f"{address}:{port}: {error}") from error
-    server.add_sockets(sockets)
-    return sockets[0].getsockname()[1]
--- a/sequoiaspoke/node/keyedhome.py
+++ b/sequoiaspoke/node/keyedhome.py
@@ -44,6 +44,7 @@
 
 if TYPE_CHECKING:
     import random
+    import socket
 
     from sequoiaspoke.core.idempotency.key import Key
     from sequoiaspoke.node.client import Answer
@@ -84,9 +85,9 @@
         self.counters: Counter[str] = Counter()
         home.keyed = self
 
-    async def start(self, address: str, port: int) -> int:
-        """Start to query witnesses and to answer as one; return the port."""
-        return await self.link.listen(address, port)
+    async def start(self, sock: socket.socket) -> None:
+        """Start to query witnesses and to answer as one over a bound socket."""
+        await self.link.listen(sock)
 
     async def linger(self) -> None:
         """Wait until all runs have ended, then for retries that fetch their answers."""
--- a/sequoiaspoke/node/witnesslink.py
+++ b/sequoiaspoke/node/witnesslink.py
@@ -17,10 +17,12 @@
 
 from sequoiaspoke.core.idempotency.messages import Answer, Question
 from sequoiaspoke.core.idempotency.moment import Moment
-from sequoiaspoke.errors import AddressInUseError, MessageError
+from sequoiaspoke.errors import MessageError
 from sequoiaspoke.wire.codec import decode_message, encode_message
 
 if TYPE_CHECKING:
+    import socket
+
     from sequoiaspoke.core.idempotency.home import HomeCore
     from sequoiaspoke.core.idempotency.witnesses import Witness
     from sequoiaspoke.core.snapshot.model import Snapshot
@@ -61,23 +63,11 @@
         period = core.settings.ask_every / TICKS_PER_ROUND * 1000
         self.ticker = PeriodicCallback(self.tick, period)
 
-    async def listen(self, address: str, port: int) -> int:
-        """Open the socket and start the rounds of questions; return the port.
-
-        Raises
-        ------
-        AddressInUseError
-            The port is in use.
-        """
+    async def listen(self, sock: socket.socket) -> None:
+        """Use a bound socket and start the rounds of questions."""
         loop = asyncio.get_running_loop()
-        try:
-            self.transport, _ = await loop.create_datagram_endpoint(
-                lambda: self, local_addr=(address, port)
-            )
-        except OSError as error:
-            raise AddressInUseError(f"{address}:{port}: {error}") from error
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=sock)
         self.ticker.start()
-        return self.transport.get_extra_info("sockname")[1]
 
     def close(self) -> None:
         """Stop the timer and close the socket."""
