Tell how a caller's connection with unanswered calls has ended

Nothing in the log told a caller that had closed its connection from one that had only ended its input.

Change: caller-left tells the end (input, reset or timeout) and the number of unanswered calls, and is counted by the end.

--- a/sequoiaspoke/sidecar/bodypolicy.py
+++ b/sequoiaspoke/sidecar/bodypolicy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.sidecar.httptext import local_answer
@@ -17,6 +18,14 @@
 MEMORY_RETRY_AFTER = 1.0
 
 
+class CallerEnd(StrEnum):
+    """How the connection of a caller with unanswered calls has ended."""
+
+    INPUT = "input"
+    RESET = "reset"
+    TIMEOUT = "timeout"
+
+
 class BodyPolicy(ABC):
     """Answers requests whose bodies are not read, given their heads, and takes note."""
 
@@ -36,6 +45,10 @@
     def caller_lost(self, error: str, calls: int, unread: int) -> None:
         """Take note that the kernel ended a connection with answers or calls on it."""
 
+    @abstractmethod
+    def caller_left(self, end: CallerEnd, calls: int) -> None:
+        """Take note of how a connection with unanswered calls has ended."""
+
     @abstractmethod
     def call_cut(self, request: Request) -> None:
         """Take note that a call was cut off although its caller waits."""
@@ -62,6 +75,9 @@
     def caller_lost(self, error: str, calls: int, unread: int) -> None:
         """Do nothing."""
 
+    def caller_left(self, end: CallerEnd, calls: int) -> None:
+        """Do nothing."""
+
     def call_cut(self, request: Request) -> None:
         """Do nothing."""
 
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -22,7 +22,7 @@
 from sequoiaspoke.core.mesh.outcome import Request, find_header
 from sequoiaspoke.polling import PolledTimer
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
+from sequoiaspoke.sidecar.bodypolicy import CallerEnd, ReadAllBodies
 from sequoiaspoke.sidecar.httptext import (
     CONTINUE,
     FRAMING_PER_BYTE,
@@ -190,6 +190,8 @@
             code = errorcode.get(error.errno, "unknown")
             if self.unread or isinstance(error, TimeoutError):
                 self.server.policy.caller_lost(code, len(self.pending), self.unread)
+        if self.pending and not closed_locally:
+            self.server.policy.caller_left(caller_end(error), len(self.pending))
         self.server.connections.discard(self)
         self.drop_body()
         for exchange in self.pending:
@@ -557,6 +559,13 @@
             self.close()
 
 
+def caller_end(error: Exception | None) -> CallerEnd:
+    """Return how a caller has ended its connection, by the error of the transport."""
+    if error is None:
+        return CallerEnd.INPUT
+    return CallerEnd.TIMEOUT if isinstance(error, TimeoutError) else CallerEnd.RESET
+
+
 class CallerServer(ConnectionServer):
     """Accepts connections of callers.
 
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -44,6 +44,7 @@
     from sequoiaspoke.core.mesh.model import Endpoint, Route
     from sequoiaspoke.core.mesh.outcome import Outcome, Request
     from sequoiaspoke.core.mesh.retrybudget import RetryLimits
+    from sequoiaspoke.sidecar.bodypolicy import CallerEnd
     from sequoiaspoke.sidecar.home import Home
     from sequoiaspoke.sidecar.logs import EventLog
     from sequoiaspoke.sidecar.names import HeaderNames
@@ -63,6 +64,8 @@
 SLOW_CALLER = "slow-caller"
 # Reason counted when the kernel ends a connection with unread answers or for a timeout.
 LOST_CALLER = "lost-caller"
+# Beginning of the reasons counted when a caller ends its connection with calls on it.
+LEFT_CALLER = "left-caller"
 # Reason counted when a connection is closed with received bytes that were not read.
 INPUT_DROPPED = "input-dropped"
 # Seconds before its deadline at which a call is withdrawn: time for the message and
@@ -228,6 +231,11 @@
         self.reasons[LOST_CALLER] += 1
         self.log.event("caller-lost", error=error, calls=calls, unread=unread)
 
+    def caller_left(self, end: CallerEnd, calls: int) -> None:
+        """Count and log how a connection with unanswered calls has ended."""
+        self.reasons[f"{LEFT_CALLER}-{end}"] += 1
+        self.log.event("caller-left", end=end, calls=calls)
+
     def call_cut(self, request: Request) -> None:
         """Count and log a call that was cut off while its caller waits."""
         self.reasons[CUT] += 1
