Answer callers that have only ended their input

What callers saw: a caller that closes its sending side after a request and reads on got no answer, calm and beside any signal, although its upstream may have run the request.

Cause: the end of the input was taken for the end of the caller. A caller that closes its connection sends the same.

Evidence: the tests of EndedInputTests and OldCallerTests fail on the code before, on both event loops, 24 of 26 (some of them for want of the new attributes); an idle connection is closed as before.

Change: with calls unanswered, the connection stays open, reads no further requests and sends an interim response, unless an answer is still being sent. A connection that was closed resets it, which is looked for after 10 ms and then less and less often, and cancels the calls. Otherwise all calls are answered and the connection is closed with the last answer. A caller of HTTP/1.0 takes no interim response: its calls have a quarter of a second. caller-left tells the two apart from now on.

A test asserted that nothing at all is sent to a caller that has left. It now asserts that nothing but the interim response is: no answer.

--- a/sequoiaspoke/sidecar/bodypolicy.py
+++ b/sequoiaspoke/sidecar/bodypolicy.py
@@ -19,11 +19,21 @@
 
 
 class CallerEnd(StrEnum):
-    """How the connection of a caller with unanswered calls has ended."""
+    """How a caller with unanswered calls has ended its connection, or its input.
+
+    Attributes
+    ----------
+    INPUT
+        The input only: the caller was answered.
+    UNKNOWN
+        The input, or the connection: the caller could not be asked, or was answered
+        before it could be told.
+    """
 
     INPUT = "input"
     RESET = "reset"
     TIMEOUT = "timeout"
+    UNKNOWN = "unknown"
 
 
 class BodyPolicy(ABC):
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -3,8 +3,8 @@
 A connection is read while its calls run, because callers pipeline requests and give
 up on those that are not read within a second. The calls of a connection run
 concurrently and are answered in the order of the requests. Reading also detects a
-caller that disconnects: its calls are cancelled at once, so that no upstream does
-work that nobody waits for.
+caller that disconnects: its calls are cancelled, so that no upstream does work that
+nobody waits for. A caller that only ends its input is answered.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
 from sequoiaspoke.polling import PolledTimer
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.bodypolicy import CallerEnd, ReadAllBodies
+from sequoiaspoke.sidecar.endedinput import EndedInput
 from sequoiaspoke.sidecar.httptext import (
     CONTINUE,
     FRAMING_PER_BYTE,
@@ -71,15 +72,20 @@
         Whether the connection stays open after the answer.
     head_only : bool
         Whether the answer is sent without its body.
+    takes_interim : bool
+        Whether interim responses may be sent before the answer.
     started : bool
         Whether the request may have been passed on.
     answer_bytes : int
         Bytes reserved for an answer that waits for its turn.
     """
 
-    def __init__(self, keep_alive: bool, head_only: bool = False) -> None:
+    def __init__(
+        self, keep_alive: bool, head_only: bool = False, takes_interim: bool = True
+    ) -> None:
         self.keep_alive = keep_alive
         self.head_only = head_only
+        self.takes_interim = takes_interim
         self.started = False
         self.task: asyncio.Task[None] | None = None
         self.answer: Answer | None = None
@@ -97,6 +103,8 @@
         Requests whose answers have not been sent, in their order.
     input_ended : bool
         Whether further data from the caller is ignored.
+    ended_input : EndedInput or None
+        Set once the caller has ended its input before its calls were answered.
     head_size : int
         Bytes of the incomplete head so far.
     chunk_body_bytes : int
@@ -127,6 +135,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.last_active = clock.now()
         self.input_ended = False
+        self.ended_input: EndedInput | None = None
         self.reserved = self.discarded = 0
         self.reset_request()
 
@@ -184,6 +193,28 @@
         if self.discarded > MAX_DISCARDED_BYTES and not self.pending:
             self.close()
 
+    def eof_received(self) -> bool:
+        """Answer the calls of a caller that may read on; return whether it has any."""
+        if self.closed or not self.pending:
+            return False
+        self.end_input()
+        self.request_started = None
+        self.continue_due = False
+        self.ended_input = EndedInput(self.socket, len(self.pending), self.caller_left)
+        if not all(exchange.takes_interim for exchange in self.pending):
+            self.ended_input.give_time()
+            return True
+        if not self.unsent_bytes():
+            self.write(CONTINUE)
+        self.ended_input.expect_reset()
+        return True
+
+    def caller_left(self, end: CallerEnd) -> None:
+        """Cancel the calls of a caller that has left after the end of its input."""
+        if not self.closed:
+            self.server.policy.caller_left(end, len(self.pending))
+            self.close()
+
     def lost(self, error: Exception | None, closed_locally: bool) -> None:
         """Cancel the calls of a caller that has disconnected."""
         if isinstance(error, OSError) and not closed_locally:
@@ -193,6 +224,8 @@
         if self.pending and not closed_locally:
             self.server.policy.caller_left(caller_end(error), len(self.pending))
         self.server.connections.discard(self)
+        if self.ended_input is not None:
+            self.ended_input.stop()
         self.drop_body()
         for exchange in self.pending:
             self.server.memory.release(exchange.answer_bytes)
@@ -365,7 +398,11 @@
         keep_alive = self.parser.should_keep_alive()
         request = self.request(b"".join(self.body))
         self.body.clear()
-        exchange = Exchange(keep_alive, head_only=request.method == "HEAD")
+        exchange = Exchange(
+            keep_alive,
+            head_only=request.method == "HEAD",
+            takes_interim=self.parser.get_http_version() != "1.0",
+        )
         self.pending.append(exchange)
         self.request_started = None
         self.continue_due = False
@@ -516,10 +553,20 @@
         Closing a connection with unread data resets it, and the reset can overtake the
         last answer, so that a caller with pipelined requests would lose it.
         """
-        if not self.closed:
+        if self.closed:
+            return
+        if self.ended_input is None:
             self.transport.write_eof()
             self.resume_reading()
-            self.close_if_silent(clock.now() + MAX_CLOSE_SECONDS)
+        else:
+            self.close_answered(self.ended_input)
+        self.close_if_silent(clock.now() + MAX_CLOSE_SECONDS)
+
+    def close_answered(self, ended: EndedInput) -> None:
+        """Close the connection of a caller that sends no more, once all is sent."""
+        ended.stop()
+        self.server.policy.caller_left(ended.end_now(), ended.calls)
+        self.transport.close()
 
     def close_if_silent(self, latest: float) -> None:
         """Close the connection unless the caller still sends a refused body.
--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -56,7 +56,7 @@
     "call-refused": "a call was refused with a Retry-After header; it has not run",
     "caller-closed": "a caller did not read its answers, and its connection was closed",
     "caller-lost": "a caller's connection ended by an error, with answers on their way",
-    "caller-left": "a caller's connection ended with unanswered calls",
+    "caller-left": "a caller ended its connection, or its input, with unanswered calls",
     "input-dropped": "a connection was closed with received bytes not read yet",
     "call-cut": "a call was cut off although its caller waits; it is answered",
     "call-failed": "a call failed and may have run",
