Accept request targets in absolute form in the sidecar

Callers that send `GET http://host/path HTTP/1.1`, as clients do that are set up for a proxy, were answered 404: the whole target was looked up in the route table. RFC 9112, 3.2.2, has a server accept this form, and take the host from it in place of the Host header.

The target is split when the head is complete, so the route, the fingerprint and the upstream's request line see the origin form, and one Host header with the target's authority. Path, query and percent-encoding stay as they were sent; an empty path becomes "/". An authority that is empty, malformed or has user information (RFC 9110, 4.2.4, forbids it in a request) is answered 400. Other schemes are unknown here as before.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -20,7 +20,9 @@
 from sequoiaspoke.core.mesh.memory import SMALL_BODY, MemoryAccount
 from sequoiaspoke.core.mesh.model import CallerLimits
 from sequoiaspoke.core.mesh.outcome import Request, find_header
+from sequoiaspoke.errors import BadRequestError
 from sequoiaspoke.polling import PolledTimer
+from sequoiaspoke.requesttarget import split_absolute
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.bodypolicy import CallerEnd, ReadAllBodies
 from sequoiaspoke.sidecar.endedinput import EndedInput
@@ -321,6 +323,8 @@
         if self.asks_upgrade:
             return
         self.head_complete = True
+        if not self.target.startswith(b"/") and not self.use_origin_form():
+            return
         expects = find_header(self.headers, "expect").lower() == "100-continue"
         length = find_header(self.headers, "content-length")
         size = int(length) if length.isdecimal() else 0
@@ -332,6 +336,20 @@
             self.continue_due = True
             self.flush()
 
+    def use_origin_form(self) -> bool:
+        """Split an absolute target; refuse a malformed one and return False."""
+        try:
+            parts = split_absolute(self.target.decode("latin-1"))
+        except BadRequestError as error:
+            self.refuse(400, error.detail)
+            return False
+        if parts is not None:
+            host, target = parts
+            self.target = target.encode("latin-1")
+            others = [pair for pair in self.headers if pair[0].lower() != "host"]
+            self.headers = [("Host", host), *others]
+        return True
+
     def admit_body(self, size: int) -> None:
         """Reserve the bytes of a large body, or refuse it before it is read."""
         head = self.request(b"")
