Answer the callers whose calls outlast a node's grace period

A stopping node closed the connections of the calls that were still in flight after `grace`: their callers got no answer, although the upstream may have run the call, and could not tell it from a refusal.

The node now answers them in the step in which it ends its input: 502 `node-stopped`, outcome-unknown, with `Connection: close`; then it cancels the calls as before. Requests pipelined behind one of them are not run. A connection of another node is closed as before, as that node answers its own caller (`connection-lost`). An answer that has begun is still cut off.

--- a/sequoiaspoke/errors.py
+++ b/sequoiaspoke/errors.py
@@ -240,6 +240,12 @@
     code = "connection-lost"
 
 
+class NodeStoppedError(OutcomeUnknownError):
+    """The node stopped while the call was in flight."""
+
+    code = "node-stopped"
+
+
 class TruncatedAnswerError(OutcomeUnknownError):
     """The answer ended before its announced length or last chunk."""
 
--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -186,8 +186,10 @@
                 await self.wait_idle()
         except TimeoutError:
             log.warning("grace-over", in_flight=self.in_flight())
-        # In the same step: a call that began later would be cut off.
-        self.callers.input_ended = self.mesh.input_ended = True
+        # In the same step: a call that began later would be cut off. Other nodes
+        # answer their callers themselves when their connections close.
+        self.mesh.input_ended = True
+        self.callers.cut_off()
         self.mesh.server.stop()
         self.config_poller.stop()
         await self.config.stop()
--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -21,7 +21,12 @@
 )
 from tornado.iostream import StreamClosedError
 
-from sequoiaspoke.errors import BadRequestError, CallError, ConnectionLostError
+from sequoiaspoke.errors import (
+    BadRequestError,
+    CallError,
+    ConnectionLostError,
+    NodeStoppedError,
+)
 from sequoiaspoke.node import headers as names
 from sequoiaspoke.node import silence
 from sequoiaspoke.node.pipe import BodyPipe
@@ -209,6 +214,12 @@
         if reader is not None:
             reader.idle_timer.cancel()
 
+    def cut_off(self) -> None:
+        """Serve no further call, and answer those in flight at once."""
+        self.input_ended = True
+        for reader in list(self.readers.values()):
+            reader.cut_off()
+
     async def wait_idle(self) -> None:
         """Wait until no call is in flight."""
         if self.in_flight == 0:
@@ -241,6 +252,7 @@
         self.connection = connection
         self.idle_timer = silence.call_after(server.keepalive, connection.close)
         self.body: BodyPipe | None = None
+        self.call: IncomingCall | None = None
         self.task: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -263,6 +275,7 @@
             return
         remote = self.connection.context.remote_ip  # type: ignore[union-attr]
         call = IncomingCall(start_line, headers, self.body, remote, writer)
+        self.call = call
         self.server.in_flight += 1
         self.connection.set_close_callback(self.on_connection_close)
         self.task = asyncio.get_running_loop().create_task(self.run(call))
@@ -287,6 +300,14 @@
         if self.task:
             self.task.cancel()
 
+    def cut_off(self) -> None:
+        """Answer a call in flight and cancel it."""
+        if self.call is None or self.task is None or self.task.done():
+            return
+        self.call.writer.close_after = True
+        self.answer_failure(self.call, NodeStoppedError("after its grace period"))
+        self.task.cancel()
+
     async def run(self, call: IncomingCall) -> None:
         """Run the handler and answer with the error that it raises."""
         try:
