Stop a node on SIGHUP as on SIGTERM

SIGHUP had its default action: it ended the process at once, also during a stop, and every call in flight was closed without an answer.

It now starts the same stop as SIGTERM and SIGINT; during a stop it changes nothing. The node has no settings that are read again while it runs.

--- a/sequoiaspoke/commands/node.py
+++ b/sequoiaspoke/commands/node.py
@@ -10,9 +10,12 @@
 from sequoiaspoke.node.logs import configure_logs
 from sequoiaspoke.settings.load import load_settings
 
+# Signals that would otherwise end the process with its calls.
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 def node(settings_file: str) -> int:
-    """Run a node until SIGTERM or SIGINT; calls in flight are completed first.
+    """Run a node until SIGTERM, SIGINT or SIGHUP; calls in flight finish first.
 
     :param settings_file: INI file with the node's settings
     """
@@ -26,7 +29,7 @@
     """Run a node until it receives a stop signal."""
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stop_requested.set)
     if not await process.start(stop_requested.is_set):
         return
