Match rules on the path of a target in absolute form

A node took a target such as `http://host/path` as a path: rules saw "/host/path", and the target went on to the upstream as it was. A rule that refuses a path was bypassed by this form, as an upstream that accepts the form, as RFC 9112, 3.2.2, demands, ran the call; other callers got 404.

The node now reads the form as the sidecar does: the authority replaces the Host header, the rest is the target, and a malformed authority is answered 400.

--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -30,6 +30,7 @@
 from sequoiaspoke.node import headers as names
 from sequoiaspoke.node import silence
 from sequoiaspoke.node.pipe import BodyPipe
+from sequoiaspoke.requesttarget import split_absolute
 
 if TYPE_CHECKING:
     import ssl
@@ -267,6 +268,7 @@
         writer = Writer(self.connection)
         writer.close_after = self.server.draining
         try:
+            start_line = use_origin_form(start_line, headers)
             if has_body(start_line.method, headers):
                 self.body = BodyPipe()
         except (BadRequestError, HTTPInputError) as error:
@@ -336,6 +338,25 @@
             call.writer.refuse(error)
 
 
+def use_origin_form(
+    start_line: RequestStartLine, headers: HTTPHeaders
+) -> RequestStartLine:
+    """Return the start line in origin form; its authority replaces the Host header.
+
+    Rules match the path, which an absolute target would hide from them.
+
+    Raises
+    ------
+    BadRequestError
+        The authority is empty or malformed.
+    """
+    parts = split_absolute(start_line.path)
+    if parts is None:
+        return start_line
+    headers["Host"], target = parts
+    return start_line._replace(path=target)
+
+
 def has_body(method: str, headers: HTTPHeaders) -> bool:
     """Return whether a request has a body.
 
