--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -45,6 +45,7 @@
 # methods. With other methods it would be forwarded without framing, and the next
 # hop would read its bytes as another caller's request.
 CHUNKED_METHODS = frozenset({"POST", "PUT", "PATCH"})
+EXPECT, CONTINUE = "Expect", "100-continue"
 
 
 class Writer:
@@ -265,6 +266,7 @@
         if self.server.input_ended:
             self.connection.close()
             return
+        normalize_expectation(start_line, headers)
         writer = Writer(self.connection)
         writer.close_after = self.server.draining
         try:
@@ -338,6 +340,20 @@
             call.writer.refuse(error)
 
 
+def normalize_expectation(start_line: RequestStartLine, headers: HTTPHeaders) -> None:
+    """Write the expectation of `100 Continue` as Tornado reads it.
+
+    Tornado compares it case-sensitively, and would send the interim answer also to a
+    caller of HTTP/1.0, which takes it for the final one.
+    """
+    if headers.get(EXPECT, "").lower() != CONTINUE:
+        return
+    if start_line.version == "HTTP/1.0":
+        del headers[EXPECT]
+    else:
+        headers[EXPECT] = CONTINUE
+
+
 def use_origin_form(
     start_line: RequestStartLine, headers: HTTPHeaders
 ) -> RequestStartLine:
