--- a/sequoiaspoke/tests/nodeserver.py
+++ b/sequoiaspoke/tests/nodeserver.py
@@ -49,6 +49,7 @@
                     writer.close()
             finally:
                 self.server.server.stop()
+                self.server.cut_off()
                 await self.server.server.close_all_connections()
 
         asyncio.run(run())
