Give the stand-in of a node the argument of its start

A merge of two changes: a node's start is told how to find out about a stop, and the test of its signals replaced the node by a stand-in without that. The test failed with TypeError in the merged code; its checks are as before.

--- a/sequoiaspoke/tests/test_node_signals.py
+++ b/sequoiaspoke/tests/test_node_signals.py
@@ -18,8 +18,8 @@
         self.stopping = asyncio.Event()
         self.stopped = asyncio.Event()
 
-    async def start(self):
-        pass
+    async def start(self, stopping):
+        return True
 
     async def stop(self):
         self.stopping.set()
