Let the soak of planned work take its shape from settings

The soak of planned work had one shape: one service, callers that send request after request, upstreams that refuse what they have no slot for.

--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,9 @@
 	SPREAD_EXAMPLES=2000 $(RUN) pytest -n $(WORKERS) sequoiaspoke/tests/test_spread_property.py
 
 soak: $(VENV)/.ready
-	SOAK_SEED=$(or $(SEED),1) SOAK_SECONDS=$(or $(LENGTH),60) SOAK_NODES=$(or $(NODES),3) \
-		$(RUN) pytest -n 3 -s platform/tests/test_platform_soak.py
+	SOAK_SEED=$(or $(SEED),1) SOAK_SECONDS=$(or $(LENGTH),60) SOAK_NODES=$(NODES) \
+		SOAK_SHAPE=$(or $(SHAPE),general) SOAK_HOLDS=$(HOLDS) $(RUN) pytest -n 3 -s \
+		platform/tests/test_platform_soak.py
 
 thrift:
 	rm -rf sequoiaspoke/wire/gen
