Test calls while all homes of a service stop at once

What callers see: 503 for every call of another node that may run only once and has a deadline after the exit, if all homes of its service were told to stop within the same 1.8 s, although the calls take 50 ms.

Cause: a home that stops takes another one for a home that goes on until that has announced that it leaves, 1.8 s after its signal. Each refuses the call for the other.

No fix: it has to weigh calls that are not served against calls that the exit breaks off.

--- /dev/null
+++ b/sequoiaspoke/tests/test_mesh_stopping.py
@@ -0,0 +1,51 @@
+"""Tests of calls to homes that were told to stop, on a virtual clock."""
+
+import asyncio
+
+from testtools import TestCase
+
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.tests.meshsim import TIMEOUT, MeshWorld, VirtualLoop
+
+CALLS = 20
+# Seconds until the homes exit: less than callers wait, far more than calls take.
+EXIT_SECONDS = TIMEOUT - 0.5
+
+
+class StoppingHomesTests(TestCase):
+    """A node beside two homes, which have not announced yet that they leave."""
+
+    def statuses(self, stopping):
+        """Return the statuses of calls while some of the homes stop."""
+        loop = VirtualLoop()
+        self.patch(clock, "now", loop.time)
+
+        async def scenario():
+            world = MeshWorld(1, nodes=3)
+            del world.endpoints["i-h0"]
+            entry = world.nodes["h0"].entry
+            await asyncio.sleep(1.0)
+            statuses = []
+            for number in range(CALLS):
+                for host in stopping:
+                    world.nodes[host].home.exits_at = clock.now() + EXIT_SECONDS
+                answer = await entry.handle(world.request("order", f"order-{number}"))
+                statuses.append(answer.status)
+            for node in world.nodes.values():
+                node.kill()
+            await asyncio.sleep(0)
+            return statuses
+
+        try:
+            asyncio.set_event_loop(loop)
+            return loop.run_until_complete(scenario())
+        finally:
+            asyncio.set_event_loop(None)
+            loop.close()
+
+    def test_calls_are_served_if_one_of_the_homes_stops(self):
+        self.assertEqual(CALLS * [200], self.statuses(["h1"]))
+
+    def test_calls_are_served_if_all_homes_stop_at_once(self):
+        # Each home took the other one for one that goes on, and all calls were refused.
+        self.assertEqual(CALLS * [200], self.statuses(["h1", "h2"]))
