Ask callers whose first unanswered request takes interim responses

What callers saw: a caller that sent a request of HTTP/1.1 and one of HTTP/1.0 behind it, ended its input and read on, had both calls cancelled after a quarter of a second.

Cause: the interim response was sent only if all unanswered requests take one. It belongs to the first of them.

Evidence: the new test failed before, on both event loops; over a socket, with 0.4 s of work, no answer and `caller-left` with `unknown` and 2 calls.

Change: only the version of the first unanswered request is compared.

Result: both are answered; the tests of the module pass.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -203,7 +203,7 @@
         self.request_started = None
         self.continue_due = False
         self.ended_input = EndedInput(self.socket, len(self.pending), self.caller_left)
-        if not all(exchange.takes_interim for exchange in self.pending):
+        if not self.pending[0].takes_interim:
             self.ended_input.give_time()
             return True
         if not self.unsent_bytes():
--- a/sequoiaspoke/tests/test_callerserver_leaving.py
+++ b/sequoiaspoke/tests/test_callerserver_leaving.py
@@ -1,5 +1,6 @@
 """Tests of callers that end their connections before they are answered."""
 
+import asyncio
 import socket
 import struct
 from dataclasses import replace
@@ -319,6 +320,25 @@
 
         self.play(scenario)
 
+    def test_an_interim_response_to_a_newer_request_before_it_is_taken(self):
+        # Both calls were cancelled, although the caller could have been asked.
+        async def scenario(reader, writer):
+            self.patch(endedinput, "UNKNOWN_SECONDS", 0.02)
+            data = request("/a") + request("/b", version="1.0")
+            connection = await self.send(writer, data, 2)
+            await self.end_input(connection, writer)
+            await self.until(
+                lambda: connection.closed or connection.ended_input.checked
+            )
+            await asyncio.sleep(2 * endedinput.UNKNOWN_SECONDS)
+            self.handler.gate.set()
+            answers = split_answers(await reader.read())
+            self.assertEqual(
+                answers, [(100, b"", False), (200, b"/a", False), (200, b"/b", True)]
+            )
+
+        self.play(scenario)
+
     def test_its_calls_are_cancelled_after_a_while(self):
         # A caller that has left cannot be told from one that reads on.
         async def scenario(reader, writer):
