Take calls of other nodes at a stopping home again

What callers would have seen: 503 for every call of another node that may run only once and has a deadline after the exit, if all homes of its service are told to stop within 1.8 s. Each took another one for a home that goes on, as a home announces that it leaves only then.

The stand-in of a home in the measurements lacked the new method, too, and its calls timed out: the test of the measured cost failed in the whole run.

Change: is taken back.

--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -77,8 +77,6 @@
         Whether this node is about to stop and refuses new calls.
     exits_at : float
         When this process exits at the latest; infinite until it is told to stop.
-    reachable : callable
-        Tells whether the home of an endpoint takes calls, as far as this node knows.
     evacuated : bool
         Whether the zone is evacuated and new calls are refused.
     evacuation_ended_at : int
@@ -112,7 +110,6 @@
         self.calls: dict[Hashable, ActiveCall] = {}
         self.leaving = False
         self.exits_at = inf
-        self.reachable: Callable[[Endpoint], bool] = lambda endpoint: True  # noqa: ARG005
         self.evacuated = False
         self.evacuation_ended_at = 0
         self.health_monitor = HealthMonitor(
@@ -255,31 +252,6 @@
             )
         return None
 
-    def find_remote_refusal(self, key: Hashable, call: HomeCall) -> NotRun | None:
-        """Return why a call of another node is to run elsewhere, None if it is not.
-
-        A new call with a deadline after the exit of this process might be cut off by
-        that. If it may run only once, nobody could try it again. It runs here if no
-        other home takes calls of its service.
-        """
-        if call.idempotent or call.deadline <= self.exits_at:
-            return None
-        if self.ledger.find(key) is not None:
-            return None
-        if not self.has_other_homes(call.incarnation):
-            return None
-        return NotRun(RefusalReason.LEAVING, LEAVING_RETRY_AFTER)
-
-    def has_other_homes(self, incarnation: Incarnation) -> bool:
-        """Return whether another home takes calls of the service of an upstream."""
-        record = self.directory.records.get(incarnation.instance)
-        if record is None:
-            return False
-        return any(
-            each.host != record.endpoint.host and self.reachable(each)
-            for each in self.directory.serving(record.endpoint.service)
-        )
-
     def departure_reason(self, incarnation: Incarnation) -> RefusalReason:
         """Return why an incarnation that is leaving or gone gets no calls."""
         if self.directory.is_draining(incarnation):
