--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -125,7 +125,7 @@
         Whether `100 Continue` is to be sent after the answers before it.
     """
 
-    keep_alive = PATIENT_PROBES
+    probing = PATIENT_PROBES
 
     def __init__(self, server: CallerServer) -> None:
         super().__init__()
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -64,7 +64,7 @@
         is dead if sent bytes are not acknowledged for some time. A peer that reads
         slowly acknowledges them, too, but the kernel applies the same timeout to the
         time for which its receive buffer is full.
-    keep_alive : KeepAlive
+    probing : KeepAlive
         How a peer that is gone is found.
     closed : bool
         Whether this end was closed or the connection has ended.
@@ -76,7 +76,7 @@
     """
 
     peer_reads_at_once = False
-    keep_alive = FAST_PROBES
+    probing = FAST_PROBES
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
@@ -87,7 +87,7 @@
     def connection_made(self, transport: Any) -> None:
         """Start to use an established connection."""
         self.transport = transport
-        enable_keepalive(self.socket, self.keep_alive)
+        enable_keepalive(self.socket, self.probing)
         if self.peer_reads_at_once:
             set_user_timeout(self.socket, USER_TIMEOUT_MS)
         self.opened()
