Tell in one place how a caller has ended its connection

Cause: the end of a connection was told by two pieces of code, from the number of the socket's error and from the exception of the transport. The latter also had a case for a connection that ends without an error while calls wait. Since the end of the input keeps such a connection open, only a local close ends it so, and that is not reported.

Change: one function in endedinput.py, used by both; the case is gone. What is reported and counted stays the same.

Result: the tests of callers and of their leaving pass unchanged, on both loops.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -24,8 +24,8 @@
 from sequoiaspoke.polling import PolledTimer
 from sequoiaspoke.requesttarget import split_absolute
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.bodypolicy import CallerEnd, ReadAllBodies
-from sequoiaspoke.sidecar.endedinput import EndedInput
+from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
+from sequoiaspoke.sidecar.endedinput import EndedInput, caller_end
 from sequoiaspoke.sidecar.httptext import (
     CONTINUE,
     FRAMING_PER_BYTE,
@@ -42,7 +42,7 @@
     from collections.abc import Awaitable, Callable
 
     from sequoiaspoke.core.mesh.outcome import Answer
-    from sequoiaspoke.sidecar.bodypolicy import BodyPolicy
+    from sequoiaspoke.sidecar.bodypolicy import BodyPolicy, CallerEnd
 
 HEAD_END = b"\r\n\r\n"
 # Calls of one connection that may be unanswered before reading from it pauses.
@@ -624,13 +624,6 @@
             self.close()
 
 
-def caller_end(error: Exception | None) -> CallerEnd:
-    """Return how a caller has ended its connection, by the error of the transport."""
-    if error is None:
-        return CallerEnd.INPUT
-    return CallerEnd.TIMEOUT if isinstance(error, TimeoutError) else CallerEnd.RESET
-
-
 class CallerServer(ConnectionServer):
     """Accepts connections of callers.
 
--- a/sequoiaspoke/sidecar/endedinput.py
+++ b/sequoiaspoke/sidecar/endedinput.py
@@ -9,9 +9,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import select
 import socket
-from errno import ETIMEDOUT
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -94,5 +94,10 @@
     poll.register(sock, 0)
     if not poll.poll(0):
         return None
-    error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-    return CallerEnd.TIMEOUT if error == ETIMEDOUT else CallerEnd.RESET
+    number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return caller_end(OSError(number, os.strerror(number)))
+
+
+def caller_end(error: Exception | None) -> CallerEnd:
+    """Return how a caller has ended its connection, by the error of that."""
+    return CallerEnd.TIMEOUT if isinstance(error, TimeoutError) else CallerEnd.RESET
