--- a/sequoiaspoke/tests/bodysim.py
+++ b/sequoiaspoke/tests/bodysim.py
@@ -6,7 +6,6 @@
 from sequoiaspoke.core.mesh.memory import MemoryAccount
 from sequoiaspoke.core.mesh.model import Endpoint
 from sequoiaspoke.core.mesh.outcome import Answer, Request
-from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.frames import Dialer
 from sequoiaspoke.sidecar.home import Home
 from sequoiaspoke.sidecar.homecall import HomeCall
@@ -14,7 +13,7 @@
 from sequoiaspoke.sidecar.linkserver import LinkServer
 from sequoiaspoke.sidecar.logs import EventLog
 from sequoiaspoke.sidecar.pending import LinkIdentity
-from sequoiaspoke.tests.meshsim import Pipe, PipeFrames, VirtualLoop
+from sequoiaspoke.tests.meshsim import Pipe, PipeFrames, run_virtual
 from sequoiaspoke.tests.test_meshlink import NoGossip
 
 ENDPOINT = Endpoint("i-1", "fleet", "home", 80, "akaki", 2)
@@ -193,8 +192,6 @@
 
 def play_bodies(case, scenario, **options):
     """Run a scenario with a world on a virtual clock."""
-    loop = VirtualLoop()
-    case.patch(clock, "now", loop.time)
 
     async def run():
         world = BodyWorld(**options)
@@ -204,9 +201,4 @@
             world.close()
             await asyncio.sleep(0)
 
-    try:
-        asyncio.set_event_loop(loop)
-        loop.run_until_complete(run())
-    finally:
-        asyncio.set_event_loop(None)
-        loop.close()
+    run_virtual(run, case)
--- a/sequoiaspoke/tests/meshsim.py
+++ b/sequoiaspoke/tests/meshsim.py
@@ -475,17 +475,22 @@
 
 def play_world(make, case, **options):
     """Create a world on a virtual clock, run it and return it."""
+
+    async def run():
+        world = make()
+        await world.play(**options)
+        return world
+
+    return run_virtual(run, case)
+
+
+def run_virtual(scenario, case):
+    """Run a scenario on a virtual clock and return its result."""
     loop = VirtualLoop()
     case.patch(clock, "now", loop.time)
     try:
         asyncio.set_event_loop(loop)
-
-        async def run():
-            world = make()
-            await world.play(**options)
-            return world
-
-        return loop.run_until_complete(run())
+        return loop.run_until_complete(scenario())
     finally:
         asyncio.set_event_loop(None)
         loop.close()
--- a/sequoiaspoke/tests/test_mesh_stopping.py
+++ b/sequoiaspoke/tests/test_mesh_stopping.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.tests.meshsim import TIMEOUT, MeshWorld, VirtualLoop
+from sequoiaspoke.tests.meshsim import TIMEOUT, MeshWorld, run_virtual
 
 CALLS = 20
 # Seconds until the homes exit: less than callers wait, far more than calls take.
@@ -17,8 +17,6 @@
 
     def statuses(self, stopping):
         """Return the statuses of calls while some of the homes stop."""
-        loop = VirtualLoop()
-        self.patch(clock, "now", loop.time)
 
         async def scenario():
             world = MeshWorld(1, nodes=3)
@@ -36,12 +34,7 @@
             await asyncio.sleep(0)
             return statuses
 
-        try:
-            asyncio.set_event_loop(loop)
-            return loop.run_until_complete(scenario())
-        finally:
-            asyncio.set_event_loop(None)
-            loop.close()
+        return run_virtual(scenario, self)
 
     def test_calls_are_served_if_one_of_the_homes_stops(self):
         self.assertEqual(CALLS * [200], self.statuses(["h1"]))
--- a/sequoiaspoke/tests/test_node_grace.py
+++ b/sequoiaspoke/tests/test_node_grace.py
@@ -21,6 +21,13 @@
 class GraceTests(LoopbackTestCase):
     """Guards against a caller that never learns that its call may have run."""
 
+    async def only_site(self, deployment):
+        """Return the site whose upstream is the only one that serves."""
+        deployment.sites[1].leaving = True
+        version = deployment.publish(rules(self.RULES))
+        await deployment.converged(version, WAIT)
+        return deployment.sites[0]
+
     async def stop_at_once(self, node):
         limits = replace(node.settings.node, drain=0, grace=0)
         node.settings = replace(node.settings, node=limits)
@@ -29,10 +36,7 @@
     def test_a_call_that_outlasts_the_grace_period_is_answered(self):
         # The connection was closed without an answer while the upstream ran the call.
         async def test(deployment):
-            deployment.sites[1].leaving = True
-            version = deployment.publish(rules(self.RULES))
-            await deployment.converged(version, WAIT)
-            site = deployment.sites[0]
+            site = await self.only_site(deployment)
             call = asyncio.ensure_future(raw(site.node.ports["call"], HELD))
             await until(lambda: site.upstream.runs_total == 1)
             await self.stop_at_once(site.node)
@@ -47,10 +51,7 @@
 
     def test_a_request_behind_it_is_not_run(self):
         async def test(deployment):
-            deployment.sites[1].leaving = True
-            version = deployment.publish(rules(self.RULES))
-            await deployment.converged(version, WAIT)
-            site = deployment.sites[0]
+            site = await self.only_site(deployment)
             first = b"GET / HTTP/1.1\r\nHost: x\r\nStandin-Hold: yes\r\n\r\n"
             port = site.node.ports["call"]
             calls = asyncio.ensure_future(raw(port, first + request("GET", "/")))
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from functools import partial
 from random import Random
 from types import SimpleNamespace
 
@@ -20,7 +21,7 @@
 from sequoiaspoke.sidecar.settings import SidecarSettings
 from sequoiaspoke.sidecar.shutdown import LINGER_SECONDS, SPARE_SHARE
 from sequoiaspoke.sidecar.wirecalls import pack_call, unpack_outcome
-from sequoiaspoke.tests.meshsim import VirtualLoop
+from sequoiaspoke.tests.meshsim import run_virtual
 from sequoiaspoke.tests.test_sidecar_entry import NoItems, request, route
 from sequoiaspoke.tests.test_sidecar_home import ENDPOINT, BlockingUpstream
 
@@ -40,14 +41,7 @@
     held = 0.0
 
     def play(self, scenario):
-        loop = VirtualLoop()
-        self.patch(clock, "now", loop.time)
-        try:
-            asyncio.set_event_loop(loop)
-            return loop.run_until_complete(self.run_scenario(scenario))
-        finally:
-            asyncio.set_event_loop(None)
-            loop.close()
+        return run_virtual(partial(self.run_scenario, scenario), self)
 
     async def run_scenario(self, scenario):
         store = SimpleNamespace(new_headers=None)
