--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -123,11 +123,15 @@
         self.home.exits_at = self.exits_at
         self.input_ends_at = self.exits_at - spare
         self.timers.call_at(self.input_ends_at, self.end_input_once_read)
+        self.timers.call_at(
+            self.entry.closes_at + LAST_ANSWERS_SECONDS, self.log_last_answers
+        )
         self.log.event(
             "stop",
             running=self.home.admission.running,
             calls=len(self.home.calls),
             exit=f"{drain:.2f}",
+            answers=f"{self.entry.closes_at - self.began_at:.2f}",
             late=f"{late:.2f}",
         )
 
@@ -193,6 +197,19 @@
         """Return whether all connections of callers are closed and no frame is left."""
         return not self.callers.connections and not self.links.unsent
 
+    def log_last_answers(self) -> None:
+        """Log what is left after all calls that would outlast the node were answered.
+
+        It is lost if the process gets no processor until it is killed.
+        """
+        self.log.event(
+            "last-answers",
+            calls=self.callers.unanswered,
+            unsent=self.callers.unsent + self.links.unsent,
+            home_calls=len(self.home.calls),
+            left=f"{self.exits_at - clock.now():.3f}",
+        )
+
     def log_end(self, node: str) -> None:
         """Log what is left when the process ends, and when the last request came."""
         assert self.began_at is not None
