Test that no call is left to the last moment before the exit

Calls whose deadline lies between the last answers of a stopping node and its exit wait for their deadlines, and the node still sends them to other homes. A process that gets no processor until it is killed loses all of them.

--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -39,6 +39,8 @@
     timeout = TIMEOUT
     # Seconds for which the process did not run before it learned of the signal.
     held = 0.0
+    # Whether it is told before the scenario begins.
+    stops_first = True
 
     def play(self, scenario):
         return run_virtual(partial(self.run_scenario, scenario), self)
@@ -56,7 +58,8 @@
         self.sidecar.state.directory.put(ENDPOINT, 1, clock.now())
         self.stopped_at = clock.now()
         self.sidecar.ticked_at -= self.held
-        self.sidecar.stop()
+        if self.stops_first:
+            self.sidecar.stop()
         return await scenario()
 
     def elapsed(self):
@@ -148,6 +151,58 @@
         self.assertAlmostEqual(elapsed, DRAIN - SPARE_SHARE * DRAIN, delta=0.01)
 
 
+class LastMomentTests(StoppingCallCase):
+    """A process may get no processor in the last moment before it is killed."""
+
+    answered_by = DRAIN - SPARE_SHARE * DRAIN
+
+    def test_no_call_is_left_to_a_deadline_just_before_the_exit(self):
+        # Killed before such deadlines, the process took all calls with it at once.
+        self.left_ms = 10_000
+        for deadline in (5.3, 5.5, 5.7, DRAIN, 6.1):
+            self.timeout = deadline - 1.0
+            status, elapsed, _ = self.call(after=1.0, work=9.0)
+            self.assertEqual(status, 504)
+            expected = min(deadline, self.answered_by)
+            self.assertAlmostEqual(elapsed, expected, delta=0.01)
+
+    def test_calls_made_before_the_signal_are_answered_by_then(self):
+        # Their deadlines were known before, and the exit was not.
+        async def scenario():
+            entry = self.sidecar.entry
+            entry.attempts.usable = lambda endpoint: True
+            entry.attempts.send_to_home = lambda attempt: None
+            begun = clock.now()
+            call = asyncio.ensure_future(entry.handle(request("order", left=5700)))
+            await asyncio.sleep(0)
+            self.sidecar.stop()
+            return (await call).status, clock.now() - begun
+
+        self.stops_first, self.timeout = False, 10.0
+        status, elapsed = self.play(scenario)
+        self.assertEqual(status, 504)
+        self.assertAlmostEqual(elapsed, self.answered_by, delta=0.01)
+
+    def test_no_home_is_asked_that_could_not_answer_by_then(self):
+        # Sent to one more home, an order was cut off, and might have run.
+        async def scenario(name):
+            entry, sent = self.sidecar.entry, []
+            other = replace(ENDPOINT, instance="i-2", host="10.0.0.3")
+            self.sidecar.state.directory.put(other, 2, clock.now())
+            entry.attempts.usable = lambda endpoint: True
+            entry.attempts.send_to_home = sent.append
+            entry.attempts.balancer.mean_seconds[name] = USUAL
+            call = asyncio.ensure_future(entry.handle(request(name, left=10_000)))
+            await asyncio.sleep(5.0)
+            sent[0].finish(NotRun("queue-full", 0.2), LoadReport())
+            await asyncio.sleep(0.01)
+            return call.done() and call.result().status, len(sent)
+
+        self.timeout = 10.0
+        self.assertEqual(self.play(partial(scenario, "order")), (503, 1))
+        self.assertEqual(self.play(partial(scenario, "read")), (False, 2))
+
+
 class LateSignalTests(StoppingCallCase):
     """The platform counts the grace from the signal, which waits for the process."""
 
