Send calls that could outlast a stopping home to another one

What callers saw: 502 for an order whose upstream was at work, as the home that ran it was told to stop before and exited; from an entry that stops too, a request lost in planned work.

Cause: for 1.8 s a home that stops takes every call of other nodes, whatever its deadline. A call over 4.1 s is cut off by the exit, and nobody may try it again.

Change: the home refuses, and the entry decides. An entry that has no other home left, or may ask only once more, comes back to one that has refused as it stops and says that it is the last resort; the home then runs the call. A home of an earlier build takes the field for nothing. The bound is the moment by which calls of the stopping node have to end, half a second before its exit.

--- a/sequoiaspoke/measure/costplayed.py
+++ b/sequoiaspoke/measure/costplayed.py
@@ -30,6 +30,9 @@
         headers = (("Content-Type", "text/plain"), ("X-Upstream-Stamp", "s"))
         self.answer = Answer(200, headers, b"x" * BODY_BYTES, 0.01)
 
+    def find_remote_refusal(self, key: Hashable, call: HomeCall) -> None:  # noqa: ARG002
+        """Refuse no call."""
+
     def submit(
         self,
         key: Hashable,  # noqa: ARG002
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -111,6 +111,7 @@
             self.log,
             TcpDialer(),
         )
+        self.home.reachable = self.peers.reachable
         self.crash_gossip = CrashGossip(
             self.home.crash_guard.quarantine,
             self.home.crash_guard.record_reports,
--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -17,7 +17,12 @@
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.homecall import HomeCall
-from sequoiaspoke.sidecar.race import RETRYABLE_STATUSES, Attempt, Race
+from sequoiaspoke.sidecar.race import (
+    MAX_UNREACHED_ATTEMPTS,
+    RETRYABLE_STATUSES,
+    Attempt,
+    Race,
+)
 from sequoiaspoke.sidecar.upstreamreport import is_leaving
 
 if TYPE_CHECKING:
@@ -77,9 +82,24 @@
     def choose(self, progress: Progress) -> Endpoint | None:
         """Return the endpoint for the next attempt, None if there is none."""
         progress.max_wait = inf
+        if progress.stopping and progress.unreached == MAX_UNREACHED_ATTEMPTS:
+            return self.stopping_endpoint(progress)
         if self.suspected(progress):
-            return self.suspect_endpoint(progress)
-        return self.slot_request(progress) or self.choose_by_reports(progress)
+            endpoint = self.suspect_endpoint(progress)
+        else:
+            endpoint = self.slot_request(progress) or self.choose_by_reports(progress)
+        return endpoint or self.stopping_endpoint(progress)
+
+    def stopping_endpoint(self, progress: Progress) -> Endpoint | None:
+        """Return an endpoint whose home takes the call although it stops, if any.
+
+        Otherwise a call that may run only once would be refused by all homes where all
+        of them are restarted.
+        """
+        usable = filter(self.usable, progress.stopping)
+        endpoint = None if progress.last_resort else next(usable, None)
+        progress.last_resort = True
+        return endpoint
 
     def slot_request(self, progress: Progress) -> Endpoint | None:
         """Return the home to ask for a slot, or to wait at after busy ones, if any."""
@@ -269,6 +289,7 @@
             progress.deadline,
             attempt.max_wait,
             large_body=progress.route.large_bodies,
+            last_resort=progress.last_resort,
         )
         if endpoint.host == self.peers.identity.host:
             self.run_locally(attempt, call)
@@ -300,6 +321,8 @@
         incarnation, now = attempt.endpoint.incarnation, clock.now()
         if isinstance(outcome, Unknown) and outcome.crash is not None:
             self.home.crash_guard.record_reports([outcome.crash])
+        if isinstance(outcome, NotRun) and outcome.reason == RefusalReason.LEAVING:
+            attempt.progress.stopping.append(attempt.endpoint)
         self.balancer.end(incarnation)
         self.balancer.record_load(incarnation, attempt.progress.route.name, report, now)
         self.record_outcome(attempt.progress, incarnation, outcome, now)
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -34,7 +34,11 @@
 from sequoiaspoke.sidecar.callerserver import CUT
 from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.httptext import end_to_end, local_answer
-from sequoiaspoke.sidecar.race import RETRYABLE_STATUSES, Progress
+from sequoiaspoke.sidecar.race import (
+    MAX_UNREACHED_ATTEMPTS,
+    RETRYABLE_STATUSES,
+    Progress,
+)
 from sequoiaspoke.sidecar.stopplan import RUNNING
 
 if TYPE_CHECKING:
@@ -59,9 +63,6 @@
 RESTART_SECONDS = 1.0
 # Reason of the answer to a call that was cut off because this process exits.
 EXITING = "exiting"
-# Attempts of one call that may fail without reaching an upstream. Each costs only a
-# round trip, but if all nodes refuse, the caller should know soon.
-MAX_UNREACHED_ATTEMPTS = 6
 # Reason counted when a connection is closed for its unread answers.
 SLOW_CALLER = "slow-caller"
 # Reason counted when the kernel ends a connection with unread answers or for a timeout.
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -58,6 +58,8 @@
     from sequoiaspoke.sidecar.upstreamreport import UpstreamReport
 
 WITHDRAWN = RefusalReason.WITHDRAWN
+# Reason logged and counted when a stopping node refuses a call that could outlast it.
+OUTLASTING = "outlasting"
 # Slots assumed until the platform publishes a number; every upstream has at least one.
 INITIAL_SLOTS = 1
 # Retry-After, in seconds, of refusals by a node that is about to stop.
@@ -78,6 +80,8 @@
         Whether this node is about to stop and refuses new calls.
     ends_by : float
         When calls that are started have to end; infinite until the node stops.
+    reachable : callable
+        Tells whether the home of an endpoint takes calls, as far as this node knows.
     evacuated : bool
         Whether the zone is evacuated and new calls are refused.
     evacuation_ended_at : int
@@ -111,6 +115,7 @@
         self.calls: dict[Hashable, ActiveCall] = {}
         self.leaving = False
         self.ends_by = inf
+        self.reachable: Callable[[Endpoint], bool] = lambda endpoint: True  # noqa: ARG005
         self.evacuated = False
         self.evacuation_ended_at = 0
         self.health_monitor = HealthMonitor(
@@ -257,6 +262,39 @@
             )
         return None
 
+    def find_remote_refusal(self, key: Hashable, call: HomeCall) -> NotRun | None:
+        """Return why a call of another node is to run elsewhere, None if it is not.
+
+        If it may run only once, nobody could try it again after the exit of this
+        process has cut it off.
+        """
+        if call.idempotent or call.last_resort or call.deadline <= self.ends_by:
+            return None
+        if self.ledger.find(key) is not None:
+            return None
+        if not self.has_other_homes(call.incarnation):
+            return None
+        self.counts[OUTLASTING] += 1
+        self.log.call(
+            "home-refused",
+            call.request,
+            reason=OUTLASTING,
+            instance=call.incarnation.instance,
+            left=f"{call.deadline - clock.now():.3f}",
+            ends=f"{self.ends_by - clock.now():.3f}",
+        )
+        return NotRun(RefusalReason.LEAVING, LEAVING_RETRY_AFTER)
+
+    def has_other_homes(self, incarnation: Incarnation) -> bool:
+        """Return whether another home takes calls of the service of an upstream."""
+        record = self.directory.records.get(incarnation.instance)
+        if record is None:
+            return False
+        return any(
+            each.host != record.endpoint.host and self.reachable(each)
+            for each in self.directory.serving(record.endpoint.service)
+        )
+
     def departure_reason(self, incarnation: Incarnation) -> RefusalReason:
         """Return why an incarnation that is leaving or gone gets no calls."""
         if self.directory.is_draining(incarnation):
--- a/sequoiaspoke/sidecar/homecall.py
+++ b/sequoiaspoke/sidecar/homecall.py
@@ -29,6 +29,9 @@
         Seconds that the call may wait for a slot; beyond them it is refused as busy.
     large_body : bool
         Whether the body is sent in parts, and only once the home requests it.
+    last_resort : bool
+        Whether no other home takes the call, so that one that stops runs it although
+        the call may outlast it.
     """
 
     request: Request
@@ -40,6 +43,7 @@
     deadline: float
     max_wait: float = inf
     large_body: bool = False
+    last_resort: bool = False
 
 
 @dataclass
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -107,6 +107,10 @@
         number, home_call = call.number, unpack_call(call)
         key, size = (self.peer, number), body_size(call)
         home = self.server.home
+        refusal = home.find_remote_refusal(key, home_call)
+        if refusal is not None:
+            self.send_outcome(number, home_call, refusal)
+            return
         home.submit(
             key,
             home_call,
--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -23,6 +23,9 @@
 
 # Statuses of an upstream after which an idempotent call is retried elsewhere.
 RETRYABLE_STATUSES = frozenset({500, 502, 503})
+# Attempts of one call that may fail without reaching an upstream. Each costs only a
+# round trip, but if all nodes refuse, the caller should know soon.
+MAX_UNREACHED_ATTEMPTS = 6
 
 
 @dataclass(eq=False)
@@ -59,6 +62,10 @@
         The slot requests of the call; None if it makes none.
     max_wait : float
         Seconds that the next attempt may wait for a slot.
+    stopping : list of Endpoint
+        Endpoints whose homes have refused the call as they stop.
+    last_resort : bool
+        Whether the next attempt is made at one of them all the same.
     """
 
     request: Request
@@ -81,6 +88,8 @@
     expired: bool = False
     requests: SlotRequests | None = None
     max_wait: float = inf
+    stopping: list[Endpoint] = field(default_factory=list)
+    last_resort: bool = False
 
     def out_of_homes(self, outcome: NotRun) -> bool:
         """Return whether the other homes of the service would refuse the call too."""
--- a/sequoiaspoke/sidecar/wirecalls.py
+++ b/sequoiaspoke/sidecar/wirecalls.py
@@ -66,6 +66,7 @@
         rank=call.rank,
         idempotent=call.idempotent,
         max_wait=None if isinf(call.max_wait) else call.max_wait,
+        last_resort=call.last_resort or None,
     )
     return wire.Frame(call=message)
 
@@ -93,6 +94,7 @@
         message.deadline,
         inf if message.max_wait is None else message.max_wait,
         message.body_size is not None,
+        bool(message.last_resort),
     )
 
 
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -302,7 +302,7 @@
 
     other = replace(ENDPOINT, instance="i-2", host="10.0.0.3")
 
-    async def submit(self, left, own=False, idempotent=False):
+    async def submit(self, left, own=False, idempotent=False, last_resort=False):
         """Return the outcome, if any, of a call and whether its upstream got it.
 
         Parameters
@@ -317,7 +317,16 @@
         until = clock.now() + left
         request = Request("POST", "/", (), b"")
         incarnation = ENDPOINT.incarnation
-        call = HomeCall(request, incarnation, "r", 0, idempotent, until, until)
+        call = HomeCall(
+            request,
+            incarnation,
+            "r",
+            0,
+            idempotent,
+            until,
+            until,
+            last_resort=last_resort,
+        )
         if own:
             home.submit("k", call, outcomes.append)
         else:
@@ -366,6 +375,14 @@
             found = self.play(lambda leaves=other_leaves: scenario(leaves))
             self.assertEqual(found, ([], True))
 
+    def test_a_call_that_all_homes_have_refused_is_run(self):
+        # Its entry knows that, and the homes may not know of each other.
+        async def scenario():
+            self.sidecar.state.directory.put(self.other, 2, clock.now())
+            return await self.submit(left=9.0, last_resort=True)
+
+        self.assertEqual(self.play(scenario), ([], True))
+
     def test_a_call_of_a_caller_of_the_node_is_run(self):
         # Its entry ends with the same process, wherever it runs.
         async def scenario():
--- a/sequoiaspoke/wire/gen/meshlink/ttypes.py
+++ b/sequoiaspoke/wire/gen/meshlink/ttypes.py
@@ -277,6 +277,7 @@
      - born
      - body_size
      - max_wait
+     - last_resort
 
     """
 
@@ -295,10 +296,11 @@
         'born',
         'body_size',
         'max_wait',
+        'last_resort',
     )
 
 
-    def __init__(self, number=None, instance=None, route=None, method=None, target=None, headers=None, body=None, deadline=None, on_time=None, rank=None, idempotent=None, born=None, body_size=None, max_wait=None,):
+    def __init__(self, number=None, instance=None, route=None, method=None, target=None, headers=None, body=None, deadline=None, on_time=None, rank=None, idempotent=None, born=None, body_size=None, max_wait=None, last_resort=None,):
         self.number = number
         self.instance = instance
         self.route = route
@@ -313,6 +315,7 @@
         self.born = born
         self.body_size = body_size
         self.max_wait = max_wait
+        self.last_resort = last_resort
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -398,6 +401,11 @@
                     self.max_wait = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.BOOL:
+                    self.last_resort = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -467,6 +475,10 @@
             oprot.writeFieldBegin('max_wait', TType.DOUBLE, 14)
             oprot.writeDouble(self.max_wait)
             oprot.writeFieldEnd()
+        if self.last_resort is not None:
+            oprot.writeFieldBegin('last_resort', TType.BOOL, 15)
+            oprot.writeBool(self.last_resort)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3801,6 +3813,7 @@
     (12, TType.I64, 'born', None, None, ),  # 12
     (13, TType.I32, 'body_size', None, None, ),  # 13
     (14, TType.DOUBLE, 'max_wait', None, None, ),  # 14
+    (15, TType.BOOL, 'last_resort', None, None, ),  # 15
 )
 all_structs.append(Fetch)
 Fetch.thrift_spec = (
--- a/sequoiaspoke/wire/meshlink.thrift
+++ b/sequoiaspoke/wire/meshlink.thrift
@@ -47,6 +47,9 @@
   // Seconds that the call may wait for a slot; beyond them the home refuses it as busy.
   // Absent if it may wait as long as its deadline allows.
   14: optional double max_wait,
+  // Whether no other home takes the call; a home that stops runs it then although the
+  // call may outlast it.
+  15: optional bool last_resort,
 }
 
 // The home has the body of a call up to `offset` and requests the bytes up to `upto`.
