--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -158,7 +158,7 @@
         left = deadline - arrived
         if left <= 0:
             return self.refuse(request, "no-time", RETRY_AFTER_SECONDS)
-        if not self.plan.takes(arrived, deadline, self.usual_end(route)):
+        if not self.plan.takes(arrived, deadline, self.longest_usual(route)):
             return self.refuse(request, "stopping", RESTART_SECONDS, service)
         parent = None
         if table.has_large_bodies:
@@ -331,10 +331,10 @@
             return route.timeout
         return route.timeout if isnan(requested) else min(requested, route.timeout)
 
-    def usual_end(self, route: Route) -> float:
-        """Return when a call of a route that begins now has usually ended."""
+    def longest_usual(self, route: Route) -> float:
+        """Return the seconds after which a call of a route has usually ended."""
         usual = self.attempts.balancer.mean_seconds.get(route.name, INITIAL_ESTIMATE)
-        return clock.now() + LONGEST_CALL_FACTOR * usual
+        return LONGEST_CALL_FACTOR * usual
 
     def forwarded(self, request: Request) -> Request:
         """Return the request as it is forwarded to upstreams."""
@@ -366,7 +366,7 @@
             return False
         route = progress.route
         return route.idempotent or self.plan.can_begin(
-            progress.deadline, self.usual_end(route)
+            clock.now(), progress.deadline, self.longest_usual(route)
         )
 
     def should_retry(
--- a/sequoiaspoke/sidecar/stopplan.py
+++ b/sequoiaspoke/sidecar/stopplan.py
@@ -62,7 +62,7 @@
         """Return when a call with a deadline is answered at the latest."""
         return min(deadline, self.answers_by)
 
-    def takes(self, now: float, deadline: float, usual_end: float) -> bool:
+    def takes(self, now: float, deadline: float, usual: float) -> bool:
         """Return whether a node takes a new call of a caller.
 
         A long call that is taken in the last seconds would be cut off, and the caller
@@ -72,19 +72,19 @@
 
         Parameters
         ----------
-        usual_end : float
-            When calls of the same route have usually ended.
+        usual : float
+            Seconds after which calls of the same route have usually ended.
         """
         if deadline <= self.ends_by:
             return True
-        return now <= self.moved_at and usual_end <= self.ends_by
+        return now <= self.moved_at and now + usual <= self.ends_by
 
-    def can_begin(self, deadline: float, usual_end: float) -> bool:
+    def can_begin(self, now: float, deadline: float, usual: float) -> bool:
         """Return whether a call that may run only once is sent to an upstream.
 
         One with its own deadline before the last answers is not cut off by them.
         """
-        return deadline < self.answers_by or usual_end <= self.ends_by
+        return deadline < self.answers_by or now + usual <= self.ends_by
 
 
 # Plan of a node that was not told to stop.
