--- a/sequoiaspoke/sidecar/stopplan.py
+++ b/sequoiaspoke/sidecar/stopplan.py
@@ -77,7 +77,7 @@
         """
         if deadline <= self.ends_by:
             return True
-        return now <= self.moved_at and now + usual <= self.ends_by
+        return now <= self.moved_at and now + usual <= self.answers_by
 
     def can_begin(self, now: float, deadline: float, usual: float) -> bool:
         """Return whether a call that may run only once is sent to an upstream.
