Tell which sent bytes the other node's kernel does not have yet

Cause: a stopping node takes frames for delivered once its own buffer is empty. The kernel may still hold them, and drops them if the entry sends anything, a ping is enough, to the process that has ended.

Change: a link tells how many bytes would be lost if the process ended now, with those that the kernel holds (TIOCOUTQ). The shutdown does not ask for it yet.

--- a/sequoiaspoke/sidecar/frames.py
+++ b/sequoiaspoke/sidecar/frames.py
@@ -86,6 +86,10 @@
         """Return how many bytes are buffered for the peer; none by default."""
         return 0
 
+    def undelivered_bytes(self) -> int:
+        """Return how many bytes would be lost if this process ended now."""
+        return self.unsent_bytes()
+
     @abstractmethod
     async def read(self, on_frame: Callable[[wire.Frame], None]) -> str:
         """Pass on frames until the link ends; return why it ended."""
@@ -149,6 +153,14 @@
         else:
             self.write(data)
 
+    def undelivered_bytes(self) -> int:
+        """Return how many bytes would be lost if this process ended now.
+
+        If the peer sends something to a process that has ended, its kernel drops what
+        the peer's has not acknowledged.
+        """
+        return self.unsent_bytes() + self.unacknowledged_bytes()
+
     def unread_changed(self, change: int) -> None:
         """Count the change, if that is of interest to this node."""
         if self.room is not None:
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -50,7 +50,7 @@
 PATIENT_PROBES = KeepAlive(probes=5)
 # Milliseconds within which a peer that reads at once must acknowledge what it is sent.
 USER_TIMEOUT_MS = 2000
-# Bytes of the answer to `FIONREAD`, a C int.
+# Bytes of the answer to `FIONREAD` and `TIOCOUTQ`, a C int.
 INT_SIZE = 4
 
 
@@ -172,6 +172,10 @@
         """Return how many received bytes the event loop has not read yet."""
         return 0 if self.closed else count_waiting_bytes(self.socket.fileno())
 
+    def unacknowledged_bytes(self) -> int:
+        """Return how many sent bytes the peer's kernel has not received yet."""
+        return 0 if self.closed else count_unacknowledged_bytes(self.socket.fileno())
+
     def close(self) -> None:
         """Close the connection at once and drop unsent bytes."""
         if not self.closed:
@@ -247,12 +251,19 @@
 
 
 def count_waiting_bytes(descriptor: int) -> int:
-    """Return how many received bytes of a socket wait in the kernel.
+    """Return how many received bytes of a socket wait in the kernel."""
+    return count_bytes(descriptor, termios.FIONREAD)
 
-    Returns 0 where the kernel does not tell.
-    """
+
+def count_unacknowledged_bytes(descriptor: int) -> int:
+    """Return how many bytes of a socket its peer's kernel has not acknowledged."""
+    return count_bytes(descriptor, termios.TIOCOUTQ)
+
+
+def count_bytes(descriptor: int, request: int) -> int:
+    """Return the bytes of a socket's queue; 0 where the kernel does not tell."""
     try:
-        answer = fcntl.ioctl(descriptor, termios.FIONREAD, INT_SIZE * b"\0")
+        answer = fcntl.ioctl(descriptor, request, INT_SIZE * b"\0")
     except (OSError, ValueError):
         # The transport has closed the socket already, and its descriptor is -1.
         return 0
