Keep a caller's connection while the kernel holds its answer

What callers saw: the connection was reset and most of an answer lost, if the caller read more than a second after the answer was sent and sent something on the connection before it read.

Cause: the server closed the connection a second after its last answer once its own buffer was empty. What the kernel still held was dropped when more came.

Change: bytes that the caller's kernel has not acknowledged count as unread there. A caller that reads nothing is closed after the idle timeout, as before.

Not seen with real processes.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -592,7 +592,7 @@
         A caller that reads slowly first gets all that it was sent.
         """
         now = clock.now()
-        if self.unsent_bytes() and not self.stalled(now):
+        if self.undelivered_bytes() and not self.stalled(now):
             left, latest = CLOSE_TIMEOUT, now + MAX_CLOSE_SECONDS
         else:
             left = min(latest, self.last_active + CLOSE_TIMEOUT) - now
--- a/sequoiaspoke/sidecar/frames.py
+++ b/sequoiaspoke/sidecar/frames.py
@@ -87,7 +87,7 @@
         return 0
 
     def undelivered_bytes(self) -> int:
-        """Return how many bytes would be lost if this process ended now."""
+        """Return how many bytes might be lost if this process ended now."""
         return self.unsent_bytes()
 
     @abstractmethod
@@ -153,14 +153,6 @@
         else:
             self.write(data)
 
-    def undelivered_bytes(self) -> int:
-        """Return how many bytes would be lost if this process ended now.
-
-        If the peer sends something to a process that has ended, its kernel drops what
-        the peer's has not acknowledged.
-        """
-        return self.unsent_bytes() + self.unacknowledged_bytes()
-
     def unread_changed(self, change: int) -> None:
         """Count the change, if that is of interest to this node."""
         if self.room is not None:
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -172,9 +172,16 @@
         """Return how many received bytes the event loop has not read yet."""
         return 0 if self.closed else count_waiting_bytes(self.socket.fileno())
 
-    def unacknowledged_bytes(self) -> int:
-        """Return how many sent bytes the peer's kernel has not received yet."""
-        return 0 if self.closed else count_unacknowledged_bytes(self.socket.fileno())
+    def undelivered_bytes(self) -> int:
+        """Return how many bytes might be lost if the connection was closed now.
+
+        If the peer then sends something, the kernel drops what that of the peer has not
+        acknowledged.
+        """
+        if self.closed:
+            return 0
+        unacknowledged = count_unacknowledged_bytes(self.socket.fileno())
+        return self.unsent_bytes() + unacknowledged
 
     def close(self) -> None:
         """Close the connection at once and drop unsent bytes."""
--- a/sequoiaspoke/tests/test_slow_reading.py
+++ b/sequoiaspoke/tests/test_slow_reading.py
@@ -113,6 +113,23 @@
 
         self.assertTrue(self.run_bounded(scenario).endswith(self.body))
 
+    def test_a_caller_that_pauses_may_send_more_than_its_last_request(self):
+        # The whole answer was in the kernel, which dropped the rest of it when more
+        # came to the connection, as that had been closed meanwhile.
+        self.patch(callerserver, "CLOSE_TIMEOUT", 0.05)
+        self.body = ANSWER * 5
+
+        async def scenario():
+            sock = await self.serve()
+            loop = asyncio.get_running_loop()
+            request = b"GET /a HTTP/1.1\r\nHost: x\r\n"
+            await loop.sock_sendall(sock, request + b"Connection: close\r\n\r\n")
+            await asyncio.sleep(0.5)
+            await loop.sock_sendall(sock, request + b"\r\n")
+            return await self.read_all(sock, 10 * len(self.body))
+
+        self.assertTrue(self.run_bounded(scenario).endswith(self.body))
+
     def test_a_caller_that_sent_too_many_requests_gets_the_answers_it_is_due(self):
         # Reading was paused until the end, and what had not been read reset the
         # connection with the answers that the kernel had not sent yet.
