Test which answers and orders a stopping home may not leave behind

What callers saw: 502 (home-unreachable) for orders that their upstream had answered, all those of one home at once, as it had exited.

Frames in the kernel count as delivered. Orders that wait at a home as it is told to stop are started later, though they may outlast it.

--- a/sequoiaspoke/tests/test_stopping_paths.py
+++ b/sequoiaspoke/tests/test_stopping_paths.py
@@ -2,21 +2,140 @@
 
 import asyncio
 import socket
+from dataclasses import replace
+from types import SimpleNamespace
 
 from testtools import TestCase
 
+from sequoiaspoke.core.mesh.admission import RefusalReason
 from sequoiaspoke.core.mesh.balancer import LoadReport
-from sequoiaspoke.core.mesh.outcome import Answer
-from sequoiaspoke.sidecar.frames import TcpFrameStream
-from sequoiaspoke.sidecar.wirecalls import pack_outcome
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.frames import FrameStream, TcpFrameStream
+from sequoiaspoke.sidecar.home import LEAVING_RETRY_AFTER
+from sequoiaspoke.sidecar.homecall import HomeCall
+from sequoiaspoke.sidecar.linkserver import AcceptedLink
+from sequoiaspoke.sidecar.shutdown import LINGER_SECONDS
+from sequoiaspoke.sidecar.wirecalls import pack_call, pack_outcome, unpack_outcome
+from sequoiaspoke.tests import test_sidecar_stopping as stopping
+from sequoiaspoke.tests.test_sidecar_home import ENDPOINT, BlockingUpstream
+from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
-# Number of the call of another node.
-NUMBER = 7
+# Number of the call of another node, and the identity of that node.
+NUMBER, PEER = 7, ("10.0.0.2", 5)
 # Size of an answer, and of the buffer in which its receiver's kernel keeps it unread.
 LARGE, RECEIVE_BUFFER = 3 << 20, 1 << 16
+# Seconds after the signal until which the last frames are unread.
+READ_SECONDS = LINGER_SECONDS + 1.0
 WAIT = 20.0  # seconds; only a failing test takes as long
 
 
+class EndingStream(FrameStream):
+    """A link that keeps what is sent on it until the test ends it."""
+
+    def __init__(self):
+        self.sent = []
+        self.ended = asyncio.Event()
+        self.on_frame = None
+
+    def send(self, frame):
+        if not self.closed:
+            self.sent.append(frame)
+
+    async def read(self, on_frame):
+        self.on_frame = on_frame
+        await self.ended.wait()
+        return "closed"
+
+    def close(self):
+        self.closed = True
+        self.ended.set()
+
+    def outcomes(self):
+        """Return the outcomes that were sent on it."""
+        found = (unpack_outcome(frame) for frame in self.sent)
+        return [each[1] for each in found if each is not None]
+
+
+class LostLinkTests(stopping.StoppingCase):
+    """The entry of a call takes its silent home for dead, and connects again."""
+
+    async def link(self):
+        """Return a new link of the other node, which sends its call on it."""
+        stream = EndingStream()
+        self.served.append(asyncio.ensure_future(self.sidecar.links.serve(stream)))
+        await asyncio.sleep(0)
+        host, incarnation = PEER
+        hello = wire.Hello(host, incarnation, "akaki", clock.now(), False, 0)
+        stream.on_frame(wire.Frame(hello=hello))
+        stream.on_frame(pack_call(self.call, NUMBER, 0.0))
+        return stream
+
+    async def begin(self):
+        """Have the upstream begin to run a call of another node."""
+        self.served = []
+        self.sidecar.home.upstream = BlockingUpstream()
+        until = self.stopped_at + 4.5
+        request = Request("POST", "/", (), b"")
+        incarnation = ENDPOINT.incarnation
+        self.call = HomeCall(request, incarnation, "r", 0, False, until, until)
+        self.sidecar.run_ticks()
+        await asyncio.sleep(0.5)
+        return await self.link()
+
+    async def answer_after_the_end(self, stream):
+        """Have the link end, and then the call; return when the node has exited."""
+        await asyncio.sleep(LINGER_SECONDS)
+        stream.close()
+        self.sidecar.home.upstream.gate.set()
+        exiting = asyncio.ensure_future(self.sidecar.shutdown.finish())
+        await asyncio.sleep(0.5)
+        return exiting
+
+    def test_a_node_waits_for_the_entry_of_an_answer(self):
+        # It exited with the answer as no call was in progress, and the order's caller
+        # was told 502.
+        async def scenario():
+            exiting = await self.answer_after_the_end(await self.begin())
+            waited = not exiting.done()
+            again = await self.link()
+            await exiting
+            return waited, again.outcomes(), self.elapsed()
+
+        waited, outcomes, elapsed = self.play(scenario)
+        self.assertTrue(waited)
+        self.assertEqual([200], [each.status for each in outcomes])
+        self.assertTrue(elapsed < 4.0, elapsed)
+
+    def test_a_node_waits_for_an_answer_that_was_sent_as_the_link_ended(self):
+        # The entry closes a silent link without reading what is sent on it meanwhile.
+        async def scenario():
+            stream = await self.begin()
+            await asyncio.sleep(LINGER_SECONDS)
+            self.sidecar.home.upstream.gate.set()
+            await asyncio.sleep(0.01)
+            stream.close()
+            exiting = asyncio.ensure_future(self.sidecar.shutdown.finish())
+            await asyncio.sleep(0.5)
+            waited = not exiting.done()
+            again = await self.link()
+            await exiting
+            return waited, again.outcomes()
+
+        waited, outcomes = self.play(scenario)
+        self.assertTrue(waited)
+        self.assertEqual([200], [each.status for each in outcomes])
+
+    def test_a_node_does_not_wait_for_an_entry_that_is_gone(self):
+        async def scenario():
+            exiting = await self.answer_after_the_end(await self.begin())
+            await exiting
+            return self.elapsed()
+
+        # The call has no time left then, and nobody asks for its answer.
+        self.assertTrue(self.play(scenario) <= 4.6)
+
+
 class UnreadAnswerTests(TestCase):
     """An answer that the kernel still holds is lost if the process exits."""
 
@@ -66,3 +185,78 @@
             return stream.undelivered_bytes()
 
         self.assertEqual(0, self.play(scenario))
+
+
+class LastFramesTests(stopping.StoppingCase):
+    def test_a_node_exits_after_other_nodes_have_its_answers(self):
+        # It exited once its own buffers were empty.
+        async def scenario():
+            until = self.stopped_at + READ_SECONDS
+            stream = SimpleNamespace(
+                send=lambda frame: None,
+                unsent_bytes=lambda: 0,
+                undelivered_bytes=lambda: 100 if clock.now() < until else 0,
+            )
+            self.sidecar.links.links.append(SimpleNamespace(stream=stream))
+            self.sidecar.run_ticks()
+            await self.sidecar.shutdown.finish()
+            return self.elapsed()
+
+        elapsed = self.play(scenario)
+        self.assertTrue(READ_SECONDS <= elapsed < READ_SECONDS + 0.1, elapsed)
+
+
+class QueuedOrderTests(stopping.StoppingCase):
+    """Calls that wait at a home as it is told to stop, and may run only once."""
+
+    stops_first = False
+
+    async def queue(self, left, own=False, idempotent=False, other=True):
+        """Return the outcomes of a call that waits as the node is told to stop."""
+        home, links = self.sidecar.home, self.sidecar.links
+        if other:
+            second = replace(ENDPOINT, instance="i-2", host="10.0.0.3")
+            self.sidecar.state.directory.put(second, 2, clock.now())
+        home.upstream = BlockingUpstream()
+        home.set_slots(1)
+        home.admission.upstream_slots.has_answered = True
+        stream = EndingStream()
+        link = AcceptedLink(stream, links)
+        link.peer = PEER
+        outcomes = []
+        for number, seconds in ((1, 9.0), (2, left)):
+            until = clock.now() + seconds
+            request = Request("POST", str(number), (), b"")
+            incarnation = ENDPOINT.incarnation
+            call = HomeCall(request, incarnation, "r", 0, idempotent, until, until)
+            if own:
+                home.submit(number, call, outcomes.append)
+            else:
+                link.handle_frame(pack_call(call, number, 0.0))
+            await asyncio.sleep(0.01)
+        self.assertEqual(["1"], home.upstream.ran)
+        self.sidecar.stop()
+        self.sidecar.run_ticks()
+        await asyncio.sleep(2.5)
+        found = list(outcomes) or stream.outcomes()
+        home.upstream.gate.set()
+        await asyncio.sleep(0.1)
+        return found
+
+    def test_one_that_the_exit_may_cut_off_goes_to_another_home(self):
+        # It was started seconds later, and cut off as the process ended.
+        outcomes = self.play(lambda: self.queue(left=8.0))
+        refusal = NotRun(RefusalReason.LEAVING, LEAVING_RETRY_AFTER)
+        self.assertEqual([refusal], outcomes)
+
+    def test_one_that_ends_before_the_exit_waits(self):
+        self.assertEqual([], self.play(lambda: self.queue(left=5.0)))
+
+    def test_one_that_may_be_tried_again_waits(self):
+        self.assertEqual([], self.play(lambda: self.queue(left=8.0, idempotent=True)))
+
+    def test_one_that_no_other_home_takes_waits(self):
+        self.assertEqual([], self.play(lambda: self.queue(left=8.0, other=False)))
+
+    def test_one_of_a_caller_of_the_node_waits(self):
+        self.assertEqual([], self.play(lambda: self.queue(left=8.0, own=True)))
