--- a/sequoiaspoke/sidecar/frames.py
+++ b/sequoiaspoke/sidecar/frames.py
@@ -86,6 +86,10 @@
         """Return how many bytes are buffered for the peer; none by default."""
         return 0
 
+    def undelivered_bytes(self) -> int:
+        """Return how many bytes might be lost if this process ended now."""
+        return self.unsent_bytes()
+
     @abstractmethod
     async def read(self, on_frame: Callable[[wire.Frame], None]) -> str:
         """Pass on frames until the link ends; return why it ended."""
