Keep a stopping home until entries have its last answers

What callers saw: 502 (home-unreachable) for orders that their upstream had answered, all those of one home at once, as it had exited.

Cause: a stopping home exits once no call is in progress and its buffers are empty. An entry closes a link that is silent for 0.9 s without reading what comes on it, connects again and asks for the outcome; the home was gone by then. What its kernel still held was dropped too, as the entry sent a ping.

Change: outcomes that were sent in the second before a link ended, or after it, are expected to be asked for within a second, and the process stays so long, at most until its exit. Frames count as delivered once the other node's kernel has acknowledged them. Orders of other nodes that wait as the home is told to stop and could outlast it are refused with the others, by the same rule.

--- a/sequoiaspoke/measure/costplayed.py
+++ b/sequoiaspoke/measure/costplayed.py
@@ -24,15 +24,12 @@
 class PlayedHome:
     """A home that answers each call at once."""
 
-    leaving = False
+    leaving = stopping = False
 
     def __init__(self) -> None:
         headers = (("Content-Type", "text/plain"), ("X-Upstream-Stamp", "s"))
         self.answer = Answer(200, headers, b"x" * BODY_BYTES, 0.01)
 
-    def find_remote_refusal(self, key: Hashable, call: HomeCall) -> None:  # noqa: ARG002
-        """Refuse no call."""
-
     def submit(
         self,
         key: Hashable,  # noqa: ARG002
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -223,8 +223,19 @@
         self.refuse(refused)
 
     def stop(self, plan: StopPlan) -> None:
-        """Start no call that the exit of this process might cut off."""
+        """Start no call from now on that the exit of this process might cut off."""
         self.ends_by = plan.ends_by
+        for arrival in list(self.admission.queue.values()):
+            refusal = self.outlasting_refusal(self.calls[arrival.ticket].call)
+            if refusal is not None:
+                self.refuse_queued(
+                    Refused(arrival, refusal.reason, refusal.retry_after)
+                )
+
+    @property
+    def stopping(self) -> bool:
+        """Return whether this node was told to stop."""
+        return self.ends_by != inf
 
     def link_lost(self, source: BodySource) -> None:
         """Allow for bodies whose link to their entry has ended."""
@@ -244,6 +255,9 @@
         """Return why a call is refused regardless of load, None if it is not."""
         if self.leaving:
             return NotRun(RefusalReason.LEAVING, LEAVING_RETRY_AFTER)
+        refusal = self.outlasting_refusal(call)
+        if refusal is not None:
+            return refusal
         if self.evacuated:
             self.counts[RefusalReason.ZONE_EVACUATED] += 1
             return NotRun(RefusalReason.ZONE_EVACUATED, EVACUATED_RETRY_AFTER)
@@ -262,17 +276,15 @@
             )
         return None
 
-    def find_remote_refusal(self, key: Hashable, call: HomeCall) -> NotRun | None:
-        """Return why a call of another node is to run elsewhere, None if it is not.
+    def outlasting_refusal(self, call: HomeCall) -> NotRun | None:
+        """Return the refusal of a call that may outlast this node, None without one.
 
-        If it may run only once, nobody could try it again after the exit of this
-        process has cut it off.
+        If another node has sent it and it may run only once, nobody could try it again
+        after the exit of this process has cut it off.
         """
-        if call.idempotent or call.last_resort or call.deadline <= self.ends_by:
-            return None
-        if self.ledger.find(key) is not None:
+        if not call.remote or call.idempotent or call.deadline <= self.ends_by:
             return None
-        if not self.has_other_homes(call.incarnation):
+        if call.last_resort or not self.has_other_homes(call.incarnation):
             return None
         self.counts[OUTLASTING] += 1
         self.log.call(
--- a/sequoiaspoke/sidecar/homecall.py
+++ b/sequoiaspoke/sidecar/homecall.py
@@ -32,6 +32,8 @@
     last_resort : bool
         Whether no other home takes the call, so that one that stops runs it although
         the call may outlast it.
+    remote : bool
+        Whether another node has sent it.
     """
 
     request: Request
@@ -44,6 +46,7 @@
     max_wait: float = inf
     large_body: bool = False
     last_resort: bool = False
+    remote: bool = False
 
 
 @dataclass
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -11,6 +11,7 @@
 from sequoiaspoke.sidecar.linkfeatures import SUPPORTED
 from sequoiaspoke.sidecar.sockets import ConnectionServer
 from sequoiaspoke.sidecar.transfers import AnnouncedBody, BodySource
+from sequoiaspoke.sidecar.unreadoutcomes import SentOutcomes, UnreadOutcomes
 from sequoiaspoke.sidecar.wirecalls import (
     body_size,
     pack_load_report,
@@ -43,6 +44,8 @@
         self.zone = ""
         # Seconds by which the other node's clock is ahead of this one's.
         self.clock_offset = 0.0
+        self.sent_outcomes = SentOutcomes()
+        self.ended = False
 
     def handle_frame(self, frame: wire.Frame) -> None:
         """Handle one frame from the other node."""
@@ -107,10 +110,7 @@
         number, home_call = call.number, unpack_call(call)
         key, size = (self.peer, number), body_size(call)
         home = self.server.home
-        refusal = home.find_remote_refusal(key, home_call)
-        if refusal is not None:
-            self.send_outcome(number, home_call, refusal)
-            return
+        self.server.unread.asked_again(key)
         home.submit(
             key,
             home_call,
@@ -149,6 +149,23 @@
         kind = () if call is None else (call.route, call.rank)
         load_report = self.server.home.load_report(*kind)
         self.stream.send(pack_outcome(number, outcome, load_report))
+        if self.server.home.stopping:
+            self.keep_until_read(number)
+
+    def keep_until_read(self, number: int) -> None:
+        """Have the node stay until the entry has the outcome of a call."""
+        now = clock.now()
+        if self.ended:
+            self.server.unread.add((self.peer, number), now)
+        else:
+            self.sent_outcomes.add(number, now)
+
+    def end(self) -> None:
+        """Expect that the entry asks again for what it has not read."""
+        self.ended = True
+        now = clock.now()
+        for number in self.sent_outcomes.unread(now):
+            self.server.unread.add((self.peer, number), now)
 
 
 def ignore_hello(host: str) -> None:
@@ -162,6 +179,8 @@
     ----------
     on_hello : callable
         Called with the host of a node that has opened a link.
+    unread : UnreadOutcomes
+        Outcomes that were sent as links ended, while the node stops.
     """
 
     def __init__(
@@ -179,6 +198,7 @@
         self.incarnation = incarnation
         self.log = log
         self.links: list[AcceptedLink] = []
+        self.unread = UnreadOutcomes()
         self.link_tasks: set[asyncio.Task[None]] = set()
         self.on_hello: Callable[[str], None] = ignore_hello
 
@@ -196,6 +216,7 @@
         self.links.append(link)
         reason = await link.stream.read(link.handle_frame)
         self.links.remove(link)
+        link.end()
         self.home.link_lost(link)
         if reason not in ("closed", "closed-here"):
             self.log.event("link-broken", peer=link.peer, reason=reason)
@@ -207,5 +228,13 @@
 
     @property
     def unsent(self) -> int:
-        """Return the total size of the frames that other nodes have not read."""
+        """Return the total size of the frames that wait in this process."""
         return sum(link.stream.unsent_bytes() for link in self.links)
+
+    @property
+    def delivered(self) -> bool:
+        """Return whether other nodes have all that they were sent."""
+        return not (
+            any(link.stream.undelivered_bytes() for link in self.links)
+            or self.unread.any(clock.now())
+        )
--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -159,7 +159,7 @@
     @property
     def delivered(self) -> bool:
         """Return whether all connections of callers are closed and no frame is left."""
-        return not self.callers.connections and not self.links.unsent
+        return not self.callers.connections and self.links.delivered
 
     def log_last_answers(self) -> None:
         """Log what is left after all calls that would outlast the node were answered.
--- a/sequoiaspoke/sidecar/wirecalls.py
+++ b/sequoiaspoke/sidecar/wirecalls.py
@@ -95,6 +95,7 @@
         inf if message.max_wait is None else message.max_wait,
         message.body_size is not None,
         bool(message.last_resort),
+        remote=True,
     )
 
 
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -401,6 +401,8 @@
     def unsent_bytes(self):
         return 0 if clock.now() >= self.read_at else 100
 
+    undelivered_bytes = unsent_bytes
+
     def send(self, frame):
         """Drop a frame."""
 
