Wait in the tests of keyed calls until entries pass calls on

What was seen: the retry through another zone failed once beside other work, its output was not kept. Its calls fail with 503 not-ready if the process does not run for over two seconds just before the homes are seen to run new keys.

Cause: the tests waited for the homes' leases, which outlast such a pause by half a second, and not for the entries, which first have their version confirmed by others.

Change: until_served waits for both. No assertion changes.

A pause of over 2 s within a call still fails it, by the rule's timeout.

--- a/sequoiaspoke/tests/test_keyed.py
+++ b/sequoiaspoke/tests/test_keyed.py
@@ -41,12 +41,21 @@
 
     def run_keyed(self, test):
         async def body(deployment):
-            await deployment.keys_run(30)
+            await self.until_served(deployment)
             ports = [site.node.ports["call"] for site in deployment.sites]
             await test(deployment, ports, f"{ZONE}/{uuid7()}")
 
         self.run_with(body)
 
+    async def until_served(self, deployment):
+        """Wait until homes run new keys and entries pass them on.
+
+        An entry that did not run for a while first has its version confirmed.
+        """
+        await deployment.keys_run(30)
+        nodes = [site.node for site in deployment.sites]
+        await until(lambda: all(node.config.verified for node in nodes))
+
     async def add_target(self, deployment):
         await deployment.add("fleet", "fleet-3", ZONE)
         deployment.publish_vms()
@@ -55,7 +64,7 @@
     async def publish(self, deployment):
         version = deployment.publish(rules(self.RULES))
         await deployment.converged(version, 10)
-        await deployment.keys_run(30)
+        await self.until_served(deployment)
 
 
 class KeyedRetryTests(KeyedCase):
