--- a/sequoiaspoke/tests/test_node_silence.py
+++ b/sequoiaspoke/tests/test_node_silence.py
@@ -15,6 +15,7 @@
 from tornado.netutil import bind_sockets
 
 from sequoiaspoke.core.idempotency.calls import KeptAnswer
+from sequoiaspoke.core.membership.settings import MembershipSettings
 from sequoiaspoke.core.spread.events import CancelRead
 from sequoiaspoke.core.spread.settings import SpreadSettings
 from sequoiaspoke.errors import DeadlineNotRunError, DeadlineUnknownError
@@ -28,6 +29,8 @@
 
 LIMIT = 0.2  # seconds of the timers in these tests
 HOLD = 0.25  # seconds for which the event loop is blocked
+# Seconds that a node takes for a pause, and that each iteration of a slow loop takes.
+PAUSE, SLOW_ITERATION = 0.8, 0.06
 REQUEST = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
 
@@ -320,6 +323,28 @@
         asyncio.run(run())
 
 
+class SlowLoopTests(TestCase):
+    def test_a_slow_event_loop_is_not_taken_for_a_pause(self):
+        # All calls were refused as not ready, though no iteration took long.
+        async def run():
+            membership = MembershipSettings(pause=PAUSE)
+            source = SpreadSource(Settings(membership=membership), random.Random(1))
+            source.ticker.start()
+            source.tick()
+            loop = asyncio.get_running_loop()
+            ends_at, longest = loop.time() + 2 * PAUSE + TICK_SECONDS, 0.0
+            while loop.time() < ends_at:
+                before = loop.time()
+                time.sleep(SLOW_ITERATION)
+                await asyncio.sleep(0)
+                longest = max(longest, loop.time() - before)
+            pauses = source.core.state.counters["pause-detected"]
+            await source.stop()
+            self.assertEqual((0, True), (pauses, longest < PAUSE), longest)
+
+        asyncio.run(run())
+
+
 class HeldStopTests(LoopbackTestCase):
     """Guards against a stop that drops requests which it has not read.
 
