Test that the work to end calls before the exit grows with their number

What callers saw, in trials with real processes on: a node that stops and gets less than a whole processor is killed at 6.00 s before it has answered the calls that it ends at 5.45 s.

Cause: each outcome carries a load report, and a report estimates the durations of all running and waiting calls, so the work grows with the square of the calls. A profile of one node with 800 callers on: 403 outcomes, 204,861 estimates, 0.96 of 1.43 s in load_report, with the profiler's own time.

The code is not changed.

--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -212,6 +212,47 @@
         self.assertEqual(self.play(partial(scenario, "read")), (False, 2))
 
 
+class ManyCallsTests(StoppingCase):
+    """Hundreds of calls end at one moment before the exit."""
+
+    timeout = 10.0
+
+    def estimates(self, count):
+        """Return how many durations are estimated while many calls are ended."""
+
+        async def scenario():
+            entry, home = self.sidecar.entry, self.sidecar.home
+            home.upstream, durations = BlockingUpstream(), home.admission.durations
+            home.set_slots(count)
+            home.admission.upstream_slots.has_answered = True
+            calls = [
+                asyncio.ensure_future(entry.handle(request("order", left=10_000)))
+                for _ in range(count)
+            ]
+            await asyncio.sleep(DRAIN - 2 * SPARE_SHARE * DRAIN)
+            self.assertEqual(count, len(home.calls))
+            expected, estimated = durations.expected, []
+
+            def note(name, now):
+                estimated.append(name)
+                return expected(name, now)
+
+            durations.expected = note
+            statuses = {(await call).status for call in calls}
+            home.upstream.gate.set()
+            await asyncio.sleep(0.1)
+            self.assertEqual({503, 504}, statuses)
+            return len(estimated)
+
+        return self.play(scenario)
+
+    def test_the_work_to_end_calls_grows_with_their_number(self):
+        # It grew with the square. Without a whole processor, the node was killed before
+        # it had sent an answer.
+        few, many = self.estimates(100), self.estimates(200)
+        self.assertTrue(many <= 2.5 * few, (few, many))
+
+
 class LateSignalTests(StoppingCallCase):
     """The platform counts the grace from the signal, which waits for the process."""
 
