Estimate the load of a home by route, not by call

What callers saw, in trials with real processes: no answer, hundreds at once, from a stopping node that got 20 of each 100 ms of a processor: it was killed before it had ended its calls.

Cause: each outcome carries a load report, and a report estimated every running and every waiting call, so that ending all calls at one moment took time with the square of their number.

Change: running and waiting calls are counted by route and rank, and estimated once for each. A home that leaves estimates nothing: no call is sent to it.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -37,6 +37,7 @@
 from sequoiaspoke.core.mesh.slots import Load, Slots
 from sequoiaspoke.core.mesh.transfers import IncomingTransfers
 from sequoiaspoke.core.mesh.upstreambytes import UpstreamBytes
+from sequoiaspoke.core.mesh.waiting import WaitingCalls
 
 # Maximum number of queued calls per slot. In a longer queue even the shortest calls
 # would miss every objective.
@@ -177,7 +178,7 @@
         self.upstream_slots = Slots(slots)
         self.cold_start = ColdStart()
         self.rate_limit = RateLimit()
-        self.queue: dict[object, Arrival] = {}
+        self.queue = WaitingCalls()
         self.durations = Durations()
         self.nested_room = NestedRoom()
         self.returns = ReturnSchedule()
@@ -218,7 +219,7 @@
                 and each not in self.passed_calls
             ):
                 refused.append(Refused(each, RefusalReason.BUSY, wait))
-                del self.queue[each.ticket]
+                self.queue.remove(each.ticket)
             else:
                 work += expected
         self.passed_calls.add((each.arrival for each in refused), now)
@@ -252,7 +253,7 @@
         if wait > arrival.max_wait:
             return Refused(arrival, RefusalReason.BUSY, max(wait, MIN_RETRY_AFTER))
         wait = max(wait, self.transfers.wait(arrival.ticket))
-        ahead = sum(each.rank <= arrival.rank for each in self.queue.values())
+        ahead = sum(count for _, count in self.queue.ahead(arrival.rank))
         limited = self.rate_limit.wait(ahead, now) > 0
         if now + wait + self.min_time_left(arrival, now) > arrival.deadline:
             reason = RefusalReason.RATE_LIMITED if limited else RefusalReason.NO_TIME
@@ -267,7 +268,7 @@
             return Refused(arrival, RefusalReason.NESTED_SHORT, WINDOW_SECONDS)
         refused = self.make_room(arrival, wait, now)
         if refused is None or refused.arrival is not arrival:
-            self.queue[arrival.ticket] = arrival
+            self.queue.add(arrival)
         return refused
 
     def may_be_late(self, arrival: Arrival) -> bool:
@@ -289,7 +290,7 @@
         if self.sort_key(last, now) <= self.sort_key(arrival, now):
             last = arrival
         else:
-            del self.queue[last.ticket]
+            self.queue.remove(last.ticket)
             if self.load_shedding:
                 wait = self.queue_wait(last, now)
         reason = RefusalReason.QUEUE_FULL
@@ -355,10 +356,9 @@
             return 0.0
         work = self.durations.mean_running(now)
         ahead = 0
-        for waiting in self.queue.values():
-            if waiting.rank <= rank:
-                work += self.durations.expected(waiting.route, now)
-                ahead += 1
+        for route, count in self.queue.ahead(rank):
+            work += count * self.durations.expected(route, now)
+            ahead += count
         return max(
             work / max(1, self.slots),
             self.cold_start.wait(ahead, now),
@@ -380,7 +380,7 @@
             return None, refused
         # Among equal keys, min() returns the earliest arrival.
         arrival = min(ready, key=lambda each: self.sort_key(each, now))
-        del self.queue[arrival.ticket]
+        self.queue.remove(arrival.ticket)
         self.durations.begin(arrival.ticket, arrival.route, now)
         self.upstream_bytes.begin(arrival.ticket)
         self.nested_room.begin(arrival.ticket, arrival.kind)
@@ -416,7 +416,7 @@
             elif now + self.min_time_left(arrival, now) > arrival.deadline:
                 refused.append(self.refuse_overdue(arrival, now))
         for each in refused:
-            del self.queue[each.arrival.ticket]
+            self.queue.remove(each.arrival.ticket)
         return refused
 
     def refuse_overdue(self, arrival: Arrival, now: float) -> Refused:
@@ -438,7 +438,7 @@
 
     def cancel(self, ticket: object) -> bool:
         """Remove a call from the queue; return whether it was queued."""
-        return self.queue.pop(ticket, None) is not None
+        return self.queue.remove(ticket)
 
     def send(self, ticket: object, now: float) -> None:
         """Record that a call is sent to the upstream."""
--- a/sequoiaspoke/core/mesh/durations.py
+++ b/sequoiaspoke/core/mesh/durations.py
@@ -12,6 +12,9 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+from dataclasses import dataclass
+
 from sequoiaspoke.core.mesh.pace import Pace
 
 # Weight of the newest measurement. A change shows after about seven calls, which is
@@ -31,11 +34,32 @@
 SLOWDOWN_THRESHOLD = 1.5
 
 
+@dataclass
+class RunningCalls:
+    """The running calls of a route.
+
+    Attributes
+    ----------
+    began : float
+        Sum of the times at which they began.
+    """
+
+    count: int = 0
+    began: float = 0.0
+
+    def add(self, count: int, began: float) -> None:
+        """Add calls that began at a time, or remove them if the count is negative."""
+        self.count += count
+        self.began = self.began + count * began if self.count else 0.0
+
+
 class Durations:
     """Running calls and measured durations of one upstream, by route.
 
     Attributes
     ----------
+    running_by_route : dict of str to RunningCalls
+        Their sums, as hundreds of calls may run and each answer carries an estimate.
     mean : dict of str to tuple
         Mean seconds at the usual pace, number of measurements and time of the last one,
         by route.
@@ -48,10 +72,14 @@
         self.mean: dict[str, tuple[float, int, float]] = {}
         self.overall = INITIAL_ESTIMATE
         self.running: dict[object, tuple[str, float]] = {}
+        self.running_by_route: defaultdict[str, RunningCalls] = defaultdict(
+            RunningCalls
+        )
 
     def begin(self, ticket: object, route: str, now: float) -> None:
         """Record the start of a call."""
         self.running[ticket] = (route, now)
+        self.running_by_route[route].add(1, now)
 
     def end(self, ticket: object, answered: bool, now: float) -> None:
         """Record the end of a call, and its duration if it was answered.
@@ -59,6 +87,7 @@
         The pace reported with the answer must have been recorded before.
         """
         route, begun = self.running.pop(ticket)
+        self.running_by_route[route].add(-1, begun)
         if not answered:
             return
         seconds = (now - begun) / self.pace.between_answers(now)
@@ -89,7 +118,11 @@
         """Return the mean expected duration of the running calls in seconds."""
         if not self.running:
             return 0.0
-        total = sum(self.expected(route, now) for route, _ in self.running.values())
+        total = sum(
+            calls.count * self.expected(route, now)
+            for route, calls in self.running_by_route.items()
+            if calls.count
+        )
         return total / len(self.running)
 
     def slowdown(self, now: float) -> float:
@@ -97,7 +130,9 @@
         if not self.running:
             return 1.0
         total = 0.0
-        for route, begun in self.running.values():
-            total += (now - begun) / max(self.expected(route, now), 0.001)
+        for route, calls in self.running_by_route.items():
+            if calls.count:
+                spent = calls.count * now - calls.began
+                total += spent / max(self.expected(route, now), 0.001)
         ratio = total / len(self.running)
         return ratio if ratio > SLOWDOWN_THRESHOLD else 1.0
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -541,6 +541,9 @@
         rank : int
             Rank of that call in the queue.
         """
+        if self.leaving:
+            # No call is sent to this home, and an estimate takes time for each call.
+            return LoadReport()
         now = clock.now()
         durations = self.admission.durations
         if not route:
