Refuse calls that no upstream has a second before a node exits

What callers saw: no answer from a stopping node that got no processor in its last second.

Cause: a call that waits for a slot was kept until the last answers, half a second before the exit, and then told as one that may have run.

Change: such calls are withdrawn one more spare time before that and refused as not run.

--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -299,6 +299,13 @@
         self.withdrawals.cap(plan.answers_by - MAX_WITHDRAW_SECONDS)
         for progress in self.active:
             progress.deadline = plan.answer_due(progress.deadline)
+        self.withdrawals.call_at(plan.withdraws_at, self.withdraw_waiting)
+
+    def withdraw_waiting(self) -> None:
+        """Withdraw the calls that no upstream has and the exit would cut off."""
+        for progress in list(self.active):
+            if self.cut_off(progress):
+                progress.withdraw()
 
     def no_route(self, request: Request) -> Answer:
         """Answer a call that no route matches.
@@ -467,7 +474,7 @@
         )
 
     def cut_off(self, progress: Progress) -> bool:
-        """Return whether a call that has timed out was cut off as this node exits."""
+        """Return whether a call ends because this node exits, not at its deadline."""
         return progress.deadline >= self.plan.answers_by
 
     def refuse_unserved(self, progress: Progress, reason: str) -> Answer:
--- a/sequoiaspoke/sidecar/stopplan.py
+++ b/sequoiaspoke/sidecar/stopplan.py
@@ -42,6 +42,9 @@
         Until when callers that are moved to other nodes still send calls.
     ends_by : float
         When calls that are taken or sent to an upstream have to end.
+    withdraws_at : float
+        When the calls are taken back that no upstream has and that would be answered
+        at `answers_by`. Unlike those at work, they can be told as not run.
     answers_by : float
         When every call is answered that has not ended. Later than `ends_by` if the
         signal may have come some time before the process ran.
@@ -54,6 +57,7 @@
     leaves_at: float = inf
     moved_at: float = inf
     ends_by: float = inf
+    withdraws_at: float = inf
     answers_by: float = inf
     input_ends_at: float = inf
     exits_at: float = inf
@@ -112,6 +116,7 @@
         leaves_at=now + settings.leave_after,
         moved_at=now + min(LINGER_SECONDS, BREAKABLE_SECONDS - late),
         ends_by=now + min(break_off, settings.drain - late - spare),
+        withdraws_at=now + break_off - spare,
         answers_by=now + break_off,
         input_ends_at=now + drain - spare,
         exits_at=now + drain,
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -192,6 +192,32 @@
         self.assertEqual(status, 504)
         self.assertAlmostEqual(elapsed, self.answered_by, delta=0.01)
 
+    def test_a_call_that_no_upstream_has_is_refused_before(self):
+        # It waited for a slot until then. Without a processor the node was killed with
+        # it, although it could have been told as not run.
+        async def scenario(waits):
+            entry = self.sidecar.entry
+
+            def send(attempt):
+                attempt.withdraw_at_home = lambda: (
+                    waits
+                    and attempt.finish(NotRun(RefusalReason.WITHDRAWN), LoadReport())
+                )
+
+            entry.attempts.usable = lambda endpoint: True
+            entry.attempts.send_to_home = send
+            answer = await entry.handle(request("order", left=10_000))
+            return answer.status, self.elapsed()
+
+        self.timeout = 10.0
+        status, elapsed = self.play(partial(scenario, waits=True))
+        self.assertEqual(status, 503)
+        spare = SPARE_SHARE * DRAIN
+        self.assertAlmostEqual(elapsed, self.answered_by - spare, delta=0.01)
+        status, elapsed = self.play(partial(scenario, waits=False))
+        self.assertEqual(status, 504)
+        self.assertAlmostEqual(elapsed, self.answered_by, delta=0.01)
+
     def test_no_home_is_asked_that_could_not_answer_by_then(self):
         # Sent to one more home, an order was cut off, and might have run.
         async def scenario(name):
