Test that a silent home does not end calls that nobody else takes

What callers saw: 502 (home-unreachable) for calls that may run again, all those at one home at once, 1.5 s after it was last heard, while its upstream was at work and the call had seconds left; also from an entry that stops.

Cause: a link to a home that does not answer its greeting reports such calls as failed, so that they can go elsewhere. Without another home, or room in the retry budget, they end there. Calls that may run only once wait for the link.

Measured: the test of the call that may run again fails, that of the order passes.

--- a/sequoiaspoke/tests/test_stopping_paths.py
+++ b/sequoiaspoke/tests/test_stopping_paths.py
@@ -1,9 +1,11 @@
 """Tests of the answers of a stopping node that are under way to other nodes."""
 
 import asyncio
+import itertools
 import socket
 from dataclasses import replace
 from types import SimpleNamespace
+from unittest import mock
 
 from testtools import TestCase
 
@@ -18,6 +20,7 @@
 from sequoiaspoke.sidecar.shutdown import LINGER_SECONDS
 from sequoiaspoke.sidecar.wirecalls import pack_call, pack_outcome, unpack_outcome
 from sequoiaspoke.tests import test_sidecar_stopping as stopping
+from sequoiaspoke.tests.meshsim import MeshWorld, SimDialer, run_virtual
 from sequoiaspoke.tests.test_sidecar_home import ENDPOINT, BlockingUpstream
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
@@ -260,3 +263,46 @@
 
     def test_one_of_a_caller_of_the_node_waits(self):
         self.assertEqual([], self.play(lambda: self.queue(left=8.0, own=True)))
+
+
+async def dial_in_vain(dialer, host, port):
+    """Dial a node that gets no processor."""
+    await asyncio.sleep(3600.0)
+
+
+class SilentHomeTests(TestCase):
+    """A home gets no processor while its upstream runs a call of another node."""
+
+    def status(self, name):
+        """Return the status of a call whose home is silent for two seconds."""
+
+        async def scenario():
+            world = MeshWorld(1, nodes=2)
+            del world.endpoints["i-h0"]
+            entry, home = world.nodes["h0"].entry, world.nodes["h1"].home
+            home.upstream = BlockingUpstream()
+            home.admission.upstream_slots.has_answered = True
+            await asyncio.sleep(1.0)
+            call = asyncio.ensure_future(entry.handle(world.request(name, name)))
+            await asyncio.sleep(0.1)
+            self.assertEqual([f"/{name}/1"], home.upstream.ran)
+            for pipe in itertools.chain(*world.links):
+                pipe.push = lambda frame: None
+            with mock.patch.object(SimDialer, "dial", dial_in_vain):
+                await asyncio.sleep(2.0)
+            home.upstream.gate.set()
+            answer = await call
+            for node in world.nodes.values():
+                node.kill()
+            await asyncio.sleep(0)
+            return answer.status
+
+        return run_virtual(scenario, self)
+
+    def test_an_order_gets_the_answer_of_its_upstream(self):
+        self.assertEqual(200, self.status("order"))
+
+    def test_a_call_that_no_other_home_takes_gets_the_answer_of_its_upstream(self):
+        # It may run again, and was answered 502 where that could not be: a stopping
+        # node broke off all such calls while their upstream was at work.
+        self.assertEqual(200, self.status("read"))
