--- a/sequoiaspoke/sidecar/endedinput.py
+++ b/sequoiaspoke/endedinput.py
@@ -12,11 +12,11 @@
 import os
 import select
 import socket
+from enum import StrEnum
 from functools import partial
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.polling import PolledTimer
-from sequoiaspoke.sidecar.bodypolicy import CallerEnd
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,6 +30,24 @@
 UNKNOWN_SECONDS = 0.25
 
 
+class CallerEnd(StrEnum):
+    """How a caller with unanswered calls has ended its connection, or its input.
+
+    Attributes
+    ----------
+    INPUT
+        The input only: the caller was answered.
+    UNKNOWN
+        The input, or the connection: the caller could not be asked, or was answered
+        before it could be told.
+    """
+
+    INPUT = "input"
+    RESET = "reset"
+    TIMEOUT = "timeout"
+    UNKNOWN = "unknown"
+
+
 class EndedInput:
     """The end of the input of a connection with unanswered calls.
 
--- a/sequoiaspoke/sidecar/bodypolicy.py
+++ b/sequoiaspoke/sidecar/bodypolicy.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.sidecar.httptext import local_answer
 
 if TYPE_CHECKING:
     from sequoiaspoke.core.mesh.outcome import Answer, Request
+    from sequoiaspoke.endedinput import CallerEnd
 
 # Reason of a refusal for want of memory.
 MEMORY_REFUSED = "memory-refused"
@@ -18,24 +18,6 @@
 MEMORY_RETRY_AFTER = 1.0
 
 
-class CallerEnd(StrEnum):
-    """How a caller with unanswered calls has ended its connection, or its input.
-
-    Attributes
-    ----------
-    INPUT
-        The input only: the caller was answered.
-    UNKNOWN
-        The input, or the connection: the caller could not be asked, or was answered
-        before it could be told.
-    """
-
-    INPUT = "input"
-    RESET = "reset"
-    TIMEOUT = "timeout"
-    UNKNOWN = "unknown"
-
-
 class BodyPolicy(ABC):
     """Answers requests whose bodies are not read, given their heads, and takes note."""
 
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -20,12 +20,12 @@
 from sequoiaspoke.core.mesh.memory import SMALL_BODY, MemoryAccount
 from sequoiaspoke.core.mesh.model import CallerLimits
 from sequoiaspoke.core.mesh.outcome import Request, find_header
+from sequoiaspoke.endedinput import EndedInput, caller_end
 from sequoiaspoke.errors import BadRequestError
 from sequoiaspoke.polling import PolledTimer
 from sequoiaspoke.requesttarget import split_absolute
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
-from sequoiaspoke.sidecar.endedinput import EndedInput, caller_end
 from sequoiaspoke.sidecar.httptext import (
     CONTINUE,
     FRAMING_PER_BYTE,
@@ -42,7 +42,8 @@
     from collections.abc import Awaitable, Callable
 
     from sequoiaspoke.core.mesh.outcome import Answer
-    from sequoiaspoke.sidecar.bodypolicy import BodyPolicy, CallerEnd
+    from sequoiaspoke.endedinput import CallerEnd
+    from sequoiaspoke.sidecar.bodypolicy import BodyPolicy
 
 HEAD_END = b"\r\n\r\n"
 # Calls of one connection that may be unanswered before reading from it pauses.
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -44,7 +44,7 @@
     from sequoiaspoke.core.mesh.model import Endpoint, Route
     from sequoiaspoke.core.mesh.outcome import Outcome, Request
     from sequoiaspoke.core.mesh.retrybudget import RetryLimits
-    from sequoiaspoke.sidecar.bodypolicy import CallerEnd
+    from sequoiaspoke.endedinput import CallerEnd
     from sequoiaspoke.sidecar.home import Home
     from sequoiaspoke.sidecar.logs import EventLog
     from sequoiaspoke.sidecar.names import HeaderNames
--- a/sequoiaspoke/tests/test_callerserver_leaving.py
+++ b/sequoiaspoke/tests/test_callerserver_leaving.py
@@ -8,9 +8,11 @@
 
 import uvloop
 
+from sequoiaspoke import endedinput
 from sequoiaspoke.core.mesh.outcome import Answer
-from sequoiaspoke.sidecar import callerserver, endedinput
-from sequoiaspoke.sidecar.bodypolicy import CallerEnd, ReadAllBodies
+from sequoiaspoke.endedinput import CallerEnd
+from sequoiaspoke.sidecar import callerserver
+from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
 from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
 
 HEAD_END = b"\r\n\r\n"
