Answer callers of the node who have ended only their sending side

Callers of the product's node who had closed their sending side got no answer: Tornado closes a connection at the end of its input, while calls run. The stream now stays open then, is no longer polled, and the caller is asked by an interim response, as at the sidecar: one that has left resets the connection, which ends its calls. A caller of HTTP/1.0 is taken for one that has left after a quarter of a second without an answer that has begun.

--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -9,7 +9,6 @@
 
 from loguru import logger as log
 from tornado.http1connection import is_transfer_encoding_chunked
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPHeaders,
     HTTPInputError,
@@ -21,6 +20,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from sequoiaspoke.endedinput import CallerEnd
 from sequoiaspoke.errors import (
     BadRequestError,
     CallError,
@@ -29,6 +29,7 @@
 )
 from sequoiaspoke.node import headers as names
 from sequoiaspoke.node import silence
+from sequoiaspoke.node.callerstream import CallerHTTPServer, CallerStream
 from sequoiaspoke.node.pipe import BodyPipe
 from sequoiaspoke.requesttarget import split_absolute
 
@@ -190,7 +191,7 @@
         self.crashed = 0
         self.draining = self.input_ended = False
         self.idle_callbacks: list[Callable[[], None]] = []
-        self.server = HTTPServer(
+        self.server = CallerHTTPServer(
             self,  # type: ignore[arg-type]
             max_header_size=limits.head_bytes,
             max_body_size=limits.body_bytes,
@@ -287,6 +288,27 @@
         # its first step. Counting down in `run` would then leave the call in flight
         # for good, and each later stop would wait for its whole grace period.
         self.task.add_done_callback(self.handle_task_end)
+        self.watch_input_end(call, start_line.version != "HTTP/1.0")
+
+    def watch_input_end(self, call: IncomingCall, takes_interim: bool) -> None:
+        """Find out whether the caller has left once it sends no more."""
+        stream = self.connection.stream
+        if not isinstance(stream, CallerStream):
+            return
+
+        def ask() -> None:
+            if self.task is not None and not self.task.done():
+                stream.ask_caller(call.writer.started, takes_interim, left)
+
+        def left(end: CallerEnd) -> None:
+            if end is CallerEnd.UNKNOWN and call.writer.started:
+                stream.expect_reset()
+            else:
+                stream.close()
+
+        stream.on_input_end = ask
+        if stream.input_ended:
+            ask()
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
         """Pass a chunk of the body to the handler; called by Tornado."""
