--- a/sequoiaspoke/node/callerstream.py
+++ b/sequoiaspoke/node/callerstream.py
@@ -124,3 +124,8 @@
                 stream.socket, self.max_buffer_size, self.read_chunk_size
             )
         super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: object) -> None:
+        """Pass the end of a connection on, as Tornado does not; called by Tornado."""
+        super().on_close(server_conn)
+        self.request_callback.on_close(server_conn)
--- a/sequoiaspoke/tests/test_node_endedinput.py
+++ b/sequoiaspoke/tests/test_node_endedinput.py
@@ -119,3 +119,16 @@
             self.assertTrue((await reader.read()).endswith(b"12"))
 
         self.play(scenario)
+
+
+class EndedConnectionTests(ServerTestCase):
+    def test_nothing_is_kept_of_a_connection_that_has_ended(self):
+        # The reader of each connection was kept for as long as the node ran.
+        async def scenario(reader, writer):
+            self.handler.gate.set()
+            writer.write(GET)
+            await reader.readuntil(b"done")
+            writer.close()
+            await until(lambda: not self.server.readers)
+
+        self.play(scenario)
