--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -264,7 +264,8 @@
         """Start the handler once the request's head is read; called by Tornado."""
         assert isinstance(start_line, RequestStartLine)
         self.idle_timer.cancel()
-        if self.server.input_ended:
+        # Tornado still passes on what it had read of a connection that has ended.
+        if self.server.input_ended or self.connection.stream.closed():
             self.connection.close()
             return
         normalize_expectation(start_line, headers)
--- a/sequoiaspoke/tests/test_node_endedinput.py
+++ b/sequoiaspoke/tests/test_node_endedinput.py
@@ -92,6 +92,21 @@
 
         self.play(scenario)
 
+    def test_requests_behind_the_first_of_one_that_has_left_are_not_run(self):
+        # They were read before the end of the connection, and run one by one.
+        async def scenario(_, writer):
+            writer.write(GET * 3)
+            await until(lambda: self.handler.begun == 1)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+            await asyncio.sleep(0.02)
+            self.handler.gate.set()
+            await until(lambda: not self.server.readers)
+            self.assertEqual(self.handler.begun, 1)
+
+        self.play(scenario)
+
     def test_a_caller_of_http_1_0_that_cannot_be_asked_is_taken_for_one_that_left(self):
         self.patch(endedinput, "UNKNOWN_SECONDS", 0.02)
 
