Refuse late calls that a stopping node of the product could not answer

A caller that kept its connection was served until the end of the grace: its call was passed on and cut off with 502 (unknown outcome) when the grace was over, also if it may run only once. A stopping node now takes, while callers are moved away, what is usually done in time, and after that only what its deadline ends in time; the rest is refused at once as not run.

--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -21,6 +21,7 @@
 from sequoiaspoke.node.metrics import CallCounters, Metrics
 from sequoiaspoke.node.server import CallServer
 from sequoiaspoke.node.spreadloop import SpreadSource
+from sequoiaspoke.node.stopping import stop_times
 from sequoiaspoke.node.upkeep import ConfigPoller, publish_load_metrics
 from sequoiaspoke.node.watchall import PlatformWatch
 
@@ -161,25 +162,29 @@
 
         New calls are first refused as not run while the listeners stay open, so
         that other nodes choose other targets. Then the listener for callers closes,
-        and calls in flight have the configured grace to finish. The listener for
+        and calls in flight have the rest of the configured grace to finish. Callers
+        whose connections are kept are refused what could outlast it. The listener for
         other nodes closes later, since only this node can answer retries of the
         keys that ran here.
         """
         if self.draining:
             return
         self.draining = True
+        loop = asyncio.get_running_loop()
+        times = stop_times(self.settings.node, loop.time())
+        self.entry.stopping = times
         self.home.gate.admission.drain()
         self.keyed.core.drain()
         self.grants.drain()
         self.callers.draining = self.mesh.draining = True
         log.info("node-draining", in_flight=self.in_flight())
         await asyncio.sleep(self.settings.node.drain)
-        await self.grants.wait_until_returned(self.settings.node.grace)
+        await self.grants.wait_until_returned(times.answers_at - loop.time())
         # Connections that are not accepted before the listener closes are reset.
         await silence.read_sockets()
         self.callers.server.stop()
         try:
-            async with silence.timeout(self.settings.node.grace):
+            async with silence.timeout_at(times.answers_at):
                 await self.keyed.linger()
                 await silence.read_sockets()
                 self.mesh.server.stop()
--- a/sequoiaspoke/node/entry.py
+++ b/sequoiaspoke/node/entry.py
@@ -8,6 +8,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from sequoiaspoke.core.admission.durations import Durations
 from sequoiaspoke.core.idempotency.assignment import pick_by_key
 from sequoiaspoke.core.idempotency.key import parse_key
 from sequoiaspoke.core.routing.deadline import enter
@@ -22,6 +23,7 @@
 from sequoiaspoke.core.rules.request import make_request_head
 from sequoiaspoke.errors import (
     CallError,
+    DrainingError,
     InvalidKeyError,
     NoRuleError,
     NotReadyError,
@@ -46,6 +48,7 @@
     from sequoiaspoke.node.home import Home
     from sequoiaspoke.node.metrics import CallCounters
     from sequoiaspoke.node.server import IncomingCall
+    from sequoiaspoke.node.stopping import StopTimes
     from sequoiaspoke.settings.schema import Settings
 
 # Bytes of a request body that are buffered for a retry. Bodies of calls that are
@@ -59,7 +62,15 @@
 
 
 class Entry(CallHandler):
-    """Handler of the calls from outside the mesh and from this VM's own upstream."""
+    """Handler of the calls from outside the mesh and from this VM's own upstream.
+
+    Attributes
+    ----------
+    durations : Durations
+        How long the answered calls of each rule took.
+    stopping : StopTimes or None
+        Set once the node stops.
+    """
 
     def __init__(
         self,
@@ -76,6 +87,8 @@
         self.attempts = Attempts(settings, home, counters, rng)
         self.splitter = Splitter(rng)
         self.keyed = KeyedEntry(settings.idempotency, config, self.attempts, rng)
+        self.durations = Durations()
+        self.stopping: StopTimes | None = None
 
     async def handle(self, call: IncomingCall) -> None:
         """Answer a call and record its failure and its duration."""
@@ -113,8 +126,19 @@
             redirect(call, rule.then)
             return
         service = self.pick_service(snapshot, rule, call)
+        began = asyncio.get_running_loop().time()
         answer = await self.run_call(call, rule, rule.then, service)
+        head = asyncio.get_running_loop().time() - began
         await self.relay(call, service.name, answer)
+        whole = asyncio.get_running_loop().time() - began
+        self.durations.add(rule.name, whole, head)
+
+    def check_stopping(self, rule: Rule, deadline: float) -> None:
+        """Refuse a call that a stopping node could not answer in time."""
+        now = asyncio.get_running_loop().time()
+        usual = self.durations.expected(rule.name)
+        if self.stopping and not self.stopping.takes(now, deadline, usual):
+            raise DrainingError("the node would stop before the call is done")
 
     async def issue_keys(self, call: IncomingCall, snapshot: Snapshot) -> None:
         """Answer with keys issued by a live target, in this zone if possible."""
@@ -183,6 +207,7 @@
             names.whole_number(call.headers, names.ATTEMPT, 1),
             names.whole_number(call.headers, names.DEPTH, 0),
         )
+        self.check_stopping(rule, progress.deadline)
         keyed = is_keyed(call, policy)
         keep = self.settings.idempotency.body_bytes if keyed else REPLAY_BYTES
         home_call = HomeCall(
--- /dev/null
+++ b/sequoiaspoke/tests/test_node_stopping.py
@@ -0,0 +1,97 @@
+"""Tests of the calls that a stopping node takes."""
+
+import asyncio
+import socket
+from dataclasses import replace
+
+from testtools import TestCase
+
+from sequoiaspoke.node import headers as names
+from sequoiaspoke.node.stopping import StopTimes
+from sequoiaspoke.tests.loopback import (
+    WAIT,
+    LoopbackTestCase,
+    header,
+    raw,
+    request,
+    status,
+    until,
+)
+
+
+def is_closed(port):
+    """Return whether nobody listens on a port."""
+    with socket.socket() as sock:
+        return sock.connect_ex(("127.0.0.1", port)) != 0
+
+
+class StopTimesTests(TestCase):
+    """A stop of 1 s in which callers are moved, and 9 s in which calls finish."""
+
+    TIMES = StopTimes(callers_moved_at=1.0, answers_at=10.0)
+
+    def test_a_call_that_is_done_by_its_deadline_is_taken(self):
+        self.assertTrue(self.TIMES.takes(5.0, 10.0, usual=8.0))
+
+    def test_a_call_that_may_outlast_the_stop_is_taken_while_callers_move(self):
+        self.assertTrue(self.TIMES.takes(0.5, 20.0, usual=0.1))
+        self.assertFalse(self.TIMES.takes(1.5, 20.0, usual=0.1))
+
+    def test_a_call_that_usually_outlasts_the_stop_is_never_taken(self):
+        self.assertFalse(self.TIMES.takes(0.5, 20.0, usual=9.0))
+
+
+class LateCallTests(LoopbackTestCase):
+    """Guards against calls that are passed on and cut off when the grace is over."""
+
+    RULES = "[rule all]\nwhen = always\nthen = route fleet\ntimeout = 30\n"
+
+    async def late_answer(self, deployment, method, grace):
+        """Return the answer to a call on a connection that was kept.
+
+        The listener is closed by then, and another call keeps the node running.
+        """
+        node = deployment.sites[0].node
+        port = node.ports["call"]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        hold = request("GET", "/", "Standin-Hold: yes")
+        held = asyncio.ensure_future(raw(port, hold))
+        await until(lambda: self.runs(deployment) == 1)
+        limits = replace(node.settings.node, drain=0, grace=grace)
+        node.settings = replace(node.settings, node=limits)
+        stopping = asyncio.ensure_future(node.stop())
+        await until(lambda: is_closed(port))
+        writer.write(request(method, "/"))
+        async with asyncio.timeout(WAIT):
+            answer = await reader.read()
+        writer.close()
+        self.ran = self.runs(deployment) - 1
+        for site in deployment.sites:
+            site.upstream.release()
+        self.assertEqual(200, status(await held))
+        await stopping
+        return answer
+
+    def runs(self, deployment):
+        return sum(site.upstream.runs_total for site in deployment.sites)
+
+    async def check_refused(self, deployment, method):
+        answer = await self.late_answer(deployment, method, grace=20)
+        self.assertEqual(503, status(answer))
+        self.assertEqual("draining", header(answer, names.REASON))
+        self.assertEqual("not-run", header(answer, names.RAN))
+        self.assertEqual("close", header(answer, "Connection"))
+        self.assertEqual(0, self.ran)
+
+    def test_a_late_call_that_may_outlast_the_stop_is_not_run(self):
+        self.run_with(lambda deployment: self.check_refused(deployment, "POST"))
+
+    def test_a_late_call_that_may_be_repeated_is_not_run_either(self):
+        self.run_with(lambda deployment: self.check_refused(deployment, "GET"))
+
+    def test_a_late_call_whose_deadline_is_before_is_served(self):
+        async def test(deployment):
+            answer = await self.late_answer(deployment, "POST", grace=60)
+            self.assertEqual((200, 1), (status(answer), self.ran))
+
+        self.run_with(test)
