--- a/sequoiaspoke/node/stopping.py
+++ b/sequoiaspoke/node/stopping.py
@@ -10,6 +10,10 @@
 if TYPE_CHECKING:
     from sequoiaspoke.settings.schema import NodeSettings
 
+# Seconds of the grace, and the largest share of it, that are left for a process that
+# gets its processor late, or is killed at its end.
+SPARE_SECONDS, MAX_SPARE_SHARE = 0.75, 1 / 6
+
 
 @dataclass(frozen=True)
 class StopTimes:
@@ -39,6 +43,7 @@
 
 
 def stop_times(settings: NodeSettings, now: float) -> StopTimes:
-    """Return the times of a stop that begins now."""
+    """Return the times of a stop that begins now; the grace counts from now."""
+    spare = min(SPARE_SECONDS, MAX_SPARE_SHARE * settings.grace)
     moved = now + settings.drain
-    return StopTimes(moved, moved + settings.grace)
+    return StopTimes(moved, max(moved, now + settings.grace - spare))
--- a/sequoiaspoke/tests/test_node_stopping.py
+++ b/sequoiaspoke/tests/test_node_stopping.py
@@ -6,8 +6,10 @@
 
 from testtools import TestCase
 
+from sequoiaspoke.node import app
 from sequoiaspoke.node import headers as names
-from sequoiaspoke.node.stopping import StopTimes
+from sequoiaspoke.node.stopping import StopTimes, stop_times
+from sequoiaspoke.settings.schema import NodeSettings
 from sequoiaspoke.tests.loopback import (
     WAIT,
     LoopbackTestCase,
@@ -40,6 +42,38 @@
     def test_a_call_that_usually_outlasts_the_stop_is_never_taken(self):
         self.assertFalse(self.TIMES.takes(0.5, 20.0, usual=9.0))
 
+    def test_all_is_answered_some_time_before_the_grace_is_over(self):
+        # A process that waits for its processor then was killed with its calls.
+        times = stop_times(NodeSettings("a", "z", drain=1, grace=30), now=100.0)
+        self.assertEqual(StopTimes(101.0, 129.25), times)
+
+    def test_a_short_grace_keeps_most_of_its_time(self):
+        times = stop_times(NodeSettings("a", "z", drain=0, grace=3), now=100.0)
+        self.assertEqual(StopTimes(100.0, 102.5), times)
+
+    def test_callers_are_moved_for_longer_than_a_shorter_grace(self):
+        times = stop_times(NodeSettings("a", "z", drain=3, grace=1), now=100.0)
+        self.assertEqual(StopTimes(103.0, 103.0), times)
+
+
+class EndOfGraceTests(LoopbackTestCase):
+    def test_what_is_in_flight_is_answered_at_the_time_of_the_stop(self):
+        # Each wait of a stop had a whole grace of its own.
+        async def test(deployment):
+            node = deployment.sites[0].node
+            hold = request("GET", "/", "Standin-Hold: yes")
+            held = asyncio.ensure_future(raw(node.ports["call"], hold))
+            sites = deployment.sites
+            await until(lambda: sum(site.upstream.runs_total for site in sites) == 1)
+            now = asyncio.get_running_loop().time()
+            self.patch(app, "stop_times", lambda *_: StopTimes(now, now))
+            await asyncio.wait_for(node.stop(), WAIT)
+            answer = await held
+            self.assertEqual(502, status(answer))
+            self.assertEqual("node-stopped", header(answer, names.REASON))
+
+        self.run_with(test)
+
 
 class LateCallTests(LoopbackTestCase):
     """Guards against calls that are passed on and cut off when the grace is over."""
