Let calls that cannot be retried wait for a silent home

What callers saw: 502 for a call whose upstream was at work, as its home got no processor for 1.5 s and more and no other home took the call, or no retry was left. From an entry that stops, a request lost in planned work.

Cause: a home that does not greet is taken for unreachable, and calls that may run again were failed so that they can go elsewhere, whether they could or not. Orders wait for the link in that case.

Change: such a call is failed only if it can be tried again: another attempt is under way, or attempts, budget and a home are left. Otherwise it waits for the link as an order does; a refused connection still ends it.

--- a/sequoiaspoke/core/mesh/retrybudget.py
+++ b/sequoiaspoke/core/mesh/retrybudget.py
@@ -51,8 +51,8 @@
         self.first_attempts.append(now)
         self.trim(now)
 
-    def spend(self, nodes: int, now: float) -> bool:
-        """Record a retry and return True if the budget allows one.
+    def has_room(self, nodes: int, now: float) -> bool:
+        """Return whether the budget allows a retry.
 
         Parameters
         ----------
@@ -62,10 +62,14 @@
         self.trim(now)
         allowed = self.limits.ratio * len(self.first_attempts)
         allowed += self.limits.slack / max(1, nodes)
-        if len(self.retries) + 1 > allowed * USED_SHARE:
-            return False
-        self.retries.append(now)
-        return True
+        return len(self.retries) + 1 <= allowed * USED_SHARE
+
+    def spend(self, nodes: int, now: float) -> bool:
+        """Record a retry among a number of nodes if the budget allows one."""
+        room = self.has_room(nodes, now)
+        if room:
+            self.retries.append(now)
+        return room
 
     def trim(self, now: float) -> None:
         """Remove attempts before the window."""
--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -299,9 +299,23 @@
             call, lambda outcome: attempt.finish(outcome, link.load_report)
         )
         attempt.pending = pending
+        pending.can_retry = partial(self.can_retry, attempt)
         attempt.cancel_at_home = partial(link.cancel, pending)
         attempt.withdraw_at_home = partial(link.withdraw, pending)
 
+    def can_retry(self, attempt: Attempt) -> bool:
+        """Return whether a call goes on if an attempt under way is failed."""
+        progress = attempt.progress
+        if any(each is not attempt for each in progress.attempts_under_way()):
+            return True
+        budget = self.budgets.of(progress.service)
+        return (
+            not progress.ending
+            and progress.reached + 1 < progress.route.attempts
+            and self.has_candidates(progress)
+            and budget.has_room(self.peers.node_count(), clock.now())
+        )
+
     def run_locally(self, attempt: Attempt, call: HomeCall) -> None:
         """Submit a call to this node's own home."""
         self.local_calls += 1
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -485,9 +485,8 @@
         """Record that the home cannot be reached, and fail calls accordingly.
 
         Calls that were never sent, or not with their whole body, have certainly not
-        run. Of the others, the ones
-        that may run again are failed, so that they can go elsewhere; the others wait
-        for the link, unless the connection was refused: then the process that knew
+        run. Of the others, the ones that can be tried elsewhere are failed; the others
+        wait for the link, unless the connection was refused: then the process that knew
         their outcome is gone.
         """
         self.gossip.link_down(self)
@@ -498,7 +497,9 @@
         for pending in list(self.pending.values()):
             if pending.not_run:
                 self.fail(pending, NotRun("home-unreachable"))
-            elif pending.call.idempotent or reason == "refused":
+            elif reason == "refused" or (
+                pending.call.idempotent and pending.can_retry()
+            ):
                 self.fail(pending, Unknown("home-unreachable"))
 
     def fail(self, pending: PendingCall, outcome: Outcome) -> None:
--- a/sequoiaspoke/sidecar/pending.py
+++ b/sequoiaspoke/sidecar/pending.py
@@ -16,6 +16,11 @@
     """Do nothing; replaces the callback of a call that is done."""
 
 
+def assume_retry() -> bool:
+    """Return True; the default of calls that are not part of several attempts."""
+    return True
+
+
 class PendingCall:
     """A call for another node whose outcome is not known yet.
 
@@ -29,6 +34,8 @@
         Whether the home has to take it back unless it has started.
     body : OutgoingBody or None
         Its body, if that is sent in parts.
+    can_retry : callable
+        Tells whether the call can be tried again if it is failed.
     """
 
     def __init__(
@@ -41,6 +48,7 @@
         self.withdrawn = False
         self.home_incarnation: int | None = None
         self.body: OutgoingBody | None = None
+        self.can_retry: Callable[[], bool] = assume_retry
 
     @property
     def not_run(self) -> bool:
@@ -63,6 +71,7 @@
         """Report no outcome from now on, and hold nothing of who waits for one."""
         self.done = True
         self.on_outcome = ignore_outcome
+        self.can_retry = assume_retry
 
 
 class LinkIdentity:
