Keep the last attempt for homes that stop only if one of them takes it

What callers saw: 503 for a read or an order that one more home would have served, if one of the six homes that had refused it was leaving; 503 for an order where all homes stop and the first one that is asked again is full.

Cause: after six refusals the next attempt goes to a home that has refused the call as it stops. If that one has left for good, there was no attempt at all, also for reads, which no home refuses for its deadline. And only one of the homes that stop was asked again.

Change: without such a home, the attempt is made elsewhere, as before. Each home that stops is asked again once, within the same number of attempts.

With the change 79 tests of the entry, the withdrawal, the stop and the mesh pass.

--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -82,8 +82,10 @@
     def choose(self, progress: Progress) -> Endpoint | None:
         """Return the endpoint for the next attempt, None if there is none."""
         progress.max_wait = inf
-        if progress.stopping and progress.unreached == MAX_UNREACHED_ATTEMPTS:
-            return self.stopping_endpoint(progress)
+        if progress.unreached == MAX_UNREACHED_ATTEMPTS:
+            endpoint = self.stopping_endpoint(progress)
+            if endpoint is not None:
+                return endpoint
         if self.suspected(progress):
             endpoint = self.suspect_endpoint(progress)
         else:
@@ -96,10 +98,12 @@
         Otherwise a call that may run only once would be refused by all homes where all
         of them are restarted.
         """
-        usable = filter(self.usable, progress.stopping)
-        endpoint = None if progress.last_resort else next(usable, None)
-        progress.last_resort = True
-        return endpoint
+        while progress.stopping:
+            endpoint = progress.stopping.pop(0)
+            if self.usable(endpoint):
+                progress.last_resort = True
+                return endpoint
+        return None
 
     def slot_request(self, progress: Progress) -> Endpoint | None:
         """Return the home to ask for a slot, or to wait at after busy ones, if any."""
--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -63,9 +63,10 @@
     max_wait : float
         Seconds that the next attempt may wait for a slot.
     stopping : list of Endpoint
-        Endpoints whose homes have refused the call as they stop.
+        Endpoints whose homes have refused the call as they stop, and were not asked
+        again.
     last_resort : bool
-        Whether the next attempt is made at one of them all the same.
+        Whether one of them was asked again; homes that stop take the call then.
     """
 
     request: Request
--- /dev/null
+++ b/sequoiaspoke/tests/test_sidecar_lastresort.py
@@ -0,0 +1,62 @@
+"""Tests of calls that homes refuse as they stop."""
+
+import asyncio
+
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.balancer import LoadReport
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun
+from sequoiaspoke.sidecar.race import MAX_UNREACHED_ATTEMPTS
+from sequoiaspoke.tests.test_sidecar_entry import WAIT, make_entry, request
+
+SERVED = Answer(200, (), b"served")
+LEAVING = NotRun("leaving", 0.3)
+FULL = NotRun("queue-full", 0.2)
+
+
+class LastAttemptTests(TestCase):
+    """Homes that answer in a given order, whichever of them is asked."""
+
+    def play(self, name, outcomes, announced, instances="abcdefghij"):
+        """Return the status of a call, and keep the instances asked.
+
+        Parameters
+        ----------
+        announced : bool
+            Whether homes that stop have announced it, so that nobody asks them again.
+        """
+        self.asked, left = [], iter(outcomes)
+
+        async def run():
+            entry = make_entry(dict.fromkeys(instances))
+            stopping = set()
+
+            def send_to_home(attempt):
+                instance = attempt.endpoint.instance
+                self.asked.append(instance)
+                outcome = next(left)
+                if outcome is LEAVING and announced:
+                    stopping.add(instance)
+                loop = asyncio.get_running_loop()
+                loop.call_soon(attempt.finish, outcome, LoadReport())
+
+            entry.attempts.send_to_home = send_to_home
+            entry.attempts.usable = lambda each: each.instance not in stopping
+            async with asyncio.timeout(WAIT):
+                return (await entry.handle(request(name))).status
+
+        return asyncio.run(run())
+
+    def test_a_home_that_left_costs_no_attempt_elsewhere(self):
+        # The last attempt was kept for the homes that stop, and none of them took any.
+        for name in ("read", "order"):
+            refusals = [LEAVING] + (MAX_UNREACHED_ATTEMPTS - 1) * [FULL]
+            status = self.play(name, [*refusals, SERVED], announced=True)
+            self.assertEqual((status, len(self.asked)), (200, len(refusals) + 1))
+
+    def test_each_home_that_stops_is_asked_again(self):
+        # The first one was full, and the order was refused although another took it.
+        outcomes = [LEAVING, LEAVING, FULL, SERVED]
+        status = self.play("order", outcomes, announced=False, instances="ab")
+        self.assertEqual((status, len(self.asked)), (200, 4))
+        self.assertEqual(self.asked[:2], self.asked[2:])
