Refuse calls at a stopping home only to entries that would come back

What callers saw: 503 for orders at an entry of an earlier build, in a rolling update, where all homes of a service stop or the others are full. Such an entry counts the refusal and never comes back; the home ran these calls before.

Change: a feature bit in the hello tells that a node sends last_resort. A home that stops runs the calls of all others, as it did before.

The tests beside it now send a hello with the features, and are as they were otherwise.

--- a/sequoiaspoke/sidecar/linkfeatures.py
+++ b/sequoiaspoke/sidecar/linkfeatures.py
@@ -14,6 +14,8 @@
 
     # Bodies in parts, a bound on the wait of a call, and withdrawn calls.
     PARTS = 1
+    # Comes back, as a last resort, to a home that refuses calls as it stops.
+    LAST_RESORT = 2
 
 
-SUPPORTED = LinkFeatures.PARTS
+SUPPORTED = LinkFeatures.PARTS | LinkFeatures.LAST_RESORT
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -8,7 +8,7 @@
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.frames import TcpFrameStream
-from sequoiaspoke.sidecar.linkfeatures import SUPPORTED
+from sequoiaspoke.sidecar.linkfeatures import SUPPORTED, LinkFeatures
 from sequoiaspoke.sidecar.sockets import ConnectionServer
 from sequoiaspoke.sidecar.transfers import AnnouncedBody, BodySource
 from sequoiaspoke.sidecar.wirecalls import (
@@ -34,13 +34,20 @@
 
 
 class AcceptedLink(BodySource):
-    """A link opened by another node."""
+    """A link opened by another node.
+
+    Attributes
+    ----------
+    features : LinkFeatures
+        Features of the other node, as it told in its hello.
+    """
 
     def __init__(self, stream: FrameStream, server: LinkServer) -> None:
         self.stream = stream
         self.server = server
         self.peer: tuple[str, int] | None = None
         self.zone = ""
+        self.features = LinkFeatures(0)
         # Seconds by which the other node's clock is ahead of this one's.
         self.clock_offset = 0.0
 
@@ -87,6 +94,7 @@
         require(hello, "host", "incarnation", "zone", "clock")
         self.peer = (hello.host, hello.incarnation)
         self.zone = hello.zone
+        self.features = LinkFeatures(hello.features or 0)
         self.clock_offset = hello.clock - clock.now()
         self.server.on_hello(hello.host)
         for link in list(self.server.links):
@@ -107,10 +115,11 @@
         number, home_call = call.number, unpack_call(call)
         key, size = (self.peer, number), body_size(call)
         home = self.server.home
-        refusal = home.find_remote_refusal(key, home_call)
-        if refusal is not None:
-            self.send_outcome(number, home_call, refusal)
-            return
+        if self.features & LinkFeatures.LAST_RESORT:
+            refusal = home.find_remote_refusal(key, home_call)
+            if refusal is not None:
+                self.send_outcome(number, home_call, refusal)
+                return
         home.submit(
             key,
             home_call,
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -17,6 +17,7 @@
 from sequoiaspoke.sidecar.app import Sidecar
 from sequoiaspoke.sidecar.home import LEAVING_RETRY_AFTER
 from sequoiaspoke.sidecar.homecall import HomeCall
+from sequoiaspoke.sidecar.linkfeatures import SUPPORTED, LinkFeatures
 from sequoiaspoke.sidecar.linkserver import AcceptedLink
 from sequoiaspoke.sidecar.settings import SidecarSettings
 from sequoiaspoke.sidecar.stopplan import LINGER_SECONDS, SPARE_SHARE
@@ -24,6 +25,7 @@
 from sequoiaspoke.tests.meshsim import run_virtual
 from sequoiaspoke.tests.test_sidecar_entry import NoItems, request, route
 from sequoiaspoke.tests.test_sidecar_home import ENDPOINT, BlockingUpstream
+from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 ADDRESS = ("10.0.0.1", 1)
 DRAIN = 5.9
@@ -302,13 +304,22 @@
 
     other = replace(ENDPOINT, instance="i-2", host="10.0.0.3")
 
-    async def submit(self, left, own=False, idempotent=False, last_resort=False):
+    async def submit(
+        self,
+        left,
+        own=False,
+        idempotent=False,
+        last_resort=False,
+        features=SUPPORTED,
+    ):
         """Return the outcome, if any, of a call and whether its upstream got it.
 
         Parameters
         ----------
         own : bool
             Whether a caller of this node has made it, and no other node.
+        features : LinkFeatures
+            Features of the node that has made it.
         """
         home, outcomes = self.sidecar.home, []
         home.upstream = BlockingUpstream()
@@ -332,7 +343,9 @@
         else:
             stream = SimpleNamespace(send=outcomes.append)
             link = AcceptedLink(stream, self.sidecar.links)
-            link.peer = ("10.0.0.2", 1)
+            hello = wire.Hello("10.0.0.2", 1, "akaki", clock.now(), False, features)
+            link.handle_frame(wire.Frame(hello=hello))
+            outcomes.clear()
             link.handle_frame(pack_call(call, 1, 0.0))
         await asyncio.sleep(0.1)
         found = [unpack_outcome(each)[1] for each in outcomes], bool(home.upstream.ran)
@@ -383,6 +396,14 @@
 
         self.assertEqual(self.play(scenario), ([], True))
 
+    def test_a_call_of_an_entry_that_would_not_come_back_is_run(self):
+        # A node of an earlier build answered 503 where all homes refused its order.
+        async def scenario():
+            self.sidecar.state.directory.put(self.other, 2, clock.now())
+            return await self.submit(left=9.0, features=LinkFeatures.PARTS)
+
+        self.assertEqual(self.play(scenario), ([], True))
+
     def test_a_call_of_a_caller_of_the_node_is_run(self):
         # Its entry ends with the same process, wherever it runs.
         async def scenario():
