--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.frames import TcpFrameStream
-from sequoiaspoke.sidecar.linkfeatures import SUPPORTED
+from sequoiaspoke.sidecar.linkfeatures import SUPPORTED, LinkFeatures
 from sequoiaspoke.sidecar.sockets import ConnectionServer
 from sequoiaspoke.sidecar.transfers import AnnouncedBody, BodySource
 from sequoiaspoke.sidecar.unreadoutcomes import SentOutcomes, UnreadOutcomes
@@ -35,13 +36,20 @@
 
 
 class AcceptedLink(BodySource):
-    """A link opened by another node."""
+    """A link opened by another node.
+
+    Attributes
+    ----------
+    features : LinkFeatures
+        Features of the other node, as it told in its hello.
+    """
 
     def __init__(self, stream: FrameStream, server: LinkServer) -> None:
         self.stream = stream
         self.server = server
         self.peer: tuple[str, int] | None = None
         self.zone = ""
+        self.features = LinkFeatures(0)
         # Seconds by which the other node's clock is ahead of this one's.
         self.clock_offset = 0.0
         self.sent_outcomes = SentOutcomes()
@@ -90,6 +98,7 @@
         require(hello, "host", "incarnation", "zone", "clock")
         self.peer = (hello.host, hello.incarnation)
         self.zone = hello.zone
+        self.features = LinkFeatures(hello.features or 0)
         self.clock_offset = hello.clock - clock.now()
         self.server.on_hello(hello.host)
         for link in list(self.server.links):
@@ -110,6 +119,9 @@
         number, home_call = call.number, unpack_call(call)
         key, size = (self.peer, number), body_size(call)
         home = self.server.home
+        if not self.features & LinkFeatures.LAST_RESORT:
+            # This entry would not come back after a refusal.
+            home_call = replace(home_call, last_resort=True)
         self.server.unread.asked_again(key)
         home.submit(
             key,
--- a/sequoiaspoke/tests/test_stopping_paths.py
+++ b/sequoiaspoke/tests/test_stopping_paths.py
@@ -16,6 +16,7 @@
 from sequoiaspoke.sidecar.frames import FrameStream, TcpFrameStream
 from sequoiaspoke.sidecar.home import LEAVING_RETRY_AFTER
 from sequoiaspoke.sidecar.homecall import HomeCall
+from sequoiaspoke.sidecar.linkfeatures import SUPPORTED
 from sequoiaspoke.sidecar.linkserver import AcceptedLink
 from sequoiaspoke.sidecar.shutdown import LINGER_SECONDS
 from sequoiaspoke.sidecar.wirecalls import pack_call, pack_outcome, unpack_outcome
@@ -225,7 +226,7 @@
         home.admission.upstream_slots.has_answered = True
         stream = EndingStream()
         link = AcceptedLink(stream, links)
-        link.peer = PEER
+        link.peer, link.features = PEER, SUPPORTED
         outcomes = []
         for number, seconds in ((1, 9.0), (2, left)):
             until = clock.now() + seconds
