Read no refusal without end at the product's node

What callers saw: nothing reported; shown on processes on loopback. An upstream, or another node, that refuses a call by its head and then sends a body without end, or none of the one that it announced, kept the call: the home read on until the entry gave the call up at its deadline (504 after 10.0 s in place of a refusal that can be retried at another target), and an entry read on past the deadline, so that its caller got no answer at all. 8 calls: 522 MB and 5,045 MB were read by the home within 10 s, 496 MB and 5,905 MB by the entry (chunked, with a length); the memory stayed at 42 MB.

Cause: the rest of an unused answer is read so that its connection can be reused; the deadline of a call covers the head of an answer only.

Change: 64 KB are read at most, for 0.5 s at most and not past the deadline; otherwise the connection is closed. One function for refusals of upstreams, of nodes, and for the answers to requests for grants.

--- a/sequoiaspoke/node/attempts.py
+++ b/sequoiaspoke/node/attempts.py
@@ -25,9 +25,8 @@
     reported_error,
 )
 from sequoiaspoke.node import headers as names
-from sequoiaspoke.node.client import Address, Pool
+from sequoiaspoke.node.client import Address, Pool, discard
 from sequoiaspoke.node.directcalls import DirectCalls
-from sequoiaspoke.node.home import discard
 from sequoiaspoke.node.loadheader import read_load
 
 if TYPE_CHECKING:
@@ -194,7 +193,7 @@
         error.remote = True
         error.settled = names.SETTLED in answer.headers
         error.retried = names.RETRIED in answer.headers
-        await discard(answer)
+        await discard(answer, call.deadline)
         raise error
 
     def headers(self, call: HomeCall) -> names.HTTPHeaders:
--- a/sequoiaspoke/node/client.py
+++ b/sequoiaspoke/node/client.py
@@ -42,6 +42,9 @@
 # limit the server may close it just as the next call is sent, and a call that never
 # ran would have to be answered with "outcome unknown".
 REUSE_FRACTION = 0.4
+# Bytes of an unused body that are read, and seconds for it, so that the connection can
+# be reused. A new connection costs less than more than that.
+DISCARD_BYTES, DISCARD_SECONDS = 64 << 10, 0.5
 
 
 @dataclass(frozen=True)
@@ -314,6 +317,20 @@
             task.cancel()
 
 
+async def discard(answer: Answer, deadline: float) -> None:
+    """Read the rest of a short answer, so that its connection can be reused."""
+    seconds = deadline - asyncio.get_running_loop().time()
+    unread = DISCARD_BYTES
+    try:
+        async with silence.timeout(min(seconds, DISCARD_SECONDS)):
+            while unread > 0 and (chunk := await answer.body.get()):
+                unread -= len(chunk)
+    except TimeoutError:
+        pass
+    finally:
+        answer.close()
+
+
 def has_unread(stream: IOStream) -> bool:
     """Return whether bytes have come that belong to no call.
 
--- a/sequoiaspoke/node/directcalls.py
+++ b/sequoiaspoke/node/directcalls.py
@@ -11,7 +11,7 @@
 from sequoiaspoke.core.routing.grants_entry import GrantEntry
 from sequoiaspoke.errors import CallError, UpstreamShedError
 from sequoiaspoke.node import headers as names
-from sequoiaspoke.node.client import Address, Pool
+from sequoiaspoke.node.client import Address, Pool, discard
 from sequoiaspoke.node.grantheader import read_answer, write_message
 from sequoiaspoke.node.loadheader import read_load
 
@@ -102,7 +102,6 @@
             answer = await self.post(question)
             read = read_answer(answer.headers.get(names.GRANT, ""))
             report = read_load(answer.headers)
-            answer.close()
             if report:
                 now = asyncio.get_running_loop().time()
                 self.balancer.report(target, report, now)
@@ -118,7 +117,7 @@
         self.send(self.core.answered(question, read.answer))
 
     async def post(self, question: Question) -> Answer:
-        """Send a message and wait for the complete answer."""
+        """Send a message and return its answer, whose headers are all of it."""
         address = self.home_addresses[question.target]
         if address not in self.mesh_pools:
             self.mesh_pools[address] = Pool(address, self.settings.limits)
@@ -129,8 +128,7 @@
         deadline += self.settings.routing.grant_lease
         pool = self.mesh_pools[address]
         answer = await pool.call(start_line, headers, None, deadline)
-        while await answer.body.get():
-            pass
+        await discard(answer, deadline)
         return answer
 
     def connect(self, target: str, address: Address) -> None:
--- a/sequoiaspoke/node/home.py
+++ b/sequoiaspoke/node/home.py
@@ -22,7 +22,7 @@
     WrongHomeError,
 )
 from sequoiaspoke.node import headers as names
-from sequoiaspoke.node.client import Address, Pool
+from sequoiaspoke.node.client import Address, Pool, discard
 from sequoiaspoke.node.gate import Gate
 from sequoiaspoke.node.grantserver import GrantServer
 from sequoiaspoke.node.loadheader import write_load
@@ -186,7 +186,7 @@
         # that drains.
         if draining and pool is None:
             self.gate.admission.health.upstream_draining(loop.time())
-        await discard(answer)
+        await discard(answer, deadline)
         error = upstream_error(call.target, ran, answer.status, retry_after)
         error.retried = retried
         raise error
@@ -272,12 +272,3 @@
     if status == GATEWAY_TIMEOUT:
         return DeadlineUnknownError(f"{target} gave the call up at its deadline")
     return UpstreamUnsureError(f"{target} cannot tell whether the call ran")
-
-
-async def discard(answer: Answer) -> None:
-    """Read a short answer to its end, so that its connection can be reused."""
-    try:
-        while await answer.body.get():
-            pass
-    finally:
-        answer.close()
