Bound the documents that a watching node reads

What callers saw: nothing reported; shown on processes on loopback. With the strategy watch-all, a store that sent a document without end took the node to 616 MB within 1.7 s (with a length), 211 MB within 4 s (chunked); it kept all that came in the 2 s that a read may take.

Cause: these reads go through the connections for calls, whose bodies are passed on in pieces and may have 4 GB; here they are kept whole. The client of the other strategies has a bound of 2 MB.

Evidence: test_a_node_that_watches_keeps_no_document_without_end failed before (253 MB had been sent at the end of the read); the test of the other client passed before.

--- a/sequoiaspoke/node/watchall.py
+++ b/sequoiaspoke/node/watchall.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
@@ -26,6 +26,7 @@
 from sequoiaspoke.node import silence
 from sequoiaspoke.node.client import Address, Pool
 from sequoiaspoke.node.config import ConfigSource, SourceStatus
+from sequoiaspoke.node.platformclient import BODY_LIMIT
 
 if TYPE_CHECKING:
     import random
@@ -62,7 +63,8 @@
         url = urlsplit(settings.platform.url)
         self.host = url.netloc
         address = Address(url.hostname or "", url.port or HTTP_PORT)
-        self.pool = Pool(address, settings.limits)
+        body_bytes = min(settings.limits.body_bytes, BODY_LIMIT)
+        self.pool = Pool(address, replace(settings.limits, body_bytes=body_bytes))
         self.tasks: list[asyncio.Task[None]] = []
         self.newest_vms = VmList()
         self.reads = 0
--- a/sequoiaspoke/tests/test_node_endless.py
+++ b/sequoiaspoke/tests/test_node_endless.py
@@ -12,6 +12,7 @@
 from sequoiaspoke.errors import (
     CallError,
     DrainingError,
+    PlatformError,
     SequoiaspokeError,
     UpstreamShedError,
 )
@@ -19,9 +20,12 @@
 from sequoiaspoke.node.client import Address, Pool
 from sequoiaspoke.node.home import Home, HomeCall
 from sequoiaspoke.node.metrics import CallCounters
+from sequoiaspoke.node.platformclient import PlatformClient
+from sequoiaspoke.node.watchall import PlatformWatch
 from sequoiaspoke.settings.schema import (
     LimitSettings,
     NodeSettings,
+    PlatformSettings,
     Settings,
     UpstreamSettings,
 )
@@ -166,3 +170,30 @@
 
     def test_of_a_home_that_was_asked_for_a_grant_the_rest_is_not_read(self):
         self.check(self.ask_for_grant, object)
+
+
+class EndlessStoreTests(EndlessCase):
+    """Documents without end, with each of the clients of the store."""
+
+    def settings(self, address):
+        return PlatformSettings(url=f"http://{address.host}:{address.port}")
+
+    async def read_by_watch(self, address):
+        settings = Settings(platform=self.settings(address))
+        source = PlatformWatch(settings, random.Random(1))
+        return await source.read("documents/head", 10 * WAIT)
+
+    async def read_by_client(self, address):
+        return await PlatformClient(self.settings(address)).read("head")
+
+    def check(self, read):
+        for prefix, repeated in BODIES.values():
+            result = self.play(OK + b"Revision: 1\r\n" + prefix, repeated, read)
+            self.assertIsInstance(result, CallError | PlatformError)
+
+    def test_a_node_that_watches_keeps_no_document_without_end(self):
+        # It kept all that came within its timeout, 600 MB.
+        self.check(self.read_by_watch)
+
+    def test_a_node_that_reads_keeps_no_document_without_end(self):
+        self.check(self.read_by_client)
