Bound the requests that a node's operator pages read

What callers saw: nothing reported; shown on processes on loopback. 8 clients of the operators' port that sent a chunked body without end took the node to 505 MB within 10 s, the end of the trial.

Cause: the server of the pages has the bounds of its library, which keeps a body of up to 100 MB whole for each connection. The pages need no body.

Change: 64 KB, by Tornado's max_body_size.

Evidence: test_of_operators_only_a_bounded_part_is_read failed before (108 MB had been sent on one connection when it was closed); the test of callers passed before.

--- a/sequoiaspoke/node/admin.py
+++ b/sequoiaspoke/node/admin.py
@@ -15,6 +15,8 @@
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 NOT_READY_STATUS = 503
+# Bytes of the largest accepted body. Pages need none, and Tornado keeps one whole.
+MAX_BODY_BYTES = 64 << 10
 
 
 class Page(RequestHandler):
@@ -101,7 +103,8 @@
                 ("/live", LivePage, context),
             ],
             log_function=_no_access_log,
-        )
+        ),
+        max_body_size=MAX_BODY_BYTES,
     )
 
 
--- a/sequoiaspoke/tests/test_endless_answers.py
+++ b/sequoiaspoke/tests/test_endless_answers.py
@@ -93,14 +93,17 @@
     async def serve(self, reader, writer):
         try:
             await reader.readuntil(b"\r\n\r\n")
-            writer.write(self.prefix)
-            while True:
-                writer.write(self.repeated)
-                await writer.drain()
-                self.sent += len(self.repeated)
+            await self.send(writer)
         finally:
             self.closed.set()
 
+    async def send(self, writer):
+        writer.write(self.prefix)
+        while True:
+            writer.write(self.repeated)
+            await writer.drain()
+            self.sent += len(self.repeated)
+
 
 class EndlessAnswerTests(TestCase):
     """Each is ended as soon as it exceeds a bound, not at the deadline of the call."""
--- a/sequoiaspoke/tests/test_node_endless.py
+++ b/sequoiaspoke/tests/test_node_endless.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import random
+from contextlib import suppress
+from types import SimpleNamespace
 
 from testtools import TestCase
 from tornado.httputil import HTTPHeaders, RequestStartLine
+from tornado.netutil import bind_sockets
 
 from sequoiaspoke.core.routing.grants import Ask
 from sequoiaspoke.core.routing.grants_entry import Question
@@ -16,11 +19,13 @@
     SequoiaspokeError,
     UpstreamShedError,
 )
+from sequoiaspoke.node.admin import admin_server
 from sequoiaspoke.node.attempts import Attempts
 from sequoiaspoke.node.client import Address, Pool
 from sequoiaspoke.node.home import Home, HomeCall
 from sequoiaspoke.node.metrics import CallCounters
 from sequoiaspoke.node.platformclient import PlatformClient
+from sequoiaspoke.node.server import CallServer
 from sequoiaspoke.node.watchall import PlatformWatch
 from sequoiaspoke.settings.schema import (
     LimitSettings,
@@ -29,6 +34,7 @@
     Settings,
     UpstreamSettings,
 )
+from sequoiaspoke.tests.nodeserver import GatedHandler
 from sequoiaspoke.tests.test_endless_answers import (
     BUFFERED,
     WAIT,
@@ -53,6 +59,15 @@
     "bytes that are no HTTP": (b"", b"y" * 1000),
 }
 BODIES = {"chunked": (CHUNKED, CHUNK), "with a length": (LONG, b"y" * 1000)}
+REQUEST = b"POST /live HTTP/1.1\r\nHost: x\r\n"
+REQUESTS = {
+    "header lines": (REQUEST, LINE),
+    "one header line": (REQUEST + b"X-More: ", b"y" * 1000),
+    "a request line": (b"GET /", b"y" * 1000),
+    "a chunk extension": (REQUEST + CHUNKED + b"5;", b"y" * 1000),
+    "trailers": (REQUEST + CHUNKED + b"0\r\n", LINE),
+    "bytes that are no HTTP": (b"", b"y" * 1000),
+}
 
 
 def make_settings():
@@ -197,3 +212,49 @@
 
     def test_a_node_that_reads_keeps_no_document_without_end(self):
         self.check(self.read_by_client)
+
+
+class EndlessRequestTests(TestCase):
+    """Requests without end."""
+
+    def play(self, make_server, prefix, repeated):
+        """Send a request until the server closes; return the bytes sent."""
+
+        async def run():
+            server, close = make_server()
+            (listening,) = bind_sockets(0, "127.0.0.1")
+            server.add_sockets([listening])
+            reader, writer = await asyncio.open_connection(*listening.getsockname())
+            raw = EndlessUpstream(prefix, repeated)
+            try:
+                async with asyncio.timeout(WAIT):
+                    with suppress(ConnectionError):
+                        await raw.send(writer)
+            finally:
+                writer.transport.abort()
+                server.stop()
+                close()
+                await server.close_all_connections()
+            return raw.sent
+
+        return asyncio.run(run())
+
+    def check(self, make_server, requests):
+        for prefix, repeated in requests:
+            sent = self.play(make_server, prefix, repeated)
+            self.assertTrue(sent <= BUFFERED, sent)
+
+    def serve_calls(self):
+        server = CallServer(GatedHandler(), LimitSettings())
+        return server.server, server.cut_off
+
+    def serve_pages(self):
+        return admin_server(SimpleNamespace()), lambda: None
+
+    def test_of_callers_only_a_bounded_part_is_read(self):
+        self.check(self.serve_calls, REQUESTS.values())
+
+    def test_of_operators_only_a_bounded_part_is_read(self):
+        # Bodies were read whole, up to 100 MB on each connection.
+        bodies = ((REQUEST + prefix, more) for prefix, more in BODIES.values())
+        self.check(self.serve_pages, (*REQUESTS.values(), *bodies))
