Count large heads of kept answers at the product's node

What callers saw: nothing reported; found by reading. The ledger of keyed calls limits the bytes of kept answers (8 MB), but counted bodies only. The heads, of up to 64 KB each, stayed for as long as their keys: 1.3 GB in a full ledger of 20,000 keys, by calculation; not played on processes. Evicted answers, too, kept their heads.

Change: what a head has beyond 1 KB counts as well, and an answer is evicted with its head. Usual heads count no more than before, so that no more answers are evicted.

Evidence: test_answers_with_large_heads_are_evicted failed before (6 of 6 heads of 60 KB were kept where 100 KB are allowed).

--- a/sequoiaspoke/core/idempotency/ledger.py
+++ b/sequoiaspoke/core/idempotency/ledger.py
@@ -3,8 +3,8 @@
 With many keyed calls, some with large answers, an unbounded ledger would exhaust
 the memory of a small VM. Forgetting a live key is no way out, as its retry would
 run. So the number of keys and the bytes of kept answers have separate limits: a
-full ledger refuses new keys, and answer bodies are evicted oldest first. A retry
-whose body was evicted still learns that the call ran.
+full ledger refuses new keys, and answers are evicted oldest first. A retry whose
+answer was evicted still learns that the call ran.
 """
 
 from __future__ import annotations
@@ -20,6 +20,10 @@
     from sequoiaspoke.core.idempotency.moment import Moment
     from sequoiaspoke.core.idempotency.settings import IdempotencySettings
 
+# Bytes of the head of a kept answer that do not count: the usual heads of a full
+# ledger are some MB, which its number of keys limits.
+FREE_HEAD_BYTES = 1024
+
 
 class State(Enum):
     """State of a key."""
@@ -56,7 +60,7 @@
         self.settings = settings
         self.entries: dict[str, Entry] = {}
         self.ended: deque[Entry] = deque()
-        self.with_body: deque[Entry] = deque()
+        self.sized: deque[Entry] = deque()
         self.kept_bytes = 0
 
     @property
@@ -81,13 +85,14 @@
         """Keep the answer of a call that ran."""
         body = answer.body
         if body is None or len(body) > self.settings.answer_bytes:
-            answer = replace(answer, body=None)
+            answer = _without_content(answer)
         self._end(entry, State.ANSWERED, now)
         entry.answer = answer
-        if answer.body:
-            self.kept_bytes += len(answer.body)
-            self.with_body.append(entry)
-            self._evict_bodies()
+        size = _kept_size(entry)
+        if size:
+            self.kept_bytes += size
+            self.sized.append(entry)
+            self._evict_oldest()
 
     def outcome_unknown(self, entry: Entry, now: Moment) -> None:
         """Record that a call failed after it was handed over."""
@@ -99,25 +104,32 @@
         while self.ended and now.steady - self.ended[0].finished > retention:
             entry = self.ended.popleft()
             del self.entries[entry.key.text]
-            self._evict_body(entry)
-        while self.with_body and not _body_of(self.with_body[0]):
-            self.with_body.popleft()
+            self._evict(entry)
+        while self.sized and not _kept_size(self.sized[0]):
+            self.sized.popleft()
 
     def _end(self, entry: Entry, state: State, now: Moment) -> None:
         entry.state = state
         entry.finished = now.steady
         self.ended.append(entry)
 
-    def _evict_bodies(self) -> None:
+    def _evict_oldest(self) -> None:
         while self.kept_bytes > self.settings.kept_bytes:
-            self._evict_body(self.with_body.popleft())
+            self._evict(self.sized.popleft())
+
+    def _evict(self, entry: Entry) -> None:
+        if entry.answer is not None:
+            self.kept_bytes -= _kept_size(entry)
+            entry.answer = _without_content(entry.answer)
+
 
-    def _evict_body(self, entry: Entry) -> None:
-        if entry.answer is None or not entry.answer.body:
-            return
-        self.kept_bytes -= len(entry.answer.body)
-        entry.answer = replace(entry.answer, body=None)
+def _without_content(answer: KeptAnswer) -> KeptAnswer:
+    return replace(answer, headers=(), body=None)
 
 
-def _body_of(entry: Entry) -> bytes | None:
-    return entry.answer.body if entry.answer else None
+def _kept_size(entry: Entry) -> int:
+    answer = entry.answer
+    if answer is None or answer.body is None:
+        return 0
+    head = sum(len(name) + len(value) for name, value in answer.headers)
+    return len(answer.body) + max(0, head - FREE_HEAD_BYTES)
--- a/sequoiaspoke/tests/test_idempotency.py
+++ b/sequoiaspoke/tests/test_idempotency.py
@@ -309,6 +309,27 @@
         self.assertRefused(AnswerNotKeptError, self.admit(calls[1]))
         self.assertIsInstance(self.admit(calls[2]), Replay)
 
+    def test_answers_with_large_heads_are_evicted(self) -> None:
+        """Heads were kept without a limit beside that of the bodies: of 64 KB each,
+        those of a full ledger are 1.3 GB.
+        """
+        kept_bytes = 100 << 10
+        small = dataclasses.replace(SETTINGS, kept_bytes=kept_bytes)
+        self.core.ledger.settings = small
+        headers = (("X-More", "y" * 60_000),)
+        for _ in range(6):
+            call = self.keyed()
+            self.admit(call)
+            self.hand_over(call)
+            answer = KeptAnswer(200, "OK", headers, b"")
+            self.core.finished(call.key, answer, self.now)
+        self.assertIsInstance(self.admit(call), Replay)
+        ledger = self.core.ledger
+        heads = [entry.answer.headers for entry in ledger.entries.values()]
+        self.assertEqual(1, sum(map(bool, heads)))
+        self.world.run(SETTINGS.retention + 1)
+        self.assertEqual((0, 0), (ledger.kept_bytes, len(ledger.sized)))
+
     def test_forgotten_key_is_too_old_to_run(self) -> None:
         """A caller retries an order after the ledger has forgotten its key. The key
         must not be taken for a new one.
