Release the slot of a keyed call whose answer is never complete

What callers saw: nothing reported; shown on processes on loopback. Each keyed call whose answer broke off took a slot of its upstream for good: after 20 such calls, of which 10 were answered 502 and 10 refused (503), 10 of 10 reads of a mended upstream were refused as well, by a home with 10 slots.

Cause: the answer to a keyed call is read by a task of its own, which closed the answer only when it was complete; the slot is released by the close. Nor had that task a limit for an answer that stalls, so that it, its slot and its key stayed for good.

Change: the answer is closed in any case, and given up if it makes no progress for the time that is set for all bodies (limits.idle).

Evidence: both KeyedAnswerTests failed before (1 slot in use; no end). The same processes after the change: 20 of 20 calls are answered 502, then 10 of 10 reads are served.

--- a/sequoiaspoke/node/keyedhome.py
+++ b/sequoiaspoke/node/keyedhome.py
@@ -25,6 +25,7 @@
 from sequoiaspoke.errors import (
     AnswerNotKeptError,
     CallError,
+    ConnectionLostError,
     DeadlineNotRunError,
     DeadlineUnknownError,
     DrainingError,
@@ -69,6 +70,7 @@
         rng: random.Random,
     ) -> None:
         self.settings = settings.idempotency
+        self.idle = settings.limits.idle
         self.home = home
         self.rng = rng
         node, upstream = settings.node, settings.upstream
@@ -240,15 +242,33 @@
         chunks: list[bytes] = []
         size = 0
         headers = tuple(names.end_to_end(answer.headers).get_all())
-        while chunk := await answer.body.get():
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > self.settings.answer_bytes:
-                self.stream(key_run, answer, b"".join(chunks))
-                return KeptAnswer(answer.status, answer.reason, headers, None)
+        try:
+            while chunk := await self.next_chunk(answer):
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > self.settings.answer_bytes:
+                    self.stream(key_run, answer, b"".join(chunks))
+                    return KeptAnswer(answer.status, answer.reason, headers, None)
+        except BaseException:
+            answer.close()
+            raise
         answer.close()
         return KeptAnswer(answer.status, answer.reason, headers, b"".join(chunks))
 
+    async def next_chunk(self, answer: Answer) -> bytes:
+        """Return the next chunk of an answer, empty at its end.
+
+        Raises
+        ------
+        CallError
+            The answer broke off or made no progress for `idle` seconds.
+        """
+        try:
+            async with silence.timeout(self.idle):
+                return await answer.body.get()
+        except TimeoutError as error:
+            raise ConnectionLostError(f"no progress for {self.idle:g} s") from error
+
     def stream(self, key_run: KeyRun, answer: Answer, start: bytes) -> None:
         """Pass a long answer on to the first caller, if it still waits."""
         if key_run.first_caller_gone:
--- a/sequoiaspoke/tests/test_node_endless.py
+++ b/sequoiaspoke/tests/test_node_endless.py
@@ -2,27 +2,34 @@
 
 import asyncio
 import random
+import time
 from contextlib import suppress
+from dataclasses import replace
 from types import SimpleNamespace
 
 from testtools import TestCase
 from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.netutil import bind_sockets
 
+from sequoiaspoke.core.idempotency.key import issue_key, parse_key
 from sequoiaspoke.core.routing.grants import Ask
 from sequoiaspoke.core.routing.grants_entry import Question
 from sequoiaspoke.core.rules.model import Endpoint
 from sequoiaspoke.errors import (
     CallError,
+    ConnectionLostError,
     DrainingError,
     PlatformError,
     SequoiaspokeError,
+    TruncatedAnswerError,
     UpstreamShedError,
 )
 from sequoiaspoke.node.admin import admin_server
 from sequoiaspoke.node.attempts import Attempts
 from sequoiaspoke.node.client import Address, Pool
 from sequoiaspoke.node.home import Home, HomeCall
+from sequoiaspoke.node.keyedhome import KeyedHome
+from sequoiaspoke.node.keyedrun import KeyRun
 from sequoiaspoke.node.metrics import CallCounters
 from sequoiaspoke.node.platformclient import PlatformClient
 from sequoiaspoke.node.server import CallServer
@@ -258,3 +265,37 @@
         # Bodies were read whole, up to 100 MB on each connection.
         bodies = ((REQUEST + prefix, more) for prefix, more in BODIES.values())
         self.check(self.serve_pages, (*REQUESTS.values(), *bodies))
+
+
+class KeyedAnswerTests(EndlessCase):
+    """Answers to keyed calls that are never complete."""
+
+    # They are read without a caller that waits, in a task of their own. Each of them
+    # took a slot of the upstream for good.
+
+    def run_key(self, prefix, repeated=b"", idle=0.1):
+        """Run a key; return the outcome and the number of slots that are in use."""
+
+        async def use(address):
+            limits = LimitSettings(idle=idle)
+            settings = replace(make_settings(), limits=limits)
+            home = Home(settings, CallCounters(), random.Random(1))
+            home.pool = Pool(address, limits)
+            keyed = KeyedHome(settings, home, SimpleNamespace(), random.Random(1))
+            key = issue_key(keyed.core.identity, time.time(), random.Random(1))
+            run = KeyRun(asyncio.get_running_loop().create_future())
+            await keyed.execute(run, make_call(), parse_key(key, settings.idempotency))
+            return run.done.exception(), home.in_flight
+
+        return self.play(prefix, repeated, use)
+
+    def test_one_that_stalls_is_given_up(self):
+        for prefix in (LONG, CHUNKED, CHUNKED + CHUNK):
+            error, in_use = self.run_key(OK + prefix)
+            self.assertIsInstance(error, ConnectionLostError)
+            self.assertEqual(in_use, 0)
+
+    def test_the_slot_of_one_that_is_malformed_is_released(self):
+        error, in_use = self.run_key(OK + CHUNKED + CHUNK + b"z", b"z", WAIT)
+        self.assertIsInstance(error, TruncatedAnswerError)
+        self.assertEqual(in_use, 0)
