Accept only a short first frame on a link of the sidecar

What callers saw: nothing reported. Whoever opened a link could have a sidecar keep 70 MB of a frame, the bound that bodies need, before it had said which node it is.

Cause: one bound for all frames; that the first one is a hello was checked only once it was complete.

Change: 64 KB until the hello.

Evidence: test_only_a_short_first_frame_is_kept failed before (77 MB had been sent when the link was closed).

--- a/sequoiaspoke/sidecar/frames.py
+++ b/sequoiaspoke/sidecar/frames.py
@@ -23,6 +23,8 @@
 HEADER = struct.Struct("!I")
 # Bytes; more than the largest body that a request or an upstream's answer may have.
 FRAME_LIMIT = 70 << 20
+# Bytes of the largest first frame, in which a node introduces itself.
+FIRST_FRAME_LIMIT = 64 << 10
 # Bytes buffered for a peer that does not read; beyond that the link is closed.
 UNSENT_LIMIT = 16 << 20
 
@@ -70,9 +72,12 @@
     ----------
     closed : bool
         Whether the stream is closed; frames read but not passed on yet are dropped.
+    frame_limit : int
+        Bytes of the largest accepted frame.
     """
 
     closed = False
+    frame_limit = FRAME_LIMIT
 
     @abstractmethod
     def send(self, frame: wire.Frame) -> None:
@@ -182,7 +187,7 @@
                 if len(buffer) - start < self.bytes_needed:
                     break
                 (length,) = HEADER.unpack_from(buffer, start)
-                if length > FRAME_LIMIT:
+                if length > self.frame_limit:
                     raise MessageError(f"frame too large: {length} bytes")
                 self.bytes_needed += length
                 end = start + self.bytes_needed
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -7,7 +7,7 @@
 
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.frames import TcpFrameStream
+from sequoiaspoke.sidecar.frames import FIRST_FRAME_LIMIT, FRAME_LIMIT, TcpFrameStream
 from sequoiaspoke.sidecar.linkfeatures import SUPPORTED
 from sequoiaspoke.sidecar.sockets import ConnectionServer
 from sequoiaspoke.sidecar.transfers import AnnouncedBody, BodySource
@@ -86,6 +86,7 @@
         """
         require(hello, "host", "incarnation", "zone", "clock")
         self.peer = (hello.host, hello.incarnation)
+        self.stream.frame_limit = FRAME_LIMIT
         self.zone = hello.zone
         self.clock_offset = hello.clock - clock.now()
         self.server.on_hello(hello.host)
@@ -181,6 +182,7 @@
     def new_connection(self) -> TcpFrameStream:
         """Return the stream of the next link, and start to serve it."""
         stream = TcpFrameStream(self.room)
+        stream.frame_limit = FIRST_FRAME_LIMIT
         task = asyncio.ensure_future(self.serve(stream))
         self.link_tasks.add(task)
         task.add_done_callback(self.link_tasks.discard)
--- a/sequoiaspoke/tests/test_endless_answers.py
+++ b/sequoiaspoke/tests/test_endless_answers.py
@@ -1,7 +1,7 @@
 """Tests of upstreams that send bytes without end, or more than a node can hold."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from functools import partial
 from types import SimpleNamespace
 
@@ -15,10 +15,11 @@
 from sequoiaspoke.core.mesh.memory import MemoryAccount
 from sequoiaspoke.core.mesh.outcome import Request
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.frames import TcpFrameStream
+from sequoiaspoke.sidecar.frames import FRAME_LIMIT, HEADER, TcpFrameStream
 from sequoiaspoke.sidecar.httpclient import MAX_ANSWER_BYTES, MAX_HEAD_BYTES
 from sequoiaspoke.sidecar.names import HeaderNames
 from sequoiaspoke.sidecar.upstream import MAX_HEALTH_BYTES, Upstream
+from sequoiaspoke.tests.test_meshlink import LinkWorld
 from sequoiaspoke.tests.test_sidecar_upstream import STAMP, answer
 
 WAIT = 20.0  # seconds; only a failing test waits so long
@@ -327,3 +328,25 @@
             return [*held, room.held, room.memory.held]
 
         self.assertEqual(asyncio.run(run()), [200_000, 0, 0, 0])
+
+
+class UnintroducedLinkTests(TestCase):
+    """Links whose first frame does not end."""
+
+    def test_only_a_short_first_frame_is_kept(self):
+        # 70 MB were kept for each link, whoever had opened it.
+        async def run():
+            world = LinkWorld()
+            raw = EndlessUpstream(HEADER.pack(FRAME_LIMIT), b"y" * 1000)
+            try:
+                async with asyncio.timeout(WAIT):
+                    address = world.socket.getsockname()
+                    _, writer = await asyncio.open_connection(*address)
+                    with suppress(ConnectionError):
+                        await raw.send(writer)
+            finally:
+                world.close()
+            return raw.sent
+
+        sent = asyncio.run(run())
+        self.assertTrue(sent <= BUFFERED, sent)
