Test that prompt callers of large answers get all of them

What callers saw: truncated answers.

Cause: unread answers count in the memory account, and while it is exceeded the connections with the most unread bytes are closed, in the very step in which their answers were written. Homes limit what each of them sends (16 MB), nothing limits what several send to one entry at once.

--- a/sequoiaspoke/tests/test_callerserver_memory.py
+++ b/sequoiaspoke/tests/test_callerserver_memory.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import socket
+from contextlib import suppress
 
 from testtools import TestCase
 
@@ -221,6 +222,39 @@
         asyncio.get_running_loop().call_soon(self.connection.connection_lost, None)
 
 
+class PromptCallersTests(CallerServerTestCase):
+    """Callers that read at once, with large answers from several homes."""
+
+    def test_their_answers_are_not_cut(self):
+        # Those that had not been read in the moment in which they came were.
+        size, callers = 7 << 20, 12
+
+        async def handle(request):
+            await gate.wait()
+            return Answer(200, (), b"x" * size)
+
+        async def call():
+            reader, writer = await asyncio.open_connection(*self.address)
+            writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            received = 0
+            with suppress(ConnectionError):
+                await reader.readuntil(b"\r\n\r\n")
+                while data := await reader.read(1 << 16):
+                    received += len(data)
+            writer.close()
+            return received
+
+        async def scenario(reader, writer):
+            self.server.handle = handle
+            calls = [asyncio.ensure_future(call()) for _ in range(callers)]
+            await self.until(lambda: self.server.unanswered == callers)
+            gate.set()
+            self.assertEqual(await asyncio.gather(*calls), [size] * callers)
+
+        gate = asyncio.Event()
+        self.play(scenario)
+
+
 class RecordingPolicy(ReadAllBodies):
     """Keeps the unread bytes of closed connections."""
 
