--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -8,7 +8,7 @@
 
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.frames import TcpFrameStream
+from sequoiaspoke.sidecar.frames import FIRST_FRAME_LIMIT, FRAME_LIMIT, TcpFrameStream
 from sequoiaspoke.sidecar.linkfeatures import SUPPORTED, LinkFeatures
 from sequoiaspoke.sidecar.sockets import ConnectionServer
 from sequoiaspoke.sidecar.transfers import AnnouncedBody, BodySource
@@ -97,6 +97,7 @@
         """
         require(hello, "host", "incarnation", "zone", "clock")
         self.peer = (hello.host, hello.incarnation)
+        self.stream.frame_limit = FRAME_LIMIT
         self.zone = hello.zone
         self.features = LinkFeatures(hello.features or 0)
         self.clock_offset = hello.clock - clock.now()
@@ -217,6 +218,7 @@
     def new_connection(self) -> TcpFrameStream:
         """Return the stream of the next link, and start to serve it."""
         stream = TcpFrameStream(self.room)
+        stream.frame_limit = FIRST_FRAME_LIMIT
         task = asyncio.ensure_future(self.serve(stream))
         self.link_tasks.add(task)
         task.add_done_callback(self.link_tasks.discard)
