--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -303,9 +303,10 @@
 
     def withdraw_waiting(self) -> None:
         """Withdraw the calls that no upstream has and the exit would cut off."""
-        for progress in list(self.active):
-            if self.cut_off(progress):
-                progress.withdraw()
+        waiting = [each for each in self.active if self.cut_off(each)]
+        for progress in waiting:
+            progress.withdraw()
+        self.log.event("calls-withdrawn", calls=len(waiting))
 
     def no_route(self, request: Request) -> Answer:
         """Answer a call that no route matches.
