--- a/sequoiaspoke/tests/test_callerserver_memory.py
+++ b/sequoiaspoke/tests/test_callerserver_memory.py
@@ -245,6 +245,7 @@
             return received
 
         async def scenario(reader, writer):
+            writer.close()
             self.server.handle = handle
             calls = [asyncio.ensure_future(call()) for _ in range(callers)]
             await self.until(lambda: self.server.unanswered == callers)
--- a/sequoiaspoke/tests/test_endless_answers.py
+++ b/sequoiaspoke/tests/test_endless_answers.py
@@ -344,6 +344,7 @@
                     _, writer = await asyncio.open_connection(*address)
                     with suppress(ConnectionError):
                         await raw.send(writer)
+                    writer.close()
             finally:
                 world.close()
             return raw.sent
