Take ports in a test that no connection has

Cause: the test takes a port of datagrams, and the node listens on the same number for connections.

Change: a port is taken whose number is free for connections as well.

--- a/sequoiaspoke/tests/test_node_listening.py
+++ b/sequoiaspoke/tests/test_node_listening.py
@@ -18,12 +18,23 @@
     """The port that a setting names is taken when the node starts."""
 
     def take(self, kind=socket.SOCK_STREAM):
-        """Return a socket that has taken a port, and the port."""
-        taken = listening.bind(LOOPBACK, 0, kind)
-        if kind == socket.SOCK_STREAM:
-            taken.listen()
+        """Return a socket that has taken a port, and the port.
+
+        A node listens on a port of datagrams for connections as well, which must not be
+        the port of a connection of another process.
+        """
+        while True:
+            taken = listening.bind(LOOPBACK, 0, kind)
+            port = taken.getsockname()[1]
+            if kind == socket.SOCK_STREAM:
+                taken.listen()
+                break
+            with contextlib.suppress(OSError):
+                listening.bind(LOOPBACK, port, socket.SOCK_STREAM).close()
+                break
+            taken.close()
         self.addCleanup(taken.close)
-        return taken, taken.getsockname()[1]
+        return taken, port
 
     async def start(self, deployment, ports):
         """Return a node with some ports, and the task that starts it."""
