Log when a stopping node closes its listener

What callers saw: requests without an answer around a planned stop; from the log nobody could tell whether the kernel still accepted connections of callers when the process was killed, nor whether callers that did not leave had sent requests late. accepting-ended, accepting of last-answers and late_requests of end tell both. No decision changes.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -412,6 +412,7 @@
         if self.input_ended or self.asks_upgrade:
             return
         self.server.last_request_at = clock.now()
+        self.server.requests += 1
         self.boundary_in_chunk = True
         self.framing_size = 0
         keep_alive = self.parser.should_keep_alive()
@@ -648,6 +649,10 @@
         When the last connection was accepted or data read; minus infinity before.
     last_request_at : float
         When the last request was complete; minus infinity before the first one.
+    requests : int
+        Complete requests so far.
+    accepting : bool
+        Whether connections are accepted.
     input_ended : bool
         Whether no further requests are read.
     """
@@ -670,6 +675,8 @@
         self.unread = 0
         self.closing = False
         self.last_input_at = self.last_request_at = float("-inf")
+        self.requests = 0
+        self.accepting = True
         self.input_ended = False
         self.current_limits = CallerLimits()
 
@@ -734,6 +741,7 @@
 
         A request that was read later would be passed on and end with this process.
         """
+        self.accepting = False
         self.input_ended = True
         self.stop()
         for connection in list(self.connections):
--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -8,6 +8,7 @@
     "stopped-early": "the process was told to stop before it served, and ends",
     "address-taken": "an address to listen on is taken; the process waits for it",
     "address-free": "the addresses to listen on are free after a wait",
+    "accepting-ended": "a stopping node accepts no more connections of callers",
     "calls-withdrawn": "calls that no upstream has are taken back before the exit",
     "last-answers": "what a stopping node has left after it has answered its calls",
     "end": "the process ends, after a stop or because of an invalid setting",
--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -49,6 +49,8 @@
         Set once no further request is read.
     input_ended_at : float
         When that was.
+    requests_before : int
+        Requests that had been read when callers had been moved to other nodes.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.timers = Deadlines()
         self.input_ended = asyncio.Event()
         self.input_ended_at = inf
+        self.requests_before = 0
 
     def begin(self, settings: SidecarSettings, late: float = 0.0) -> None:
         """Begin to stop, and stay reachable while callers move away.
@@ -86,6 +89,7 @@
         self.callers.closing = True
         self.entry.stop(plan)
         self.home.stop(plan)
+        self.timers.call_at(plan.moved_at, self.count_requests)
         self.timers.call_at(plan.input_ends_at, self.end_input_once_read)
         self.timers.call_at(
             plan.answers_by + LAST_ANSWERS_SECONDS, self.log_last_answers
@@ -99,6 +103,17 @@
             late=f"{late:.2f}",
         )
 
+    def count_requests(self) -> None:
+        """Keep the number of requests before those of callers that have stayed."""
+        self.requests_before = self.callers.requests
+
+    @property
+    def late_requests(self) -> int:
+        """Return how many requests have come after callers were moved."""
+        if clock.now() < self.plan.moved_at:
+            return 0
+        return self.callers.requests - self.requests_before
+
     def tick(self, now: float) -> None:
         """Let the home leave, and end the input once all calls are answered."""
         if self.began_at is None:
@@ -141,9 +156,22 @@
         """Read no further requests."""
         if not self.input_ended.is_set():
             self.input_ended_at = clock.now()
+            if self.callers.accepting:
+                self.log_accepting_ended()
             self.callers.end_input()
             self.input_ended.set()
 
+    def log_accepting_ended(self) -> None:
+        """Log what is in progress as this node closes its listener for callers."""
+        assert self.began_at is not None
+        self.log.event(
+            "accepting-ended",
+            after=f"{clock.now() - self.began_at:.3f}",
+            connections=len(self.callers.connections),
+            calls=self.callers.unanswered,
+            home_calls=len(self.home.calls),
+        )
+
     async def finish(self) -> None:
         """Wait until callers and other nodes have received what they were sent."""
         await self.input_ended.wait()
@@ -168,6 +196,7 @@
         """
         self.log.event(
             "last-answers",
+            accepting=self.callers.accepting,
             calls=self.callers.unanswered,
             unsent=self.callers.unsent + self.links.unsent,
             home_calls=len(self.home.calls),
@@ -184,6 +213,7 @@
             waited=f"{now - self.began_at:.3f}",
             input_ended=f"{now - self.input_ended_at:.3f}",
             last_request=f"{now - self.callers.last_request_at:.3f}",
+            late_requests=self.late_requests,
             connections=len(self.callers.connections),
             calls=self.callers.unanswered,
             unsent=self.callers.unsent + self.links.unsent,
