Close the doors of a stopping node although calls are in progress

What callers saw: requests that ended without an answer around a planned stop, several at once. A stopping node with one call in progress accepted connections and read requests until half a second before its exit, though it refused nearly all that came in its last three seconds. If the process did not run from then until SIGKILL, or for so long that it had to exit at once, the kernel reset what it had accepted meanwhile.

Cause: accepting and finishing ended together. Any call in progress kept the listener and idle connections open.

Change: once callers had time to leave, and everything that has arrived is read, the listener and idle connections are closed, whatever is in progress; the kernel refuses the rest, which any caller may send elsewhere. Connections with calls end with their answers, a new one may still bring its first request, and an upload is read on only if it could be served. Only an upstream that has made calls of its own for others keeps the listener open while it runs calls. An upload that is incomplete as the input ends is answered 503 in place of a closed connection.

A test of the end of the input now runs a node whose upstream makes calls of its own, the one case in which it may last until half a second before the exit; a new test states the end for all others.

--- a/sequoiaspoke/sidecar/bodypolicy.py
+++ b/sequoiaspoke/sidecar/bodypolicy.py
@@ -17,13 +17,21 @@
 # take.
 MEMORY_RETRY_AFTER = 1.0
 
+# Reason of the refusals of a stopping node, and their Retry-After in seconds: the rest
+# of its shutdown and its restart.
+STOPPING, RESTART_SECONDS = "stopping", 1.0
+
 
 class BodyPolicy(ABC):
     """Answers requests whose bodies are not read, given their heads, and takes note."""
 
     @abstractmethod
     def early_refusal(self, head: Request) -> Answer | None:
-        """Refuse a request with a large body; None if it has to be read."""
+        """Refuse a request that can't be served; None if its body has to be read."""
+
+    @abstractmethod
+    def refuse_incomplete(self, head: Request) -> Answer:
+        """Refuse a request whose body has not arrived as the input ends."""
 
     @abstractmethod
     def refuse_for_memory(self, head: Request) -> Answer:
@@ -57,6 +65,10 @@
         """Return None: the body has to be read."""
         return None
 
+    def refuse_incomplete(self, head: Request) -> Answer:  # noqa: ARG002
+        """Refuse a request whose body has not arrived as the input ends."""
+        return local_answer(503, STOPPING, RESTART_SECONDS)
+
     def refuse_for_memory(self, head: Request) -> Answer:  # noqa: ARG002
         """Refuse a request whose body does not fit into the memory account."""
         return local_answer(503, MEMORY_REFUSED, MEMORY_RETRY_AFTER)
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -61,6 +61,9 @@
 # start again with each part of a refused body that the caller still sends, up to the
 # second value in total.
 CLOSE_TIMEOUT, MAX_CLOSE_SECONDS = 1.0, 5.0
+# Seconds after its opening in which a connection without a request stays open although
+# the server accepts no more. Its caller may be about to send one.
+FIRST_REQUEST_SECONDS = 1.0
 # Reason of the answer to a call whose task has ended without one, and its Retry-After
 # in seconds if the call was not started: the time for this process to restart.
 CUT, CUT_RETRY_AFTER = "cut", 1.0
@@ -104,6 +107,8 @@
         Whether the caller is the upstream beside this node.
     pending : deque of Exchange
         Requests whose answers have not been sent, in their order.
+    requested : bool
+        Whether part of a request has arrived on it.
     input_ended : bool
         Whether further data from the caller is ignored.
     ended_input : EndedInput or None
@@ -137,6 +142,7 @@
         self.reading_paused = False
         self.parser = httptools.HttpRequestParser(self)
         self.last_active = clock.now()
+        self.requested = False
         self.input_ended = False
         self.ended_input: EndedInput | None = None
         self.reserved = self.discarded = 0
@@ -301,6 +307,7 @@
         if self.input_ended:
             return
         self.reset_request()
+        self.requested = True
         self.boundary_in_chunk = True
         self.request_started = clock.now()
 
@@ -549,6 +556,37 @@
         self.server.policy.caller_closed(self.unsent_bytes())
         self.close()
 
+    def end_if_idle(self) -> None:
+        """Serve no further request if none is in progress, arriving or expected.
+
+        One that is arriving is refused if that is known from its head.
+        """
+        if self.pending or self.input_ended:
+            return
+        if self.request_started is not None:
+            self.refuse_early()
+        elif not (self.waiting_bytes() or self.expects_first_request):
+            self.end_input()
+
+    @property
+    def expects_first_request(self) -> bool:
+        """Return whether the connection was opened a moment ago for a request."""
+        waited = clock.now() - self.last_active
+        return not self.requested and waited < FIRST_REQUEST_SECONDS
+
+    def refuse_early(self) -> None:
+        """Refuse a request whose head tells that it can't be served."""
+        if self.head_complete:
+            refusal = self.server.policy.early_refusal(self.request(b""))
+            if refusal is not None:
+                self.refuse_with(refusal)
+
+    def refuse_incomplete(self) -> None:
+        """Refuse a request whose body has not arrived."""
+        if self.reading and self.head_complete:
+            refusal = self.server.policy.refuse_incomplete(self.request(b""))
+            self.refuse_with(refusal)
+
     def end_input(self) -> None:
         """Serve no further request; close the connection once all are answered."""
         if self.input_ended:
@@ -652,7 +690,7 @@
     requests : int
         Complete requests so far.
     accepting : bool
-        Whether connections are accepted.
+        Whether connections are accepted, and kept for further requests.
     input_ended : bool
         Whether no further requests are read.
     """
@@ -736,6 +774,26 @@
             for connection in self.connections
         )
 
+    def stop_accepting(self) -> None:
+        """Accept no connections and close idle ones; serve what is under way.
+
+        A request that the kernel has accepted would be lost if the process was killed
+        before it could read it.
+        """
+        self.accepting = False
+        self.stop()
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close the connections without a request in progress, arriving or expected."""
+        for connection in list(self.connections):
+            connection.end_if_idle()
+
+    @property
+    def reads_input(self) -> bool:
+        """Return whether a connection may bring a further request."""
+        return any(not each.input_ended for each in self.connections)
+
     def end_input(self) -> None:
         """Accept no connections, read no further requests and close idle connections.
 
@@ -745,6 +803,7 @@
         self.input_ended = True
         self.stop()
         for connection in list(self.connections):
+            connection.refuse_incomplete()
             connection.end_input()
 
     @property
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -29,6 +29,8 @@
 from sequoiaspoke.sidecar.bodypolicy import (
     MEMORY_REFUSED,
     MEMORY_RETRY_AFTER,
+    RESTART_SECONDS,
+    STOPPING,
     BodyPolicy,
 )
 from sequoiaspoke.sidecar.callerserver import CUT
@@ -59,8 +61,6 @@
 
 # Default Retry-After in seconds: time for a link to be opened or a node to start.
 RETRY_AFTER_SECONDS = 0.3
-# Retry-After of a stopping node in seconds: the rest of its shutdown and its restart.
-RESTART_SECONDS = 1.0
 # Reason of the answer to a call that was cut off because this process exits.
 EXITING = "exiting"
 # Reason counted when a connection is closed for its unread answers.
@@ -95,6 +95,8 @@
         Calls without a final answer.
     withdrawals : Deadlines
         Times at which calls are withdrawn if they have not been started.
+    upstream_calls : bool
+        Whether the upstream beside this node has made calls while it ran others.
     counts : Counter of tuple of str and str
         Final answers so far, by service and status.
     stripped_headers : frozenset of str
@@ -124,6 +126,7 @@
         self.active: set[Progress] = set()
         self.deadlines = Deadlines()
         self.withdrawals = Deadlines()
+        self.upstream_calls = False
         self.counts: Counter[tuple[str, str]] = Counter()
         self.reasons = self.attempts.reasons
         self.stripped_headers = frozenset(
@@ -147,6 +150,10 @@
         """
         arrived = clock.now()
         began = arrived - request.upload_seconds
+        parent = self.attempts.home.parents.kind_of_parent(
+            request.header(self.names.call_id)
+        )
+        self.upstream_calls |= parent is not None
         table = self.state.table
         if table is None:
             return self.refuse(request, "no-configuration", RETRY_AFTER_SECONDS)
@@ -159,12 +166,10 @@
         if left <= 0:
             return self.refuse(request, "no-time", RETRY_AFTER_SECONDS)
         if not self.plan.takes(arrived, deadline, self.longest_usual(route)):
-            return self.refuse(request, "stopping", RESTART_SECONDS, service)
-        parent = None
-        if table.has_large_bodies:
-            parent = self.attempts.home.parents.kind_of_parent(
-                request.header(self.names.call_id)
-            )
+            return self.refuse(request, STOPPING, RESTART_SECONDS, service)
+        if not table.has_large_bodies:
+            parent = None
+        else:
             request = replace(request, nested=parent is not None)
         progress = Progress(
             self.forwarded(request),
@@ -198,7 +203,7 @@
         return answer
 
     def early_refusal(self, head: Request) -> Answer | None:
-        """Refuse a call with a large body if it is known not to be servable.
+        """Refuse a call whose body is still to come if it is known not to be servable.
 
         Without a configuration nothing is known of its route.
         """
@@ -206,13 +211,23 @@
         if table is None:
             return self.refuse(head, "no-configuration", RETRY_AFTER_SECONDS)
         route = table.match(head.header("host"), head.target)
-        if route is None or not route.large_bodies:
+        if route is None:
+            return None
+        now = clock.now()
+        deadline = now - head.upload_seconds + self.time_left(head, route)
+        if not self.plan.takes(now, deadline, self.longest_usual(route)):
+            return self.refuse(head, STOPPING, RESTART_SECONDS)
+        if not route.large_bodies:
             return None
         services = [each.service for each in route.split]
         if any(self.state.directory.serving(service) for service in services):
             return None
         return self.refuse(head, "no-endpoint", RETRY_AFTER_SECONDS, services[0])
 
+    def refuse_incomplete(self, head: Request) -> Answer:
+        """Refuse a call whose body has not arrived as this node ends its input."""
+        return self.refuse(head, STOPPING, RESTART_SECONDS)
+
     def refuse_for_memory(self, head: Request) -> Answer:
         """Refuse a call whose body does not fit into the memory account."""
         return self.refuse(head, MEMORY_REFUSED, MEMORY_RETRY_AFTER)
--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -8,7 +8,7 @@
 
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.deadlines import Deadlines
-from sequoiaspoke.sidecar.stopplan import LINGER_SECONDS, RUNNING, plan_stop
+from sequoiaspoke.sidecar.stopplan import RUNNING, plan_stop
 
 if TYPE_CHECKING:
     from sequoiaspoke.sidecar.callerserver import CallerServer
@@ -31,9 +31,12 @@
 class Shutdown:
     """The time from the signal to stop until the process may exit.
 
-    Calls are served until none is left or the time is over. The input of the callers
-    ends in the step that finds none, or some time before the exit, so that no request
-    is read which nobody would answer.
+    Callers are moved to other nodes meanwhile. Once they had time for that, no
+    connections are accepted and idle ones are closed, whatever is in progress: what the
+    kernel accepts from then on would be lost if the process was killed before it ran
+    again. Only an upstream that makes calls of its own keeps the listener open. The
+    input ends with the last request, or some time before the exit, so that none is read
+    which nobody would answer.
 
     Attributes
     ----------
@@ -115,23 +118,27 @@
         return self.callers.requests - self.requests_before
 
     def tick(self, now: float) -> None:
-        """Let the home leave, and end the input once all calls are answered."""
+        """Let the home leave, and end the input once callers had time to leave."""
         if self.began_at is None:
             return
         if now > self.plan.leaves_at and not self.home.leaving:
             self.home.leaving = True
             self.links.announce_leaving()
-        lingers = now - self.began_at <= LINGER_SECONDS
-        if not (lingers or self.busy or self.reads_rest or self.input_ended.is_set()):
+        if self.reads_rest or self.input_ended.is_set():
+            return
+        if not self.callers.accepting:
+            self.callers.close_idle()
+            self.end_input_if_unused()
+        elif now >= self.plan.moved_at and not self.upstream_may_call:
             self.end_input_once_read()
 
     @property
-    def busy(self) -> bool:
-        """Return whether a call is in progress or an answer not read yet."""
-        return self.callers.busy() or bool(self.home.calls)
+    def upstream_may_call(self) -> bool:
+        """Return whether the upstream may make a call for one that it runs."""
+        return self.entry.upstream_calls and bool(self.home.calls)
 
     def end_input_once_read(self, quiet_turns: int = 0) -> None:
-        """End the input once everything that has arrived is read.
+        """Accept no more connections once everything that has arrived is read.
 
         A process that did not run for a while has not read the requests that came
         meanwhile. If there are such, they are served, or refused if the time is over.
@@ -140,18 +147,34 @@
         latest = self.plan.exits_at + LAST_ANSWERS_SECONDS
         if now >= latest or quiet_turns == QUIET_TURNS:
             self.reads_rest = False
-            if now >= self.plan.input_ends_at or not self.busy:
+            if now >= self.plan.input_ends_at:
                 self.end_input()
+            else:
+                self.stop_accepting()
             return
         self.reads_rest = True
         last_input_at = self.callers.last_input_at
 
         def turned() -> None:
-            quiet = self.callers.last_input_at == last_input_at
+            quiet = (
+                self.callers.last_input_at == last_input_at
+                and not self.callers.has_backlog()
+            )
             self.end_input_once_read(quiet_turns + 1 if quiet else 0)
 
         asyncio.get_running_loop().call_soon(turned)
 
+    def stop_accepting(self) -> None:
+        """Accept no more connections, and end the input if none brings a request."""
+        self.log_accepting_ended()
+        self.callers.stop_accepting()
+        self.end_input_if_unused()
+
+    def end_input_if_unused(self) -> None:
+        """End the input if no connection may bring a further request."""
+        if not self.callers.reads_input:
+            self.end_input()
+
     def end_input(self) -> None:
         """Read no further requests."""
         if not self.input_ended.is_set():
--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -10,7 +10,9 @@
 from testtools import TestCase
 from tornado.netutil import bind_sockets
 
+from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.model import MeshConfig, Service
+from sequoiaspoke.core.mesh.outcome import Answer
 from sequoiaspoke.core.mesh.table import RouteTable
 from sequoiaspoke.sidecar import clock, stopplan
 from sequoiaspoke.sidecar.app import Sidecar
@@ -26,6 +28,7 @@
 )
 # The end of a head, and the first half of a body.
 UPLOAD = b"\r\nContent-Length: 4\r\n\r\nbo"
+MET_SECONDS = 2.0  # only a failing test waits so long for a condition
 HOLD = 0.4  # seconds; more than between two ticks
 WAIT = 20.0  # seconds; only a failing test waits so long
 
@@ -241,6 +244,152 @@
         self.assertTrue(received(self.caller).endswith(b"/order/1body"))
 
 
+class LateCallerTests(ExitTestCase):
+    """A node is told to stop while another one runs a call of its caller."""
+
+    # Long enough for two ticks.
+    TICKS_SECONDS = 0.3
+
+    async def begin(self, name=b"order"):
+        """Have a call run when the node is told to stop and callers have left."""
+        self.caller = await self.connect()
+        self.caller.sendall(REQUEST.replace(b"1000", b"9000") % (name, 1))
+        await self.until(lambda: self.sent)
+        self.stop_idle()
+
+    async def until(self, condition):
+        async with asyncio.timeout(MET_SECONDS):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    async def answer(self):
+        """Answer the call."""
+        self.sent[0].finish(Answer(200, (), b"served"), LoadReport())
+
+    def assert_answered(self):
+        """Check that the call was answered, and its connection closed."""
+        seen = received(self.caller)
+        self.assertIn(b"Connection: close", seen)
+        self.assertTrue(seen.endswith(b"served"))
+
+    def test_connections_are_refused_after_callers_had_time_to_leave(self):
+        # They were accepted until just before the exit, and lost if the process was
+        # killed before it ran again.
+        async def scenario():
+            await self.begin()
+            await asyncio.sleep(self.TICKS_SECONDS)
+            with self.assertRaises(ConnectionRefusedError):
+                self.connect_late()
+            await self.answer()
+
+        self.play(scenario)
+        self.assert_answered()
+
+    def test_idle_connections_are_closed_after_callers_had_time_to_leave(self):
+        # A request that was sent on one late was lost with the process.
+        async def scenario():
+            self.idle = await self.connect()
+            await self.begin()
+            await asyncio.sleep(self.TICKS_SECONDS)
+            self.idle.setblocking(False)
+            self.assertEqual(self.idle.recv(1), b"")
+            await self.answer()
+
+        self.play(scenario)
+        self.assert_answered()
+
+    def test_requests_that_came_while_the_process_was_held_are_answered(self):
+        # The listener is closed in the first moment in which the process runs again.
+        async def scenario():
+            self.idle = await self.connect()
+            await self.begin()
+            self.late = self.connect_late()
+            for caller in (self.idle, self.late):
+                caller.sendall(REQUEST % (b"read", 2))
+            time.sleep(HOLD)
+            await self.until(lambda: len(self.sent) == 3)
+            for attempt in self.sent[1:]:
+                attempt.finish(Answer(200, (), b"late"), LoadReport())
+            await self.answer()
+
+        self.play(scenario)
+        for caller in (self.idle, self.late):
+            self.assertTrue(received(caller).endswith(b"late"))
+        self.assert_answered()
+
+    def test_the_first_request_of_a_new_connection_is_read(self):
+        # Its connection was closed between the two.
+        async def scenario():
+            await self.begin()
+            self.late = self.connect_late()
+            await self.until(lambda: not self.sidecar.callers.accepting)
+            self.late.sendall(REQUEST % (b"read", 2))
+            await self.until(lambda: len(self.sent) == 2)
+            self.sent[1].finish(Answer(200, (), b"late"), LoadReport())
+            await self.answer()
+
+        self.play(scenario)
+        self.assertTrue(received(self.late).endswith(b"late"))
+        self.assert_answered()
+
+    def test_the_calls_of_an_upstream_are_accepted_while_it_runs_others(self):
+        # The call that makes them would fail.
+        async def scenario():
+            home = self.sidecar.home
+            home.parents.begin("7", "kind")
+            nested = await self.connect()
+            request = REQUEST % (b"read", 1)
+            nested.sendall(request.replace(b"Id: 1", b"Id: 7-1"))
+            await self.until(lambda: self.sent)
+            self.sent.pop().finish(Answer(200, (), b"nested"), LoadReport())
+            home.calls["7"] = None
+            await self.begin()
+            await asyncio.sleep(self.TICKS_SECONDS)
+            self.connect_late().close()
+            home.calls.clear()
+            await asyncio.sleep(self.TICKS_SECONDS)
+            with self.assertRaises(ConnectionRefusedError):
+                self.connect_late()
+            await self.answer()
+
+        self.play(scenario)
+        self.assert_answered()
+
+    def test_an_upload_that_would_be_refused_is_refused_as_callers_have_left(self):
+        # It was read until its end came, which was lost with the process.
+        async def scenario():
+            self.upload = await self.connect()
+            upload = REQUEST.replace(b"1000", b"9000").replace(b"\r\n\r\n", UPLOAD)
+            self.upload.sendall(upload % (b"order", 2))
+            (connection,) = self.sidecar.callers.connections
+            await self.until(lambda: connection.head_complete)
+            await self.begin()
+            await asyncio.sleep(self.TICKS_SECONDS)
+            self.upload.setblocking(False)
+            self.assertTrue(self.upload.recv(64).startswith(b"HTTP/1.1 503"))
+            await self.answer()
+
+        self.play(scenario)
+        self.assert_answered()
+
+
+class LateUploadTests(ExitTestCase):
+    drain = 0.3
+
+    def test_an_upload_that_is_incomplete_as_the_input_ends_is_refused(self):
+        # Its connection was closed without an answer.
+        async def scenario():
+            self.caller = await self.connect()
+            self.caller.sendall(REQUEST.replace(b"\r\n\r\n", UPLOAD) % (b"order", 1))
+            (connection,) = self.sidecar.callers.connections
+            while not connection.head_complete:
+                await asyncio.sleep(0.005)
+            self.sidecar.stop()
+
+        self.play(scenario)
+        self.assertTrue(received(self.caller).startswith(b"HTTP/1.1 503"))
+
+
 class LastAnswerTests(ExitTestCase):
     drain, shutdown_seconds = 0.05, 0.0
 
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -14,7 +14,7 @@
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
 from sequoiaspoke.core.mesh.table import RouteTable
 from sequoiaspoke.sidecar import clock
-from sequoiaspoke.sidecar.app import Sidecar
+from sequoiaspoke.sidecar.app import TICK_SECONDS, Sidecar
 from sequoiaspoke.sidecar.home import LEAVING_RETRY_AFTER
 from sequoiaspoke.sidecar.homecall import HomeCall
 from sequoiaspoke.sidecar.linkfeatures import SUPPORTED, LinkFeatures
@@ -508,19 +508,28 @@
 class ExitTimeTests(StoppingCase):
     def test_the_input_ends_some_time_before_the_exit(self):
         # Requests that came while the process got no processor were unread when it was
-        # killed.
-        async def scenario():
-            self.sidecar.home.calls["runs"] = None
-            self.sidecar.run_ticks()
-            await self.sidecar.shutdown.input_ended.wait()
-            ended = self.elapsed()
-            await self.sidecar.shutdown.finish()
-            return ended, self.elapsed()
-
-        ended, exited = self.play(scenario)
+        # killed. Until then an upstream may make calls for those that it runs.
+        ended, exited = self.play(partial(self.end_of_input, upstream_calls=True))
         self.assertAlmostEqual(ended, DRAIN - SPARE_SHARE * DRAIN, delta=0.01)
         self.assertTrue(DRAIN <= exited <= DRAIN + 0.03)
 
+    def test_the_input_ends_after_callers_had_time_to_leave(self):
+        # A call in progress kept it open, and a suspended process was killed with what
+        # the kernel had accepted meanwhile.
+        ended, exited = self.play(partial(self.end_of_input, upstream_calls=False))
+        self.assertTrue(LINGER_SECONDS <= ended <= LINGER_SECONDS + TICK_SECONDS)
+        self.assertTrue(DRAIN <= exited <= DRAIN + 0.03)
+
+    async def end_of_input(self, upstream_calls):
+        """Return when the input ends and the node exits, which runs a call."""
+        self.sidecar.entry.upstream_calls = upstream_calls
+        self.sidecar.home.calls["runs"] = None
+        self.sidecar.run_ticks()
+        await self.sidecar.shutdown.input_ended.wait()
+        ended = self.elapsed()
+        await self.sidecar.shutdown.finish()
+        return ended, self.elapsed()
+
     def test_a_node_without_calls_in_progress_exits_once_the_input_has_ended(self):
         async def scenario():
             self.sidecar.home.calls["runs"] = None
--- a/sequoiaspoke/tests/test_stopping_paths.py
+++ b/sequoiaspoke/tests/test_stopping_paths.py
@@ -18,7 +18,7 @@
 from sequoiaspoke.sidecar.homecall import HomeCall
 from sequoiaspoke.sidecar.linkfeatures import SUPPORTED
 from sequoiaspoke.sidecar.linkserver import AcceptedLink
-from sequoiaspoke.sidecar.shutdown import LINGER_SECONDS
+from sequoiaspoke.sidecar.stopplan import LINGER_SECONDS
 from sequoiaspoke.sidecar.wirecalls import pack_call, pack_outcome, unpack_outcome
 from sequoiaspoke.tests import test_sidecar_stopping as stopping
 from sequoiaspoke.tests.meshsim import MeshWorld, SimDialer, run_virtual
