Refuse reads that could outlast a stopping home

Callers of an entry that stops were told 502 while their read was at work: a home had taken the read after its own SIGTERM, exited before the read ended, and the entry could make no further attempt.

A home that stops refused only calls that may run once, as a read can be tried again. That is true of entries that go on. One that stops as well has no time left for it, and the home can't know.

Any call of another node whose deadline is after the last answers of the home is now refused as not run while another home is reachable, also if it waits as the signal comes. A home that has refused a call as it stops counts as one that may be asked again, so that a read whose second home ends comes back to it instead of being answered 502.

Evidence: test_mesh_rolls.py plays an entry that stops after its homes on the virtual clock.

--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -100,11 +100,15 @@
         """
         while progress.stopping:
             endpoint = progress.stopping.pop(0)
-            if self.serves(progress, endpoint) and self.usable(endpoint):
+            if self.may_be_asked_again(progress, endpoint):
                 progress.last_resort = True
                 return endpoint
         return None
 
+    def may_be_asked_again(self, progress: Progress, endpoint: Endpoint) -> bool:
+        """Return whether a home that has refused a call as it stops may take it."""
+        return self.serves(progress, endpoint) and self.usable(endpoint)
+
     def serves(self, progress: Progress, endpoint: Endpoint) -> bool:
         """Return whether an endpoint still takes calls of the service of a call."""
         serving = self.state.directory.serving(progress.service)
@@ -197,8 +201,10 @@
         return "zones-evacuated" if directory.grouping.excluded_zones else "no-endpoint"
 
     def has_candidates(self, progress: Progress) -> bool:
-        """Return whether there is an eligible endpoint not yet tried for a call."""
-        return bool(self.candidates(progress))
+        """Return whether an endpoint that has not run a call may be asked for it."""
+        return bool(self.candidates(progress)) or any(
+            self.may_be_asked_again(progress, each) for each in progress.stopping
+        )
 
     def usable(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint's home can be reached and accepts calls."""
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -279,10 +279,10 @@
     def outlasting_refusal(self, call: HomeCall) -> NotRun | None:
         """Return the refusal of a call that may outlast this node, None without one.
 
-        If another node has sent it and it may run only once, nobody could try it again
-        after the exit of this process has cut it off.
+        After the exit of this process has cut it off, the node that has sent it could
+        not try it again if it may run only once, or if that node is stopping too.
         """
-        if not call.remote or call.idempotent or call.deadline <= self.ends_by:
+        if not call.remote or call.deadline <= self.ends_by:
             return None
         if call.last_resort or not self.has_other_homes(call.incarnation):
             return None
--- /dev/null
+++ b/sequoiaspoke/tests/test_mesh_rolls.py
@@ -0,0 +1,265 @@
+"""Tests of calls while an entry and the homes of a service stop one after another."""
+
+import asyncio
+from dataclasses import dataclass, field, replace
+from itertools import cycle
+
+from testtools import TestCase
+
+from sequoiaspoke.core.mesh.model import Endpoint
+from sequoiaspoke.core.mesh.outcome import TIMED_OUT, Answer, Request, Unknown
+from sequoiaspoke.sidecar.settings import SidecarSettings
+from sequoiaspoke.sidecar.stopplan import LINGER_SECONDS, plan_stop
+from sequoiaspoke.tests.meshsim import (
+    SERVICE,
+    MeshWorld,
+    SimNode,
+    SimUpstream,
+    run_virtual,
+)
+
+ADDRESS = ("10.0.0.1", 1)
+# Seconds from the signal to the kill of a node, and those in which nothing that an
+# upstream works on may be broken off.
+GRACE = 6.0
+KEPT = 5 / 6 * GRACE
+SETTINGS = SidecarSettings(
+    "n", SERVICE, "akaki", *[ADDRESS] * 5, drain=GRACE - 0.05, break_off_after=KEPT
+)
+# Seconds from the exit of a node to its next start, and between two stops of homes.
+RESTART, GAP = 0.6, 1.0
+# Seconds between two calls, and before and after the entry's signal in which they come.
+INTERVAL, BEFORE, AFTER = 0.05, 6.0, 3.0
+# Seconds between two looks at whether a stopping node is idle.
+POLL = 0.01
+# Slots of a home that has one for each call, and of one at which calls wait.
+ENOUGH, FEW = 60, 16
+# Routes and seconds of work of the calls, which come in turn.
+ORDERS = tuple(("order", work) for work in (0.05, 1.0, 2.6, 4.5))
+READS = tuple(("read", work) for work in (3.0, 4.0, 4.5, 4.8))
+
+
+@dataclass(frozen=True)
+class Roll:
+    """What stops when, and which calls are made meanwhile.
+
+    Attributes
+    ----------
+    ahead : float
+        Seconds from the signal of the first home to that of the entry.
+    stopping, staying : int
+        Numbers of homes that stop and that go on.
+    slots : int
+        Calls that an upstream runs at once.
+    calls : tuple of tuple of str and float
+        Routes and work of the calls.
+    timeouts : dict of str to float
+        Timeouts of the routes in seconds.
+    """
+
+    ahead: float
+    stopping: int = 2
+    staying: int = 0
+    slots: int = ENOUGH
+    calls: tuple[tuple[str, float], ...] = ORDERS + READS
+    timeouts: dict[str, float] = field(
+        default_factory=lambda: {"order": 8.0, "read": 8.0}
+    )
+
+
+@dataclass(frozen=True)
+class Reply:
+    """The answer to a call; times count from the entry's signal.
+
+    Attributes
+    ----------
+    running : bool
+        Whether an upstream was at work on the call when it was answered.
+    """
+
+    call_id: str
+    sent_at: float
+    answered_at: float
+    status: int
+    retry_after: float
+    running: bool
+    timeout: float
+
+    @property
+    def seconds(self):
+        """Return the seconds for which the caller waited."""
+        return self.answered_at - self.sent_at
+
+    @property
+    def lost(self):
+        """Return whether the call was broken off too early, and not by its timeout."""
+        return (
+            self.status in (502, 504)
+            and self.running
+            and self.answered_at < KEPT
+            and self.seconds < self.timeout - POLL
+        )
+
+
+class WorkingUpstream(SimUpstream):
+    """Works on each call for as long as the call says, also if its node exits."""
+
+    async def call(self, request, instance, deadline, idempotent, on_send):
+        on_send()
+        call_id, now = request.header("x-request-id"), self.world.now()
+        work = float(request.header("x-work"))
+        self.world.ran(call_id, self.instance)
+        until = max(now + work, self.world.works_until.get(call_id, 0.0))
+        self.world.works_until[call_id] = until
+        if now + work > deadline:
+            await asyncio.sleep(max(0.0, deadline - now))
+            return Unknown(TIMED_OUT)
+        await asyncio.sleep(work)
+        return Answer(200, (), call_id.encode(), work)
+
+
+class RolledNode(SimNode):
+    """A node that stops as the process of a sidecar does."""
+
+    def start(self):
+        super().start()
+        self.home.upstream = WorkingUpstream(self.world, f"i-{self.host}")
+        self.home.health_monitor.upstream = self.home.upstream
+        self.home.set_slots(self.world.roll.slots)
+        self.home.admission.upstream_slots.has_answered = True
+        self.home.reachable = self.peers.reachable
+
+    async def stop(self):
+        """Stop, exit once idle and start again."""
+        began = self.world.now()
+        plan = plan_stop(SETTINGS, began, 0.0)
+        self.entry.stop(plan)
+        self.home.stop(plan)
+        await asyncio.sleep(plan.leaves_at - began)
+        self.home.leaving = True
+        self.server.announce_leaving()
+        await asyncio.sleep(began + LINGER_SECONDS - self.world.now())
+        while (self.home.calls or self.entry.active) and (
+            self.world.now() < plan.exits_at
+        ):
+            await asyncio.sleep(POLL)
+        self.kill()
+        await asyncio.sleep(RESTART)
+        self.start()
+
+
+class RollWorld(MeshWorld):
+    """An entry beside the homes of a service."""
+
+    def __init__(self, roll):
+        self.roll = roll
+        self.works_until = {}
+        self.replies = []
+        super().__init__(1, nodes=0)
+        hosts = [f"h{number}" for number in range(1 + roll.stopping + roll.staying)]
+        for host in hosts[1:]:
+            zone = self.zone_of(host)
+            endpoint = Endpoint(f"i-{host}", SERVICE, host, 80, zone, roll.slots)
+            self.endpoints[endpoint.instance] = endpoint
+        for host in hosts:
+            self.nodes[host] = RolledNode(self, host, self.zone_of(host))
+        self.rolled = hosts[1 : 1 + roll.stopping]
+        self.entry = self.nodes["h0"].entry
+        self.signal_at = self.now() + BEFORE
+
+    def route(self, name):
+        return replace(super().route(name), timeout=self.roll.timeouts[name])
+
+    async def make_call(self, number, name, work):
+        """Make one call and keep its reply."""
+        call_id = f"{name}-{number}-{work}"
+        headers = (("Host", "x"), ("X-Request-Id", call_id), ("X-Work", str(work)))
+        sent = self.now()
+        answer = await self.entry.handle(Request("POST", f"/{name}/1", headers, b""))
+        now = self.now()
+        self.answers[call_id] = answer
+        retry_after = dict(answer.headers).get("Retry-After", "0")
+        reply = Reply(
+            call_id,
+            sent - self.signal_at,
+            now - self.signal_at,
+            answer.status,
+            float(retry_after),
+            now < self.works_until.get(call_id, 0.0),
+            self.roll.timeouts[name],
+        )
+        self.replies.append(reply)
+
+    async def stop_homes(self):
+        """Stop the homes in turn."""
+        await asyncio.sleep(BEFORE - self.roll.ahead)
+        stops = []
+        for host in self.rolled:
+            stops.append(asyncio.ensure_future(self.nodes[host].stop()))
+            await asyncio.sleep(GAP)
+        await asyncio.gather(*stops)
+
+    async def make_calls(self):
+        """Make all calls and wait for their answers."""
+        tasks = []
+        # The first calls come once the entry has its links.
+        await asyncio.sleep(0.5)
+        for number, call in enumerate(cycle(self.roll.calls)):
+            if self.now() >= self.signal_at + AFTER:
+                break
+            tasks.append(asyncio.ensure_future(self.make_call(number, *call)))
+            await asyncio.sleep(INTERVAL)
+        await asyncio.gather(*tasks)
+
+    async def play(self):
+        """Make calls while the homes and then the entry stop."""
+        calls = asyncio.ensure_future(self.make_calls())
+        stops = asyncio.ensure_future(self.stop_homes())
+        await asyncio.sleep(BEFORE)
+        self.entry.stop(plan_stop(SETTINGS, self.now(), 0.0))
+        await asyncio.gather(calls, stops)
+        for call_id, answer in self.answers.items():
+            runs = self.runs.get(call_id, ())
+            if answer.status == 503 and runs:
+                self.problems.append(f"{call_id}: refused as not run, but ran")
+            if call_id.startswith("order") and len(runs) > 1:
+                self.problems.append(f"{call_id}: ran {len(runs)} times")
+        for node in self.nodes.values():
+            if node.up:
+                node.kill()
+        await asyncio.sleep(0)
+
+
+class RollCase(TestCase):
+    """Plays rolls on a virtual clock."""
+
+    def replies(self, roll):
+        """Return the replies to the calls of a roll."""
+
+        async def scenario():
+            world = RollWorld(roll)
+            await world.play()
+            return world
+
+        world = run_virtual(scenario, self)
+        self.assertEqual([], world.problems)
+        return world.replies
+
+    def lost(self, rolls):
+        """Return the calls of rolls that were lost, by the time of the first stop."""
+        found = {}
+        for roll in rolls:
+            replies = self.replies(roll)
+            self.assertTrue(any(each.status == 200 for each in replies))
+            found[roll.ahead] = [each.call_id for each in replies if each.lost]
+        return {ahead: lost for ahead, lost in found.items() if lost}
+
+
+class OtherHomeTests(RollCase):
+    """Another home of the service goes on."""
+
+    def test_no_call_is_cut_off_by_the_exit_of_a_home(self):
+        # A home took reads after its signal that ended after its exit. Their entry was
+        # stopping as well, could not try them again and answered 502.
+        rolls = [Roll(ahead, staying=1) for ahead in (2.5, 3.0, 3.5, 4.0)]
+        self.assertEqual({}, self.lost(rolls))
--- a/sequoiaspoke/tests/test_sidecar_lastresort.py
+++ b/sequoiaspoke/tests/test_sidecar_lastresort.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from sequoiaspoke.core.mesh.balancer import LoadReport
-from sequoiaspoke.core.mesh.outcome import Answer, NotRun
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
 from sequoiaspoke.sidecar.race import MAX_UNREACHED_ATTEMPTS
 from sequoiaspoke.tests.test_sidecar_entry import WAIT, make_entry, request
 
@@ -72,3 +72,10 @@
             "order", outcomes, announced=False, instances="ab", drains=True
         )
         self.assertEqual((status, len(self.asked)), (503, 2))
+
+    def test_a_read_whose_home_ends_is_tried_at_one_that_stops(self):
+        # The home that stops would have taken it, and its caller was told 502.
+        outcomes = [LEAVING, Unknown("connection-lost"), SERVED]
+        status = self.play("read", outcomes, announced=False, instances="ab")
+        self.assertEqual((status, len(self.asked)), (200, 3))
+        self.assertEqual(self.asked[0], self.asked[2])
