Take as a last resort only what ends before the exit

Callers of an entry that stops were told 502 while an order or read of theirs was at work, where all homes of the service were restarted in turn: refused by each of them, the call came back as the last resort and was run by a home whose exit cut it off.

A home that stops decided by two rules: calls that could outlast it were refused, but those that no other home takes were run whatever they take.

Taking and ending are now one promise. A call of another node that may outlast the home and has no other one is run if it ends in time by all that is known, its wait for a slot included: the longest call of its route that was seen in the last minutes or LONGEST_CALL_FACTOR times the mean, whichever is longer, or half of the call's time if no call of its route was measured. Otherwise it is refused as not run, with the rest of the stop and the start of the home as Retry-After. Its entry passes that on: the 0.3 s by which a home sends calls to others counts only if no other home has told a time, and a home that was asked as the last resort is not asked a third time. `home-refused reason=outlasting` says whether the call was to go elsewhere, came as the last resort or waited, and with which wait, bound and Retry-After.

--- a/sequoiaspoke/core/mesh/durations.py
+++ b/sequoiaspoke/core/mesh/durations.py
@@ -28,6 +28,9 @@
 INITIAL_ESTIMATE = 0.1
 # Multiple of the mean duration that 99 in 100 calls of a route stay below.
 LONGEST_CALL_FACTOR = 4.0
+# Seconds of measurements in which the longest duration of a route is looked for, at
+# least. A call in a hundred is long, and some routes have a call or two in a second.
+LONGEST_WINDOW = 60.0
 # Ratio to the expected duration from which running calls show that their upstream is
 # slow. Durations vary by a third and more; one call in a hundred takes five times as
 # long.
@@ -53,6 +56,37 @@
         self.began = self.began + count * began if self.count else 0.0
 
 
+@dataclass
+class LongestSeen:
+    """The longest measured duration of the calls of a route.
+
+    It is that of the current window and of the one before, so that a route without
+    calls keeps its last one.
+
+    Attributes
+    ----------
+    began : float
+        When the current window began.
+    current, before : float
+        Longest duration in each of them in seconds.
+    """
+
+    began: float
+    current: float = 0.0
+    before: float = 0.0
+
+    @property
+    def seconds(self) -> float:
+        """Return the longest duration in seconds."""
+        return max(self.current, self.before)
+
+    def record(self, seconds: float, now: float) -> None:
+        """Record a measured duration."""
+        if now - self.began > LONGEST_WINDOW:
+            self.began, self.before, self.current = now, self.current, 0.0
+        self.current = max(self.current, seconds)
+
+
 class Durations:
     """Running calls and measured durations of one upstream, by route.
 
@@ -65,12 +99,15 @@
         by route.
     overall : float
         Mean seconds of all calls at the usual pace.
+    longest_seen : dict of str to LongestSeen
+        Longest measured durations, by route.
     """
 
     def __init__(self) -> None:
         self.pace = Pace()
         self.mean: dict[str, tuple[float, int, float]] = {}
         self.overall = INITIAL_ESTIMATE
+        self.longest_seen: dict[str, LongestSeen] = {}
         self.running: dict[object, tuple[str, float]] = {}
         self.running_by_route: defaultdict[str, RunningCalls] = defaultdict(
             RunningCalls
@@ -90,6 +127,7 @@
         self.running_by_route[route].add(-1, begun)
         if not answered:
             return
+        self.longest_seen.setdefault(route, LongestSeen(now)).record(now - begun, now)
         seconds = (now - begun) / self.pace.between_answers(now)
         mean, count, _ = self.mean.get(route, (seconds, 0, now))
         weight = max(NEWEST_WEIGHT, 1 / (count + 1))
@@ -99,6 +137,7 @@
     def reset(self) -> None:
         """Discard all measurements, but keep the running calls."""
         self.mean.clear()
+        self.longest_seen.clear()
         self.overall = INITIAL_ESTIMATE
         self.pace.forget()
 
@@ -110,6 +149,23 @@
             mean *= 0.5 ** (age / STALE_SECONDS - 1)
         return mean * self.pace.current(now)
 
+    def measured(self, route: str) -> bool:
+        """Return whether a call of a route was measured."""
+        return route in self.longest_seen
+
+    def longest(self, route: str, now: float) -> float:
+        """Return the seconds within which a call of a route ends by all that is known.
+
+        A route without measurements is assumed to be as long as the longest other one.
+        """
+        seen = self.longest_seen.get(route)
+        if seen is None:
+            known = (each.seconds for each in self.longest_seen.values())
+            longest = max(known, default=0.0)
+        else:
+            longest = seen.seconds
+        return max(longest, LONGEST_CALL_FACTOR * self.expected(route, now))
+
     def expected_overall(self, now: float) -> float:
         """Return the expected duration of a call of any route in seconds."""
         return self.overall * self.pace.current(now)
--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -93,9 +93,9 @@
         return endpoint or self.stopping_endpoint(progress)
 
     def stopping_endpoint(self, progress: Progress) -> Endpoint | None:
-        """Return an endpoint whose home takes the call although it stops, if any.
+        """Return an endpoint whose home may take the call although it stops, if any.
 
-        Otherwise a call that may run only once would be refused by all homes where all
+        Otherwise all calls with long timeouts would be refused by all homes where all
         of them are restarted.
         """
         while progress.stopping:
@@ -350,7 +350,10 @@
         incarnation, now = attempt.endpoint.incarnation, clock.now()
         if isinstance(outcome, Unknown) and outcome.crash is not None:
             self.home.crash_guard.record_reports([outcome.crash])
-        if isinstance(outcome, NotRun) and outcome.reason == RefusalReason.LEAVING:
+        leaving = (
+            isinstance(outcome, NotRun) and outcome.reason == RefusalReason.LEAVING
+        )
+        if leaving and not attempt.progress.last_resort:
             attempt.progress.stopping.append(attempt.endpoint)
         self.balancer.end(incarnation)
         self.balancer.record_load(incarnation, attempt.progress.route.name, report, now)
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -39,7 +39,7 @@
     RETRYABLE_STATUSES,
     Progress,
 )
-from sequoiaspoke.sidecar.stopplan import RUNNING
+from sequoiaspoke.sidecar.stopplan import RESTART_SECONDS, RUNNING
 
 if TYPE_CHECKING:
     from random import Random
@@ -59,8 +59,6 @@
 
 # Default Retry-After in seconds: time for a link to be opened or a node to start.
 RETRY_AFTER_SECONDS = 0.3
-# Retry-After of a stopping node in seconds: the rest of its shutdown and its restart.
-RESTART_SECONDS = 1.0
 # Reason of the answer to a call that was cut off because this process exits.
 EXITING = "exiting"
 # Reason counted when a connection is closed for its unread answers.
@@ -480,7 +478,7 @@
 
     def refuse_unserved(self, progress: Progress, reason: str) -> Answer:
         """Answer a call that no home has started, with the shortest time they told."""
-        told = progress.retry_after
+        told = progress.told_retry_after
         wait = MIN_RETRY_AFTER if isinf(told) else max(told, MIN_RETRY_AFTER)
         return self.refuse(progress.request, reason, wait, progress.service)
 
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -40,6 +40,7 @@
 from sequoiaspoke.sidecar.homecall import ActiveCall
 from sequoiaspoke.sidecar.outagelog import OutageLog
 from sequoiaspoke.sidecar.overdue import OverdueTimer
+from sequoiaspoke.sidecar.stopplan import RUNNING
 from sequoiaspoke.sidecar.transfers import BodyReceiver, IncomingBodies
 from sequoiaspoke.sidecar.upstream import UNREACHABLE
 
@@ -64,6 +65,9 @@
 INITIAL_SLOTS = 1
 # Retry-After, in seconds, of refusals by a node that is about to stop.
 LEAVING_RETRY_AFTER = 0.3
+# Share of the time until its deadline that a call is assumed to take if no call of its
+# route was measured. Timeouts leave room for a second attempt.
+UNMEASURED_SHARE = 0.5
 # Longest Retry-After, in seconds, of refusals by a node that keeps too many calls.
 LEDGER_RETRY_AFTER = 5.0
 # Retry-After, in seconds, of refusals by a node whose zone is evacuated. A caller gets
@@ -78,6 +82,8 @@
     ----------
     leaving : bool
         Whether this node is about to stop and refuses new calls.
+    plan : StopPlan
+        What is taken until the exit, once the node stops.
     ends_by : float
         When calls that are started have to end; infinite until the node stops.
     reachable : callable
@@ -114,6 +120,7 @@
         self.ledger = Ledger()
         self.calls: dict[Hashable, ActiveCall] = {}
         self.leaving = False
+        self.plan = RUNNING
         self.ends_by = inf
         self.reachable: Callable[[Endpoint], bool] = lambda endpoint: True  # noqa: ARG005
         self.evacuated = False
@@ -224,9 +231,10 @@
 
     def stop(self, plan: StopPlan) -> None:
         """Start no call from now on that the exit of this process might cut off."""
-        self.ends_by = plan.ends_by
+        self.plan, self.ends_by = plan, plan.ends_by
         for arrival in list(self.admission.queue.values()):
-            refusal = self.outlasting_refusal(self.calls[arrival.ticket].call)
+            call = self.calls[arrival.ticket].call
+            refusal = self.outlasting_refusal(call, queued=True)
             if refusal is not None:
                 self.refuse_queued(
                     Refused(arrival, refusal.reason, refusal.retry_after)
@@ -254,7 +262,7 @@
     def find_refusal(self, call: HomeCall) -> NotRun | None:
         """Return why a call is refused regardless of load, None if it is not."""
         if self.leaving:
-            return NotRun(RefusalReason.LEAVING, LEAVING_RETRY_AFTER)
+            return NotRun(RefusalReason.LEAVING, self.leaving_retry_after(call))
         refusal = self.outlasting_refusal(call)
         if refusal is not None:
             return refusal
@@ -276,26 +284,62 @@
             )
         return None
 
-    def outlasting_refusal(self, call: HomeCall) -> NotRun | None:
+    def outlasting_refusal(self, call: HomeCall, queued: bool = False) -> NotRun | None:
         """Return the refusal of a call that may outlast this node, None without one.
 
         After the exit of this process has cut it off, the node that has sent it could
-        not try it again if it may run only once, or if that node is stopping too.
+        not try it again if it may run only once, or if that node is stopping too. If
+        no other home takes the call, it is taken if it ends before by all that is
+        known, and otherwise told when this home is back.
+
+        Parameters
+        ----------
+        queued : bool
+            Whether the call waits at this home already.
         """
         if not call.remote or call.deadline <= self.ends_by:
             return None
-        if call.last_resort or not self.has_other_homes(call.incarnation):
+        now = clock.now()
+        goes_elsewhere = self.goes_elsewhere(call)
+        wait = 0.0 if queued else self.admission.wait_for_rank(call.rank, now)
+        longest = self.longest(call, now)
+        if not goes_elsewhere and now + wait + longest <= self.ends_by:
             return None
+        retry_after = self.leaving_retry_after(call)
         self.counts[OUTLASTING] += 1
         self.log.call(
             "home-refused",
             call.request,
             reason=OUTLASTING,
             instance=call.incarnation.instance,
-            left=f"{call.deadline - clock.now():.3f}",
-            ends=f"{self.ends_by - clock.now():.3f}",
+            left=f"{call.deadline - now:.3f}",
+            ends=f"{self.ends_by - now:.3f}",
+            wait=f"{wait:.3f}",
+            longest=f"{longest:.3f}",
+            elsewhere=goes_elsewhere,
+            last_resort=call.last_resort,
+            queued=queued,
+            retry_after=f"{retry_after:.3f}",
         )
-        return NotRun(RefusalReason.LEAVING, LEAVING_RETRY_AFTER)
+        return NotRun(RefusalReason.LEAVING, retry_after)
+
+    def longest(self, call: HomeCall, now: float) -> float:
+        """Return the seconds that a call is assumed to take at most."""
+        left, durations = call.deadline - now, self.admission.durations
+        longest = durations.longest(call.route, now)
+        if not durations.measured(call.route):
+            longest = max(longest, UNMEASURED_SHARE * left)
+        return min(longest, left)
+
+    def goes_elsewhere(self, call: HomeCall) -> bool:
+        """Return whether another home may take a call that this one refuses."""
+        return not call.last_resort and self.has_other_homes(call.incarnation)
+
+    def leaving_retry_after(self, call: HomeCall) -> float:
+        """Return the Retry-After of a call that is refused as this node stops."""
+        if not self.stopping or self.goes_elsewhere(call):
+            return LEAVING_RETRY_AFTER
+        return self.plan.back_after(clock.now())
 
     def has_other_homes(self, incarnation: Incarnation) -> bool:
         """Return whether another home takes calls of the service of an upstream."""
--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from math import inf
+from math import inf, isfinite
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.admission import FOR_WANT_OF_ROOM, RefusalReason
@@ -45,7 +45,10 @@
     unreached : int
         Number of attempts that reached no upstream.
     retry_after : float
-        Shortest Retry-After of the homes that refused the call, in seconds.
+        Shortest Retry-After of the homes that refused the call, in seconds, but for
+        those that stop and may be asked again.
+    ask_elsewhere_after : float
+        Shortest Retry-After of these, after which other homes may take the call.
     last_answer : Answer or None
         Last answer of an upstream.
     may_withdraw : bool
@@ -78,7 +81,8 @@
     reached: int = 0
     possible_runs: int = 0
     unreached: int = 0
-    retry_after: float = float("inf")
+    retry_after: float = inf
+    ask_elsewhere_after: float = inf
     last_outcome: Outcome | None = None
     last_answer: Answer | None = None
     race: Race | None = None
@@ -128,8 +132,24 @@
         A withdrawal has none, and that of a slot request is the wait of a home that
         did not queue the call.
         """
-        if outcome.reason not in (RefusalReason.WITHDRAWN, RefusalReason.BUSY):
-            self.retry_after = min(self.retry_after, outcome.retry_after)
+        if outcome.reason in (RefusalReason.WITHDRAWN, RefusalReason.BUSY):
+            return
+        told = outcome.retry_after
+        if outcome.reason == RefusalReason.LEAVING and not self.last_resort:
+            self.ask_elsewhere_after = min(self.ask_elsewhere_after, told)
+        else:
+            self.retry_after = min(self.retry_after, told)
+
+    @property
+    def told_retry_after(self) -> float:
+        """Return the seconds after which a home should take the call.
+
+        A home that stops and sends the call to others knows nothing of them: its time
+        counts only if no other home has told one.
+        """
+        if isfinite(self.retry_after):
+            return self.retry_after
+        return self.ask_elsewhere_after
 
     def record_other_attempt(self, endpoint: Endpoint) -> None:
         """Record the attempt that was made beside the one at an endpoint, if any."""
--- a/sequoiaspoke/sidecar/stopplan.py
+++ b/sequoiaspoke/sidecar/stopplan.py
@@ -26,6 +26,8 @@
 # Seconds by which a call that an upstream makes may end after the one that it runs: it
 # is told the time left of that one, and both are on their way for a moment.
 INHERITED_SECONDS = 0.02
+# Seconds from the exit of a node until it is back.
+RESTART_SECONDS = 1.0
 # Delay of the event loop in seconds from which a signal counts as late. Shorter delays
 # are frequent on a busy machine.
 LATE_SIGNAL_SECONDS = 0.1
@@ -65,6 +67,13 @@
     input_ends_at: float = inf
     exits_at: float = inf
 
+    def back_after(self, now: float) -> float:
+        """Return the seconds until the node is back: the rest of its stop and a start.
+
+        It may end before, once it has no calls.
+        """
+        return max(0.0, self.exits_at - now) + RESTART_SECONDS
+
     def answer_due(self, deadline: float) -> float:
         """Return when a call with a deadline is answered at the latest."""
         return min(deadline, self.answers_by)
--- a/sequoiaspoke/tests/test_mesh_core.py
+++ b/sequoiaspoke/tests/test_mesh_core.py
@@ -14,7 +14,7 @@
 )
 from sequoiaspoke.core.mesh.balancer import Balancer, LoadReport
 from sequoiaspoke.core.mesh.directory import Directory
-from sequoiaspoke.core.mesh.durations import STALE_SECONDS, Durations
+from sequoiaspoke.core.mesh.durations import LONGEST_WINDOW, STALE_SECONDS, Durations
 from sequoiaspoke.core.mesh.lapses import LAPSE_GRACE
 from sequoiaspoke.core.mesh.ledger import MAX_ANSWER_BYTES, RETENTION_SECONDS, Ledger
 from sequoiaspoke.core.mesh.model import (
@@ -231,6 +231,29 @@
         self.assertEqual(durations.expected("a", 3.0), 3.0)
         self.assertTrue(durations.expected("a", 3.0 + 4 * STALE_SECONDS) < 0.5)
 
+    def test_the_longest_call_is_remembered(self):
+        # The mean of many short calls hides it.
+        durations = Durations()
+
+        def call(route, seconds, now):
+            durations.begin(1, route, now - seconds)
+            durations.end(1, True, now)
+
+        call("a", 5.0, 10.0)
+        for number in range(50):
+            call("a", 0.1, 11.0 + number)
+        self.assertEqual(durations.longest("a", 61.0), 5.0)
+        # Nothing better is known of a route whose calls were not measured.
+        self.assertEqual(durations.longest("b", 61.0), 5.0)
+        self.assertEqual(
+            [durations.measured(route) for route in ("a", "b")], [True, False]
+        )
+        # A route without calls keeps it, one with shorter calls forgets it.
+        self.assertEqual(durations.longest("a", 1000.0), 5.0)
+        call("a", 0.1, 1000.0)
+        call("a", 0.1, 1001.0 + LONGEST_WINDOW)
+        self.assertTrue(durations.longest("a", 1001.0 + LONGEST_WINDOW) < 1.0)
+
     def test_a_slowdown_shows_before_the_first_late_answer(self):
         durations = Durations()
         durations.begin(1, "a", 0.0)
--- a/sequoiaspoke/tests/test_mesh_rolls.py
+++ b/sequoiaspoke/tests/test_mesh_rolls.py
@@ -9,7 +9,11 @@
 from sequoiaspoke.core.mesh.model import Endpoint
 from sequoiaspoke.core.mesh.outcome import TIMED_OUT, Answer, Request, Unknown
 from sequoiaspoke.sidecar.settings import SidecarSettings
-from sequoiaspoke.sidecar.stopplan import LINGER_SECONDS, plan_stop
+from sequoiaspoke.sidecar.stopplan import (
+    LINGER_SECONDS,
+    RESTART_SECONDS,
+    plan_stop,
+)
 from sequoiaspoke.tests.meshsim import (
     SERVICE,
     MeshWorld,
@@ -29,14 +33,18 @@
 # Seconds from the exit of a node to its next start, and between two stops of homes.
 RESTART, GAP = 0.6, 1.0
 # Seconds between two calls, and before and after the entry's signal in which they come.
-INTERVAL, BEFORE, AFTER = 0.05, 6.0, 3.0
+INTERVAL, BEFORE, AFTER = 0.05, 14.0, 3.0
 # Seconds between two looks at whether a stopping node is idle.
 POLL = 0.01
 # Slots of a home that has one for each call, and of one at which calls wait.
-ENOUGH, FEW = 60, 16
+ENOUGH, FEW = 80, 16
 # Routes and seconds of work of the calls, which come in turn.
 ORDERS = tuple(("order", work) for work in (0.05, 1.0, 2.6, 4.5))
 READS = tuple(("read", work) for work in (3.0, 4.0, 4.5, 4.8))
+SELDOM_LONG = tuple(("read", work) for work in (0.2, 0.5, 1.0, 5.3))
+# Seconds from the first signal to that of the entry, and to the home's departure.
+AHEAD = (2.0, 2.5, 3.0, 3.5, 4.0)
+LEAVES_AFTER = SETTINGS.leave_after
 
 
 @dataclass(frozen=True)
@@ -47,6 +55,8 @@
     ----------
     ahead : float
         Seconds from the signal of the first home to that of the entry.
+    entry_stops : bool
+        Whether the entry stops at all.
     stopping, staying : int
         Numbers of homes that stop and that go on.
     slots : int
@@ -57,7 +67,8 @@
         Timeouts of the routes in seconds.
     """
 
-    ahead: float
+    ahead: float = 0.0
+    entry_stops: bool = True
     stopping: int = 2
     staying: int = 0
     slots: int = ENOUGH
@@ -216,7 +227,8 @@
         calls = asyncio.ensure_future(self.make_calls())
         stops = asyncio.ensure_future(self.stop_homes())
         await asyncio.sleep(BEFORE)
-        self.entry.stop(plan_stop(SETTINGS, self.now(), 0.0))
+        if self.roll.entry_stops:
+            self.entry.stop(plan_stop(SETTINGS, self.now(), 0.0))
         await asyncio.gather(calls, stops)
         for call_id, answer in self.answers.items():
             runs = self.runs.get(call_id, ())
@@ -261,5 +273,49 @@
     def test_no_call_is_cut_off_by_the_exit_of_a_home(self):
         # A home took reads after its signal that ended after its exit. Their entry was
         # stopping as well, could not try them again and answered 502.
-        rolls = [Roll(ahead, staying=1) for ahead in (2.5, 3.0, 3.5, 4.0)]
+        rolls = [Roll(ahead, staying=1) for ahead in AHEAD]
         self.assertEqual({}, self.lost(rolls))
+
+
+class NoOtherHomeTests(RollCase):
+    """All homes of the service stop."""
+
+    def test_what_a_home_takes_ends_before_its_exit(self):
+        # Refused by all homes, long calls came back and were taken by one that exited
+        # before they ended. Their callers were told 502 while the upstream worked.
+        for stopping in (1, 2):
+            rolls = [Roll(ahead, stopping=stopping) for ahead in AHEAD]
+            self.assertEqual({}, self.lost(rolls))
+
+    def test_calls_of_the_bench_are_not_cut_off(self):
+        # Few calls of a route are as long as these, and its mean tells little of them.
+        calls = ORDERS[:2] + SELDOM_LONG
+        timeouts = {"order": 5.0, "read": 15.0}
+        for stopping in (1, 2):
+            rolls = [
+                Roll(ahead, stopping=stopping, calls=calls, timeouts=timeouts)
+                for ahead in AHEAD
+            ]
+            self.assertEqual({}, self.lost(rolls))
+
+    def test_short_calls_are_taken(self):
+        # A home that refuses all calls from its signal on is away for longer.
+        calls = (("order", 0.05), ("order", 0.3), ("read", 0.05), ("read", 0.3))
+        for reply in self.replies(Roll(entry_stops=False, stopping=1, calls=calls)):
+            if reply.sent_at < LEAVES_AFTER - POLL:
+                self.assertEqual(200, reply.status, reply)
+
+    def test_a_refused_caller_is_told_when_a_home_is_back(self):
+        # It was told 0.3 s, the time of homes that send calls to others, and came back
+        # again and again.
+        replies = self.replies(Roll(entry_stops=False, stopping=1))
+        refused = [
+            each
+            for each in replies
+            if each.status == 503 and each.sent_at < LEAVES_AFTER - POLL
+        ]
+        self.assertTrue(refused)
+        for reply in refused:
+            back_at = reply.answered_at + reply.retry_after
+            self.assertTrue(GRACE <= back_at <= GRACE + RESTART_SECONDS, reply)
+            self.assertTrue(reply.seconds < POLL, reply)
--- a/sequoiaspoke/tests/test_sidecar_lastresort.py
+++ b/sequoiaspoke/tests/test_sidecar_lastresort.py
@@ -11,6 +11,8 @@
 
 SERVED = Answer(200, (), b"served")
 LEAVING = NotRun("leaving", 0.3)
+# Refusal of a home that stops and can't end the call either.
+AWAY = NotRun("leaving", 5.2)
 FULL = NotRun("queue-full", 0.2)
 
 
@@ -18,7 +20,7 @@
     """Homes that answer in a given order, whichever of them is asked."""
 
     def play(self, name, outcomes, announced, instances="abcdefghij", drains=False):
-        """Return the status of a call, and keep the instances asked.
+        """Return the status of a call, and keep its Retry-After and the homes asked.
 
         Parameters
         ----------
@@ -47,7 +49,9 @@
             entry.attempts.send_to_home = send_to_home
             entry.attempts.usable = lambda each: each.instance not in stopping
             async with asyncio.timeout(WAIT):
-                return (await entry.handle(request(name))).status
+                answer = await entry.handle(request(name))
+                self.told = dict(answer.headers).get("Retry-After")
+                return answer.status
 
         return asyncio.run(run())
 
@@ -79,3 +83,25 @@
         status = self.play("read", outcomes, announced=False, instances="ab")
         self.assertEqual((status, len(self.asked)), (200, 3))
         self.assertEqual(self.asked[0], self.asked[2])
+
+    def test_a_call_that_no_home_can_end_is_refused_with_their_return(self):
+        # The shorter time of their first refusals hid it, and homes were asked again
+        # until no attempt was left.
+        for name in ("read", "order"):
+            status = self.play(
+                name, [LEAVING, LEAVING, AWAY, AWAY], announced=False, instances="ab"
+            )
+            self.assertEqual((status, len(self.asked)), (503, 4))
+            self.assertEqual(self.told, "5.200")
+
+    def test_many_homes_that_can_not_end_a_call_are_not_all_asked(self):
+        refusals = MAX_UNREACHED_ATTEMPTS * [LEAVING]
+        status = self.play("order", [*refusals, AWAY], announced=False)
+        self.assertEqual((status, len(self.asked)), (503, len(refusals) + 1))
+        self.assertEqual(self.told, "5.200")
+
+    def test_a_home_that_goes_on_tells_when_to_return(self):
+        status = self.play(
+            "order", [LEAVING, FULL, AWAY], announced=False, instances="ab"
+        )
+        self.assertEqual((status, self.told), (503, "0.200"))
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -1,6 +1,7 @@
 """Tests of the calls that a node accepts, starts and ends after it was told to stop."""
 
 import asyncio
+import itertools
 from dataclasses import replace
 from functools import partial
 from random import Random
@@ -20,7 +21,11 @@
 from sequoiaspoke.sidecar.linkfeatures import SUPPORTED, LinkFeatures
 from sequoiaspoke.sidecar.linkserver import AcceptedLink
 from sequoiaspoke.sidecar.settings import SidecarSettings
-from sequoiaspoke.sidecar.stopplan import LINGER_SECONDS, SPARE_SHARE
+from sequoiaspoke.sidecar.stopplan import (
+    LINGER_SECONDS,
+    RESTART_SECONDS,
+    SPARE_SHARE,
+)
 from sequoiaspoke.sidecar.wirecalls import pack_call, unpack_outcome
 from sequoiaspoke.tests.meshsim import run_virtual
 from sequoiaspoke.tests.test_sidecar_entry import NoItems, request, route
@@ -376,11 +381,23 @@
         )
 
 
+def rounded(refusal):
+    """Return a refusal with a Retry-After that can be compared."""
+    return replace(refusal, retry_after=round(refusal.retry_after, 6))
+
+
 class OutlastingCallTests(StoppingCase):
     """A home takes calls of other nodes for a while after the signal."""
 
     other = replace(ENDPOINT, instance="i-2", host="10.0.0.3")
 
+    def measure(self, seconds):
+        """Have calls of the route of a home end after some seconds each."""
+        durations, now = self.sidecar.home.admission.durations, clock.now()
+        for each in seconds:
+            durations.begin("measured", "r", now - each)
+            durations.end("measured", True, now)
+
     async def submit(
         self,
         left,
@@ -388,6 +405,8 @@
         idempotent=False,
         last_resort=False,
         features=SUPPORTED,
+        slots=9,
+        running=0,
     ):
         """Return the outcome, if any, of a call and whether its upstream got it.
 
@@ -397,10 +416,12 @@
             Whether a caller of this node has made it, and no other node.
         features : LinkFeatures
             Features of the node that has made it.
+        slots, running : int
+            Numbers of calls that its upstream runs at once, and that it runs already.
         """
         home, outcomes = self.sidecar.home, []
         home.upstream = BlockingUpstream()
-        home.set_slots(9)
+        home.set_slots(slots)
         home.admission.upstream_slots.has_answered = True
         until = clock.now() + left
         request = Request("POST", "/", (), b"")
@@ -415,6 +436,10 @@
             until,
             last_resort=last_resort,
         )
+        for number in range(running):
+            home.submit(number, call, outcomes.append)
+        await asyncio.sleep(0)
+        home.upstream.ran.clear()
         if own:
             home.submit("k", call, outcomes.append)
         else:
@@ -425,10 +450,11 @@
             outcomes.clear()
             link.handle_frame(pack_call(call, 1, 0.0))
         await asyncio.sleep(0.1)
-        found = [unpack_outcome(each)[1] for each in outcomes], bool(home.upstream.ran)
+        found = [rounded(unpack_outcome(each)[1]) for each in outcomes]
+        ran = bool(home.upstream.ran)
         home.upstream.gate.set()
         await asyncio.sleep(0.1)
-        return found
+        return found, ran
 
     def test_a_call_that_the_exit_may_cut_off_goes_to_another_home(self):
         # Its upstream was at work when the process ended, and its caller was told 502.
@@ -489,6 +515,47 @@
 
         self.assertEqual(self.play(scenario), ([], True))
 
+    def test_a_call_that_no_home_can_end_is_told_when_this_one_is_back(self):
+        # It was run as a last resort, and cut off by the exit.
+        async def scenario(seconds, idempotent, last_resort):
+            if last_resort:
+                self.sidecar.state.directory.put(self.other, 2, clock.now())
+            self.measure(seconds)
+            return await self.submit(
+                left=9.0, idempotent=idempotent, last_resort=last_resort
+            )
+
+        refusal = NotRun(RefusalReason.LEAVING, DRAIN + RESTART_SECONDS)
+        for idempotent, last_resort in itertools.product((False, True), repeat=2):
+            for seconds, expected in (
+                # By the mean of the route, by its longest call, and neither.
+                (9 * [2.0], ([refusal], False)),
+                (40 * [0.05] + [5.5] + 40 * [0.05], ([refusal], False)),
+                (40 * [0.05] + [2.0] + 40 * [0.05], ([], True)),
+            ):
+                found = self.play(partial(scenario, seconds, idempotent, last_resort))
+                self.assertEqual(found, expected)
+
+    def test_a_call_of_an_unmeasured_route_is_run_only_with_much_time(self):
+        # Nothing is known of its duration but its timeout.
+        refusal = NotRun(RefusalReason.LEAVING, DRAIN + RESTART_SECONDS)
+        for idempotent in (False, True):
+            for left, expected in ((9.0, ([], True)), (12.0, ([refusal], False))):
+                found = self.play(
+                    partial(self.submit, left=left, idempotent=idempotent)
+                )
+                self.assertEqual(found, expected)
+
+    def test_a_call_that_would_wait_too_long_is_not_taken(self):
+        # It waited until its start could not end well.
+        async def scenario(running):
+            self.measure(9 * [1.2])
+            return await self.submit(left=9.0, slots=1, running=running)
+
+        refusal = NotRun(RefusalReason.LEAVING, DRAIN + RESTART_SECONDS)
+        self.assertEqual(self.play(partial(scenario, running=0)), ([], True))
+        self.assertEqual(self.play(partial(scenario, running=1)), ([refusal], False))
+
     def test_a_call_of_an_entry_that_would_not_come_back_is_run(self):
         # A node of an earlier build answered 503 where all homes refused its order.
         async def scenario():
