Refuse waiting calls once their start could not end well

Callers of an entry that stops waited for up to 3.3 s for a slot of a home that stops, and were told 502 when the home's exit broke off their calls: all of them had been started in one moment, 3.5 s after its signal (trials with real processes).

Queued calls were compared with the exit only once the home leaves, at ticks, by four times the mean duration of their route.

From the signal on, a call of another node that waits is refused as not run as soon as its longest duration does not fit before the last answers, also between two ticks, before a slot is given away. It is told when the home is back, or after 0.3 s if another home is reachable. Calls of the node's own callers are compared from the same moment as before.

--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -20,7 +20,6 @@
     Refused,
 )
 from sequoiaspoke.core.mesh.balancer import LoadReport
-from sequoiaspoke.core.mesh.durations import LONGEST_CALL_FACTOR
 from sequoiaspoke.core.mesh.leaving import LeavingUpstreams
 from sequoiaspoke.core.mesh.ledger import Ledger
 from sequoiaspoke.core.mesh.memory import MemoryAccount
@@ -65,8 +64,8 @@
 INITIAL_SLOTS = 1
 # Retry-After, in seconds, of refusals by a node that is about to stop.
 LEAVING_RETRY_AFTER = 0.3
-# Share of the time until its deadline that a call is assumed to take if no call of its
-# route was measured. Timeouts leave room for a second attempt.
+# Share of the time until its deadline that a call of another node is assumed to take if
+# no call of its route was measured. Timeouts leave room for a second attempt.
 UNMEASURED_SHARE = 0.5
 # Longest Retry-After, in seconds, of refusals by a node that keeps too many calls.
 LEDGER_RETRY_AFTER = 5.0
@@ -300,12 +299,15 @@
         if not call.remote or call.deadline <= self.ends_by:
             return None
         now = clock.now()
-        goes_elsewhere = self.goes_elsewhere(call)
         wait = 0.0 if queued else self.admission.wait_for_rank(call.rank, now)
-        longest = self.longest(call, now)
-        if not goes_elsewhere and now + wait + longest <= self.ends_by:
+        ends_in_time = now + wait + self.longest(call, now) <= self.ends_by
+        if ends_in_time and not self.goes_elsewhere(call):
             return None
-        retry_after = self.leaving_retry_after(call)
+        return self.refuse_outlasting(call, wait, queued)
+
+    def refuse_outlasting(self, call: HomeCall, wait: float, queued: bool) -> NotRun:
+        """Count and log the refusal of a call that may outlast this node."""
+        now, retry_after = clock.now(), self.leaving_retry_after(call)
         self.counts[OUTLASTING] += 1
         self.log.call(
             "home-refused",
@@ -315,8 +317,8 @@
             left=f"{call.deadline - now:.3f}",
             ends=f"{self.ends_by - now:.3f}",
             wait=f"{wait:.3f}",
-            longest=f"{longest:.3f}",
-            elsewhere=goes_elsewhere,
+            longest=f"{self.longest(call, now):.3f}",
+            elsewhere=self.goes_elsewhere(call),
             last_resort=call.last_resort,
             queued=queued,
             retry_after=f"{retry_after:.3f}",
@@ -327,7 +329,7 @@
         """Return the seconds that a call is assumed to take at most."""
         left, durations = call.deadline - now, self.admission.durations
         longest = durations.longest(call.route, now)
-        if not durations.measured(call.route):
+        if call.remote and not durations.measured(call.route):
             longest = max(longest, UNMEASURED_SHARE * left)
         return min(longest, left)
 
@@ -382,6 +384,8 @@
 
     def dispatch(self) -> None:
         """Start queued calls while there are free slots."""
+        if self.stopping:
+            self.refuse_calls_beyond_exit(clock.now())
         while True:
             arrival, late = self.admission.next(clock.now())
             for refused in late:
@@ -664,8 +668,6 @@
         for refused in self.admission.drop_overdue(now):
             self.refuse(refused)
         self.refuse_calls_to_leaving(now)
-        if self.leaving:
-            self.refuse_calls_beyond_exit(now)
         self.bodies.tick(now)
         self.dispatch()
 
@@ -689,14 +691,17 @@
         """Refuse queued calls that the exit of this process might cut off.
 
         Nobody would know whether they took effect. Refused before they start, they can
-        be served elsewhere.
+        be served elsewhere. Those of this node are refused only once it leaves, as its
+        entry ends with it.
         """
         for arrival in list(self.admission.queue.values()):
-            expected = self.admission.durations.expected(arrival.route, now)
-            latest = min(arrival.deadline, now + LONGEST_CALL_FACTOR * expected)
-            if latest > self.ends_by:
+            call = self.calls[arrival.ticket].call
+            if not (call.remote or self.leaving):
+                continue
+            if now + self.longest(call, now) > self.ends_by:
+                refusal = self.refuse_outlasting(call, 0.0, queued=True)
                 self.refuse_queued(
-                    Refused(arrival, RefusalReason.LEAVING, LEAVING_RETRY_AFTER)
+                    Refused(arrival, refusal.reason, refusal.retry_after)
                 )
 
     def set_evacuated(self, evacuated: bool, ended_at: int) -> None:
--- a/sequoiaspoke/tests/test_mesh_rolls.py
+++ b/sequoiaspoke/tests/test_mesh_rolls.py
@@ -41,7 +41,14 @@
 # Routes and seconds of work of the calls, which come in turn.
 ORDERS = tuple(("order", work) for work in (0.05, 1.0, 2.6, 4.5))
 READS = tuple(("read", work) for work in (3.0, 4.0, 4.5, 4.8))
-SELDOM_LONG = tuple(("read", work) for work in (0.2, 0.5, 1.0, 5.3))
+# Calls of which few are long, and the timeouts of their routes, as on the bench.
+BENCH = {
+    "calls": (
+        *(("order", work) for work in (0.05, 0.3, 1.0, 2.1)),
+        *(("read", work) for work in (0.2, 0.5, 1.0, 5.3)),
+    ),
+    "timeouts": {"order": 5.0, "read": 15.0},
+}
 # Seconds from the first signal to that of the entry, and to the home's departure.
 AHEAD = (2.0, 2.5, 3.0, 3.5, 4.0)
 LEAVES_AFTER = SETTINGS.leave_after
@@ -273,8 +280,11 @@
     def test_no_call_is_cut_off_by_the_exit_of_a_home(self):
         # A home took reads after its signal that ended after its exit. Their entry was
         # stopping as well, could not try them again and answered 502.
-        rolls = [Roll(ahead, staying=1) for ahead in AHEAD]
-        self.assertEqual({}, self.lost(rolls))
+        for slots in (ENOUGH, FEW):
+            rolls = [Roll(ahead, staying=1, slots=slots) for ahead in AHEAD]
+            self.assertEqual({}, self.lost(rolls))
+            rolls = [replace(each, **BENCH) for each in rolls]
+            self.assertEqual({}, self.lost(rolls))
 
 
 class NoOtherHomeTests(RollCase):
@@ -289,13 +299,17 @@
 
     def test_calls_of_the_bench_are_not_cut_off(self):
         # Few calls of a route are as long as these, and its mean tells little of them.
-        calls = ORDERS[:2] + SELDOM_LONG
-        timeouts = {"order": 5.0, "read": 15.0}
         for stopping in (1, 2):
-            rolls = [
-                Roll(ahead, stopping=stopping, calls=calls, timeouts=timeouts)
-                for ahead in AHEAD
-            ]
+            rolls = [Roll(ahead, stopping=stopping, **BENCH) for ahead in AHEAD]
+            self.assertEqual({}, self.lost(rolls))
+
+    def test_calls_that_wait_for_a_slot_are_not_cut_off(self):
+        # Seconds after the signal they were started in one moment, and broken off
+        # together.
+        for stopping in (1, 2):
+            rolls = [Roll(ahead, stopping=stopping, slots=FEW) for ahead in AHEAD]
+            self.assertEqual({}, self.lost(rolls))
+            rolls = [replace(each, **BENCH) for each in rolls]
             self.assertEqual({}, self.lost(rolls))
 
     def test_short_calls_are_taken(self):
--- a/sequoiaspoke/tests/test_stopping_paths.py
+++ b/sequoiaspoke/tests/test_stopping_paths.py
@@ -4,6 +4,7 @@
 import itertools
 import socket
 from dataclasses import replace
+from functools import partial
 from types import SimpleNamespace
 from unittest import mock
 
@@ -19,12 +20,15 @@
 from sequoiaspoke.sidecar.linkfeatures import SUPPORTED
 from sequoiaspoke.sidecar.linkserver import AcceptedLink
 from sequoiaspoke.sidecar.shutdown import LINGER_SECONDS
+from sequoiaspoke.sidecar.stopplan import RESTART_SECONDS
 from sequoiaspoke.sidecar.wirecalls import pack_call, pack_outcome, unpack_outcome
 from sequoiaspoke.tests import test_sidecar_stopping as stopping
 from sequoiaspoke.tests.meshsim import MeshWorld, SimDialer, run_virtual
 from sequoiaspoke.tests.test_sidecar_home import ENDPOINT, BlockingUpstream
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
+# Seconds of the longest call of a route whose other calls are short.
+LONGEST = 2.6
 # Number of the call of another node, and the identity of that node.
 NUMBER, PEER = 7, ("10.0.0.2", 5)
 # Size of an answer, and of the buffer in which its receiver's kernel keeps it unread.
@@ -215,8 +219,18 @@
 
     stops_first = False
 
-    async def queue(self, left, own=False, idempotent=False, other=True):
-        """Return the outcomes of a call that waits as the node is told to stop."""
+    async def queue(
+        self, left, own=False, idempotent=False, other=True, waits=2.5, ticks=True
+    ):
+        """Return the outcomes of a call that waits as the node is told to stop.
+
+        Parameters
+        ----------
+        waits : float
+            Seconds from the signal until a slot is free for it.
+        ticks : bool
+            Whether the node looks at its queue meanwhile.
+        """
         home, links = self.sidecar.home, self.sidecar.links
         if other:
             second = replace(ENDPOINT, instance="i-2", host="10.0.0.3")
@@ -240,13 +254,23 @@
             await asyncio.sleep(0.01)
         self.assertEqual(["1"], home.upstream.ran)
         self.sidecar.stop()
-        self.sidecar.run_ticks()
-        await asyncio.sleep(2.5)
+        if ticks:
+            self.sidecar.run_ticks()
+        await asyncio.sleep(waits)
         found = list(outcomes) or stream.outcomes()
         home.upstream.gate.set()
         await asyncio.sleep(0.1)
+        self.ran = home.upstream.ran
+        self.ended = {type(each) for each in outcomes or stream.outcomes()}
         return found
 
+    def measure(self):
+        """Have one call of the route take much longer than the others."""
+        durations, now = self.sidecar.home.admission.durations, clock.now()
+        for seconds in (LONGEST, *40 * [0.05]):
+            durations.begin("measured", "r", now - seconds)
+            durations.end("measured", True, now)
+
     def test_one_that_the_exit_may_cut_off_goes_to_another_home(self):
         # It was started seconds later, and cut off as the process ended.
         outcomes = self.play(lambda: self.queue(left=8.0))
@@ -268,6 +292,30 @@
     def test_one_that_no_other_home_takes_waits(self):
         self.assertEqual([], self.play(lambda: self.queue(left=8.0, other=False)))
 
+    def test_one_is_refused_once_its_start_could_not_end_well(self):
+        # It was held for seconds, started then and cut off by the exit.
+        async def scenario(idempotent):
+            self.measure()
+            return await self.queue(8.0, False, idempotent, other=False, waits=3.5)
+
+        for idempotent in (False, True):
+            (refusal,) = self.play(partial(scenario, idempotent))
+            self.assertEqual(RefusalReason.LEAVING, refusal.reason)
+            back_after = LONGEST + stopping.SPARE_SHARE * stopping.DRAIN
+            back_after += RESTART_SECONDS
+            # It is found at a tick.
+            self.assertAlmostEqual(back_after, refusal.retry_after, delta=0.11)
+            self.assertEqual(["1"], self.ran)
+
+    def test_one_is_not_started_too_late_between_two_ticks(self):
+        async def scenario(waits):
+            self.measure()
+            await self.queue(8.0, other=False, waits=waits, ticks=False)
+            return self.ran, self.ended
+
+        self.assertEqual((["1", "2"], {Answer}), self.play(partial(scenario, 2.5)))
+        self.assertEqual((["1"], {Answer, NotRun}), self.play(partial(scenario, 3.5)))
+
     def test_one_of_a_caller_of_the_node_waits(self):
         self.assertEqual([], self.play(lambda: self.queue(left=8.0, own=True)))
 
