--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -93,18 +93,22 @@
         return endpoint or self.stopping_endpoint(progress)
 
     def stopping_endpoint(self, progress: Progress) -> Endpoint | None:
-        """Return an endpoint whose home takes the call although it stops, if any.
+        """Return an endpoint whose home may take the call although it stops, if any.
 
-        Otherwise a call that may run only once would be refused by all homes where all
+        Otherwise all calls with long timeouts would be refused by all homes where all
         of them are restarted.
         """
         while progress.stopping:
             endpoint = progress.stopping.pop(0)
-            if self.serves(progress, endpoint) and self.usable(endpoint):
+            if self.may_be_asked_again(progress, endpoint):
                 progress.last_resort = True
                 return endpoint
         return None
 
+    def may_be_asked_again(self, progress: Progress, endpoint: Endpoint) -> bool:
+        """Return whether a home that has refused a call as it stops may take it."""
+        return self.serves(progress, endpoint) and self.usable(endpoint)
+
     def serves(self, progress: Progress, endpoint: Endpoint) -> bool:
         """Return whether an endpoint still takes calls of the service of a call."""
         serving = self.state.directory.serving(progress.service)
@@ -197,8 +201,10 @@
         return "zones-evacuated" if directory.grouping.excluded_zones else "no-endpoint"
 
     def has_candidates(self, progress: Progress) -> bool:
-        """Return whether there is an eligible endpoint not yet tried for a call."""
-        return bool(self.candidates(progress))
+        """Return whether an endpoint that has not run a call may be asked for it."""
+        return bool(self.candidates(progress)) or any(
+            self.may_be_asked_again(progress, each) for each in progress.stopping
+        )
 
     def usable(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint's home can be reached and accepts calls."""
@@ -344,7 +350,10 @@
         incarnation, now = attempt.endpoint.incarnation, clock.now()
         if isinstance(outcome, Unknown) and outcome.crash is not None:
             self.home.crash_guard.record_reports([outcome.crash])
-        if isinstance(outcome, NotRun) and outcome.reason == RefusalReason.LEAVING:
+        leaving = (
+            isinstance(outcome, NotRun) and outcome.reason == RefusalReason.LEAVING
+        )
+        if leaving and not attempt.progress.last_resort:
             attempt.progress.stopping.append(attempt.endpoint)
         self.balancer.end(incarnation)
         self.balancer.record_load(incarnation, attempt.progress.route.name, report, now)
--- a/sequoiaspoke/sidecar/bodypolicy.py
+++ b/sequoiaspoke/sidecar/bodypolicy.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.sidecar.httptext import local_answer
+from sequoiaspoke.sidecar.stopplan import RESTART_SECONDS
 
 if TYPE_CHECKING:
     from sequoiaspoke.core.mesh.outcome import Answer, Request
@@ -17,9 +18,8 @@
 # take.
 MEMORY_RETRY_AFTER = 1.0
 
-# Reason of the refusals of a stopping node, and their Retry-After in seconds: the rest
-# of its shutdown and its restart.
-STOPPING, RESTART_SECONDS = "stopping", 1.0
+# Reason of the refusals of a stopping node.
+STOPPING = "stopping"
 
 
 class BodyPolicy(ABC):
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -29,7 +29,6 @@
 from sequoiaspoke.sidecar.bodypolicy import (
     MEMORY_REFUSED,
     MEMORY_RETRY_AFTER,
-    RESTART_SECONDS,
     STOPPING,
     BodyPolicy,
 )
@@ -41,7 +40,7 @@
     RETRYABLE_STATUSES,
     Progress,
 )
-from sequoiaspoke.sidecar.stopplan import RUNNING
+from sequoiaspoke.sidecar.stopplan import RESTART_SECONDS, RUNNING
 
 if TYPE_CHECKING:
     from random import Random
@@ -495,7 +494,7 @@
 
     def refuse_unserved(self, progress: Progress, reason: str) -> Answer:
         """Answer a call that no home has started, with the shortest time they told."""
-        told = progress.retry_after
+        told = progress.told_retry_after
         wait = MIN_RETRY_AFTER if isinf(told) else max(told, MIN_RETRY_AFTER)
         return self.refuse(progress.request, reason, wait, progress.service)
 
