Close a stopping node's listener before it waits for granted calls

What callers saw: a node of sequoiaspoke/node that had granted a direct connection to another node accepted new connections of callers until the grant was returned, up to the end of its grace, although it refused what came. If the process then waited for its processor until it was killed, what the kernel had accepted was reset without an answer.

Cause: the wait for grants came before the end of the listener for callers, which that wait does not need; grants are returned on the port of other nodes.

Evidence: test_granted_calls_of_other_nodes_do_not_keep_the_listener_open timed out before. test_a_connection_in_the_backlog_is_answered used that wait as the last moment before the listener closes; it now makes its connection in the step before, and fails as it did without the reading of sockets.

--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -179,10 +179,10 @@
         self.callers.draining = self.mesh.draining = True
         log.info("node-draining", in_flight=self.in_flight())
         await asyncio.sleep(self.settings.node.drain)
-        await self.grants.wait_until_returned(times.answers_at - loop.time())
         # Connections that are not accepted before the listener closes are reset.
         await silence.read_sockets()
         self.callers.server.stop()
+        await self.grants.wait_until_returned(times.answers_at - loop.time())
         try:
             async with silence.timeout_at(times.answers_at):
                 await self.keyed.linger()
--- a/sequoiaspoke/tests/test_node_silence.py
+++ b/sequoiaspoke/tests/test_node_silence.py
@@ -8,6 +8,7 @@
 import random
 import socket
 import time
+from dataclasses import replace
 from types import SimpleNamespace
 
 from testtools import TestCase
@@ -393,14 +394,17 @@
         # Closing the listener resets the connections that it has not accepted.
         async def test(deployment):
             node = deployment.sites[0].node
+            limits = replace(node.settings.node, drain=0)
+            node.settings = replace(node.settings, node=limits)
             callers = []
 
-            async def returned(seconds):
+            def drained():
                 address = ("127.0.0.1", node.ports["call"])
                 callers.append(socket.create_connection(address))
                 callers[0].sendall(REQUEST)
 
-            node.grants.wait_until_returned = returned
+            # The last step before the listener may close.
+            node.grants.drain = drained
             await node.stop()
             with callers[0] as caller:
                 seen = await receive(caller)
--- a/sequoiaspoke/tests/test_node_stopping.py
+++ b/sequoiaspoke/tests/test_node_stopping.py
@@ -129,3 +129,45 @@
             self.assertEqual((200, 1), (status(answer), self.ran))
 
         self.run_with(test)
+
+
+class ClosingTests(LoopbackTestCase):
+    """Guards against requests that a node takes and leaves to its end.
+
+    If it waits for its processor then, it is killed with what it has accepted.
+    """
+
+    def play(self, scenario):
+        """Run a scenario beside a stop that a call in progress holds up."""
+
+        async def test(deployment):
+            node = deployment.sites[0].node
+            limits = replace(node.settings.node, drain=0, grace=60)
+            node.settings = replace(node.settings, node=limits)
+            port = node.ports["call"]
+            self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
+            self.writer.write(b"GET / HTTP/1.1\r\nHost: x\r\nStandin-Hold: yes\r\n\r\n")
+            sites = deployment.sites
+            await until(lambda: sum(site.upstream.runs_total for site in sites) == 1)
+            await scenario(node)
+            self.assertEqual(1, node.callers.in_flight)
+            for site in sites:
+                site.upstream.release()
+            async with asyncio.timeout(WAIT):
+                self.answer = await self.reader.read()
+                await self.stopping
+            self.writer.close()
+
+        self.run_with(test)
+
+    def test_granted_calls_of_other_nodes_do_not_keep_the_listener_open(self):
+        async def scenario(node):
+            returned = asyncio.Event()
+            self.patch(node.grants, "wait_until_returned", lambda _: returned.wait())
+            self.stopping = asyncio.ensure_future(node.stop())
+            try:
+                await until(lambda: is_closed(node.ports["call"]))
+            finally:
+                returned.set()
+
+        self.play(scenario)
