Close idle connections of a stopping node while its calls finish

What callers saw: a node of sequoiaspoke/node with one long call in progress read requests on kept connections until the end of its grace, though it refuses nearly all. If the process waited for its processor from then until it was killed, they were reset without an answer. At the port for other nodes, calls that may run only once were told as of unknown outcome though they never ran.

Cause: taking and finishing ended together. Only the listeners closed after `drain`; connections stayed as long as any call.

Change: once a listener has closed, connections close as soon as they are idle, after a moment for requests on their way and after what had arrived is read. Calls begun before the signal end their connections, too (`Connection: close`). One on which part of a request has arrived is kept.

--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -161,11 +161,11 @@
         """Shut down without cutting off calls in flight.
 
         New calls are first refused as not run while the listeners stay open, so
-        that other nodes choose other targets. Then the listener for callers closes,
-        and calls in flight have the rest of the configured grace to finish. Callers
-        whose connections are kept are refused what could outlast it. The listener for
-        other nodes closes later, since only this node can answer retries of the
-        keys that ran here.
+        that other nodes choose other targets. Then the listener for callers and idle
+        connections close, and calls in flight have the rest of the configured grace to
+        finish. What still arrives and could outlast it is refused. The port for other
+        nodes closes later, since only this node can answer retries of the keys that
+        ran here.
         """
         if self.draining:
             return
@@ -176,18 +176,21 @@
         self.home.gate.admission.drain()
         self.keyed.core.drain()
         self.grants.drain()
-        self.callers.draining = self.mesh.draining = True
+        self.callers.drain()
+        self.mesh.drain()
         log.info("node-draining", in_flight=self.in_flight())
         await asyncio.sleep(self.settings.node.drain)
         # Connections that are not accepted before the listener closes are reset.
         await silence.read_sockets()
         self.callers.server.stop()
-        await self.grants.wait_until_returned(times.answers_at - loop.time())
         try:
             async with silence.timeout_at(times.answers_at):
+                await self.callers.close_idle()
+                await self.grants.wait_until_returned(times.answers_at - loop.time())
                 await self.keyed.linger()
                 await silence.read_sockets()
                 self.mesh.server.stop()
+                await self.mesh.close_idle()
                 await self.wait_idle()
         except TimeoutError:
             log.warning("grace-over", in_flight=self.in_flight())
--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -30,6 +30,7 @@
 from sequoiaspoke.node import headers as names
 from sequoiaspoke.node import silence
 from sequoiaspoke.node.callerstream import CallerHTTPServer, CallerStream
+from sequoiaspoke.node.client import has_unread
 from sequoiaspoke.node.pipe import BodyPipe
 from sequoiaspoke.requesttarget import split_absolute
 
@@ -47,6 +48,9 @@
 # hop would read its bytes as another caller's request.
 CHUNKED_METHODS = frozenset({"POST", "PUT", "PATCH"})
 EXPECT, CONTINUE = "Expect", "100-continue"
+# Seconds for which a draining server still reads from an idle connection that it will
+# close: the caller of a new one sends its request a round trip later.
+LAST_REQUEST_SECONDS = 0.2
 
 
 class Writer:
@@ -174,6 +178,8 @@
         Whether connections are closed after the next answer.
     readers : dict of object to CallReader
         Reader of the current or next request of each connection.
+    closes_idle : bool
+        Whether connections are closed once they are idle.
     input_ended : bool
         Whether connections are closed in place of serving another call.
     """
@@ -189,7 +195,7 @@
         self.readers: dict[object, CallReader] = {}
         self.in_flight = 0
         self.crashed = 0
-        self.draining = self.input_ended = False
+        self.draining = self.closes_idle = self.input_ended = False
         self.idle_callbacks: list[Callable[[], None]] = []
         self.server = CallerHTTPServer(
             self,  # type: ignore[arg-type]
@@ -217,6 +223,26 @@
         if reader is not None:
             reader.idle_timer.cancel()
 
+    def drain(self) -> None:
+        """Have callers close their connections after the next answer."""
+        self.draining = True
+        for reader in self.readers.values():
+            if reader.call is not None:
+                reader.call.writer.close_after = True
+
+    async def close_idle(self) -> None:
+        """Close idle connections, those in use after their calls.
+
+        A process that waits for its processor would be killed with the requests that
+        come on them meanwhile.
+        """
+        self.closes_idle = True
+        for reader in self.readers.values():
+            if reader.waiting:
+                reader.wait_for_request()
+        if self.readers:
+            await asyncio.sleep(LAST_REQUEST_SECONDS)
+
     def cut_off(self) -> None:
         """Serve no further call, and answer those in flight at once."""
         self.input_ended = True
@@ -246,6 +272,8 @@
 
     Attributes
     ----------
+    waiting : bool
+        Whether the head of the request has not been read yet.
     idle_timer : PolledTimer
         Closes the connection unless the head of the request is read before.
     """
@@ -253,16 +281,33 @@
     def __init__(self, server: CallServer, connection: HTTP1Connection) -> None:
         self.server = server
         self.connection = connection
+        self.waiting = True
         self.idle_timer = silence.call_after(server.keepalive, connection.close)
         self.body: BodyPipe | None = None
         self.call: IncomingCall | None = None
         self.task: asyncio.Task[None] | None = None
+        if server.closes_idle:
+            self.wait_for_request()
+
+    def wait_for_request(self) -> None:
+        """Close the connection of a draining server unless a request arrives soon."""
+        self.idle_timer.cancel()
+        self.idle_timer = silence.call_after(LAST_REQUEST_SECONDS, self.close_if_idle)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless part of a request has arrived."""
+        if has_unread(self.connection.stream):
+            keepalive = self.server.keepalive
+            self.idle_timer = silence.call_after(keepalive, self.connection.close)
+        else:
+            self.connection.close()
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         """Start the handler once the request's head is read; called by Tornado."""
         assert isinstance(start_line, RequestStartLine)
+        self.waiting = False
         self.idle_timer.cancel()
         # Tornado still passes on what it had read of a connection that has ended.
         if self.server.input_ended or self.connection.stream.closed():
