--- a/sequoiaspoke/tests/test_node_silence.py
+++ b/sequoiaspoke/tests/test_node_silence.py
@@ -8,6 +8,7 @@
 import random
 import socket
 import time
+from dataclasses import replace
 from types import SimpleNamespace
 
 from testtools import TestCase
@@ -378,10 +379,12 @@
     def test_a_request_that_came_while_the_last_call_ended_is_answered(self):
         async def test(deployment):
             async def hold(node, caller):
-                # The step in which the last call ends.
+                # The step in which the last call ends. A connection on which nothing
+                # has arrived is closed before.
+                caller.sendall(REQUEST[:3])
                 node.callers.in_flight += 1
                 await until(lambda: node.callers.idle_callbacks)
-                caller.sendall(REQUEST)
+                caller.sendall(REQUEST[3:])
                 node.callers.call_ended()
 
             seen = await self.stop(deployment, hold)
@@ -393,14 +396,17 @@
         # Closing the listener resets the connections that it has not accepted.
         async def test(deployment):
             node = deployment.sites[0].node
+            limits = replace(node.settings.node, drain=0)
+            node.settings = replace(node.settings, node=limits)
             callers = []
 
-            async def returned(seconds):
+            def drained():
                 address = ("127.0.0.1", node.ports["call"])
                 callers.append(socket.create_connection(address))
                 callers[0].sendall(REQUEST)
 
-            node.grants.wait_until_returned = returned
+            # The last step before the listener may close.
+            node.grants.drain = drained
             await node.stop()
             with callers[0] as caller:
                 seen = await receive(caller)
