Take a caller that reads from the kernel's buffer for no idle one

What callers saw: an answer of 7.3 MB to a caller that never stopped reading ended early: at 500 KB/s and an idle timeout of 1.5 s it got 4.0 MB (trial, one caller in a process of its own). In proportion, at 15 s, callers below some 100 KB/s with answers of more than the kernel buffers. Cause: whether a caller reads was seen by the bytes in the transport only. The kernel takes more of them only once a large part of its own buffer is free, so that a narrow link shows no progress for longer than the timeout. Change: progress is what the caller's kernel has acknowledged. It has a time of its own, so that the last input is not confused with it. Evidence: the test failed before (closed after 4 s). Tests of slow reading and of the caller server pass but for the known red one.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -124,6 +124,11 @@
         Bytes reserved for the body that is arriving.
     continue_due : bool
         Whether `100 Continue` is to be sent after the answers before it.
+    written, acknowledged : int
+        Bytes sent to the caller, and those that its kernel had taken when they were
+        counted last.
+    read_at : float
+        When the caller was found to have read, or bytes began to wait for it.
     """
 
     probing = PATIENT_PROBES
@@ -136,7 +141,8 @@
         self.pending: deque[Exchange] = deque()
         self.reading_paused = False
         self.parser = httptools.HttpRequestParser(self)
-        self.last_active = clock.now()
+        self.last_active = self.read_at = clock.now()
+        self.written = self.acknowledged = 0
         self.input_ended = False
         self.ended_input: EndedInput | None = None
         self.reserved = self.discarded = 0
@@ -537,10 +543,13 @@
         if self.unsent_bytes() > MAX_UNREAD_BYTES:
             self.close_unread()
             return
+        self.written += len(data)
         super().write(data)
 
     def unread_changed(self, change: int) -> None:
         """Reserve the memory of answers that the caller has not read."""
+        if self.unread == change:
+            self.read_at = clock.now()
         self.server.unread_changed(self, change)
 
     def close_unread(self) -> None:
@@ -596,7 +605,8 @@
         if self.undelivered_bytes() and not self.stalled(now):
             left, latest = CLOSE_TIMEOUT, now + MAX_CLOSE_SECONDS
         else:
-            left = min(latest, self.last_active + CLOSE_TIMEOUT) - now
+            last_active = max(self.last_active, self.read_at)
+            left = min(latest, last_active + CLOSE_TIMEOUT) - now
         if left <= 0:
             self.close()
         else:
@@ -608,11 +618,23 @@
         A caller that has vanished is found by this if it has not acknowledged all that
         it was sent; otherwise the kernel's probes find it earlier.
         """
-        before = self.unread
+        self.observe_reading(now)
+        return now - max(self.last_active, self.read_at) > self.limits.idle_timeout
+
+    def observe_reading(self, now: float) -> None:
+        """Find out whether the caller has read since this was called last.
+
+        The bytes of the transport do not show it: the kernel takes more of them only
+        once the caller has read a large part of its own buffer, which may take a
+        narrow link longer than any timeout.
+        """
         self.count_unread()
-        if self.unread < before:
-            self.last_active = now
-        return now - self.last_active > self.limits.idle_timeout
+        before, self.acknowledged = (
+            self.acknowledged,
+            self.written - self.undelivered_bytes(),
+        )
+        if self.acknowledged > before:
+            self.read_at = now
 
     def tick(self, now: float) -> None:
         """Close an idle connection; refuse a head that takes too long."""
--- a/sequoiaspoke/tests/test_slow_reading.py
+++ b/sequoiaspoke/tests/test_slow_reading.py
@@ -218,6 +218,16 @@
         # had read meanwhile.
         self.assertIsNone(self.play(range(90_000, 60_000, -1000)))
 
+    def test_a_caller_that_reads_what_the_kernel_holds_is_not_idle(self):
+        # The rest of its answer was dropped: the kernel takes nothing from the node
+        # until a large part of its own buffer has been read.
+        self.patch(
+            sockets,
+            "count_unacknowledged_bytes",
+            lambda _: 1_000_000 - int(100 * self.time),
+        )
+        self.assertIsNone(self.play([9000] * 30))
+
     def test_a_caller_that_has_vanished_is_found(self):
         # Without a limit the kernel would repeat its answers for a quarter of an hour.
         self.assertEqual(self.play([9000] * 10), 4)
