Close callers that have stopped reading before those that read

What callers saw: nothing reported. By reading: unread answers beyond the memory account close the connection with most of them, which is that of a caller that has just been sent a large answer. Callers that read nothing, each with little, keep the account full until their idle timeout, and meanwhile each large answer is cut, however fast its caller reads. Cause: only the size decided, and not whether a caller reads. Change: connections whose callers have read nothing for two seconds, in which a peer that reads at once acknowledges, are closed first; then those with the most unread bytes, as before. What a caller sends does not count as reading.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -34,6 +34,7 @@
 )
 from sequoiaspoke.sidecar.sockets import (
     PATIENT_PROBES,
+    USER_TIMEOUT_MS,
     Connection,
     ConnectionServer,
 )
@@ -55,6 +56,9 @@
 # Size of the unread answers at which a connection is closed: a caller that does not
 # read would fill this node's memory.
 MAX_UNREAD_BYTES = 16 << 20
+# Seconds without progress after which a caller with unread answers is taken to have
+# stopped reading: those within which a peer that reads at once acknowledges.
+STOPPED_SECONDS = USER_TIMEOUT_MS / 1000
 # Bytes that a caller may send after the last answer before its connection is closed.
 MAX_DISCARDED_BYTES = 16 << 20
 # Seconds after the last answer of a connection in which the caller may close it. They
@@ -636,6 +640,10 @@
         if self.acknowledged > before:
             self.read_at = now
 
+    def stopped_reading(self, now: float) -> bool:
+        """Return whether the caller leaves answers unread, and may be gone."""
+        return bool(self.unread) and now - self.read_at >= STOPPED_SECONDS
+
     def tick(self, now: float) -> None:
         """Close an idle connection; refuse a head that takes too long."""
         if self.pending or self.closed:
@@ -718,14 +726,26 @@
             self.close_slow_callers()
 
     def close_slow_callers(self) -> None:
-        """Close the connections with the most unread bytes while there are too many."""
+        """Close connections with unread answers while these are too many.
+
+        Those whose callers have stopped reading are first, as the others will be read,
+        and then those with the most unread bytes.
+        """
         if not self.holds_too_much_unread:
             return
-        for connection in list(self.slow_callers):
-            # Some of its bytes may have been read since they were counted.
-            connection.count_unread()
+        now = clock.now()
+        self.observe_reading(now)
         while self.holds_too_much_unread:
-            max(self.slow_callers, key=lambda each: each.unread).close_unread()
+            worst = max(
+                self.slow_callers,
+                key=lambda each: (each.stopped_reading(now), each.unread),
+            )
+            worst.close_unread()
+
+    def observe_reading(self, now: float) -> None:
+        """Find out which callers have read, and how much of their answers is left."""
+        for connection in list(self.slow_callers):
+            connection.observe_reading(now)
 
     @property
     def holds_too_much_unread(self) -> bool:
@@ -735,6 +755,7 @@
 
     def tick(self, now: float) -> None:
         """Check the timeouts of all connections."""
+        self.observe_reading(now)
         for connection in list(self.connections):
             connection.tick(now)
 
--- a/sequoiaspoke/tests/test_callerserver_memory.py
+++ b/sequoiaspoke/tests/test_callerserver_memory.py
@@ -15,6 +15,7 @@
     memory_limit,
 )
 from sequoiaspoke.core.mesh.outcome import Answer
+from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
 from sequoiaspoke.sidecar.callerserver import CallerServer
 from sequoiaspoke.sidecar.httptext import local_answer
@@ -322,6 +323,28 @@
 
         self.play(5000, scenario)
 
+    def test_a_caller_that_has_stopped_reading_is_closed_before_one_that_reads(self):
+        # A few callers that read nothing held the account until their idle timeout, and
+        # meanwhile each large answer was cut, however fast its caller read.
+        async def scenario():
+            stopped = await self.call()
+            reader = await self.call(count=3)
+            for line in (b"GET /a HTTP/1.1\r\n", b"Host: x\r\n", b"X: x\r\n"):
+                self.time += 0.5
+                # What a caller sends does not show that it reads.
+                stopped.data_received(line)
+                reader.transport.buffered -= 1
+                self.server.tick(self.time)
+            self.time += 0.5
+            reader.transport.buffered -= 1
+            fresh = await self.call(count=2)
+            closed = [each.closed for each in (stopped, reader, fresh)]
+            self.assertEqual(closed, [True, False, False])
+
+        self.time = 1000.0
+        self.patch(clock, "now", lambda: self.time)
+        self.play(5500, scenario)
+
     def test_bodies_that_fill_the_account_close_no_connection(self):
         # The caller reads as fast as its link allows; only bodies can be refused.
         async def scenario():
