Hold large answers back while callers have not read others

What callers saw: nothing reported. Cause: the room of a complete answer was released before its caller had it. In between nobody counted it, and the next one was read into its room. One large answer was also read however full the account was of answers that callers had not read; that was meant for an account full of request bodies. What then exceeded the account closed the connection with the most unread bytes. Change: while others wait, a complete answer keeps its room until it was passed on. An answer that can wait does so while it does not fit beside the unread ones, three seconds at the head of the queue at most, as upstreams give up answers that stay unread. While one waits, callers that have read nothing for two seconds are closed. Evidence: test_answers_to_callers failed before (a caller got 65,536 of 1,048,576 bytes); without the closing of stopped callers its second test fails. Tests of the caller server, of memory, of answers and test_sidecar_* pass but for the known red one, which gives answers that no upstream holds back.

--- a/sequoiaspoke/core/mesh/answerroom.py
+++ b/sequoiaspoke/core/mesh/answerroom.py
@@ -9,7 +9,10 @@
 complete.
 
 One large answer is read however full the memory account is: it may be full of the
-bodies of requests that are held until they are answered.
+bodies of requests that are held until they are answered. If it is full of answers that
+callers have not read, a large one waits for them to be read: with one more, a caller
+that reads would be cut off. That wait is limited, as an upstream gives up an answer
+that stays unread.
 """
 
 from __future__ import annotations
@@ -29,6 +32,9 @@
 # Bytes of the largest answer that never waits. An upstream has tens of slots, so that
 # such answers take some MB together.
 SMALL_ANSWER = 256 << 10
+# Seconds that the first answer waits for callers to read. An upstream leaves its answer
+# unread for some seconds, and callers that read nothing are closed after two.
+MAX_WAIT_SECONDS = 3.0
 
 
 @dataclass(frozen=True)
@@ -48,27 +54,38 @@
         Bytes reserved for the answers that are read.
     large : set of Hashable
         Those of them that are large.
+    passing : set of Hashable
+        Complete answers that may not have reached their caller or link.
     waiting : dict of Hashable to WaitingAnswer
         Answers that have no room yet, in the order in which they began.
     held : int
         Bytes of answers that are read, or unsent on links.
+    first : Hashable or None
+        The first waiting answer at the last tick.
+    first_since : float
+        When it was first at a tick.
     """
 
     def __init__(self, memory: MemoryAccount) -> None:
         self.memory = memory
         self.reserved: dict[Hashable, int] = {}
         self.large: set[Hashable] = set()
+        self.passing: set[Hashable] = set()
         self.waiting: OrderedDict[Hashable, WaitingAnswer] = OrderedDict()
         self.held = 0
+        self.first: Hashable | None = None
+        self.first_since = 0.0
 
     def request(
         self, ticket: Hashable, size: int, on_admitted: Callable[[], None]
     ) -> bool:
         """Reserve room for a whole answer; return False if it has to wait for it."""
-        if size <= SMALL_ANSWER or (not self.waiting and self.fits(ticket, size)):
+        free = not self.waiting and self.admissible(ticket, size)
+        if size <= SMALL_ANSWER or free:
             self.reserve(ticket, size)
             return True
         self.waiting[ticket] = WaitingAnswer(size, on_admitted)
+        self.count_wanted()
         return False
 
     def extend(self, ticket: Hashable, size: int) -> bool:
@@ -91,6 +108,11 @@
         alone = not self.large - {ticket}
         return alone or self.memory.held + size <= self.memory.limit
 
+    def admissible(self, ticket: Hashable, size: int) -> bool:
+        """Return whether an answer that can wait has room beside unread ones."""
+        beside_unread = self.memory.unread + size <= self.memory.limit
+        return beside_unread and self.fits(ticket, size)
+
     def reserve(self, ticket: Hashable, size: int) -> None:
         """Reserve bytes for an answer."""
         self.reserved[ticket] = self.reserved.get(ticket, 0) + size
@@ -100,9 +122,27 @@
 
     def release(self, ticket: Hashable) -> None:
         """Release the room of an answer that was passed on or has failed."""
-        self.waiting.pop(ticket, None)
+        if self.waiting.pop(ticket, None) is not None:
+            self.count_wanted()
         self.large.discard(ticket)
-        self.change_held(-self.reserved.pop(ticket, 0))
+        size = self.reserved.pop(ticket, 0)
+        if ticket in self.passing:
+            self.passing.remove(ticket)
+            self.memory.passing -= size
+        self.change_held(-size)
+
+    def pass_on(self, ticket: Hashable) -> Hashable:
+        """Keep the room of a large complete answer; return its new ticket.
+
+        Until it has reached its caller or link, nobody else counts it.
+        """
+        passing = object()
+        size = self.reserved[passing] = self.reserved.pop(ticket)
+        self.large.remove(ticket)
+        self.large.add(passing)
+        self.passing.add(passing)
+        self.memory.passing += size
+        return passing
 
     def change_held(self, change: int) -> None:
         """Record that so many bytes more, or less, are held."""
@@ -115,8 +155,32 @@
         """Admit the answers that have room now."""
         while self.waiting:
             ticket, answer = next(iter(self.waiting.items()))
-            if not self.fits(ticket, answer.size):
+            if not self.admissible(ticket, answer.size):
                 return
-            del self.waiting[ticket]
-            self.reserve(ticket, answer.size)
-            answer.on_admitted()
+            self.admit(ticket, answer)
+
+    def admit(self, ticket: Hashable, answer: WaitingAnswer) -> None:
+        """Reserve the room of a waiting answer and have it read."""
+        del self.waiting[ticket]
+        self.count_wanted()
+        self.reserve(ticket, answer.size)
+        answer.on_admitted()
+
+    def count_wanted(self) -> None:
+        """Tell the account what the first waiting answer needs."""
+        first = next(iter(self.waiting.values()), None)
+        self.memory.wanted = 0 if first is None else first.size
+
+    def tick(self, now: float) -> None:
+        """Admit the answers that have room, and the first one if it waits too long.
+
+        Memory is also freed by other parts of the node.
+        """
+        self.admit_waiting()
+        first = next(iter(self.waiting), None)
+        if first is not self.first:
+            self.first, self.first_since = first, now
+        elif first is not None and now - self.first_since >= MAX_WAIT_SECONDS:
+            answer = self.waiting[first]
+            if self.fits(first, answer.size):
+                self.admit(first, answer)
--- a/sequoiaspoke/core/mesh/memory.py
+++ b/sequoiaspoke/core/mesh/memory.py
@@ -39,11 +39,19 @@
         Bytes above which `try_reserve` fails.
     held : int
         Bytes reserved now.
+    unread : int
+        Those of them that are answers which callers have not read.
+    passing : int
+        Those that are answers on their way to a caller or link, which counts them too.
+    wanted : int
+        Bytes for which the next waiting answer waits, 0 without one.
     """
 
     def __init__(self, limit: int = DEFAULT_LIMIT) -> None:
         self.limit = limit
         self.held = 0
+        self.unread = self.passing = 0
+        self.wanted = 0
 
     def try_reserve(self, size: int) -> bool:
         """Reserve bytes if they fit; return whether they did."""
@@ -60,7 +68,17 @@
         """Release reserved bytes."""
         self.held -= size
 
+    def change_unread(self, change: int) -> None:
+        """Record that callers have so many bytes more, or less, to read."""
+        self.unread += change
+        self.held += change
+
+    @property
+    def short(self) -> bool:
+        """Return whether an answer waits that does not fit."""
+        return bool(self.wanted) and self.held + self.wanted > self.limit
+
     @property
     def exceeded(self) -> bool:
         """Return whether more is held than the limit."""
-        return self.held > self.limit
+        return self.held - self.passing > self.limit
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -721,7 +721,7 @@
         else:
             self.slow_callers.discard(connection)
         self.unread += change
-        self.memory.reserve(change)
+        self.memory.change_unread(change)
         if change > 0:
             self.close_slow_callers()
 
@@ -742,6 +742,14 @@
             )
             worst.close_unread()
 
+    def close_stopped_callers(self, now: float) -> None:
+        """Close connections whose callers have stopped reading if memory is short."""
+        stopped = [each for each in self.slow_callers if each.stopped_reading(now)]
+        for connection in sorted(stopped, key=lambda each: -each.unread):
+            if not self.memory.short:
+                return
+            connection.close_unread()
+
     def observe_reading(self, now: float) -> None:
         """Find out which callers have read, and how much of their answers is left."""
         for connection in list(self.slow_callers):
@@ -756,6 +764,7 @@
     def tick(self, now: float) -> None:
         """Check the timeouts of all connections."""
         self.observe_reading(now)
+        self.close_stopped_callers(now)
         for connection in list(self.connections):
             connection.tick(now)
 
--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -13,6 +13,7 @@
 
 import asyncio
 from collections import deque
+from functools import partial
 from typing import TYPE_CHECKING
 
 import httptools
@@ -24,7 +25,7 @@
     Unknown,
     find_header,
 )
-from sequoiaspoke.polling import PolledTimeout
+from sequoiaspoke.polling import PolledCall, PolledTimeout
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.answerlog import AnswerSource
 from sequoiaspoke.sidecar.httptext import BODILESS_STATUSES, FRAMING_PER_BYTE
@@ -361,8 +362,7 @@
         finally:
             self.timer.cancel()
             self.pending = None
-            if self.room is not None:
-                self.room.release(self)
+            self.release_room()
         if self.unsent_bytes():
             # Answered before the request was sent completely: the server would read
             # the rest as a request.
@@ -370,6 +370,15 @@
         self.last_used = clock.now()
         return outcome
 
+    def release_room(self) -> None:
+        """Release the room of the answer, once it was passed on if others wait."""
+        if self.room is None:
+            return
+        if self.room.waiting and self in self.room.large:
+            PolledCall(partial(self.room.release, self.room.pass_on(self)))
+        else:
+            self.room.release(self)
+
     def expect_slow_reading(self, slow: bool) -> None:
         """Allow the server to take until the deadline to read a request, or do not.
 
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -275,12 +275,9 @@
         self.idle.clear()
 
     def tick(self, now: float) -> None:
-        """Close idle connections that are too old, and admit waiting answers.
-
-        Memory is also freed by other parts of the node.
-        """
+        """Close idle connections that are too old, and admit waiting answers."""
         if self.room is not None:
-            self.room.admit_waiting()
+            self.room.tick(now)
         # Sorted by last use, the oldest first.
         while self.idle and not self.idle[0].usable(idempotent=True, now=now):
             self.idle.pop(0).close()
--- a/sequoiaspoke/tests/test_callerserver_memory.py
+++ b/sequoiaspoke/tests/test_callerserver_memory.py
@@ -345,6 +345,28 @@
         self.patch(clock, "now", lambda: self.time)
         self.play(5500, scenario)
 
+    def test_callers_that_have_stopped_reading_are_closed_if_an_answer_waits(self):
+        # It would wait until their idle timeout, and its upstream would give it up.
+        async def scenario():
+            one, two, reader = [await self.call(count=n) for n in (1, 2, 3)]
+            everyone = (one, two, reader)
+            for wanted, closed in (
+                (0, [False, False, False]),
+                (10_000 - self.memory.held + 100, [False, True, False]),
+                (10_000, [True, True, False]),
+            ):
+                self.time += 2.0
+                self.memory.wanted = wanted
+                reader.transport.buffered -= 1
+                self.server.tick(self.time)
+                self.assertEqual([each.closed for each in everyone], closed)
+            self.assertEqual(self.memory.held, reader.unread)
+            self.assertEqual(self.memory.unread, reader.unread)
+
+        self.time = 1000.0
+        self.patch(clock, "now", lambda: self.time)
+        self.play(10_000, scenario)
+
     def test_bodies_that_fill_the_account_close_no_connection(self):
         # The caller reads as fast as its link allows; only bodies can be refused.
         async def scenario():
--- a/sequoiaspoke/tests/test_endless_answers.py
+++ b/sequoiaspoke/tests/test_endless_answers.py
@@ -9,6 +9,7 @@
 
 from sequoiaspoke.core.mesh.answerroom import (
     MAX_HELD_BYTES,
+    MAX_WAIT_SECONDS,
     SMALL_ANSWER,
     AnswerRoom,
 )
@@ -243,6 +244,50 @@
         room.release("b")
         self.assertTrue(room.extend("c", 4 << 20))
 
+    def test_answers_wait_for_callers_that_have_not_read_others(self):
+        # Read at once, one more closed the connection of a caller that was reading.
+        room = self.room()
+        room.memory.change_unread(8 << 20)
+        self.assertFalse(self.request(room, "a", 4 << 20))
+        self.assertTrue(room.memory.short)
+        room.memory.change_unread(-(2 << 20))
+        self.assertFalse(room.memory.short)
+        room.tick(0.0)
+        self.assertEqual((self.admitted, room.memory.wanted), (["a"], 0))
+
+    def test_an_answer_does_not_wait_for_ever_for_callers_to_read(self):
+        # Its upstream gives it up, and its own caller may read at once.
+        room = self.room()
+        room.memory.change_unread(8 << 20)
+        for ticket in "ab":
+            self.request(room, ticket, 4 << 20)
+        for now in (0.0, MAX_WAIT_SECONDS - 0.1):
+            room.tick(now)
+            self.assertEqual(self.admitted, [])
+        room.tick(MAX_WAIT_SECONDS)
+        self.assertEqual(self.admitted, ["a"])
+        room.release("a")
+        room.tick(MAX_WAIT_SECONDS + 0.1)
+        room.tick(2 * MAX_WAIT_SECONDS)
+        self.assertEqual(self.admitted, ["a"])
+        room.tick(2 * MAX_WAIT_SECONDS + 0.2)
+        self.assertEqual(self.admitted, ["a", "b"])
+
+    def test_a_complete_answer_keeps_its_room_until_it_was_passed_on(self):
+        # The next one was read in its room before anybody had counted it again.
+        room = self.room()
+        for ticket in "ab":
+            self.request(room, ticket, 6 << 20)
+        passing = room.pass_on("a")
+        self.assertEqual(self.admitted, [])
+        room.memory.change_unread(5 << 20)
+        # It is counted twice for a moment, which is no reason to close its caller.
+        self.assertFalse(room.memory.exceeded)
+        room.release(passing)
+        self.assertEqual(self.admitted, [])
+        self.assertEqual((room.held, room.memory.held), (0, 5 << 20))
+        self.assertEqual(room.memory.passing, 0)
+
     def test_answers_wait_for_links_that_have_not_sent_others(self):
         # A link with too many unsent bytes is closed, and all its answers are lost.
         room = self.room(64 << 20)
