--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -34,6 +34,7 @@
 )
 from sequoiaspoke.sidecar.sockets import (
     PATIENT_PROBES,
+    USER_TIMEOUT_MS,
     Connection,
     ConnectionServer,
 )
@@ -55,6 +56,9 @@
 # Size of the unread answers at which a connection is closed: a caller that does not
 # read would fill this node's memory.
 MAX_UNREAD_BYTES = 16 << 20
+# Seconds without progress after which a caller with unread answers is taken to have
+# stopped reading: those within which a peer that reads at once acknowledges.
+STOPPED_SECONDS = USER_TIMEOUT_MS / 1000
 # Bytes that a caller may send after the last answer before its connection is closed.
 MAX_DISCARDED_BYTES = 16 << 20
 # Seconds after the last answer of a connection in which the caller may close it. They
@@ -129,6 +133,11 @@
         Bytes reserved for the body that is arriving.
     continue_due : bool
         Whether `100 Continue` is to be sent after the answers before it.
+    written, acknowledged : int
+        Bytes sent to the caller, and those that its kernel had taken when they were
+        counted last.
+    read_at : float
+        When the caller was found to have read, or bytes began to wait for it.
     """
 
     probing = PATIENT_PROBES
@@ -141,7 +150,8 @@
         self.pending: deque[Exchange] = deque()
         self.reading_paused = False
         self.parser = httptools.HttpRequestParser(self)
-        self.last_active = clock.now()
+        self.last_active = self.read_at = clock.now()
+        self.written = self.acknowledged = 0
         self.requested = False
         self.input_ended = False
         self.ended_input: EndedInput | None = None
@@ -545,10 +555,13 @@
         if self.unsent_bytes() > MAX_UNREAD_BYTES:
             self.close_unread()
             return
+        self.written += len(data)
         super().write(data)
 
     def unread_changed(self, change: int) -> None:
         """Reserve the memory of answers that the caller has not read."""
+        if self.unread == change:
+            self.read_at = clock.now()
         self.server.unread_changed(self, change)
 
     def close_unread(self) -> None:
@@ -635,7 +648,8 @@
         if self.undelivered_bytes() and not self.stalled(now):
             left, latest = CLOSE_TIMEOUT, now + MAX_CLOSE_SECONDS
         else:
-            left = min(latest, self.last_active + CLOSE_TIMEOUT) - now
+            last_active = max(self.last_active, self.read_at)
+            left = min(latest, last_active + CLOSE_TIMEOUT) - now
         if left <= 0:
             self.close()
         else:
@@ -647,11 +661,27 @@
         A caller that has vanished is found by this if it has not acknowledged all that
         it was sent; otherwise the kernel's probes find it earlier.
         """
-        before = self.unread
+        self.observe_reading(now)
+        return now - max(self.last_active, self.read_at) > self.limits.idle_timeout
+
+    def observe_reading(self, now: float) -> None:
+        """Find out whether the caller has read since this was called last.
+
+        The bytes of the transport do not show it: the kernel takes more of them only
+        once the caller has read a large part of its own buffer, which may take a
+        narrow link longer than any timeout.
+        """
         self.count_unread()
-        if self.unread < before:
-            self.last_active = now
-        return now - self.last_active > self.limits.idle_timeout
+        before, self.acknowledged = (
+            self.acknowledged,
+            self.written - self.undelivered_bytes(),
+        )
+        if self.acknowledged > before:
+            self.read_at = now
+
+    def stopped_reading(self, now: float) -> bool:
+        """Return whether the caller leaves answers unread, and may be gone."""
+        return bool(self.unread) and now - self.read_at >= STOPPED_SECONDS
 
     def tick(self, now: float) -> None:
         """Close an idle connection; refuse a head that takes too long."""
@@ -736,19 +766,39 @@
         else:
             self.slow_callers.discard(connection)
         self.unread += change
-        self.memory.reserve(change)
+        self.memory.change_unread(change)
         if change > 0:
             self.close_slow_callers()
 
     def close_slow_callers(self) -> None:
-        """Close the connections with the most unread bytes while there are too many."""
+        """Close connections with unread answers while these are too many.
+
+        Those whose callers have stopped reading are first, as the others will be read,
+        and then those with the most unread bytes.
+        """
         if not self.holds_too_much_unread:
             return
-        for connection in list(self.slow_callers):
-            # Some of its bytes may have been read since they were counted.
-            connection.count_unread()
+        now = clock.now()
+        self.observe_reading(now)
         while self.holds_too_much_unread:
-            max(self.slow_callers, key=lambda each: each.unread).close_unread()
+            worst = max(
+                self.slow_callers,
+                key=lambda each: (each.stopped_reading(now), each.unread),
+            )
+            worst.close_unread()
+
+    def close_stopped_callers(self, now: float) -> None:
+        """Close connections whose callers have stopped reading if memory is short."""
+        stopped = [each for each in self.slow_callers if each.stopped_reading(now)]
+        for connection in sorted(stopped, key=lambda each: -each.unread):
+            if not self.memory.short:
+                return
+            connection.close_unread()
+
+    def observe_reading(self, now: float) -> None:
+        """Find out which callers have read, and how much of their answers is left."""
+        for connection in list(self.slow_callers):
+            connection.observe_reading(now)
 
     @property
     def holds_too_much_unread(self) -> bool:
@@ -758,6 +808,8 @@
 
     def tick(self, now: float) -> None:
         """Check the timeouts of all connections."""
+        self.observe_reading(now)
+        self.close_stopped_callers(now)
         for connection in list(self.connections):
             connection.tick(now)
 
