Leave callers the same time after a late signal

What callers saw: nothing reported; found in review. The listener closed with the last calls that the exit may break off, which is earlier after a late signal: at once if it came three seconds late, though callers learn from the node itself that it stops.

Change: the plan has a time of its own for the end of accepting.

Evidence: test_a_late_signal_leaves_callers_the_same_time, 1.5 s before with a signal that is 1.5 s late.

--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -92,7 +92,7 @@
         self.callers.closing = True
         self.entry.stop(plan)
         self.home.stop(plan)
-        self.timers.call_at(plan.moved_at, self.count_requests)
+        self.timers.call_at(plan.accepts_until, self.count_requests)
         self.timers.call_at(plan.input_ends_at, self.end_input_once_read)
         self.timers.call_at(
             plan.answers_by + LAST_ANSWERS_SECONDS, self.log_last_answers
@@ -113,7 +113,7 @@
     @property
     def late_requests(self) -> int:
         """Return how many requests have come after callers were moved."""
-        if clock.now() < self.plan.moved_at:
+        if clock.now() < self.plan.accepts_until:
             return 0
         return self.callers.requests - self.requests_before
 
@@ -129,7 +129,7 @@
         if not self.callers.accepting:
             self.callers.close_idle()
             self.end_input_if_unused()
-        elif now >= self.plan.moved_at and not self.upstream_may_call:
+        elif now >= self.plan.accepts_until and not self.upstream_may_call:
             self.end_input_once_read()
 
     @property
--- a/sequoiaspoke/sidecar/stopplan.py
+++ b/sequoiaspoke/sidecar/stopplan.py
@@ -44,7 +44,10 @@
     leaves_at : float
         When the home refuses new calls.
     moved_at : float
-        Until when callers that are moved to other nodes still send calls.
+        Until when calls are taken that the exit may break off, as callers that are
+        moved to other nodes still send them.
+    accepts_until : float
+        When callers have had time to leave, and no more connections are accepted.
     ends_by : float
         When calls that are taken or sent to an upstream have to end.
     withdraws_at : float
@@ -61,6 +64,7 @@
 
     leaves_at: float = inf
     moved_at: float = inf
+    accepts_until: float = inf
     ends_by: float = inf
     withdraws_at: float = inf
     answers_by: float = inf
@@ -127,6 +131,7 @@
     return StopPlan(
         leaves_at=now + settings.leave_after,
         moved_at=now + min(LINGER_SECONDS, BREAKABLE_SECONDS - late),
+        accepts_until=now + LINGER_SECONDS,
         ends_by=now + min(break_off, settings.drain - late - spare),
         withdraws_at=now + break_off - spare,
         answers_by=now + break_off,
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -603,6 +603,12 @@
         self.assertTrue(LINGER_SECONDS <= ended <= LINGER_SECONDS + TICK_SECONDS)
         self.assertTrue(DRAIN <= exited <= DRAIN + 0.03)
 
+    def test_a_late_signal_leaves_callers_the_same_time(self):
+        # They learn from the node that it stops when it runs again.
+        self.held = 1.5
+        ended, _ = self.play(partial(self.end_of_input, upstream_calls=False))
+        self.assertTrue(LINGER_SECONDS <= ended <= LINGER_SECONDS + TICK_SECONDS)
+
     async def end_of_input(self, upstream_calls):
         """Return when the input ends and the node exits, which runs a call."""
         self.sidecar.entry.upstream_calls = upstream_calls
