Close the listener of a stopping node under load too

What callers saw: a stopping node under load kept its listener open although callers had had time to leave, up to its exit, where connections that waited to be accepted were reset.

Cause: the listener was closed once three turns of the event loop had brought no data on any connection, and a turn accepts one connection. Callers that connect for each request, or one upload that goes on, leave no such turns. The loop was run without a pause meanwhile.

Change: all connections that wait are accepted in one step with closing the listener, so that no quiet turns are needed. Idle connections are closed a few turns later, once what was accepted has been read. At the end of the input the listener is closed first, and only what is accepted by then is waited for.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -775,14 +775,14 @@
         )
 
     def stop_accepting(self) -> None:
-        """Accept no connections and close idle ones; serve what is under way.
+        """Accept the connections that wait, and no more; serve what is under way.
 
         A request that the kernel has accepted would be lost if the process was killed
         before it could read it.
         """
         self.accepting = False
+        self.accept_waiting()
         self.stop()
-        self.close_idle()
 
     def close_idle(self) -> None:
         """Close the connections without a request in progress, arriving or expected."""
@@ -792,7 +792,9 @@
     @property
     def reads_input(self) -> bool:
         """Return whether a connection may bring a further request."""
-        return any(not each.input_ended for each in self.connections)
+        return bool(self.connect_tasks) or any(
+            not each.input_ended for each in self.connections
+        )
 
     def end_input(self) -> None:
         """Accept no connections, read no further requests and close idle connections.
--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -6,6 +6,7 @@
 from math import inf
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.polling import PolledCall
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.stopplan import RUNNING, plan_stop
@@ -21,8 +22,8 @@
 # Seconds after the latest end of the input in which the answers to calls that end at
 # that moment are sent.
 LAST_ANSWERS_SECONDS = 0.02
-# Turns of the event loop without new input after which all that had arrived was read: a
-# turn accepts one connection, and the next one reads from it.
+# Turns of the event loop without new input after which all that had arrived was read:
+# one connects what was accepted, and the next one reads from it.
 QUIET_TURNS = 3
 # Seconds between two checks whether everything that was sent has been received.
 POLL_SECONDS = 0.005
@@ -127,10 +128,11 @@
         if self.reads_rest or self.input_ended.is_set():
             return
         if not self.callers.accepting:
-            self.callers.close_idle()
-            self.end_input_if_unused()
+            self.end_unused_input()
         elif now >= self.plan.moved_at and not self.upstream_may_call:
-            self.end_input_once_read()
+            self.stop_accepting()
+            # What was accepted may bring a request.
+            PolledCall(self.end_unused_input)
 
     @property
     def upstream_may_call(self) -> bool:
@@ -138,40 +140,35 @@
         return self.entry.upstream_calls and bool(self.home.calls)
 
     def end_input_once_read(self, quiet_turns: int = 0) -> None:
-        """Accept no more connections once everything that has arrived is read.
+        """End the input once everything that has arrived is read.
 
         A process that did not run for a while has not read the requests that came
         meanwhile. If there are such, they are served, or refused if the time is over.
         """
-        now = clock.now()
+        if self.callers.accepting:
+            self.stop_accepting()
         latest = self.plan.exits_at + LAST_ANSWERS_SECONDS
-        if now >= latest or quiet_turns == QUIET_TURNS:
+        if quiet_turns == QUIET_TURNS or clock.now() >= latest:
             self.reads_rest = False
-            if now >= self.plan.input_ends_at:
-                self.end_input()
-            else:
-                self.stop_accepting()
+            self.end_input()
             return
         self.reads_rest = True
         last_input_at = self.callers.last_input_at
 
         def turned() -> None:
-            quiet = (
-                self.callers.last_input_at == last_input_at
-                and not self.callers.has_backlog()
-            )
+            quiet = self.callers.last_input_at == last_input_at
             self.end_input_once_read(quiet_turns + 1 if quiet else 0)
 
         asyncio.get_running_loop().call_soon(turned)
 
     def stop_accepting(self) -> None:
-        """Accept no more connections, and end the input if none brings a request."""
-        self.log_accepting_ended()
+        """Accept no more connections."""
         self.callers.stop_accepting()
-        self.end_input_if_unused()
+        self.log_accepting_ended()
 
-    def end_input_if_unused(self) -> None:
-        """End the input if no connection may bring a further request."""
+    def end_unused_input(self) -> None:
+        """Close idle connections; end the input if none may bring a request."""
+        self.callers.close_idle()
         if not self.callers.reads_input:
             self.end_input()
 
@@ -179,8 +176,6 @@
         """Read no further requests."""
         if not self.input_ended.is_set():
             self.input_ended_at = clock.now()
-            if self.callers.accepting:
-                self.log_accepting_ended()
             self.callers.end_input()
             self.input_ended.set()
 
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import select
 import socket
@@ -198,6 +199,7 @@
         self.listeners: list[socket.socket] = []
         self.accept_tasks: list[asyncio.Task[None]] = []
         self.servers: list[asyncio.AbstractServer] = []
+        self.connect_tasks: set[asyncio.Task[None]] = set()
 
     @abstractmethod
     def new_connection(self) -> Connection:
@@ -229,6 +231,30 @@
                 poll.register(listener, select.POLLIN)
         return bool(poll.poll(0))
 
+    def accept_waiting(self) -> None:
+        """Accept all connections that wait, as closing the listener would reset them.
+
+        Under load, the event loop would find new ones in each iteration.
+        """
+        for listener in self.listeners:
+            # There is no further one, or the listener is closed.
+            with contextlib.suppress(OSError):
+                while True:
+                    sock, _ = listener.accept()
+                    task = asyncio.ensure_future(self.connect(sock))
+                    self.connect_tasks.add(task)
+                    task.add_done_callback(self.connect_tasks.discard)
+
+    async def connect(self, sock: socket.socket) -> None:
+        """Have the event loop serve an accepted connection."""
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(self.new_connection, sock)
+        except OSError:
+            # The peer has left already.
+            sock.close()
+
     def stop(self) -> None:
         """Accept no more connections; open ones are not closed."""
         for task in self.accept_tasks:
--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -28,6 +28,7 @@
 )
 # The end of a head, and the first half of a body.
 UPLOAD = b"\r\nContent-Length: 4\r\n\r\nbo"
+LONG_UPLOAD = b"\r\nContent-Length: 9000000\r\n\r\n"
 MET_SECONDS = 2.0  # only a failing test waits so long for a condition
 HOLD = 0.4  # seconds; more than between two ticks
 WAIT = 20.0  # seconds; only a failing test waits so long
@@ -249,6 +250,8 @@
 
     # Long enough for two ticks.
     TICKS_SECONDS = 0.3
+    # Connections that wait to be accepted.
+    WAITING = 20
 
     async def begin(self, name=b"order"):
         """Have a call run when the node is told to stop and callers have left."""
@@ -317,6 +320,45 @@
             self.assertTrue(received(caller).endswith(b"late"))
         self.assert_answered()
 
+    def test_the_listener_is_closed_while_data_comes_all_the_time(self):
+        # It was kept open until three turns of the event loop had brought no data.
+        async def scenario():
+            self.upload = await self.connect()
+            self.upload.sendall(
+                REQUEST.replace(b"\r\n\r\n", LONG_UPLOAD) % (b"read", 2)
+            )
+            await self.begin()
+            callers = self.sidecar.callers
+            async with asyncio.timeout(MET_SECONDS):
+                while callers.accepting:
+                    self.upload.sendall(b"b")
+                    await asyncio.sleep(0)
+            self.upload.close()
+            await self.answer()
+
+        self.play(scenario)
+        self.assert_answered()
+
+    def test_connections_that_wait_as_the_listener_is_closed_are_served(self):
+        # A turn of the event loop accepts one of them.
+        async def scenario():
+            await self.begin()
+            self.late = [self.connect_late() for _ in range(self.WAITING)]
+            for caller in self.late:
+                caller.sendall(REQUEST % (b"read", 2))
+            self.sidecar.shutdown.stop_accepting()
+            with self.assertRaises(ConnectionRefusedError):
+                self.connect_late()
+            await self.until(lambda: len(self.sent) == self.WAITING + 1)
+            for attempt in self.sent[1:]:
+                attempt.finish(Answer(200, (), b"late"), LoadReport())
+            await self.answer()
+
+        self.play(scenario)
+        for caller in self.late:
+            self.assertTrue(received(caller).endswith(b"late"))
+        self.assert_answered()
+
     def test_the_first_request_of_a_new_connection_is_read(self):
         # Its connection was closed between the two.
         async def scenario():
