Send no order on the strength of frames that a home left behind

What callers saw: 502 for an order (a call that may run only once) that no home had ever got. Its entry had not run while a home left and exited; an order that it reads in the same moment in which it runs again was sent to that home.

Cause: an order for a home that has been silent waits until the home has answered a ping, but any frame released it, also one that had arrived before the ping: `leaving`, or an answer of the home that is gone. The order counted as sent, the new connection was refused, and its outcome was unknown.

Change: frames that had arrived when the home was pinged prove nothing. The order waits for a later one, or for the end of the link, and goes elsewhere.

Evidence: test_an_order_for_a_home_that_exited_unnoticed_has_not_run got Unknown before, NotRun now; loopback sockets, with the home's last frame and the end of its link unread. No run of real processes was made.

--- a/sequoiaspoke/sidecar/frames.py
+++ b/sequoiaspoke/sidecar/frames.py
@@ -74,10 +74,13 @@
         Whether the stream is closed; frames read but not passed on yet are dropped.
     frame_limit : int
         Bytes of the largest accepted frame.
+    reads_old : bool
+        Whether the frames that are passed on had arrived at the last `note_arrived`.
     """
 
     closed = False
     frame_limit = FRAME_LIMIT
+    reads_old = False
 
     @abstractmethod
     def send(self, frame: wire.Frame) -> None:
@@ -87,6 +90,10 @@
         """Send a frame that is sent to other nodes as well."""
         self.send(shared.frame)
 
+    def note_arrived(self) -> None:
+        """Take all that has arrived but was not read as old; nothing by default."""
+        self.reads_old = False
+
     def unsent_bytes(self) -> int:
         """Return how many bytes are buffered for the peer; none by default."""
         return 0
@@ -129,6 +136,8 @@
     ----------
     room : AnswerRoom or None
         Counts the bytes that the peer has not read, None if they are not counted.
+    old_bytes : int
+        Bytes left to read of those that had arrived at the last `note_arrived`.
     """
 
     peer_reads_at_once = True
@@ -137,7 +146,7 @@
         super().__init__()
         self.room = room
         self.chunks: list[bytes] = []
-        self.buffered = 0
+        self.buffered = self.old_bytes = 0
         self.bytes_needed = HEADER.size
         self.on_frame: Callable[[wire.Frame], None] | None = None
         self.reason = ""
@@ -163,6 +172,10 @@
         if self.room is not None:
             self.room.change_held(change)
 
+    def note_arrived(self) -> None:
+        """Take all that has arrived but was not read as old."""
+        self.old_bytes = self.waiting_bytes()
+
     async def read(self, on_frame: Callable[[wire.Frame], None]) -> str:
         """Pass on frames until the link ends; return why it ended."""
         self.on_frame = on_frame
@@ -174,6 +187,8 @@
 
     def received(self, data: bytes) -> None:
         """Buffer bytes from the peer, and pass on the frames they complete."""
+        self.reads_old = len(data) <= self.old_bytes
+        self.old_bytes = max(0, self.old_bytes - len(data))
         self.chunks.append(data)
         self.buffered += len(data)
         if self.buffered >= self.bytes_needed and self.on_frame is not None:
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -138,7 +138,11 @@
         """Have the home run a call, and pass on its outcome once."""
         pending = PendingCall(self.identity.next_call_number(), call, on_outcome)
         if self.established and not call.idempotent and self.stale():
+            assert self.stream is not None
             if self.probe.hold(pending):
+                # A home that has exited may have left frames that this node, held
+                # meanwhile, reads only now.
+                self.stream.note_arrived()
                 self.ping(clock.now())
         else:
             self.dispatch(pending)
@@ -354,8 +358,10 @@
 
     def handle_frame(self, frame: wire.Frame) -> None:
         """Handle one frame from the home."""
+        assert self.stream is not None
         self.last_heard = clock.now()
-        self.dispatch_held()
+        if not self.stream.reads_old:
+            self.dispatch_held()
         outcome = unpack_outcome(frame)
         if outcome is not None:
             self.resolve(*outcome)
--- a/sequoiaspoke/sidecar/liveness.py
+++ b/sequoiaspoke/sidecar/liveness.py
@@ -15,7 +15,7 @@
 
     from sequoiaspoke.sidecar.pending import PendingCall
 
-# Seconds to wait for any frame of the home.
+# Seconds to wait for any frame that the home has sent meanwhile.
 LIVENESS_TIMEOUT = 0.25
 
 
--- a/sequoiaspoke/tests/test_meshlink.py
+++ b/sequoiaspoke/tests/test_meshlink.py
@@ -1,6 +1,7 @@
 """Tests of the link between the entry and the home of a call, on loopback."""
 
 import asyncio
+import socket
 
 from testtools import TestCase
 from tornado.netutil import bind_sockets
@@ -319,6 +320,24 @@
 
         self.run_scenario(scenario)
 
+    def test_an_order_for_a_home_that_exited_unnoticed_has_not_run(self):
+        # Its last frames released the order, and nobody knew whether it ran.
+        async def scenario(world):
+            world.upstream.gate.set()
+            await world.start_call("/1")
+            await world.until(world.link.stale)
+            # This entry does not run until the home has exited.
+            world.server.announce_leaving()
+            world.server.stop()
+            for link in world.server.links:
+                link.stream.socket.shutdown(socket.SHUT_RDWR)
+            outcome = await world.start_call("/2")
+            self.assertEqual(
+                (NotRun, "home-unreachable"), (type(outcome), outcome.reason)
+            )
+
+        self.run_scenario(scenario)
+
     def test_a_leaving_home_refuses_new_calls_and_finishes_the_others(self):
         async def scenario(world):
             call = world.start_call()
