--- a/sequoiaspoke/tests/test_mesh_rolls.py
+++ b/sequoiaspoke/tests/test_mesh_rolls.py
@@ -297,7 +297,7 @@
             rolls = [Roll(ahead, stopping=stopping) for ahead in AHEAD]
             self.assertEqual({}, self.lost(rolls))
 
-    def test_calls_of_the_bench_are_not_cut_off(self):
+    def test_calls_that_are_seldom_long_are_not_cut_off(self):
         # Few calls of a route are as long as these, and its mean tells little of them.
         for stopping in (1, 2):
             rolls = [Roll(ahead, stopping=stopping, **BENCH) for ahead in AHEAD]
