--- a/sequoiaspoke/tests/test_mesh_rolls.py
+++ b/sequoiaspoke/tests/test_mesh_rolls.py
@@ -41,7 +41,7 @@
 # Routes and seconds of work of the calls, which come in turn.
 ORDERS = tuple(("order", work) for work in (0.05, 1.0, 2.6, 4.5))
 READS = tuple(("read", work) for work in (3.0, 4.0, 4.5, 4.8))
-# Calls of which few are long, and the timeouts of their routes, as on the bench.
+# Calls of which few are long, and the timeouts of their routes.
 BENCH = {
     "calls": (
         *(("order", work) for work in (0.05, 0.3, 1.0, 2.1)),
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -605,7 +605,7 @@
 
     def test_a_late_signal_leaves_callers_the_same_time(self):
         # They learn from the node that it stops when it runs again.
-        self.held = 1.5
+        self.held = 0.9
         ended, _ = self.play(partial(self.end_of_input, upstream_calls=False))
         self.assertTrue(LINGER_SECONDS <= ended <= LINGER_SECONDS + TICK_SECONDS)
 
