Wait for ticks in the tests of late callers

Seen: test_connections_are_refused_after_callers_had_time_to_leave failed in one of nine runs of its file. It slept 0.3 s for two ticks, but an idle node ticks each 0.3 s, so the first tick could come after the sleep. The test of an upstream's own calls could pass without any tick.

The tests wait until the node has ticked twice, and state the same as before.

--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -248,8 +248,6 @@
 class LateCallerTests(ExitTestCase):
     """A node is told to stop while another one runs a call of its caller."""
 
-    # Long enough for two ticks.
-    TICKS_SECONDS = 0.3
     # Connections that wait to be accepted.
     WAITING = 20
 
@@ -265,6 +263,12 @@
             while not condition():
                 await asyncio.sleep(0.005)
 
+    async def ticked(self):
+        """Wait until the node has ticked twice."""
+        for _ in range(2):
+            before = self.sidecar.ticked_at
+            await self.until(lambda before=before: self.sidecar.ticked_at > before)
+
     async def answer(self):
         """Answer the call."""
         self.sent[0].finish(Answer(200, (), b"served"), LoadReport())
@@ -280,7 +284,7 @@
         # killed before it ran again.
         async def scenario():
             await self.begin()
-            await asyncio.sleep(self.TICKS_SECONDS)
+            await self.ticked()
             with self.assertRaises(ConnectionRefusedError):
                 self.connect_late()
             await self.answer()
@@ -293,7 +297,7 @@
         async def scenario():
             self.idle = await self.connect()
             await self.begin()
-            await asyncio.sleep(self.TICKS_SECONDS)
+            await self.ticked()
             self.idle.setblocking(False)
             self.assertEqual(self.idle.recv(1), b"")
             await self.answer()
@@ -386,10 +390,10 @@
             self.sent.pop().finish(Answer(200, (), b"nested"), LoadReport())
             home.calls["7"] = None
             await self.begin()
-            await asyncio.sleep(self.TICKS_SECONDS)
+            await self.ticked()
             self.connect_late().close()
             home.calls.clear()
-            await asyncio.sleep(self.TICKS_SECONDS)
+            await self.ticked()
             with self.assertRaises(ConnectionRefusedError):
                 self.connect_late()
             await self.answer()
@@ -406,7 +410,7 @@
             (connection,) = self.sidecar.callers.connections
             await self.until(lambda: connection.head_complete)
             await self.begin()
-            await asyncio.sleep(self.TICKS_SECONDS)
+            await self.ticked()
             self.upload.setblocking(False)
             self.assertTrue(self.upload.recv(64).startswith(b"HTTP/1.1 503"))
             await self.answer()
