Wait for a silent home where only one that stops is left

A read whose home is silent would be given up for a home that stops and had refused it. That one may refuse it again, and its caller would be told 502 while the upstream of the silent home is at work.

A home that stops now counts only after an attempt has ended, not as a reason to end one.

--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -201,8 +201,12 @@
         return "zones-evacuated" if directory.grouping.excluded_zones else "no-endpoint"
 
     def has_candidates(self, progress: Progress) -> bool:
-        """Return whether an endpoint that has not run a call may be asked for it."""
-        return bool(self.candidates(progress)) or any(
+        """Return whether there is an eligible endpoint not yet tried for a call."""
+        return bool(self.candidates(progress))
+
+    def has_endpoints(self, progress: Progress) -> bool:
+        """Return whether another endpoint may be asked, one that stops included."""
+        return self.has_candidates(progress) or any(
             self.may_be_asked_again(progress, each) for each in progress.stopping
         )
 
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -433,7 +433,7 @@
             return False
         if self.attempts.quarantine_seconds(progress):
             return False
-        if not self.attempts.has_candidates(progress):
+        if not self.attempts.has_endpoints(progress):
             return False
         return self.attempts.take_retry(progress.service)
 
--- a/sequoiaspoke/tests/test_sidecar_lastresort.py
+++ b/sequoiaspoke/tests/test_sidecar_lastresort.py
@@ -30,24 +30,29 @@
             Whether the upstreams of homes that stop are drained meanwhile.
         """
         self.asked, left = [], iter(outcomes)
+        # Whether each of them is given up if its link is silent.
+        self.may_give_up = []
 
         async def run():
             entry = make_entry(dict.fromkeys(instances))
-            stopping = set()
+            unusable = set()
 
             def send_to_home(attempt):
                 instance = attempt.endpoint.instance
                 self.asked.append(instance)
+                unusable.add(instance)
+                self.may_give_up.append(entry.attempts.can_retry(attempt))
+                unusable.discard(instance)
                 outcome = next(left)
                 if outcome is LEAVING and announced:
-                    stopping.add(instance)
+                    unusable.add(instance)
                 if outcome is LEAVING and drains:
                     entry.state.directory.mark_draining(attempt.endpoint.incarnation)
                 loop = asyncio.get_running_loop()
                 loop.call_soon(attempt.finish, outcome, LoadReport())
 
             entry.attempts.send_to_home = send_to_home
-            entry.attempts.usable = lambda each: each.instance not in stopping
+            entry.attempts.usable = lambda each: each.instance not in unusable
             async with asyncio.timeout(WAIT):
                 answer = await entry.handle(request(name))
                 self.told = dict(answer.headers).get("Retry-After")
@@ -84,6 +89,11 @@
         self.assertEqual((status, len(self.asked)), (200, 3))
         self.assertEqual(self.asked[0], self.asked[2])
 
+    def test_a_silent_home_is_not_given_up_for_one_that_stops(self):
+        # That one may refuse the read, while the upstream of the silent one is at work.
+        self.play("read", [LEAVING, SERVED], announced=False, instances="ab")
+        self.assertEqual([True, False], self.may_give_up)
+
     def test_a_call_that_no_home_can_end_is_refused_with_their_return(self):
         # The shorter time of their first refusals hid it, and homes were asked again
         # until no attempt was left.
