Take a route for measured once its long calls may have ended

Where a home was told to stop a few seconds after its start, as two rolls after one another do, only the short calls of its routes had ended by then. It knew of no long ones, took one as a last resort, and its caller was told 502 while the upstream worked.

A route counted as measured with its first answer. It does now once it was measured for as long as the call may take; before, half of the call's time is assumed, as for a route without any measurement.

--- a/sequoiaspoke/core/mesh/durations.py
+++ b/sequoiaspoke/core/mesh/durations.py
@@ -65,12 +65,15 @@
 
     Attributes
     ----------
+    since : float
+        When the first measured call began.
     began : float
         When the current window began.
     current, before : float
         Longest duration in each of them in seconds.
     """
 
+    since: float
     began: float
     current: float = 0.0
     before: float = 0.0
@@ -127,7 +130,8 @@
         self.running_by_route[route].add(-1, begun)
         if not answered:
             return
-        self.longest_seen.setdefault(route, LongestSeen(now)).record(now - begun, now)
+        seen = self.longest_seen.setdefault(route, LongestSeen(begun, now))
+        seen.record(now - begun, now)
         seconds = (now - begun) / self.pace.between_answers(now)
         mean, count, _ = self.mean.get(route, (seconds, 0, now))
         weight = max(NEWEST_WEIGHT, 1 / (count + 1))
@@ -149,9 +153,13 @@
             mean *= 0.5 ** (age / STALE_SECONDS - 1)
         return mean * self.pace.current(now)
 
-    def measured(self, route: str) -> bool:
-        """Return whether a call of a route was measured."""
-        return route in self.longest_seen
+    def measured_for(self, route: str, now: float) -> float:
+        """Return the seconds for which calls of a route were measured.
+
+        Of calls that take longer, none may have ended yet.
+        """
+        seen = self.longest_seen.get(route)
+        return 0.0 if seen is None else now - seen.since
 
     def longest(self, route: str, now: float) -> float:
         """Return the seconds within which a call of a route ends by all that is known.
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -65,7 +65,8 @@
 # Retry-After, in seconds, of refusals by a node that is about to stop.
 LEAVING_RETRY_AFTER = 0.3
 # Share of the time until its deadline that a call of another node is assumed to take if
-# no call of its route was measured. Timeouts leave room for a second attempt.
+# its route was measured for less than that time. Timeouts leave room for a second
+# attempt.
 UNMEASURED_SHARE = 0.5
 # Longest Retry-After, in seconds, of refusals by a node that keeps too many calls.
 LEDGER_RETRY_AFTER = 5.0
@@ -329,7 +330,7 @@
         """Return the seconds that a call is assumed to take at most."""
         left, durations = call.deadline - now, self.admission.durations
         longest = durations.longest(call.route, now)
-        if call.remote and not durations.measured(call.route):
+        if call.remote and durations.measured_for(call.route, now) < left:
             longest = max(longest, UNMEASURED_SHARE * left)
         return min(longest, left)
 
--- a/sequoiaspoke/tests/test_mesh_core.py
+++ b/sequoiaspoke/tests/test_mesh_core.py
@@ -245,9 +245,8 @@
         self.assertEqual(durations.longest("a", 61.0), 5.0)
         # Nothing better is known of a route whose calls were not measured.
         self.assertEqual(durations.longest("b", 61.0), 5.0)
-        self.assertEqual(
-            [durations.measured(route) for route in ("a", "b")], [True, False]
-        )
+        self.assertEqual(durations.measured_for("a", 61.0), 56.0)
+        self.assertEqual(durations.measured_for("b", 61.0), 0.0)
         # A route without calls keeps it, one with shorter calls forgets it.
         self.assertEqual(durations.longest("a", 1000.0), 5.0)
         call("a", 0.1, 1000.0)
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -35,6 +35,8 @@
 ADDRESS = ("10.0.0.1", 1)
 DRAIN = 5.9
 SETTINGS = SidecarSettings("n", "fleet", "akaki", *[ADDRESS] * 5, drain=DRAIN)
+# Seconds for which the calls of a route were measured, longer than all of their times.
+MEASURED = 20.0
 # Timeout of the routes and usual duration of their calls, in seconds.
 TIMEOUT, USUAL = 2.5, 0.3
 
@@ -391,12 +393,19 @@
 
     other = replace(ENDPOINT, instance="i-2", host="10.0.0.3")
 
-    def measure(self, seconds):
-        """Have calls of the route of a home end after some seconds each."""
+    def measure(self, seconds, span=MEASURED):
+        """Have calls of the route of a home end after some seconds each.
+
+        Parameters
+        ----------
+        span : float
+            Seconds for which they were measured.
+        """
         durations, now = self.sidecar.home.admission.durations, clock.now()
-        for each in seconds:
-            durations.begin("measured", "r", now - each)
-            durations.end("measured", True, now)
+        for number, each in enumerate(seconds):
+            end = now if number else now - span + each
+            durations.begin("measured", "r", end - each)
+            durations.end("measured", True, end)
 
     async def submit(
         self,
@@ -528,7 +537,7 @@
         refusal = NotRun(RefusalReason.LEAVING, DRAIN + RESTART_SECONDS)
         for idempotent, last_resort in itertools.product((False, True), repeat=2):
             for seconds, expected in (
-                # By the mean of the route, by its longest call, and neither.
+                # Too long by the mean of the route, by its longest call, and neither.
                 (9 * [2.0], ([refusal], False)),
                 (40 * [0.05] + [5.5] + 40 * [0.05], ([refusal], False)),
                 (40 * [0.05] + [2.0] + 40 * [0.05], ([], True)),
@@ -546,6 +555,17 @@
                 )
                 self.assertEqual(found, expected)
 
+    def test_a_route_is_unmeasured_until_its_long_calls_may_have_ended(self):
+        # Only its short calls had ended seconds after the start of the home, and a long
+        # one was cut off.
+        async def scenario(span):
+            self.measure(40 * [0.05], span)
+            return await self.submit(left=12.0)
+
+        refusal = NotRun(RefusalReason.LEAVING, DRAIN + RESTART_SECONDS)
+        self.assertEqual(self.play(partial(scenario, 5.0)), ([refusal], False))
+        self.assertEqual(self.play(partial(scenario, 13.0)), ([], True))
+
     def test_a_call_that_would_wait_too_long_is_not_taken(self):
         # It waited until its start could not end well.
         async def scenario(running):
--- a/sequoiaspoke/tests/test_stopping_paths.py
+++ b/sequoiaspoke/tests/test_stopping_paths.py
@@ -267,6 +267,8 @@
     def measure(self):
         """Have one call of the route take much longer than the others."""
         durations, now = self.sidecar.home.admission.durations, clock.now()
+        durations.begin("measured", "r", now - stopping.MEASURED)
+        durations.end("measured", True, now - stopping.MEASURED + 0.05)
         for seconds in (LONGEST, *40 * [0.05]):
             durations.begin("measured", "r", now - seconds)
             durations.end("measured", True, now)
