--- a/sequoiaspoke/tests/test_stopping_doors.py
+++ b/sequoiaspoke/tests/test_stopping_doors.py
@@ -77,6 +77,9 @@
     def test_an_order_that_comes_meanwhile_is_refused(self):
         self.play_held(lambda: None, self.send_order, warm=True)
 
+    def test_an_order_that_waits_for_a_slot_is_refused(self):
+        self.play_held(self.send_order, lambda: None, warm=False)
+
 
 class ReadinessTests(ExitTestCase):
     def test_a_node_is_not_ready_until_it_exits(self):
