Refuse in one place what comes after a home was due to leave

The queue of a stopping home is compared with its exit before each start; calls whose deadline is before it are passed over without an estimate.

--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -261,7 +261,8 @@
 
     def find_refusal(self, call: HomeCall) -> NotRun | None:
         """Return why a call is refused regardless of load, None if it is not."""
-        if self.leaving:
+        if self.leaving or clock.now() > self.ends_by:
+            # The process may not have run when it was due to leave.
             return NotRun(RefusalReason.LEAVING, self.leaving_retry_after(call))
         refusal = self.outlasting_refusal(call)
         if refusal is not None:
@@ -697,7 +698,7 @@
         """
         for arrival in list(self.admission.queue.values()):
             call = self.calls[arrival.ticket].call
-            if not (call.remote or self.leaving):
+            if arrival.deadline <= self.ends_by or not (call.remote or self.leaving):
                 continue
             if now + self.longest(call, now) > self.ends_by:
                 refusal = self.refuse_outlasting(call, 0.0, queued=True)
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -6,12 +6,9 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.mesh.admission import RefusalReason
-from sequoiaspoke.core.mesh.outcome import NotRun
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.frames import FIRST_FRAME_LIMIT, FRAME_LIMIT, TcpFrameStream
-from sequoiaspoke.sidecar.home import LEAVING_RETRY_AFTER
 from sequoiaspoke.sidecar.linkfeatures import SUPPORTED, LinkFeatures
 from sequoiaspoke.sidecar.sockets import ConnectionServer
 from sequoiaspoke.sidecar.transfers import AnnouncedBody, BodySource
@@ -127,11 +124,6 @@
             # This entry would not come back after a refusal.
             home_call = replace(home_call, last_resort=True)
         self.server.unread.asked_again(key)
-        if clock.now() > home.ends_by and home.ledger.find(key) is None:
-            # This process may not have run when the home was due to leave.
-            refusal = NotRun(RefusalReason.LEAVING, LEAVING_RETRY_AFTER)
-            self.send_outcome(number, home_call, refusal)
-            return
         home.submit(
             key,
             home_call,
--- a/sequoiaspoke/sidecar/stopplan.py
+++ b/sequoiaspoke/sidecar/stopplan.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from sequoiaspoke.sidecar.settings import SidecarSettings
 
-# Seconds for which a stopping node keeps serving without calls in progress. Callers are
+# Seconds for which a stopping node accepts connections and keeps idle ones. Callers are
 # moved away after two readiness checks, a second apart, have failed.
 LINGER_SECONDS = 2.6
 # Shortest time before its exit, in seconds, at which a stopping node answers all calls
