Drop the state of callers that nothing decides by any more

A node in progress no longer keeps its listener open, so that CallerServer.busy and has_backlog were called by tests only. The three tests look at what a stop looks at now: a caller that still reads keeps its connection until it has its whole answer (it was: the server counts as busy), and a connection whose input has ended has one unanswered call, or none.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -813,19 +813,6 @@
         for connection in list(self.connections):
             connection.tick(now)
 
-    def busy(self) -> bool:
-        """Return whether a caller sends a request, or has not got its answer yet.
-
-        A request may have arrived since the sockets were read.
-        """
-        return self.has_backlog() or any(
-            connection.pending
-            or connection.reading
-            or connection.unsent_bytes()
-            or (connection.waiting_bytes() and not connection.input_ended)
-            for connection in self.connections
-        )
-
     def stop_accepting(self) -> None:
         """Accept the connections that wait, and no more; serve what is under way.
 
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -11,7 +11,6 @@
 import asyncio
 import contextlib
 import fcntl
-import select
 import socket
 import sys
 import termios
@@ -220,17 +219,6 @@
         )
         self.servers.append(server)
 
-    def has_backlog(self) -> bool:
-        """Return whether a connection waits to be accepted.
-
-        The event loop accepts only one in each iteration.
-        """
-        poll = select.poll()
-        for listener in self.listeners:
-            if listener.fileno() >= 0:
-                poll.register(listener, select.POLLIN)
-        return bool(poll.poll(0))
-
     def accept_waiting(self) -> None:
         """Accept all connections that wait, as closing the listener would reset them.
 
--- a/sequoiaspoke/tests/test_callerserver_leaving.py
+++ b/sequoiaspoke/tests/test_callerserver_leaving.py
@@ -245,7 +245,8 @@
                 self.assertEqual(len(self.handler.begun), 1)
                 self.assertEqual(self.memory.held, 0)
                 await self.until(lambda: not self.server.connections)
-                self.assertFalse(self.server.busy())
+                self.assertFalse(self.server.reads_input)
+                self.assertEqual(self.server.unanswered, 0)
 
             self.play(scenario)
 
@@ -259,7 +260,7 @@
                 self.server.end_input()
                 if not ends_first:
                     await self.end_input(connection, writer)
-                self.assertTrue(self.server.busy())
+                self.assertEqual(self.server.unanswered, 1)
                 self.handler.gate.set()
                 answers = split_answers(await reader.read())
                 self.assertEqual(answers[-1], (200, b"/a", True))
--- a/sequoiaspoke/tests/test_slow_reading.py
+++ b/sequoiaspoke/tests/test_slow_reading.py
@@ -164,11 +164,17 @@
             await loop.sock_sendall(sock, b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
             while not any(each.unread for each in self.server.connections):
                 await asyncio.sleep(0.01)
-            busy = self.server.busy()
-            await self.read_all(sock, len(self.body))
-            return busy, self.server.busy()
+            self.server.stop_accepting()
+            self.server.close_idle()
+            open_connections = len(self.server.connections)
+            seen = await self.read_all(sock, 10**9)
+            while self.server.connections:
+                await asyncio.sleep(0.01)
+            return open_connections, seen
 
-        self.assertEqual(self.run_bounded(scenario), (True, False))
+        open_connections, seen = self.run_bounded(scenario)
+        self.assertEqual(open_connections, 1)
+        self.assertTrue(seen.endswith(self.body))
 
 
 class BufferingTransport(FakeTransport):
