Accept the connections that wait as a node closes a listener

What callers saw: connections to a stopping node under load were reset as it closed its listener, also those whose requests the kernel had received. The same held for connections of other nodes.

Cause: closing a listener resets the connections that wait to be accepted. The sockets were read before it was closed, and callers that connect for each request connect again between the last reading and the closing.

Change: the server accepts all connections that wait in one step with closing the listener, with the function that the sidecar uses. The sockets are read after that, so that the connections are known when idle ones are closed.

The three new tests of ClosingTests failed before.

--- a/sequoiaspoke/listening.py
+++ b/sequoiaspoke/listening.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from errno import EADDRINUSE
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from sequoiaspoke.errors import AddressInUseError
 
@@ -66,6 +67,19 @@
     return opened
 
 
+def accept_waiting(listener: socket.socket) -> list[tuple[socket.socket, Any]]:
+    """Return all connections that wait, as closing the listener would reset them.
+
+    Under load, the event loop would find new ones in each iteration.
+    """
+    accepted = []
+    # There is no further one, or the listener is closed.
+    with contextlib.suppress(OSError):
+        while True:
+            accepted.append(listener.accept())
+    return accepted
+
+
 async def open_when_free(
     open_all: Callable[[], Opened],
     on_taken: Callable[[str], None],
--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -180,16 +180,16 @@
         self.mesh.drain()
         log.info("node-draining", in_flight=self.in_flight())
         await asyncio.sleep(self.settings.node.drain)
-        # Connections that are not accepted before the listener closes are reset.
-        await silence.read_sockets()
         self.callers.server.stop()
         try:
             async with silence.timeout_at(times.answers_at):
+                # The connections that were just accepted are idle, or bring requests.
+                await silence.read_sockets()
                 await self.callers.close_idle()
                 await self.grants.wait_until_returned(times.answers_at - loop.time())
                 await self.keyed.linger()
-                await silence.read_sockets()
                 self.mesh.server.stop()
+                await silence.read_sockets()
                 await self.mesh.close_idle()
                 await self.wait_idle()
         except TimeoutError:
--- a/sequoiaspoke/node/callerstream.py
+++ b/sequoiaspoke/node/callerstream.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
 from sequoiaspoke.endedinput import EndedInput
+from sequoiaspoke.listening import accept_waiting
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from sequoiaspoke.endedinput import CallerEnd
 
@@ -115,7 +116,32 @@
 
 
 class CallerHTTPServer(HTTPServer):
-    """HTTP server that answers callers who have ended their input."""
+    """HTTP server that answers callers who have ended their input.
+
+    Attributes
+    ----------
+    listeners : list of socket.socket
+        Sockets on which it accepts connections.
+    """
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Initialize the server; called by Tornado in place of `__init__`."""
+        super().initialize(*args, **kwargs)
+        self.listeners: list[socket.socket] = []
+
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        """Accept connections on listening sockets."""
+        for listener in sockets:
+            self.listeners.append(listener)
+            super().add_sockets([listener])
+
+    def stop(self) -> None:
+        """Accept the connections that wait, and no more."""
+        waiting = [each for sock in self.listeners for each in accept_waiting(sock)]
+        super().stop()
+        for sock, address in waiting:
+            # Tornado has no public way to serve a connection that it did not accept.
+            self._handle_connection(sock, address)
 
     def handle_stream(self, stream: IOStream, address: tuple[object, ...]) -> None:
         """Serve a new connection; called by Tornado."""
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import fcntl
 import select
 import socket
@@ -19,7 +18,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from sequoiaspoke.listening import BACKLOG
+from sequoiaspoke.listening import BACKLOG, accept_waiting
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -232,18 +231,12 @@
         return bool(poll.poll(0))
 
     def accept_waiting(self) -> None:
-        """Accept all connections that wait, as closing the listener would reset them.
-
-        Under load, the event loop would find new ones in each iteration.
-        """
+        """Accept all connections that wait before the listeners are closed."""
         for listener in self.listeners:
-            # There is no further one, or the listener is closed.
-            with contextlib.suppress(OSError):
-                while True:
-                    sock, _ = listener.accept()
-                    task = asyncio.ensure_future(self.connect(sock))
-                    self.connect_tasks.add(task)
-                    task.add_done_callback(self.connect_tasks.discard)
+            for sock, _ in accept_waiting(listener):
+                task = asyncio.ensure_future(self.connect(sock))
+                self.connect_tasks.add(task)
+                task.add_done_callback(self.connect_tasks.discard)
 
     async def connect(self, sock: socket.socket) -> None:
         """Have the event loop serve an accepted connection."""
--- a/sequoiaspoke/tests/test_node_stopping.py
+++ b/sequoiaspoke/tests/test_node_stopping.py
@@ -140,6 +140,9 @@
     If it waits for its processor then, it is killed with what it has accepted.
     """
 
+    # Connections that wait to be accepted, more than a turn of the event loop accepts.
+    WAITING = 150
+
     def play(self, scenario):
         """Run a scenario beside a stop that a call in progress holds up."""
 
@@ -178,6 +181,74 @@
         # A call that may run only once was sent on it, and its outcome unknown.
         self.play(lambda node: self.check_closed(node, "mesh"))
 
+    def connect_at_close(self, node, server, name, sent=b""):
+        """Stop a node; return connections that wait as a listener of it is closed."""
+        stop, waiting = server.stop, []
+
+        def stop_listening():
+            while len(waiting) < self.WAITING:
+                address = ("127.0.0.1", node.ports[name])
+                caller = socket.create_connection(address, WAIT)
+                self.addCleanup(caller.close)
+                caller.sendall(sent)
+                caller.setblocking(False)
+                waiting.append(caller)
+            stop()
+
+        self.patch(server, "stop", stop_listening)
+        self.stopping = asyncio.ensure_future(node.stop())
+        return waiting
+
+    async def received(self, waiting):
+        """Return the statuses that waiting connections receive."""
+        loop = asyncio.get_running_loop()
+        await until(lambda: len(waiting) == self.WAITING)
+        async with asyncio.timeout(WAIT):
+            return {status(await loop.sock_recv(each, 65536)) for each in waiting}
+
+    def test_callers_that_wait_as_the_listener_is_closed_are_answered(self):
+        # The kernel reset their connections.
+        async def scenario(node):
+            get = request("GET", "/")
+            waiting = self.connect_at_close(node, node.callers.server, "call", get)
+            self.assertLessEqual(await self.received(waiting), {200, 503})
+            # A call ends after its caller has the answer.
+            await until(lambda: node.callers.in_flight == 1)
+
+        self.play(scenario)
+
+    def test_other_nodes_that_wait_as_the_listener_is_closed_are_answered(self):
+        # Only this node knows the answers to the keys that have run here.
+        async def scenario(node):
+            get = request("GET", "/")
+            waiting = self.connect_at_close(node, node.mesh.server, "mesh", get)
+            # No node sends it in this form; any answer shows that it was read.
+            self.assertEqual({400}, await self.received(waiting))
+
+        self.play(scenario)
+
+    def test_callers_that_waited_have_time_to_send_their_requests(self):
+        # Idle connections had this time only if one was known, and the node ended.
+        async def test(deployment):
+            node = deployment.sites[0].node
+            limits = replace(node.settings.node, drain=0)
+            node.settings = replace(node.settings, node=limits)
+            close_idle, known = node.callers.close_idle, []
+
+            async def close_known():
+                known.append(len(node.callers.readers))
+                for caller in waiting:
+                    caller.sendall(request("GET", "/"))
+                await close_idle()
+
+            self.patch(node.callers, "close_idle", close_known)
+            waiting = self.connect_at_close(node, node.callers.server, "call")
+            self.assertLessEqual(await self.received(waiting), {200, 503})
+            self.assertEqual([self.WAITING], known)
+            await self.stopping
+
+        self.run_with(test)
+
     def test_a_request_that_has_arrived_is_answered_before(self):
         async def scenario(node):
             port = node.ports["call"]
