--- a/sequoiaspoke/tests/test_mesh_rolls.py
+++ b/sequoiaspoke/tests/test_mesh_rolls.py
@@ -42,7 +42,7 @@
 ORDERS = tuple(("order", work) for work in (0.05, 1.0, 2.6, 4.5))
 READS = tuple(("read", work) for work in (3.0, 4.0, 4.5, 4.8))
 # Calls of which few are long, and the timeouts of their routes.
-BENCH = {
+MOSTLY_SHORT = {
     "calls": (
         *(("order", work) for work in (0.05, 0.3, 1.0, 2.1)),
         *(("read", work) for work in (0.2, 0.5, 1.0, 5.3)),
@@ -283,7 +283,7 @@
         for slots in (ENOUGH, FEW):
             rolls = [Roll(ahead, staying=1, slots=slots) for ahead in AHEAD]
             self.assertEqual({}, self.lost(rolls))
-            rolls = [replace(each, **BENCH) for each in rolls]
+            rolls = [replace(each, **MOSTLY_SHORT) for each in rolls]
             self.assertEqual({}, self.lost(rolls))
 
 
@@ -300,7 +300,7 @@
     def test_calls_that_are_seldom_long_are_not_cut_off(self):
         # Few calls of a route are as long as these, and its mean tells little of them.
         for stopping in (1, 2):
-            rolls = [Roll(ahead, stopping=stopping, **BENCH) for ahead in AHEAD]
+            rolls = [Roll(ahead, stopping=stopping, **MOSTLY_SHORT) for ahead in AHEAD]
             self.assertEqual({}, self.lost(rolls))
 
     def test_calls_that_wait_for_a_slot_are_not_cut_off(self):
@@ -309,7 +309,7 @@
         for stopping in (1, 2):
             rolls = [Roll(ahead, stopping=stopping, slots=FEW) for ahead in AHEAD]
             self.assertEqual({}, self.lost(rolls))
-            rolls = [replace(each, **BENCH) for each in rolls]
+            rolls = [replace(each, **MOSTLY_SHORT) for each in rolls]
             self.assertEqual({}, self.lost(rolls))
 
     def test_short_calls_are_taken(self):
--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -269,9 +269,12 @@
             before = self.sidecar.ticked_at
             await self.until(lambda before=before: self.sidecar.ticked_at > before)
 
-    async def answer(self):
-        """Answer the call."""
-        self.sent[0].finish(Answer(200, (), b"served"), LoadReport())
+    def answer(self, late=False):
+        """Answer the call, and those that came after the signal if there are any."""
+        first, *others = self.sent
+        for attempt in others if late else ():
+            attempt.finish(Answer(200, (), b"late"), LoadReport())
+        first.finish(Answer(200, (), b"served"), LoadReport())
 
     def assert_answered(self):
         """Check that the call was answered, and its connection closed."""
@@ -287,7 +290,7 @@
             await self.ticked()
             with self.assertRaises(ConnectionRefusedError):
                 self.connect_late()
-            await self.answer()
+            self.answer()
 
         self.play(scenario)
         self.assert_answered()
@@ -300,7 +303,7 @@
             await self.ticked()
             self.idle.setblocking(False)
             self.assertEqual(self.idle.recv(1), b"")
-            await self.answer()
+            self.answer()
 
         self.play(scenario)
         self.assert_answered()
@@ -315,9 +318,7 @@
                 caller.sendall(REQUEST % (b"read", 2))
             time.sleep(HOLD)
             await self.until(lambda: len(self.sent) == 3)
-            for attempt in self.sent[1:]:
-                attempt.finish(Answer(200, (), b"late"), LoadReport())
-            await self.answer()
+            self.answer(late=True)
 
         self.play(scenario)
         for caller in (self.idle, self.late):
@@ -338,7 +339,7 @@
                     self.upload.sendall(b"b")
                     await asyncio.sleep(0)
             self.upload.close()
-            await self.answer()
+            self.answer()
 
         self.play(scenario)
         self.assert_answered()
@@ -354,9 +355,7 @@
             with self.assertRaises(ConnectionRefusedError):
                 self.connect_late()
             await self.until(lambda: len(self.sent) == self.WAITING + 1)
-            for attempt in self.sent[1:]:
-                attempt.finish(Answer(200, (), b"late"), LoadReport())
-            await self.answer()
+            self.answer(late=True)
 
         self.play(scenario)
         for caller in self.late:
@@ -371,8 +370,7 @@
             await self.until(lambda: not self.sidecar.callers.accepting)
             self.late.sendall(REQUEST % (b"read", 2))
             await self.until(lambda: len(self.sent) == 2)
-            self.sent[1].finish(Answer(200, (), b"late"), LoadReport())
-            await self.answer()
+            self.answer(late=True)
 
         self.play(scenario)
         self.assertTrue(received(self.late).endswith(b"late"))
@@ -396,7 +394,7 @@
             await self.ticked()
             with self.assertRaises(ConnectionRefusedError):
                 self.connect_late()
-            await self.answer()
+            self.answer()
 
         self.play(scenario)
         self.assert_answered()
@@ -413,7 +411,7 @@
             await self.ticked()
             self.upload.setblocking(False)
             self.assertTrue(self.upload.recv(64).startswith(b"HTTP/1.1 503"))
-            await self.answer()
+            self.answer()
 
         self.play(scenario)
         self.assert_answered()
