--- a/sequoiaspoke/sidecar/bodypolicy.py
+++ b/sequoiaspoke/sidecar/bodypolicy.py
@@ -17,7 +17,6 @@
 # Retry-After, in seconds, of such a refusal: bodies are held for as long as their calls
 # take.
 MEMORY_RETRY_AFTER = 1.0
-
 # Reason of the refusals of a stopping node.
 STOPPING = "stopping"
 
