Keep each state of a stop once, and estimate a refused call once

Cause: found when the change was read again. Home held its plan and a copy of the plan's ends_by; a refusal of a call that may outlast a home estimated the call and looked for other homes twice and three times; three loops cancelled and refused as refuse_queued does. CallerServer counted the unread bytes that the memory account counts, and a connection noted that a request had come, which its written bytes tell. The refusal of what waits at the exit stood in the application, not in the stop. The id of each call was compared with running ones also where nobody uses the result.

Change: ends_by is read from the plan, the estimate is passed on, twins call one function, the copies are gone. No decision, bound or log field changes. late_requests counts from the timer alone, in place of a second look at the clock. One test sets the plan of a home in place of the copied time, one reads the unread bytes of the account; what they assert stays.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -294,8 +294,6 @@
         follower.add_done_callback(self.follower_ended)
         self.run_ticks()
         await self.shutdown.finish()
-        # The process may not have run in the time in which they are refused.
-        self.home.refuse_calls_beyond_exit(clock.now())
         self.ended = True
         follower.cancel()
         self.shutdown.log_end(self.settings.node)
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -111,8 +111,6 @@
         Whether the caller is the upstream beside this node.
     pending : deque of Exchange
         Requests whose answers have not been sent, in their order.
-    requested : bool
-        Whether part of a request has arrived on it.
     input_ended : bool
         Whether further data from the caller is ignored.
     ended_input : EndedInput or None
@@ -152,7 +150,6 @@
         self.parser = httptools.HttpRequestParser(self)
         self.last_active = self.read_at = clock.now()
         self.written = self.acknowledged = 0
-        self.requested = False
         self.input_ended = False
         self.ended_input: EndedInput | None = None
         self.reserved = self.discarded = 0
@@ -317,7 +314,6 @@
         if self.input_ended:
             return
         self.reset_request()
-        self.requested = True
         self.boundary_in_chunk = True
         self.request_started = clock.now()
 
@@ -585,7 +581,7 @@
     def expects_first_request(self) -> bool:
         """Return whether the connection was opened a moment ago for a request."""
         waited = clock.now() - self.last_active
-        return not self.requested and waited < FIRST_REQUEST_SECONDS
+        return not self.written and waited < FIRST_REQUEST_SECONDS
 
     def refuse_early(self) -> None:
         """Refuse a request whose head tells that it can't be served."""
@@ -648,8 +644,7 @@
         if self.undelivered_bytes() and not self.stalled(now):
             left, latest = CLOSE_TIMEOUT, now + MAX_CLOSE_SECONDS
         else:
-            last_active = max(self.last_active, self.read_at)
-            left = min(latest, last_active + CLOSE_TIMEOUT) - now
+            left = min(latest, self.seen_at + CLOSE_TIMEOUT) - now
         if left <= 0:
             self.close()
         else:
@@ -662,7 +657,12 @@
         it was sent; otherwise the kernel's probes find it earlier.
         """
         self.observe_reading(now)
-        return now - max(self.last_active, self.read_at) > self.limits.idle_timeout
+        return now - self.seen_at > self.limits.idle_timeout
+
+    @property
+    def seen_at(self) -> float:
+        """Return when the caller has last sent or was found to have read."""
+        return max(self.last_active, self.read_at)
 
     def observe_reading(self, now: float) -> None:
         """Find out whether the caller has read since this was called last.
@@ -672,10 +672,8 @@
         narrow link longer than any timeout.
         """
         self.count_unread()
-        before, self.acknowledged = (
-            self.acknowledged,
-            self.written - self.undelivered_bytes(),
-        )
+        before = self.acknowledged
+        self.acknowledged = self.written - self.undelivered_bytes()
         if self.acknowledged > before:
             self.read_at = now
 
@@ -709,8 +707,6 @@
         Counts request bodies and unread answers.
     slow_callers : set of CallerConnection
         Connections with unread answers.
-    unread : int
-        Total size of the unread answers.
     policy : BodyPolicy
         Answers requests whose bodies are not read.
     last_input_at : float
@@ -740,7 +736,6 @@
         self.policy: BodyPolicy = ReadAllBodies()
         self.connections: set[CallerConnection] = set()
         self.slow_callers: set[CallerConnection] = set()
-        self.unread = 0
         self.closing = False
         self.last_input_at = self.last_request_at = float("-inf")
         self.requests = 0
@@ -765,7 +760,6 @@
             self.slow_callers.add(connection)
         else:
             self.slow_callers.discard(connection)
-        self.unread += change
         self.memory.change_unread(change)
         if change > 0:
             self.close_slow_callers()
@@ -804,7 +798,7 @@
     def holds_too_much_unread(self) -> bool:
         """Return whether unread answers exceed the limit of the account."""
         share = UNREAD_SHARE * self.memory.limit
-        return self.memory.exceeded and self.unread > share
+        return self.memory.exceeded and self.memory.unread > share
 
     def tick(self, now: float) -> None:
         """Check the timeouts of all connections."""
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -149,13 +149,15 @@
         """
         arrived = clock.now()
         began = arrived - request.upload_seconds
-        parent = self.attempts.home.parents.kind_of_parent(
-            request.header(self.names.call_id)
-        )
-        self.upstream_calls |= parent is not None
         table = self.state.table
         if table is None:
             return self.refuse(request, "no-configuration", RETRY_AFTER_SECONDS)
+        parent = None
+        if table.has_large_bodies or not self.upstream_calls:
+            parent = self.attempts.home.parents.kind_of_parent(
+                request.header(self.names.call_id)
+            )
+            self.upstream_calls |= parent is not None
         route = table.match(request.header("host"), request.target)
         if route is None:
             return self.no_route(request)
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -84,8 +84,6 @@
         Whether this node is about to stop and refuses new calls.
     plan : StopPlan
         What is taken until the exit, once the node stops.
-    ends_by : float
-        When calls that are started have to end; infinite until the node stops.
     reachable : callable
         Tells whether the home of an endpoint takes calls, as far as this node knows.
     evacuated : bool
@@ -121,7 +119,6 @@
         self.calls: dict[Hashable, ActiveCall] = {}
         self.leaving = False
         self.plan = RUNNING
-        self.ends_by = inf
         self.reachable: Callable[[Endpoint], bool] = lambda endpoint: True  # noqa: ARG005
         self.evacuated = False
         self.evacuation_ended_at = 0
@@ -231,7 +228,7 @@
 
     def stop(self, plan: StopPlan) -> None:
         """Start no call from now on that the exit of this process might cut off."""
-        self.plan, self.ends_by = plan, plan.ends_by
+        self.plan = plan
         for arrival in list(self.admission.queue.values()):
             call = self.calls[arrival.ticket].call
             refusal = self.outlasting_refusal(call, queued=True)
@@ -240,6 +237,11 @@
                     Refused(arrival, refusal.reason, refusal.retry_after)
                 )
 
+    @property
+    def ends_by(self) -> float:
+        """Return when calls that are started have to end, infinite until a stop."""
+        return self.plan.ends_by
+
     @property
     def stopping(self) -> bool:
         """Return whether this node was told to stop."""
@@ -263,7 +265,8 @@
         """Return why a call is refused regardless of load, None if it is not."""
         if self.leaving or clock.now() > self.ends_by:
             # The process may not have run when it was due to leave.
-            return NotRun(RefusalReason.LEAVING, self.leaving_retry_after(call))
+            retry_after = self.leaving_retry_after(self.goes_elsewhere(call))
+            return NotRun(RefusalReason.LEAVING, retry_after)
         refusal = self.outlasting_refusal(call)
         if refusal is not None:
             return refusal
@@ -302,14 +305,21 @@
             return None
         now = clock.now()
         wait = 0.0 if queued else self.admission.wait_for_rank(call.rank, now)
-        ends_in_time = now + wait + self.longest(call, now) <= self.ends_by
-        if ends_in_time and not self.goes_elsewhere(call):
+        longest, elsewhere = self.longest(call, now), self.goes_elsewhere(call)
+        if now + wait + longest <= self.ends_by and not elsewhere:
             return None
-        return self.refuse_outlasting(call, wait, queued)
+        return self.refuse_outlasting(call, longest, elsewhere, wait, queued)
 
-    def refuse_outlasting(self, call: HomeCall, wait: float, queued: bool) -> NotRun:
+    def refuse_outlasting(
+        self,
+        call: HomeCall,
+        longest: float,
+        elsewhere: bool,
+        wait: float = 0.0,
+        queued: bool = True,
+    ) -> NotRun:
         """Count and log the refusal of a call that may outlast this node."""
-        now, retry_after = clock.now(), self.leaving_retry_after(call)
+        now, retry_after = clock.now(), self.leaving_retry_after(elsewhere)
         self.counts[OUTLASTING] += 1
         self.log.call(
             "home-refused",
@@ -319,8 +329,8 @@
             left=f"{call.deadline - now:.3f}",
             ends=f"{self.ends_by - now:.3f}",
             wait=f"{wait:.3f}",
-            longest=f"{self.longest(call, now):.3f}",
-            elsewhere=self.goes_elsewhere(call),
+            longest=f"{longest:.3f}",
+            elsewhere=elsewhere,
             last_resort=call.last_resort,
             queued=queued,
             retry_after=f"{retry_after:.3f}",
@@ -339,9 +349,15 @@
         """Return whether another home may take a call that this one refuses."""
         return not call.last_resort and self.has_other_homes(call.incarnation)
 
-    def leaving_retry_after(self, call: HomeCall) -> float:
-        """Return the Retry-After of a call that is refused as this node stops."""
-        if not self.stopping or self.goes_elsewhere(call):
+    def leaving_retry_after(self, elsewhere: bool) -> float:
+        """Return the Retry-After of a call that is refused as this node stops.
+
+        Parameters
+        ----------
+        elsewhere : bool
+            Whether another home may take the call.
+        """
+        if elsewhere or not self.stopping:
             return LEAVING_RETRY_AFTER
         return self.plan.back_after(clock.now())
 
@@ -380,8 +396,7 @@
         for arrival in list(self.admission.queue.values()):
             seconds = self.held_seconds(self.calls[arrival.ticket].call)
             if seconds:
-                self.admission.cancel(arrival.ticket)
-                self.refuse(Refused(arrival, RefusalReason.HELD_BACK, seconds))
+                self.refuse_queued(Refused(arrival, RefusalReason.HELD_BACK, seconds))
         self.dispatch()
 
     def dispatch(self) -> None:
@@ -685,9 +700,8 @@
         for arrival in waiting:
             incarnation = self.calls[arrival.ticket].call.incarnation
             if incarnation in overdue:
-                self.admission.cancel(arrival.ticket)
                 reason = self.departure_reason(incarnation)
-                self.refuse(Refused(arrival, reason, LEAVING_RETRY_AFTER))
+                self.refuse_queued(Refused(arrival, reason, LEAVING_RETRY_AFTER))
 
     def refuse_calls_beyond_exit(self, now: float) -> None:
         """Refuse queued calls that the exit of this process might cut off.
@@ -700,8 +714,10 @@
             call = self.calls[arrival.ticket].call
             if arrival.deadline <= self.ends_by or not (call.remote or self.leaving):
                 continue
-            if now + self.longest(call, now) > self.ends_by:
-                refusal = self.refuse_outlasting(call, 0.0, queued=True)
+            longest = self.longest(call, now)
+            if now + longest > self.ends_by:
+                elsewhere = self.goes_elsewhere(call)
+                refusal = self.refuse_outlasting(call, longest, elsewhere)
                 self.refuse_queued(
                     Refused(arrival, refusal.reason, refusal.retry_after)
                 )
@@ -722,8 +738,7 @@
             # Entries may not know of the evacuation yet. Queued calls are refused so
             # that they can still be served in another zone.
             for arrival in list(self.admission.queue.values()):
-                self.admission.cancel(arrival.ticket)
-                self.refuse(
+                self.refuse_queued(
                     Refused(
                         arrival, RefusalReason.ZONE_EVACUATED, EVACUATED_RETRY_AFTER
                     )
--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -57,8 +57,8 @@
         Set once no further request is read.
     input_ended_at : float
         When that was.
-    requests_before : int
-        Requests that had been read when callers had been moved to other nodes.
+    requests_before : int or None
+        Requests that had been read when callers had had time to leave; None until then.
     """
 
     def __init__(
@@ -80,7 +80,7 @@
         self.timers = Deadlines()
         self.input_ended = asyncio.Event()
         self.input_ended_at = inf
-        self.requests_before = 0
+        self.requests_before: int | None = None
 
     def begin(self, settings: SidecarSettings, late: float = 0.0) -> None:
         """Begin to stop, and stay reachable while callers move away.
@@ -117,8 +117,8 @@
 
     @property
     def late_requests(self) -> int:
-        """Return how many requests have come after callers were moved."""
-        if clock.now() < self.plan.accepts_until:
+        """Return how many requests have come after callers had had time to leave."""
+        if self.requests_before is None:
             return 0
         return self.callers.requests - self.requests_before
 
@@ -167,9 +167,16 @@
         asyncio.get_running_loop().call_soon(turned)
 
     def stop_accepting(self) -> None:
-        """Accept no more connections."""
+        """Accept no more connections of callers."""
+        assert self.began_at is not None
         self.callers.stop_accepting()
-        self.log_accepting_ended()
+        self.log.event(
+            "accepting-ended",
+            after=f"{clock.now() - self.began_at:.3f}",
+            connections=len(self.callers.connections),
+            calls=self.callers.unanswered,
+            home_calls=len(self.home.calls),
+        )
 
     def end_unused_input(self) -> None:
         """Close idle connections; end the input if none may bring a request."""
@@ -184,23 +191,14 @@
             self.callers.end_input()
             self.input_ended.set()
 
-    def log_accepting_ended(self) -> None:
-        """Log what is in progress as this node closes its listener for callers."""
-        assert self.began_at is not None
-        self.log.event(
-            "accepting-ended",
-            after=f"{clock.now() - self.began_at:.3f}",
-            connections=len(self.callers.connections),
-            calls=self.callers.unanswered,
-            home_calls=len(self.home.calls),
-        )
-
     async def finish(self) -> None:
         """Wait until callers and other nodes have received what they were sent."""
         await self.input_ended.wait()
         latest = self.plan.exits_at + LAST_ANSWERS_SECONDS
         while not self.idle and clock.now() < latest:
             await asyncio.sleep(POLL_SECONDS)
+        # The process may not have run in the time in which they are refused.
+        self.home.refuse_calls_beyond_exit(clock.now())
 
     @property
     def idle(self) -> bool:
--- a/sequoiaspoke/tests/test_callerserver_memory.py
+++ b/sequoiaspoke/tests/test_callerserver_memory.py
@@ -305,7 +305,7 @@
             self.assertEqual(self.memory.held, connection.transport.buffered)
             self.assertTrue(self.memory.held > 2000)
             connection.transport.read_all()
-            self.assertEqual((self.memory.held, self.server.unread), (0, 0))
+            self.assertEqual((self.memory.held, self.memory.unread), (0, 0))
 
         self.play(1 << 20, scenario)
 
--- a/sequoiaspoke/tests/test_mesh_stopping.py
+++ b/sequoiaspoke/tests/test_mesh_stopping.py
@@ -1,6 +1,7 @@
 """Tests of calls to homes that were told to stop, on a virtual clock."""
 
 import asyncio
+from dataclasses import replace
 
 from testtools import TestCase
 
@@ -27,7 +28,9 @@
             statuses = []
             for number in range(CALLS):
                 for host in stopping:
-                    world.nodes[host].home.ends_by = clock.now() + EXIT_SECONDS
+                    home = world.nodes[host].home
+                    ends_by = clock.now() + EXIT_SECONDS
+                    home.plan = replace(home.plan, ends_by=ends_by)
                 answer = await entry.handle(world.request("order", f"order-{number}"))
                 statuses.append(answer.status)
             for node in world.nodes.values():
