--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -269,15 +269,25 @@
             before = self.sidecar.ticked_at
             await self.until(lambda before=before: self.sidecar.ticked_at > before)
 
-    def answer(self, late=False):
-        """Answer the call, and those that came after the signal if there are any."""
-        first, *others = self.sent
-        for attempt in others if late else ():
-            attempt.finish(Answer(200, (), b"late"), LoadReport())
-        first.finish(Answer(200, (), b"served"), LoadReport())
-
-    def assert_answered(self):
-        """Check that the call was answered, and its connection closed."""
+    def play_stop(self, scenario, late=tuple):
+        """Play a scenario, and check what is answered after it.
+
+        Parameters
+        ----------
+        late : callable
+            Returns the callers whose requests came after the signal.
+        """
+
+        async def answered():
+            await scenario()
+            first, *others = self.sent
+            for attempt in others:
+                attempt.finish(Answer(200, (), b"late"), LoadReport())
+            first.finish(Answer(200, (), b"served"), LoadReport())
+
+        self.play(answered)
+        for caller in late():
+            self.assertTrue(received(caller).endswith(b"late"))
         seen = received(self.caller)
         self.assertIn(b"Connection: close", seen)
         self.assertTrue(seen.endswith(b"served"))
@@ -290,10 +300,8 @@
             await self.ticked()
             with self.assertRaises(ConnectionRefusedError):
                 self.connect_late()
-            self.answer()
 
-        self.play(scenario)
-        self.assert_answered()
+        self.play_stop(scenario)
 
     def test_idle_connections_are_closed_after_callers_had_time_to_leave(self):
         # A request that was sent on one late was lost with the process.
@@ -303,10 +311,8 @@
             await self.ticked()
             self.idle.setblocking(False)
             self.assertEqual(self.idle.recv(1), b"")
-            self.answer()
 
-        self.play(scenario)
-        self.assert_answered()
+        self.play_stop(scenario)
 
     def test_requests_that_came_while_the_process_was_held_are_answered(self):
         # The listener is closed in the first moment in which the process runs again.
@@ -318,12 +324,8 @@
                 caller.sendall(REQUEST % (b"read", 2))
             time.sleep(HOLD)
             await self.until(lambda: len(self.sent) == 3)
-            self.answer(late=True)
 
-        self.play(scenario)
-        for caller in (self.idle, self.late):
-            self.assertTrue(received(caller).endswith(b"late"))
-        self.assert_answered()
+        self.play_stop(scenario, lambda: (self.idle, self.late))
 
     def test_the_listener_is_closed_while_data_comes_all_the_time(self):
         # It was kept open until three turns of the event loop had brought no data.
@@ -339,10 +341,8 @@
                     self.upload.sendall(b"b")
                     await asyncio.sleep(0)
             self.upload.close()
-            self.answer()
 
-        self.play(scenario)
-        self.assert_answered()
+        self.play_stop(scenario)
 
     def test_connections_that_wait_as_the_listener_is_closed_are_served(self):
         # A turn of the event loop accepts one of them.
@@ -355,12 +355,8 @@
             with self.assertRaises(ConnectionRefusedError):
                 self.connect_late()
             await self.until(lambda: len(self.sent) == self.WAITING + 1)
-            self.answer(late=True)
 
-        self.play(scenario)
-        for caller in self.late:
-            self.assertTrue(received(caller).endswith(b"late"))
-        self.assert_answered()
+        self.play_stop(scenario, lambda: self.late)
 
     def test_the_first_request_of_a_new_connection_is_read(self):
         # Its connection was closed between the two.
@@ -370,11 +366,8 @@
             await self.until(lambda: not self.sidecar.callers.accepting)
             self.late.sendall(REQUEST % (b"read", 2))
             await self.until(lambda: len(self.sent) == 2)
-            self.answer(late=True)
 
-        self.play(scenario)
-        self.assertTrue(received(self.late).endswith(b"late"))
-        self.assert_answered()
+        self.play_stop(scenario, lambda: (self.late,))
 
     def test_the_calls_of_an_upstream_are_accepted_while_it_runs_others(self):
         # The call that makes them would fail.
@@ -394,10 +387,8 @@
             await self.ticked()
             with self.assertRaises(ConnectionRefusedError):
                 self.connect_late()
-            self.answer()
 
-        self.play(scenario)
-        self.assert_answered()
+        self.play_stop(scenario)
 
     def test_an_upload_that_would_be_refused_is_refused_as_callers_have_left(self):
         # It was read until its end came, which was lost with the process.
@@ -411,10 +402,8 @@
             await self.ticked()
             self.upload.setblocking(False)
             self.assertTrue(self.upload.recv(64).startswith(b"HTTP/1.1 503"))
-            self.answer()
 
-        self.play(scenario)
-        self.assert_answered()
+        self.play_stop(scenario)
 
 
 class LateUploadTests(ExitTestCase):
