--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -59,6 +59,8 @@
         When that was.
     requests_before : int or None
         Requests that had been read when callers had had time to leave; None until then.
+    accepting_kept : bool
+        Whether connections were still accepted after that, for calls of the upstream.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         self.input_ended = asyncio.Event()
         self.input_ended_at = inf
         self.requests_before: int | None = None
+        self.accepting_kept = False
 
     def begin(self, settings: SidecarSettings, late: float = 0.0) -> None:
         """Begin to stop, and stay reachable while callers move away.
@@ -133,11 +136,28 @@
             return
         if not self.callers.accepting:
             self.end_unused_input()
-        elif now >= self.plan.accepts_until and not self.upstream_may_call:
+        elif now >= self.plan.accepts_until:
+            if self.upstream_may_call:
+                self.keep_accepting()
+                return
             self.stop_accepting()
             # What was accepted may bring a request.
             PolledCall(self.end_unused_input)
 
+    def keep_accepting(self) -> None:
+        """Log once that the listener stays open for calls of the upstream."""
+        if self.accepting_kept:
+            return
+        self.accepting_kept = True
+        self.log.event(
+            "accepting-kept",
+            connections=len(self.callers.connections),
+            calls=self.callers.unanswered,
+            home_calls=len(self.home.calls),
+            upstream_calls=self.entry.upstream_calls,
+            answers=self.home.counts[Answer.__name__],
+        )
+
     @property
     def upstream_may_call(self) -> bool:
         """Return whether the upstream may make a call for one that it runs."""
