Close idle connections of a stopping node whose own upstream runs a call

What callers saw: a request that was sent to a stopping node late in its grace ended without an answer if the process got no processor from then until its kill.

Cause: while the home ran any call, and its upstream had ever made a call of its own or had given fewer than 100 answers, the listener and all idle connections stayed open until half a second before the exit. Taking what the upstream may need and taking what anybody sends were one decision.

The listener stays open only while calls run or wait at the home that may make calls, which is known by kind of call (20 answers of a kind without such calls); its backlog is lowered to their number. The id of the parent tells calls of the upstream from others only once they are read, so that the listener can't be closed to others alone.

Entry.upstream_calls is gone; tests that set it record answers and calls of a kind.

--- a/sequoiaspoke/core/mesh/parents.py
+++ b/sequoiaspoke/core/mesh/parents.py
@@ -8,11 +8,16 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Hashable
 
+# Answers after which a kind of call that has made no calls is taken for one that makes
+# none.
+ANSWERS_TO_KNOW = 20
+
 
 class RunningParents:
     """Ids and kinds of the calls that run at the upstream beside a node."""
@@ -31,9 +36,39 @@
 
     def kind_of_parent(self, call_id: str) -> Hashable | None:
         """Return the kind of the running call that makes a call, None for none."""
+        if not self.kinds:
+            return None
         for end, character in enumerate(call_id):
             if not character.isalnum():
                 kind = self.kinds.get(call_id[:end])
                 if kind is not None:
                     return kind
         return None
+
+
+class CallingKinds:
+    """Which kinds of calls make calls of their own, as far as that is known.
+
+    Attributes
+    ----------
+    answers : Counter
+        Answers to the calls of each kind.
+    calling : set
+        Kinds that have made calls.
+    """
+
+    def __init__(self) -> None:
+        self.answers: Counter[Hashable] = Counter()
+        self.calling: set[Hashable] = set()
+
+    def record_answer(self, kind: Hashable) -> None:
+        """Record that a call of a kind was answered."""
+        self.answers[kind] += 1
+
+    def record_nested(self, kind: Hashable) -> None:
+        """Record that a call of a kind has made a call."""
+        self.calling.add(kind)
+
+    def may_call(self, kind: Hashable) -> bool:
+        """Return whether a call of a kind may make calls."""
+        return kind in self.calling or self.answers[kind] < ANSWERS_TO_KNOW
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -94,8 +94,6 @@
         Calls without a final answer.
     withdrawals : Deadlines
         Times at which calls are withdrawn if they have not been started.
-    upstream_calls : bool
-        Whether the upstream beside this node has made calls while it ran others.
     counts : Counter of tuple of str and str
         Final answers so far, by service and status.
     stripped_headers : frozenset of str
@@ -125,7 +123,6 @@
         self.active: set[Progress] = set()
         self.deadlines = Deadlines()
         self.withdrawals = Deadlines()
-        self.upstream_calls = False
         self.counts: Counter[tuple[str, str]] = Counter()
         self.reasons = self.attempts.reasons
         self.stripped_headers = frozenset(
@@ -152,12 +149,10 @@
         table = self.state.table
         if table is None:
             return self.refuse(request, "no-configuration", RETRY_AFTER_SECONDS)
-        parent = None
-        if table.has_large_bodies or not self.upstream_calls:
-            parent = self.attempts.home.parents.kind_of_parent(
-                request.header(self.names.call_id)
-            )
-            self.upstream_calls |= parent is not None
+        home = self.attempts.home
+        parent = home.parents.kind_of_parent(request.header(self.names.call_id))
+        if parent is not None:
+            home.calling_kinds.record_nested(parent)
         route = table.match(request.header("host"), request.target)
         if route is None:
             return self.no_route(request)
@@ -195,8 +190,7 @@
             progress.discard()
         if parent is not None and table.has_large_bodies:
             failed = answer.status in SHORTAGE_STATUSES
-            room = self.attempts.home.nested_room
-            room.record(service, failed, clock.now(), parent)
+            home.nested_room.record(service, failed, clock.now(), parent)
         self.counts[service, str(answer.status)] += 1
         self.latency.record_value(max(1, int((clock.now() - arrived) * 1000)))
         return answer
--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -9,6 +9,8 @@
     "address-taken": "an address to listen on is taken; the process waits for it",
     "address-free": "the addresses to listen on are free after a wait",
     "accepting-ended": "a stopping node accepts no more connections of callers",
+    "accepting-limited": "a stopping node accepts only a few more connections, as its "
+    "upstream may make calls",
     "calls-withdrawn": "calls that no upstream has are taken back before the exit",
     "last-answers": "what a stopping node has left after it has answered its calls",
     "end": "the process ends, after a stop or because of an invalid setting",
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from dataclasses import replace
 from functools import partial
+from itertools import chain
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -30,7 +31,7 @@
     NotRun,
     Unknown,
 )
-from sequoiaspoke.core.mesh.parents import RunningParents
+from sequoiaspoke.core.mesh.parents import CallingKinds, RunningParents
 from sequoiaspoke.core.mesh.slots import CANCEL_SECONDS
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.crashdetector import CrashDetector, SentCall
@@ -113,6 +114,7 @@
         self.admission = Admission(INITIAL_SLOTS)
         self.nested_room = self.admission.nested_room
         self.parents = RunningParents()
+        self.calling_kinds = CallingKinds()
         self.call_id_header = ""
         self.upstream_bytes = self.admission.upstream_bytes
         self.ledger = Ledger()
@@ -247,6 +249,13 @@
         """Return whether this node was told to stop."""
         return self.ends_by != inf
 
+    @property
+    def calling(self) -> int:
+        """Return how many calls run or wait here that may make calls of their own."""
+        running = self.nested_room.running.values()
+        waiting = (each.kind for each in self.admission.queue.values())
+        return sum(map(self.calling_kinds.may_call, chain(running, waiting)))
+
     def link_lost(self, source: BodySource) -> None:
         """Allow for bodies whose link to their entry has ended."""
         self.bodies.link_lost(source, clock.now())
@@ -431,6 +440,7 @@
             self.apply_outcome(running, outcome)
             if isinstance(outcome, Answer):
                 self.crash_guard.answered(call.incarnation, call.request)
+                self.calling_kinds.record_answer(self.nested_room.running.get(key))
         finally:
             self.crash_detector.call_ended(key)
             if outcome is None:
--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -6,7 +6,6 @@
 from math import inf
 from typing import TYPE_CHECKING
 
-from sequoiaspoke.core.mesh.outcome import Answer
 from sequoiaspoke.polling import PolledCall
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.deadlines import Deadlines
@@ -26,9 +25,6 @@
 # Turns of the event loop without new input after which all that had arrived was read:
 # one connects what was accepted, and the next one reads from it.
 QUIET_TURNS = 3
-# Answers of the upstream after which one that has made no calls is taken for one that
-# makes none.
-ANSWERS_TO_KNOW = 100
 # Seconds between two checks whether everything that was sent has been received.
 POLL_SECONDS = 0.005
 
@@ -39,9 +35,9 @@
     Callers are moved to other nodes meanwhile. Once they had time for that, no
     connections are accepted and idle ones are closed, whatever is in progress: what the
     kernel accepts from then on would be lost if the process was killed before it ran
-    again. Only an upstream that may make calls of its own keeps the listener open. The
-    input ends with the last request, or some time before the exit, so that none is read
-    which nobody would answer.
+    again. Only for the calls that the upstream may make while it runs others, a few
+    connections are still accepted. The input ends with the last request, or some time
+    before the exit, so that none is read which nobody would answer.
 
     Attributes
     ----------
@@ -59,8 +55,8 @@
         When that was.
     requests_before : int or None
         Requests that had been read when callers had had time to leave; None until then.
-    accepting_kept : bool
-        Whether connections were still accepted after that, for calls of the upstream.
+    accepting_for : int
+        Calls of the upstream for whose own calls connections were still accepted then.
     """
 
     def __init__(
@@ -83,7 +79,7 @@
         self.input_ended = asyncio.Event()
         self.input_ended_at = inf
         self.requests_before: int | None = None
-        self.accepting_kept = False
+        self.accepting_for = 0
 
     def begin(self, settings: SidecarSettings, late: float = 0.0) -> None:
         """Begin to stop, and stay reachable while callers move away.
@@ -137,32 +133,36 @@
         if not self.callers.accepting:
             self.end_unused_input()
         elif now >= self.plan.accepts_until:
-            if self.upstream_may_call:
-                self.keep_accepting()
+            calling = self.home.calling
+            if calling:
+                self.accept_for_upstream(calling)
                 return
             self.stop_accepting()
             # What was accepted may bring a request.
             PolledCall(self.end_unused_input)
 
-    def keep_accepting(self) -> None:
-        """Log once that the listener stays open for calls of the upstream."""
-        if self.accepting_kept:
-            return
-        self.accepting_kept = True
-        self.log.event(
-            "accepting-kept",
-            connections=len(self.callers.connections),
-            calls=self.callers.unanswered,
-            home_calls=len(self.home.calls),
-            upstream_calls=self.entry.upstream_calls,
-            answers=self.home.counts[Answer.__name__],
-        )
+    def accept_for_upstream(self, calling: int) -> None:
+        """Accept no more connections than the upstream may need; close idle ones.
 
-    @property
-    def upstream_may_call(self) -> bool:
-        """Return whether the upstream may make a call for one that it runs."""
-        known = self.home.counts[Answer.__name__] >= ANSWERS_TO_KNOW
-        return bool(self.home.calls) and (self.entry.upstream_calls or not known)
+        Callers and the upstream share an address, so that only the number of those
+        that wait can be limited.
+
+        Parameters
+        ----------
+        calling : int
+            Calls at the upstream that may make calls of their own.
+        """
+        if calling != self.accepting_for:
+            self.accepting_for = calling
+            self.callers.limit_waiting(calling)
+            self.log.event(
+                "accepting-limited",
+                calling=calling,
+                connections=len(self.callers.connections),
+                calls=self.callers.unanswered,
+                home_calls=len(self.home.calls),
+            )
+        self.callers.close_idle()
 
     def end_input_once_read(self, quiet_turns: int = 0) -> None:
         """End the input once everything that has arrived is read.
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import socket
 import sys
@@ -226,6 +227,16 @@
                 self.connect_tasks.add(task)
                 task.add_done_callback(self.connect_tasks.discard)
 
+    def limit_waiting(self, connections: int) -> None:
+        """Let one connection more than this wait to be accepted.
+
+        The kernel drops the first packet of others, which is sent again after a second.
+        """
+        for listener in self.listeners:
+            # The backlog of a socket that listens may be changed.
+            with contextlib.suppress(OSError):
+                listener.listen(connections)
+
     async def connect(self, sock: socket.socket) -> None:
         """Have the event loop serve an accepted connection."""
         sock.setblocking(False)
--- a/sequoiaspoke/tests/test_mesh_parents.py
+++ b/sequoiaspoke/tests/test_mesh_parents.py
@@ -2,7 +2,11 @@
 
 from testtools import TestCase
 
-from sequoiaspoke.core.mesh.parents import RunningParents
+from sequoiaspoke.core.mesh.parents import (
+    ANSWERS_TO_KNOW,
+    CallingKinds,
+    RunningParents,
+)
 
 
 class RunningParentsTests(TestCase):
@@ -26,3 +30,25 @@
     def test_an_upstream_without_ids_makes_no_nested_calls(self):
         self.parents.begin("", "order")
         self.assertIsNone(self.parents.kind_of_parent(".9f"))
+
+
+class CallingKindsTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.kinds = CallingKinds()
+
+    def answer(self, count):
+        for _ in range(count):
+            self.kinds.record_answer("view")
+
+    def test_a_kind_may_make_calls_until_its_answers_show_that_it_makes_none(self):
+        self.answer(ANSWERS_TO_KNOW - 1)
+        self.assertTrue(self.kinds.may_call("view"))
+        self.answer(1)
+        self.assertFalse(self.kinds.may_call("view"))
+        self.assertTrue(self.kinds.may_call("order"))
+
+    def test_a_kind_that_has_made_a_call_may_make_more(self):
+        self.kinds.record_nested("view")
+        self.answer(ANSWERS_TO_KNOW)
+        self.assertTrue(self.kinds.may_call("view"))
--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import time
 from random import Random
@@ -13,6 +14,7 @@
 from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.model import MeshConfig, Service
 from sequoiaspoke.core.mesh.outcome import Answer
+from sequoiaspoke.core.mesh.parents import ANSWERS_TO_KNOW
 from sequoiaspoke.core.mesh.table import RouteTable
 from sequoiaspoke.sidecar import clock, stopplan
 from sequoiaspoke.sidecar.app import Sidecar
@@ -245,12 +247,9 @@
         self.assertTrue(received(self.caller).endswith(b"/order/1body"))
 
 
-class LateCallerTests(ExitTestCase):
+class LateCallerTestCase(ExitTestCase):
     """A node is told to stop while another one runs a call of its caller."""
 
-    # Connections that wait to be accepted.
-    WAITING = 20
-
     async def begin(self, name=b"order"):
         """Have a call run when the node is told to stop and callers have left."""
         self.caller = await self.connect()
@@ -292,6 +291,11 @@
         self.assertIn(b"Connection: close", seen)
         self.assertTrue(seen.endswith(b"served"))
 
+
+class LateCallerTests(LateCallerTestCase):
+    # Connections that wait to be accepted.
+    WAITING = 20
+
     def test_connections_are_refused_after_callers_had_time_to_leave(self):
         # They were accepted until just before the exit, and lost if the process was
         # killed before it ran again.
@@ -369,39 +373,120 @@
 
         self.play_stop(scenario, lambda: (self.late,))
 
-    def test_the_calls_of_an_upstream_are_accepted_while_it_runs_others(self):
-        # The call that makes them would fail.
+    def test_an_upload_that_would_be_refused_is_refused_as_callers_have_left(self):
+        # It was read until its end came, which was lost with the process.
+        async def scenario():
+            self.upload = await self.connect()
+            upload = REQUEST.replace(b"1000", b"9000").replace(b"\r\n\r\n", UPLOAD)
+            self.upload.sendall(upload % (b"order", 2))
+            (connection,) = self.sidecar.callers.connections
+            await self.until(lambda: connection.head_complete)
+            await self.begin()
+            await self.ticked()
+            self.upload.setblocking(False)
+            self.assertTrue(self.upload.recv(64).startswith(b"HTTP/1.1 503"))
+
+        self.play_stop(scenario)
+
+
+class CallingUpstreamTests(LateCallerTestCase):
+    """The upstream beside the node, which makes calls, runs a call as well."""
+
+    # Callers that connect while the process does not run, and how many of them the
+    # kernel may accept: as many as calls run that may make others, and one more.
+    LATE, ACCEPTED = 20, 2
+
+    async def begin(self, name=b"order", kind="parent"):
+        home = self.sidecar.home
+        home.parents.begin("7", "parent")
+        nested = await self.connect()
+        request = REQUEST % (b"read", 1)
+        nested.sendall(request.replace(b"Id: 1", b"Id: 7-1"))
+        await self.until(lambda: self.sent)
+        self.sent.pop().finish(Answer(200, (), b"nested"), LoadReport())
+        home.parents.end("7")
+        home.nested_room.begin("8", kind)
+        home.calls["8"] = None
+        await super().begin(name)
+
+    def end_call(self):
+        """End the call that the upstream runs."""
+        self.sidecar.home.calls.clear()
+        self.sidecar.home.nested_room.running.clear()
+
+    def play_stop(self, scenario, late=tuple):
+        async def ended():
+            await scenario()
+            self.end_call()
+
+        super().play_stop(ended, late)
+
+    def connect_held(self):
+        """Return how many callers the kernel accepts while the process is held."""
+        callers = [socket.socket() for _ in range(self.LATE)]
+        for caller in callers:
+            self.addCleanup(caller.close)
+            caller.setblocking(False)
+            caller.connect_ex(self.sidecar.settings.callers)
+        time.sleep(HOLD)
+        _, connected, _ = select.select([], callers, [], 0)
+        return len(connected)
+
+    def test_connections_are_accepted_until_its_call_has_ended(self):
+        # Without its own calls, the call that makes them would fail.
         async def scenario():
-            home = self.sidecar.home
-            home.parents.begin("7", "kind")
-            nested = await self.connect()
-            request = REQUEST % (b"read", 1)
-            nested.sendall(request.replace(b"Id: 1", b"Id: 7-1"))
-            await self.until(lambda: self.sent)
-            self.sent.pop().finish(Answer(200, (), b"nested"), LoadReport())
-            home.calls["7"] = None
             await self.begin()
             await self.ticked()
             self.connect_late().close()
-            home.calls.clear()
+            self.end_call()
             await self.ticked()
             with self.assertRaises(ConnectionRefusedError):
                 self.connect_late()
 
         self.play_stop(scenario)
 
-    def test_an_upload_that_would_be_refused_is_refused_as_callers_have_left(self):
-        # It was read until its end came, which was lost with the process.
+    def test_few_connections_are_accepted_while_the_process_is_held(self):
+        # All that the kernel had accepted were lost if the process was then killed.
         async def scenario():
-            self.upload = await self.connect()
-            upload = REQUEST.replace(b"1000", b"9000").replace(b"\r\n\r\n", UPLOAD)
-            self.upload.sendall(upload % (b"order", 2))
-            (connection,) = self.sidecar.callers.connections
-            await self.until(lambda: connection.head_complete)
             await self.begin()
             await self.ticked()
-            self.upload.setblocking(False)
-            self.assertTrue(self.upload.recv(64).startswith(b"HTTP/1.1 503"))
+            self.assertTrue(self.connect_held() <= self.ACCEPTED)
+
+        self.play_stop(scenario)
+
+    def test_idle_connections_are_closed_after_callers_had_time_to_leave(self):
+        # A request that was sent on one late was lost with the process.
+        async def scenario():
+            self.idle = await self.connect()
+            await self.begin()
+            await self.ticked()
+            self.idle.setblocking(False)
+            self.assertEqual(self.idle.recv(1), b"")
+
+        self.play_stop(scenario)
+
+    def test_requests_that_came_while_the_process_was_held_are_answered(self):
+        # Idle connections are closed in the first moment in which it runs again.
+        async def scenario():
+            self.idle = await self.connect()
+            await self.begin()
+            self.late = self.connect_late()
+            for caller in (self.idle, self.late):
+                caller.sendall(REQUEST % (b"read", 2))
+            time.sleep(HOLD)
+            await self.until(lambda: len(self.sent) == 3)
+
+        self.play_stop(scenario, lambda: (self.idle, self.late))
+
+    def test_the_listener_is_closed_if_the_running_call_makes_no_others(self):
+        # It was kept open for calls that only those of another kind make.
+        async def scenario():
+            for _ in range(ANSWERS_TO_KNOW):
+                self.sidecar.home.calling_kinds.record_answer("leaf")
+            await self.begin(kind="leaf")
+            await self.ticked()
+            with self.assertRaises(ConnectionRefusedError):
+                self.connect_late()
 
         self.play_stop(scenario)
 
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -13,6 +13,7 @@
 from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.model import MeshConfig, Service
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
+from sequoiaspoke.core.mesh.parents import ANSWERS_TO_KNOW
 from sequoiaspoke.core.mesh.table import RouteTable
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.app import TICK_SECONDS, Sidecar
@@ -21,7 +22,6 @@
 from sequoiaspoke.sidecar.linkfeatures import SUPPORTED, LinkFeatures
 from sequoiaspoke.sidecar.linkserver import AcceptedLink
 from sequoiaspoke.sidecar.settings import SidecarSettings
-from sequoiaspoke.sidecar.shutdown import ANSWERS_TO_KNOW
 from sequoiaspoke.sidecar.stopplan import (
     LINGER_SECONDS,
     RESTART_SECONDS,
@@ -613,8 +613,8 @@
     def test_the_input_ends_some_time_before_the_exit(self):
         # Requests that came while the process got no processor were unread when it was
         # killed. Until then an upstream may make calls for those that it runs.
-        for upstream_calls, answers in ((True, ANSWERS_TO_KNOW), (False, 0)):
-            scenario = partial(self.end_of_input, upstream_calls, answers)
+        for calling, answers in ((True, ANSWERS_TO_KNOW), (False, 0)):
+            scenario = partial(self.end_of_input, calling, answers)
             ended, exited = self.play(scenario)
             self.assertAlmostEqual(ended, DRAIN - SPARE_SHARE * DRAIN, delta=0.01)
             self.assertTrue(DRAIN <= exited <= DRAIN + 0.03)
@@ -622,21 +622,25 @@
     def test_the_input_ends_after_callers_had_time_to_leave(self):
         # A call in progress kept it open, and a suspended process was killed with what
         # the kernel had accepted meanwhile.
-        ended, exited = self.play(partial(self.end_of_input, upstream_calls=False))
+        ended, exited = self.play(partial(self.end_of_input, calling=False))
         self.assertTrue(LINGER_SECONDS <= ended <= LINGER_SECONDS + TICK_SECONDS)
         self.assertTrue(DRAIN <= exited <= DRAIN + 0.03)
 
     def test_a_late_signal_leaves_callers_the_same_time(self):
         # They learn from the node that it stops when it runs again.
         self.held = 0.9
-        ended, _ = self.play(partial(self.end_of_input, upstream_calls=False))
+        ended, _ = self.play(partial(self.end_of_input, calling=False))
         self.assertTrue(LINGER_SECONDS <= ended <= LINGER_SECONDS + TICK_SECONDS)
 
-    async def end_of_input(self, upstream_calls, answers=ANSWERS_TO_KNOW):
+    async def end_of_input(self, calling, answers=ANSWERS_TO_KNOW):
         """Return when the input ends and the node exits, which runs a call."""
-        self.sidecar.entry.upstream_calls = upstream_calls
-        self.sidecar.home.counts["Answer"] = answers
-        self.sidecar.home.calls["runs"] = None
+        home = self.sidecar.home
+        for _ in range(answers):
+            home.calling_kinds.record_answer("kind")
+        if calling:
+            home.calling_kinds.record_nested("kind")
+        home.nested_room.begin("runs", "kind")
+        home.calls["runs"] = None
         self.sidecar.run_ticks()
         await self.sidecar.shutdown.input_ended.wait()
         ended = self.elapsed()
