Show that a stopping node passes on requests behind slow calls

Callers send further requests before the first one is answered. A stopping node closes its listener and idle connections once callers had time to leave, but went on passing on what came behind a call in progress. The answer waits for that call, and is lost if the process is killed.

--- /dev/null
+++ b/sequoiaspoke/tests/test_callerserver_turns.py
@@ -0,0 +1,71 @@
+"""Tests of pipelined requests at a node that stops."""
+
+from sequoiaspoke.core.mesh.outcome import Answer
+from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
+
+SLOW, QUICK = (b"GET /%s HTTP/1.1\r\nHost: x\r\n\r\n" % x for x in (b"slow", b"quick"))
+CLOSE = b"Connection: close"
+
+
+class StoppingTestCase(CallerServerTestCase):
+    """Serves slow requests once the gate is open, and any others at once."""
+
+    def play(self, scenario):
+        async def recorded(reader, writer):
+            self.server.handle = self.handle
+            await scenario(reader, writer)
+
+        super().play(recorded)
+
+    async def handle(self, request):
+        if request.target == "/slow":
+            return await self.handler.handle(request)
+        self.handler.begun.append(request)
+        return Answer(200, (), request.target.encode())
+
+    @property
+    def begun(self):
+        """Return the targets of the requests that were passed on."""
+        return [request.target for request in self.handler.begun]
+
+    async def send(self, writer, data, begun):
+        """Send requests, and wait until a number of them has been passed on."""
+        writer.write(data)
+        await self.until(lambda: len(self.begun) == begun)
+
+    async def stop_accepting(self):
+        """Do what a stopping node does once callers had time to leave."""
+        self.server.closing = True
+        self.server.stop_accepting()
+        self.server.close_idle()
+
+
+class LateTurnTests(StoppingTestCase):
+    def test_a_request_behind_another_is_not_passed_on_after_callers_had_left(self):
+        # Its answer waited for a slower one, and was lost if the process was killed.
+        async def scenario(reader, writer):
+            await self.send(writer, SLOW, 1)
+            await self.stop_accepting()
+            (connection,) = self.server.connections
+            active = connection.last_active
+            writer.write(QUICK)
+            await self.until(lambda: connection.last_active > active)
+            self.handler.gate.set()
+            seen = await reader.read()
+            self.assertEqual(self.begun, ["/slow"])
+            self.assertIn(CLOSE, seen)
+            self.assertTrue(seen.endswith(b"/slow"), seen)
+
+        self.play(scenario)
+
+    def test_requests_that_were_passed_on_before_are_answered(self):
+        async def scenario(reader, writer):
+            await self.send(writer, SLOW + QUICK, 2)
+            await self.stop_accepting()
+            self.handler.gate.set()
+            seen = await reader.read()
+            self.assertEqual(seen.count(b"HTTP/1.1 200"), 2)
+            self.assertEqual(seen.count(CLOSE), 1)
+            self.assertTrue(seen.endswith(b"/quick"), seen)
+
+        self.play(scenario)
--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -369,6 +369,17 @@
 
         self.play_stop(scenario, lambda: (self.late,))
 
+    def test_a_request_behind_a_call_is_not_passed_on(self):
+        # Its answer waited for that of the call, and was lost with the process.
+        async def scenario():
+            await self.begin()
+            await self.until(lambda: not self.sidecar.callers.accepting)
+            self.caller.sendall(REQUEST % (b"read", 2))
+            await self.ticked()
+
+        self.play_stop(scenario)
+        self.assertEqual(len(self.sent), 1)
+
     def test_the_calls_of_an_upstream_are_accepted_while_it_runs_others(self):
         # The call that makes them would fail.
         async def scenario():
