Pass on nothing behind a call in progress after callers had left

Callers saw requests without an answer when a stopping node was killed. Cause: it closes its listener and idle connections 2.6 s after the signal, but a connection with a call in progress went on bringing requests. Each was passed on at once, and its answer waited for the slow one before it.

Such a connection now ends its input at the next head: the answer before it has "Connection: close", and its caller sends the request again, as one that was not read. One "call-unread" line names it.

--- a/sequoiaspoke/sidecar/bodypolicy.py
+++ b/sequoiaspoke/sidecar/bodypolicy.py
@@ -52,6 +52,10 @@
     def call_cut(self, request: Request) -> None:
         """Take note that a call was cut off although its caller waits."""
 
+    @abstractmethod
+    def call_unread(self, head: Request) -> None:
+        """Take note of a request that counts as not read, as its connection ends."""
+
     @abstractmethod
     def input_dropped(self, size: int) -> None:
         """Take note that a connection is closed with received bytes not read yet."""
@@ -84,5 +88,8 @@
     def call_cut(self, request: Request) -> None:
         """Do nothing."""
 
+    def call_unread(self, head: Request) -> None:
+        """Do nothing."""
+
     def input_dropped(self, size: int) -> None:
         """Do nothing."""
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -337,6 +337,9 @@
         if self.asks_upgrade:
             return
         self.head_complete = True
+        if self.pending and not self.server.accepting:
+            self.leave_unread()
+            return
         if not self.target.startswith(b"/") and not self.use_origin_form():
             return
         expects = find_header(self.headers, "expect").lower() == "100-continue"
@@ -350,6 +353,16 @@
             self.continue_due = True
             self.flush()
 
+    def leave_unread(self) -> None:
+        """End the input before a request whose answer would wait for those before it.
+
+        It would be lost with the process if that was killed. Behind an answer that
+        closes the connection the request counts as not read, and is sent again.
+        """
+        self.server.policy.call_unread(self.request(b""))
+        self.request_started = None
+        self.end_input()
+
     def use_origin_form(self) -> bool:
         """Split an absolute target; refuse a malformed one and return False."""
         try:
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -70,6 +70,8 @@
 LEFT_CALLER = "left-caller"
 # Reason counted when a connection is closed with received bytes that were not read.
 INPUT_DROPPED = "input-dropped"
+# Reason counted when a connection ends before a request behind its last answer.
+UNREAD = "unread"
 # Seconds before its deadline at which a call is withdrawn: time for the message and
 # the outcome to pass a busy home and link, and for the answer to reach the caller.
 WITHDRAW_SECONDS, MAX_WITHDRAW_SECONDS = 0.06, 0.1
@@ -251,6 +253,11 @@
         self.reasons[CUT] += 1
         self.log.call("call-cut", request)
 
+    def call_unread(self, head: Request) -> None:
+        """Count and log a call that counts as not read, as its connection ends."""
+        self.reasons[UNREAD] += 1
+        self.log.call("call-unread", head)
+
     def input_dropped(self, size: int) -> None:
         """Count and log a connection that is closed with bytes not read yet."""
         self.reasons[INPUT_DROPPED] += 1
--- a/sequoiaspoke/tests/test_callerserver_turns.py
+++ b/sequoiaspoke/tests/test_callerserver_turns.py
@@ -1,18 +1,35 @@
 """Tests of pipelined requests at a node that stops."""
 
 from sequoiaspoke.core.mesh.outcome import Answer
+from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
 from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
 
 SLOW, QUICK = (b"GET /%s HTTP/1.1\r\nHost: x\r\n\r\n" % x for x in (b"slow", b"quick"))
+# Its second half is missing.
+UPLOAD = (
+    b"POST /upload HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+    b"Expect: 100-continue\r\n\r\nbo"
+)
 CLOSE = b"Connection: close"
 
 
+class UnreadPolicy(ReadAllBodies):
+    """Records the requests that count as not read."""
+
+    def __init__(self):
+        self.unread = []
+
+    def call_unread(self, head):
+        self.unread.append(head.target)
+
+
 class StoppingTestCase(CallerServerTestCase):
     """Serves slow requests once the gate is open, and any others at once."""
 
     def play(self, scenario):
         async def recorded(reader, writer):
             self.server.handle = self.handle
+            self.policy = self.server.policy = UnreadPolicy()
             await scenario(reader, writer)
 
         super().play(recorded)
@@ -48,13 +65,14 @@
             await self.stop_accepting()
             (connection,) = self.server.connections
             active = connection.last_active
-            writer.write(QUICK)
+            writer.write(QUICK + QUICK)
             await self.until(lambda: connection.last_active > active)
             self.handler.gate.set()
             seen = await reader.read()
             self.assertEqual(self.begun, ["/slow"])
             self.assertIn(CLOSE, seen)
             self.assertTrue(seen.endswith(b"/slow"), seen)
+            self.assertEqual(self.policy.unread, ["/quick"])
 
         self.play(scenario)
 
@@ -69,3 +87,31 @@
             self.assertTrue(seen.endswith(b"/quick"), seen)
 
         self.play(scenario)
+
+    def test_a_body_behind_a_call_is_not_read(self):
+        # It would take memory until the call has ended.
+        async def scenario(reader, writer):
+            await self.send(writer, SLOW, 1)
+            await self.stop_accepting()
+            writer.write(UPLOAD)
+            await self.until(lambda: self.policy.unread)
+            self.assertEqual(self.memory.held, 0)
+            self.handler.gate.set()
+            seen = await reader.read()
+            self.assertNotIn(b" 100 ", seen)
+            self.assertTrue(seen.endswith(b"/slow"), seen)
+
+        self.play(scenario)
+
+    def test_a_body_that_was_arriving_before_is_read(self):
+        async def scenario(reader, writer):
+            await self.send(writer, SLOW + UPLOAD, 1)
+            (connection,) = self.server.connections
+            await self.until(lambda: connection.body_size)
+            await self.stop_accepting()
+            writer.write(b"dy")
+            await self.until(lambda: len(self.begun) == 2)
+            self.handler.gate.set()
+            self.assertTrue((await reader.read()).endswith(b"/upload"))
+
+        self.play(scenario)
