Show that finished answers wait for the last answers of a stop

An answer behind a slower call on its connection is finished, and waits until that call is answered, at the latest with the last answers.

--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -61,6 +61,7 @@
     """Runs a sidecar until it ends by itself, as its process does."""
 
     drain = 5.0
+    break_off_after = 4.0
     # Seconds for which the event loop goes on while it is shut down.
     shutdown_seconds = 0.02
 
@@ -76,7 +77,12 @@
         async def main():
             addresses = [free_address() for _ in range(5)]
             settings = SidecarSettings(
-                "n", "fleet", "akaki", *addresses, drain=self.drain
+                "n",
+                "fleet",
+                "akaki",
+                *addresses,
+                drain=self.drain,
+                break_off_after=self.break_off_after,
             )
             self.sidecar = Sidecar(
                 settings, IdleStore(), NoItems(), None, None, Random(1)
@@ -417,6 +423,33 @@
         self.play_stop(scenario)
 
 
+class FinishedAnswerTests(ExitTestCase):
+    # Between the time for callers to leave and the last answers.
+    break_off_after = 3.0
+
+    async def met(self, condition):
+        async with asyncio.timeout(MET_SECONDS):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    def test_it_is_sent_as_soon_as_the_call_before_it_may_be_broken_off(self):
+        # It waited until the last answers, and was lost if the process was killed.
+        async def scenario():
+            self.caller = await self.connect()
+            for number, name in enumerate((b"order", b"read")):
+                request = REQUEST.replace(b"1000", b"9000")
+                self.caller.sendall(request % (name, number))
+            await self.met(lambda: len(self.sent) == 2)
+            self.sent[1].finish(Answer(200, (), b"finished"), LoadReport())
+            self.sidecar.stop()
+            self.skipped += self.break_off_after
+
+        self.play(scenario)
+        seen = received(self.caller)
+        self.assertTrue(seen.startswith(b"HTTP/1.1 502"), seen)
+        self.assertTrue(seen.endswith(b"finished"), seen)
+
+
 class LateUploadTests(ExitTestCase):
     drain = 0.3
 
