Break off calls that finished answers wait for in the last sixth of a stop

Callers that pipeline saw requests without an answer when a stopping node was killed: answers that their upstreams had given waited behind a slower call on their connection until the last answers, 0.5 s before the exit, and a process that did not run from then until its kill lost each of them. The call before them may be broken off from the last sixth of the grace on.

Calls that were read while callers were moved away are now broken off at that moment if finished answers wait for them, 0.45 s earlier than the last answers. They are answered 502 and named by "call-cut"; the others go on.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -13,6 +13,7 @@
 from collections import deque
 from errno import errorcode
 from functools import partial
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import httptools
@@ -84,6 +85,8 @@
         Whether the answer is sent without its body.
     takes_interim : bool
         Whether interim responses may be sent before the answer.
+    read_at : float
+        When the request was complete.
     started : bool
         Whether the request may have been passed on.
     answer_bytes : int
@@ -96,6 +99,7 @@
         self.keep_alive = keep_alive
         self.head_only = head_only
         self.takes_interim = takes_interim
+        self.read_at = clock.now()
         self.started = False
         self.task: asyncio.Task[None] | None = None
         self.answer: Answer | None = None
@@ -519,6 +523,17 @@
         if exchange in self.pending:
             exchange.answer_bytes = len(exchange.answer.body)
             self.server.memory.reserve(exchange.answer_bytes)
+            self.break_off_before_answers()
+
+    def break_off_before_answers(self) -> None:
+        """Break off the calls that finished answers wait for, if that is allowed."""
+        answered = [n for n, each in enumerate(self.pending) if each.answer is not None]
+        for exchange in islice(self.pending, max(answered, default=0)):
+            if exchange.answer is not None or exchange.task is None:
+                continue
+            if exchange.read_at > self.server.may_break_off:
+                return
+            exchange.task.cancel()
 
     def flush(self) -> None:
         """Send the answers that are ready, in the order of their requests."""
@@ -728,6 +743,8 @@
         When the last request was complete; minus infinity before the first one.
     requests : int
         Complete requests so far.
+    may_break_off : float
+        Calls read by this time are broken off if finished answers wait for them.
     accepting : bool
         Whether connections are accepted, and kept for further requests.
     input_ended : bool
@@ -751,6 +768,7 @@
         self.slow_callers: set[CallerConnection] = set()
         self.closing = False
         self.last_input_at = self.last_request_at = float("-inf")
+        self.may_break_off = float("-inf")
         self.requests = 0
         self.accepting = True
         self.input_ended = False
@@ -835,6 +853,18 @@
         for connection in list(self.connections):
             connection.end_if_idle()
 
+    def send_finished(self, may_break_off: float) -> None:
+        """Send finished answers from now on, and break off the calls before them.
+
+        Parameters
+        ----------
+        may_break_off : float
+            Only calls are broken off that were read by this time.
+        """
+        self.may_break_off = may_break_off
+        for connection in list(self.connections):
+            connection.break_off_before_answers()
+
     @property
     def reads_input(self) -> bool:
         """Return whether a connection may bring a further request."""
--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -98,6 +98,7 @@
         self.entry.stop(plan)
         self.home.stop(plan)
         self.timers.call_at(plan.accepts_until, self.count_requests)
+        self.timers.call_at(plan.breaks_off_at, self.send_finished)
         self.timers.call_at(plan.input_ends_at, self.end_input_once_read)
         self.timers.call_at(
             plan.answers_by + LAST_ANSWERS_SECONDS, self.log_last_answers
@@ -115,6 +116,10 @@
         """Keep the number of requests before those of callers that have stayed."""
         self.requests_before = self.callers.requests
 
+    def send_finished(self) -> None:
+        """Send the finished answers, which would be lost if the process was killed."""
+        self.callers.send_finished(self.plan.moved_at)
+
     @property
     def late_requests(self) -> int:
         """Return how many requests have come after callers had had time to leave."""
--- a/sequoiaspoke/sidecar/stopplan.py
+++ b/sequoiaspoke/sidecar/stopplan.py
@@ -50,6 +50,8 @@
         When callers have had time to leave, and no more connections are accepted.
     ends_by : float
         When calls that are taken or sent to an upstream have to end.
+    breaks_off_at : float
+        When calls are broken off for which finished answers wait on their connection.
     withdraws_at : float
         When the calls are taken back that no upstream has and that would be answered
         at `answers_by`. Unlike those at work, they can be told as not run.
@@ -66,6 +68,7 @@
     moved_at: float = inf
     accepts_until: float = inf
     ends_by: float = inf
+    breaks_off_at: float = inf
     withdraws_at: float = inf
     answers_by: float = inf
     input_ends_at: float = inf
@@ -133,6 +136,7 @@
         moved_at=now + min(LINGER_SECONDS, BREAKABLE_SECONDS - late),
         accepts_until=now + LINGER_SECONDS,
         ends_by=now + min(break_off, settings.drain - late - spare),
+        breaks_off_at=now + min(break_off, settings.break_off_after),
         withdraws_at=now + break_off - spare,
         answers_by=now + break_off,
         input_ends_at=now + drain - spare,
--- a/sequoiaspoke/tests/test_callerserver_turns.py
+++ b/sequoiaspoke/tests/test_callerserver_turns.py
@@ -1,6 +1,7 @@
 """Tests of pipelined requests at a node that stops."""
 
 from sequoiaspoke.core.mesh.outcome import Answer
+from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
 from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
 
@@ -115,3 +116,62 @@
             self.assertTrue((await reader.read()).endswith(b"/upload"))
 
         self.play(scenario)
+
+
+class FinishedAnswerTests(StoppingTestCase):
+    """A finished answer behind a slow call was lost if the process was killed."""
+
+    # Long after all requests of a test.
+    LATE = 60.0
+
+    async def until_finished(self, writer):
+        """Send a slow request and a quick one, and wait until that is finished."""
+        await self.send(writer, SLOW + QUICK, 2)
+        (connection,) = self.server.connections
+        await self.until(lambda: connection.pending[-1].answer)
+
+    def test_it_is_sent_and_the_call_before_it_broken_off(self):
+        async def scenario(reader, writer):
+            await self.until_finished(writer)
+            self.server.closing = True
+            self.server.send_finished(clock.now())
+            seen = await reader.read()
+            self.assertTrue(seen.startswith(b"HTTP/1.1 502"), seen)
+            self.assertTrue(seen.endswith(b"/quick"), seen)
+            self.assertEqual(self.handler.cancelled, ["/slow"])
+
+        self.play(scenario)
+
+    def test_one_that_is_finished_later_is_sent_as_well(self):
+        async def scenario(reader, writer):
+            await self.send(writer, SLOW, 1)
+            self.server.closing = True
+            self.server.send_finished(clock.now() + self.LATE)
+            await self.send(writer, QUICK, 2)
+            self.assertTrue((await reader.read()).endswith(b"/quick"))
+
+        self.play(scenario)
+
+    def test_a_call_goes_on_for_which_no_answer_waits(self):
+        async def scenario(reader, writer):
+            await self.send(writer, SLOW + SLOW, 2)
+            self.server.closing = True
+            self.server.send_finished(clock.now())
+            self.handler.gate.set()
+            seen = await reader.read()
+            self.assertEqual(seen.count(b"HTTP/1.1 200"), 2)
+
+        self.play(scenario)
+
+    def test_a_call_that_came_late_is_not_broken_off(self):
+        # It was taken because it ends in time.
+        async def scenario(reader, writer):
+            earlier = clock.now() - self.LATE
+            await self.until_finished(writer)
+            self.server.closing = True
+            self.server.send_finished(earlier)
+            self.handler.gate.set()
+            seen = await reader.read()
+            self.assertEqual(seen.count(b"HTTP/1.1 200"), 2)
+
+        self.play(scenario)
