--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -13,6 +13,7 @@
 from collections import deque
 from errno import errorcode
 from functools import partial
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import httptools
@@ -84,6 +85,8 @@
         Whether the answer is sent without its body.
     takes_interim : bool
         Whether interim responses may be sent before the answer.
+    read_at : float
+        When the request was complete.
     started : bool
         Whether the request may have been passed on.
     answer_bytes : int
@@ -96,6 +99,7 @@
         self.keep_alive = keep_alive
         self.head_only = head_only
         self.takes_interim = takes_interim
+        self.read_at = clock.now()
         self.started = False
         self.task: asyncio.Task[None] | None = None
         self.answer: Answer | None = None
@@ -337,6 +341,9 @@
         if self.asks_upgrade:
             return
         self.head_complete = True
+        if self.pending and self.server.ends_connections:
+            self.leave_unread()
+            return
         if not self.target.startswith(b"/") and not self.use_origin_form():
             return
         expects = find_header(self.headers, "expect").lower() == "100-continue"
@@ -350,6 +357,16 @@
             self.continue_due = True
             self.flush()
 
+    def leave_unread(self) -> None:
+        """End the input before a request whose answer would wait for those before it.
+
+        It would be lost with the process if that was killed. Behind an answer that
+        closes the connection the request counts as not read, and is sent again.
+        """
+        self.server.policy.call_unread(self.request(b""))
+        self.request_started = None
+        self.end_input()
+
     def use_origin_form(self) -> bool:
         """Split an absolute target; refuse a malformed one and return False."""
         try:
@@ -506,6 +523,17 @@
         if exchange in self.pending:
             exchange.answer_bytes = len(exchange.answer.body)
             self.server.memory.reserve(exchange.answer_bytes)
+            self.break_off_before_answers()
+
+    def break_off_before_answers(self) -> None:
+        """Break off the calls that finished answers wait for, if that is allowed."""
+        answered = [n for n, each in enumerate(self.pending) if each.answer is not None]
+        for exchange in islice(self.pending, max(answered, default=0)):
+            if exchange.answer is not None or exchange.task is None:
+                continue
+            if exchange.read_at > self.server.may_break_off:
+                return
+            exchange.task.cancel()
 
     def flush(self) -> None:
         """Send the answers that are ready, in the order of their requests."""
@@ -715,8 +743,12 @@
         When the last request was complete; minus infinity before the first one.
     requests : int
         Complete requests so far.
+    may_break_off : float
+        Calls read by this time are broken off if finished answers wait for them.
     accepting : bool
-        Whether connections are accepted, and kept for further requests.
+        Whether connections are accepted.
+    ends_connections : bool
+        Whether connections end with the calls that are on them.
     input_ended : bool
         Whether no further requests are read.
     """
@@ -738,8 +770,10 @@
         self.slow_callers: set[CallerConnection] = set()
         self.closing = False
         self.last_input_at = self.last_request_at = float("-inf")
+        self.may_break_off = float("-inf")
         self.requests = 0
         self.accepting = True
+        self.ends_connections = False
         self.input_ended = False
         self.current_limits = CallerLimits()
 
@@ -814,6 +848,7 @@
         before it could read it.
         """
         self.accepting = False
+        self.ends_connections = True
         self.accept_waiting()
         self.stop()
 
@@ -822,6 +857,18 @@
         for connection in list(self.connections):
             connection.end_if_idle()
 
+    def send_finished(self, may_break_off: float) -> None:
+        """Send finished answers from now on, and break off the calls before them.
+
+        Parameters
+        ----------
+        may_break_off : float
+            Only calls are broken off that were read by this time.
+        """
+        self.may_break_off = may_break_off
+        for connection in list(self.connections):
+            connection.break_off_before_answers()
+
     @property
     def reads_input(self) -> bool:
         """Return whether a connection may bring a further request."""
--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -63,6 +63,7 @@
     """Runs a sidecar until it ends by itself, as its process does."""
 
     drain = 5.0
+    break_off_after = 4.0
     # Seconds for which the event loop goes on while it is shut down.
     shutdown_seconds = 0.02
 
@@ -78,7 +79,12 @@
         async def main():
             addresses = [free_address() for _ in range(5)]
             settings = SidecarSettings(
-                "n", "fleet", "akaki", *addresses, drain=self.drain
+                "n",
+                "fleet",
+                "akaki",
+                *addresses,
+                drain=self.drain,
+                break_off_after=self.break_off_after,
             )
             self.sidecar = Sidecar(
                 settings, IdleStore(), NoItems(), None, None, Random(1)
@@ -373,6 +379,17 @@
 
         self.play_stop(scenario, lambda: (self.late,))
 
+    def test_a_request_behind_a_call_is_not_passed_on(self):
+        # Its answer waited for that of the call, and was lost with the process.
+        async def scenario():
+            await self.begin()
+            await self.until(lambda: not self.sidecar.callers.accepting)
+            self.caller.sendall(REQUEST % (b"read", 2))
+            await self.ticked()
+
+        self.play_stop(scenario)
+        self.assertEqual(len(self.sent), 1)
+
     def test_an_upload_that_would_be_refused_is_refused_as_callers_have_left(self):
         # It was read until its end came, which was lost with the process.
         async def scenario():
@@ -478,6 +495,17 @@
 
         self.play_stop(scenario, lambda: (self.idle, self.late))
 
+    def test_a_request_behind_a_call_is_not_passed_on(self):
+        # Its answer waited for that of the call, and was lost with the process.
+        async def scenario():
+            await self.begin()
+            await self.ticked()
+            self.caller.sendall(REQUEST % (b"read", 2))
+            await self.ticked()
+
+        self.play_stop(scenario)
+        self.assertEqual(len(self.sent), 1)
+
     def test_the_listener_is_closed_if_the_running_call_makes_no_others(self):
         # It was kept open for calls that only those of another kind make.
         async def scenario():
@@ -491,6 +519,33 @@
         self.play_stop(scenario)
 
 
+class FinishedAnswerTests(ExitTestCase):
+    # Between the time for callers to leave and the last answers.
+    break_off_after = 3.0
+
+    async def met(self, condition):
+        async with asyncio.timeout(MET_SECONDS):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    def test_it_is_sent_as_soon_as_the_call_before_it_may_be_broken_off(self):
+        # It waited until the last answers, and was lost if the process was killed.
+        async def scenario():
+            self.caller = await self.connect()
+            for number, name in enumerate((b"order", b"read")):
+                request = REQUEST.replace(b"1000", b"9000")
+                self.caller.sendall(request % (name, number))
+            await self.met(lambda: len(self.sent) == 2)
+            self.sent[1].finish(Answer(200, (), b"finished"), LoadReport())
+            self.sidecar.stop()
+            self.skipped += self.break_off_after
+
+        self.play(scenario)
+        seen = received(self.caller)
+        self.assertTrue(seen.startswith(b"HTTP/1.1 502"), seen)
+        self.assertTrue(seen.endswith(b"finished"), seen)
+
+
 class LateUploadTests(ExitTestCase):
     drain = 0.3
 
