--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -59,7 +59,7 @@
     "attempt-failed": "an attempt failed; `again` says whether the call is retried",
     "hedge": "an idempotent call is slow and also sent to a second endpoint",
     "call-refused": "a call was refused with a Retry-After header; it has not run",
-    "call-unread": "a request behind the last answer of a connection counts as not read",
+    "call-unread": "a request behind the last answer of a connection was not read",
     "caller-closed": "a caller did not read its answers, and its connection was closed",
     "caller-lost": "a caller's connection ended by an error, with answers on their way",
     "caller-left": "a caller ended its connection, or its input, with unanswered calls",
