Parse what callers send in pieces, and keep nothing of what is refused

What callers saw: a process that was killed for its memory took all their calls with it.

Cause: a read of up to 256 KB went to the parser at once, so that a head far over the limit was refused only after each of its lines had become a tuple and two strings. They were kept, with the parser, until the connection was gone.

Change: a connection reads up to 32 KB at a time, and the parser gets 8 KB, so that it is at most one such piece beyond a limit. Lines, body and parser of a request that is refused are dropped with the refusal.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -48,6 +48,9 @@
     from sequoiaspoke.sidecar.bodypolicy import BodyPolicy
 
 HEAD_END = b"\r\n\r\n"
+# Bytes that are read from a connection, and given to the parser, at a time. What a
+# limit refuses was parsed up to one such piece beyond it.
+RECEIVE_BYTES, PARSE_BYTES = 32 << 10, 8 << 10
 # Calls of one connection that may be unanswered before reading from it pauses.
 MAX_PIPELINED = 64
 # Share of the memory account that unread answers may exceed its limit by. Otherwise, an
@@ -106,7 +109,7 @@
         self.answer_bytes = 0
 
 
-class CallerConnection(Connection):
+class CallerConnection(Connection, asyncio.BufferedProtocol):
     """The connection of a caller.
 
     Attributes
@@ -151,6 +154,7 @@
         self.limits = server.limits()
         self.pending: deque[Exchange] = deque()
         self.reading_paused = False
+        self.parser: httptools.HttpRequestParser | None
         self.parser = httptools.HttpRequestParser(self)
         self.last_active = self.read_at = clock.now()
         self.written = self.acknowledged = 0
@@ -188,6 +192,14 @@
         self.head_complete = False
         self.continue_due = False
 
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
+        """Return where the event loop puts what it reads next."""
+        return self.server.buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Handle the bytes that were read."""
+        self.data_received(bytes(self.server.buffer[:size]))
+
     def received(self, data: bytes) -> None:
         """Parse data from the caller.
 
@@ -195,9 +207,6 @@
         detected, and without it the call would run on with nobody to answer.
         """
         self.last_active = self.server.last_input_at = clock.now()
-        if self.input_ended:
-            self.discard(data)
-            return
         self.parse(data)
         if (
             len(self.pending) >= MAX_PIPELINED
@@ -254,6 +263,19 @@
         self.pending.clear()
 
     def parse(self, data: bytes) -> None:
+        """Parse data piece by piece, until the input ends."""
+        for start in range(0, len(data), PARSE_BYTES):
+            if self.closed:
+                return
+            if self.input_ended:
+                self.parser = None
+                self.discard(data[start:])
+                return
+            self.parse_piece(data[start : start + PARSE_BYTES])
+        if self.input_ended:
+            self.parser = None
+
+    def parse_piece(self, data: bytes) -> None:
         """Feed data to the parser, and check the size of what is no body."""
         self.chunk_body_bytes = 0
         self.boundary_in_chunk = False
@@ -327,7 +349,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are dropped, as RFC 9110, section 6.5.1, allows."""
-        if self.head_complete:
+        if self.head_complete or self.input_ended:
             return
         self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
@@ -424,6 +446,7 @@
         self.server.memory.release(self.reserved)
         self.reserved = 0
         self.body.clear()
+        self.headers = []
 
     def request(self, body: bytes) -> Request:
         """Return the request whose head is complete."""
@@ -735,6 +758,8 @@
         Counts request bodies and unread answers.
     slow_callers : set of CallerConnection
         Connections with unread answers.
+    buffer : memoryview
+        Where the event loop puts what it reads.
     policy : BodyPolicy
         Answers requests whose bodies are not read.
     last_input_at : float
@@ -768,6 +793,7 @@
         self.policy: BodyPolicy = ReadAllBodies()
         self.connections: set[CallerConnection] = set()
         self.slow_callers: set[CallerConnection] = set()
+        self.buffer = memoryview(bytearray(RECEIVE_BYTES))
         self.closing = False
         self.last_input_at = self.last_request_at = float("-inf")
         self.may_break_off = float("-inf")
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -54,7 +54,7 @@
 INT_SIZE = 4
 
 
-class Connection(asyncio.Protocol, ABC):
+class Connection(asyncio.BaseProtocol, ABC):
     """One end of a TCP connection.
 
     Attributes
