Limit trailers by the limit of a head

What callers saw: a process that was killed for its memory took all their calls with it.

Cause: a body may come in chunks of a byte, so that 8 bytes besides it are allowed for each of its bytes. Trailers were counted with these: behind 1 MB in one chunk, a trailer of 8 MB was within the bound, and the parser keeps a line until it is complete.

Change: between two bytes of a body, and behind the last one, no more than the limit of a head may come.

TrailerTests failed before.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -128,8 +128,9 @@
         Bytes of bodies in the data now parsed.
     boundary_in_chunk : bool
         Whether a request began or ended in the data now parsed.
-    framing_size : int
-        Bytes besides the body that came after the head, or before one.
+    framing_size, framing_run : int
+        Bytes besides the body that came after the head, or before one, and those of
+        them since the last byte of the body.
     discarded : int
         Bytes that came after the last request.
     asks_upgrade : bool
@@ -185,7 +186,7 @@
         self.headers: list[tuple[str, str]] = []
         self.body: list[bytes] = []
         self.body_size = 0
-        self.head_size = self.framing_size = 0
+        self.head_size = self.framing_size = self.framing_run = 0
         self.chunk_body_bytes = 0
         self.boundary_in_chunk = False
         self.request_started: float | None = None
@@ -329,8 +330,10 @@
     def check_framing(self, size: int) -> None:
         """Refuse a request with too much besides its body, such as trailers."""
         self.framing_size += size
-        limit = self.limits.header_bytes + FRAMING_PER_BYTE * self.body_size
-        if self.framing_size > limit:
+        self.framing_run = 0 if self.chunk_body_bytes else self.framing_run + size
+        limit = self.limits.header_bytes
+        total = limit + FRAMING_PER_BYTE * self.body_size
+        if self.framing_size > total or self.framing_run > limit:
             self.refuse(400, "request without end")
 
     # Called by the parser.
--- a/sequoiaspoke/tests/test_callerserver_heads.py
+++ b/sequoiaspoke/tests/test_callerserver_heads.py
@@ -6,6 +6,7 @@
 
 LINE = b"ab:c\r\n"
 START = b"GET /a HTTP/1.1\r\nHost: x\r\n"
+CHUNKED = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 LIMITS = CallerLimits(header_bytes=16 << 10, body_bytes=1 << 20)
 
 
@@ -39,3 +40,15 @@
         self.patch(CallerConnection, "on_header", add_line)
         self.play(scenario)
         self.assertTrue(len(lines) * len(LINE) <= LIMITS.header_bytes + PARSE_BYTES)
+
+
+class TrailerTests(HeadTestCase):
+    def test_trailers_beyond_the_limit_of_a_head_are_refused(self):
+        # They were taken for the framing of small chunks, 8 bytes for each of the body.
+        async def scenario(reader, writer, connection):
+            body = b"%x\r\n" % LIMITS.body_bytes + LIMITS.body_bytes * b"x" + b"\r\n"
+            connection.data_received(CHUNKED + body + b"0\r\nab:")
+            connection.data_received((LIMITS.header_bytes + PARSE_BYTES) * b"c")
+            self.assertIn(b" 400 ", await reader.readuntil(b"\r\n"))
+
+        self.play(scenario)
