Accept as many connections of an upstream as its calls make at once

While a node stops and its upstream may make calls, the kernel accepts only one connection for each of these calls, and one more, in advance. An upstream that makes several calls at once connects faster than the process accepts: the kernel drops the first packet of the others, which is sent again after a second, and as idle connections are closed by then, all of them connect anew.

Entries now count the unanswered calls of each running call. A kind of call is expected to make as many at once as it was seen to; one that makes them one after another, or is not known yet, still adds one.

--- a/sequoiaspoke/core/mesh/parents.py
+++ b/sequoiaspoke/core/mesh/parents.py
@@ -20,10 +20,19 @@
 
 
 class RunningParents:
-    """Ids and kinds of the calls that run at the upstream beside a node."""
+    """Calls that run at the upstream beside a node, and the calls that they make.
+
+    Attributes
+    ----------
+    kinds : dict of str to Hashable
+        Kinds of the running calls, by id.
+    nested : Counter of str
+        Unanswered calls of each call that has made some, by its id.
+    """
 
     def __init__(self) -> None:
         self.kinds: dict[str, Hashable] = {}
+        self.nested: Counter[str] = Counter()
 
     def begin(self, call_id: str, kind: Hashable) -> None:
         """Record that a call is sent to the upstream; an empty id is ignored."""
@@ -34,17 +43,26 @@
         """Record the end of a call."""
         self.kinds.pop(call_id, None)
 
-    def kind_of_parent(self, call_id: str) -> Hashable | None:
-        """Return the kind of the running call that makes a call, None for none."""
+    def find_parent(self, call_id: str) -> str | None:
+        """Return the id of the running call that makes a call, None for none."""
         if not self.kinds:
             return None
         for end, character in enumerate(call_id):
-            if not character.isalnum():
-                kind = self.kinds.get(call_id[:end])
-                if kind is not None:
-                    return kind
+            if not character.isalnum() and call_id[:end] in self.kinds:
+                return call_id[:end]
         return None
 
+    def begin_nested(self, parent: str) -> int:
+        """Record a call of a running call; return how many of it are unanswered."""
+        self.nested[parent] += 1
+        return self.nested[parent]
+
+    def end_nested(self, parent: str) -> None:
+        """Record the end of a call of a call, which may have ended before."""
+        self.nested[parent] -= 1
+        if not self.nested[parent]:
+            del self.nested[parent]
+
 
 class CallingKinds:
     """Which kinds of calls make calls of their own, as far as that is known.
@@ -53,22 +71,25 @@
     ----------
     answers : Counter
         Answers to the calls of each kind.
-    calling : set
-        Kinds that have made calls.
+    at_once : dict
+        Largest number of calls that one call has made at once, by its kind; lacks the
+        kinds that have made none.
     """
 
     def __init__(self) -> None:
         self.answers: Counter[Hashable] = Counter()
-        self.calling: set[Hashable] = set()
+        self.at_once: dict[Hashable, int] = {}
 
     def record_answer(self, kind: Hashable) -> None:
         """Record that a call of a kind was answered."""
         self.answers[kind] += 1
 
-    def record_nested(self, kind: Hashable) -> None:
-        """Record that a call of a kind has made a call."""
-        self.calling.add(kind)
+    def record_nested(self, kind: Hashable, at_once: int = 1) -> None:
+        """Record how many unanswered calls a call of a kind has made."""
+        self.at_once[kind] = max(at_once, self.at_once.get(kind, 0))
 
-    def may_call(self, kind: Hashable) -> bool:
-        """Return whether a call of a kind may make calls."""
-        return kind in self.calling or self.answers[kind] < ANSWERS_TO_KNOW
+    def calls_at_once(self, kind: Hashable) -> int:
+        """Return how many calls a call of a kind may make at once."""
+        if kind in self.at_once:
+            return self.at_once[kind]
+        return int(self.answers[kind] < ANSWERS_TO_KNOW)
--- a/sequoiaspoke/sidecar/entry.py
+++ b/sequoiaspoke/sidecar/entry.py
@@ -152,9 +152,10 @@
         if table is None:
             return self.refuse(request, "no-configuration", RETRY_AFTER_SECONDS)
         home = self.attempts.home
-        parent = home.parents.kind_of_parent(request.header(self.names.call_id))
-        if parent is not None:
-            home.calling_kinds.record_nested(parent)
+        parent = home.parents.find_parent(request.header(self.names.call_id))
+        kind = None if parent is None else home.parents.kinds[parent]
+        if kind is not None:
+            home.calling_kinds.record_nested(kind)
         route = table.match(request.header("host"), request.target)
         if route is None:
             return self.no_route(request)
@@ -180,6 +181,9 @@
             return self.refuse(request, RefusalReason.HELD_BACK, quarantine, service)
         self.attempts.budgets.of(service).record_first(arrived)
         self.active.add(progress)
+        if parent is not None:
+            at_once = home.parents.begin_nested(parent)
+            home.calling_kinds.record_nested(kind, at_once)
         try:
             answer = await self.serve_until_deadline(progress)
         except TimeoutError:
@@ -190,9 +194,11 @@
         finally:
             self.active.discard(progress)
             progress.discard()
+            if parent is not None:
+                home.parents.end_nested(parent)
         if parent is not None and table.has_large_bodies:
             failed = answer.status in SHORTAGE_STATUSES
-            home.nested_room.record(service, failed, clock.now(), parent)
+            home.nested_room.record(service, failed, clock.now(), kind)
         self.counts[service, str(answer.status)] += 1
         self.latency.record_value(max(1, int((clock.now() - arrived) * 1000)))
         return answer
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -251,10 +251,10 @@
 
     @property
     def calling(self) -> int:
-        """Return how many calls run or wait here that may make calls of their own."""
+        """Return how many calls those that run or wait here may make at once."""
         running = self.nested_room.running.values()
         waiting = (each.kind for each in self.admission.queue.values())
-        return sum(map(self.calling_kinds.may_call, chain(running, waiting)))
+        return sum(map(self.calling_kinds.calls_at_once, chain(running, waiting)))
 
     def link_lost(self, source: BodySource) -> None:
         """Allow for bodies whose link to their entry has ended."""
--- a/sequoiaspoke/sidecar/shutdown.py
+++ b/sequoiaspoke/sidecar/shutdown.py
@@ -56,7 +56,7 @@
     requests_before : int or None
         Requests that had been read when callers had had time to leave; None until then.
     accepting_for : int
-        Calls of the upstream for whose own calls connections were still accepted then.
+        Calls of the upstream for which connections were still accepted then.
     """
 
     def __init__(
@@ -155,7 +155,7 @@
         Parameters
         ----------
         calling : int
-            Calls at the upstream that may make calls of their own.
+            Calls that those at the upstream may make at once.
         """
         if calling != self.accepting_for:
             self.accepting_for = calling
--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -412,15 +412,19 @@
     # Callers that connect while the process does not run, and how many of them the
     # kernel may accept: as many as calls run that may make others, and one more.
     LATE, ACCEPTED = 20, 2
+    # Calls that one call makes at the same time.
+    AT_ONCE = 6
 
-    async def begin(self, name=b"order", kind="parent"):
+    async def begin(self, name=b"order", kind="parent", nested=1):
         home = self.sidecar.home
         home.parents.begin("7", "parent")
-        nested = await self.connect()
         request = REQUEST % (b"read", 1)
-        nested.sendall(request.replace(b"Id: 1", b"Id: 7-1"))
-        await self.until(lambda: self.sent)
-        self.sent.pop().finish(Answer(200, (), b"nested"), LoadReport())
+        for _ in range(nested):
+            caller = await self.connect()
+            caller.sendall(request.replace(b"Id: 1", b"Id: 7-1"))
+        await self.until(lambda: len(self.sent) == nested)
+        while self.sent:
+            self.sent.pop().finish(Answer(200, (), b"nested"), LoadReport())
         home.parents.end("7")
         home.nested_room.begin("8", kind)
         home.calls["8"] = None
@@ -506,6 +510,16 @@
         self.play_stop(scenario)
         self.assertEqual(len(self.sent), 1)
 
+    def test_as_many_are_accepted_as_a_call_makes_calls_at_once(self):
+        # The kernel dropped the first packet of some, which is sent again after 1 s.
+        async def scenario():
+            await self.begin(nested=self.AT_ONCE)
+            await self.ticked()
+            accepted = self.connect_held()
+            self.assertTrue(self.AT_ONCE <= accepted <= self.AT_ONCE + 1, accepted)
+
+        self.play_stop(scenario)
+
     def test_the_listener_is_closed_if_the_running_call_makes_no_others(self):
         # It was kept open for calls that only those of another kind make.
         async def scenario():
