Break off no call for the refusal of a request that was not read

In the last sixth of a stop, calls are broken off that answers wait for on their connection. The refusal of a malformed or incomplete request behind a call counted as such an answer: the caller of a call that its upstream would have ended in time got 502 so that it also got 400. A request that was not passed on is not lost with the process.

The new test failed before: the call was answered 502, and 200 now.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -105,6 +105,11 @@
         self.answer: Answer | None = None
         self.answer_bytes = 0
 
+    @property
+    def finished(self) -> bool:
+        """Return whether the request was served, and its answer waits for its turn."""
+        return self.answer is not None and self.task is not None
+
 
 class CallerConnection(Connection):
     """The connection of a caller.
@@ -526,9 +531,12 @@
             self.break_off_before_answers()
 
     def break_off_before_answers(self) -> None:
-        """Break off the calls that finished answers wait for, if that is allowed."""
-        answered = [n for n, each in enumerate(self.pending) if each.answer is not None]
-        for exchange in islice(self.pending, max(answered, default=0)):
+        """Break off the calls that finished answers wait for, if that is allowed.
+
+        Refusals of requests that were not read to their end may wait.
+        """
+        finished = [n for n, each in enumerate(self.pending) if each.finished]
+        for exchange in islice(self.pending, max(finished, default=0)):
             if exchange.answer is not None or exchange.task is None:
                 continue
             if exchange.read_at > self.server.may_break_off:
--- a/sequoiaspoke/tests/test_callerserver_turns.py
+++ b/sequoiaspoke/tests/test_callerserver_turns.py
@@ -11,6 +11,7 @@
     b"POST /upload HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
     b"Expect: 100-continue\r\n\r\nbo"
 )
+MALFORMED = b"GET / HTTP/1.1\r\nHost x\r\n\r\n"
 CLOSE = b"Connection: close"
 
 
@@ -163,6 +164,22 @@
 
         self.play(scenario)
 
+    def test_a_call_goes_on_if_only_a_refusal_waits_for_it(self):
+        # A request that was not passed on is not lost.
+        async def scenario(reader, writer):
+            await self.send(writer, SLOW, 1)
+            writer.write(MALFORMED)
+            (connection,) = self.server.connections
+            await self.until(lambda: len(connection.pending) == 2)
+            self.server.closing = True
+            self.server.send_finished(clock.now())
+            self.handler.gate.set()
+            seen = await reader.read()
+            self.assertTrue(seen.startswith(b"HTTP/1.1 200"), seen)
+            self.assertIn(b"HTTP/1.1 400", seen)
+
+        self.play(scenario)
+
     def test_a_call_that_came_late_is_not_broken_off(self):
         # It was taken because it ends in time.
         async def scenario(reader, writer):
