Find the parent of a call in time that does not grow with the square of its id

Each request is searched for the id of a running call that its own id extends. Every character that is neither a letter nor a digit cost a copy of all before it: an id of 15,000 dashes, which fits into a head, held up the event loop for 47 ms while any call ran at the upstream, and 64 of them may be pipelined on a connection.

Only the lengths of the ids of running calls are tried. The new test failed before: the id's characters were copied 127,992,000 times, at most 16,000 times now.

--- a/sequoiaspoke/core/mesh/parents.py
+++ b/sequoiaspoke/core/mesh/parents.py
@@ -26,29 +26,37 @@
     ----------
     kinds : dict of str to Hashable
         Kinds of the running calls, by id.
+    lengths : Counter of int
+        Numbers of running calls by the length of their ids.
     nested : Counter of str
         Unanswered calls of each call that has made some, by its id.
     """
 
     def __init__(self) -> None:
         self.kinds: dict[str, Hashable] = {}
+        self.lengths: Counter[int] = Counter()
         self.nested: Counter[str] = Counter()
 
     def begin(self, call_id: str, kind: Hashable) -> None:
         """Record that a call is sent to the upstream; an empty id is ignored."""
         if call_id:
+            self.end(call_id)
             self.kinds[call_id] = kind
+            self.lengths[len(call_id)] += 1
 
     def end(self, call_id: str) -> None:
         """Record the end of a call."""
-        self.kinds.pop(call_id, None)
+        if call_id not in self.kinds:
+            return
+        del self.kinds[call_id]
+        self.lengths[len(call_id)] -= 1
+        if not self.lengths[len(call_id)]:
+            del self.lengths[len(call_id)]
 
     def find_parent(self, call_id: str) -> str | None:
         """Return the id of the running call that makes a call, None for none."""
-        if not self.kinds:
-            return None
-        for end, character in enumerate(call_id):
-            if not character.isalnum() and call_id[:end] in self.kinds:
+        for end in sorted(self.lengths):
+            if is_extended(call_id, end) and call_id[:end] in self.kinds:
                 return call_id[:end]
         return None
 
@@ -64,6 +72,11 @@
             del self.nested[parent]
 
 
+def is_extended(call_id: str, end: int) -> bool:
+    """Return whether an id may consist of that of a parent, up to there, and more."""
+    return len(call_id) > end and not call_id[end].isalnum()
+
+
 class CallingKinds:
     """Which kinds of calls make calls of their own, as far as that is known.
 
--- a/sequoiaspoke/tests/test_mesh_parents.py
+++ b/sequoiaspoke/tests/test_mesh_parents.py
@@ -9,6 +9,17 @@
 )
 
 
+class SlicedId(str):
+    """An id that counts its copied characters."""
+
+    copied = 0
+
+    def __getitem__(self, key):
+        part = super().__getitem__(key)
+        self.copied += len(part)
+        return part
+
+
 class RunningParentsTests(TestCase):
     def setUp(self):
         super().setUp()
@@ -32,6 +43,13 @@
         self.parents.begin("", "order")
         self.assertIsNone(self.parents.find_parent(".9f"))
 
+    def test_the_time_to_find_a_parent_does_not_grow_with_the_square_of_an_id(self):
+        # Ids that fill a head held up the event loop.
+        self.parents.begin("c1", "order")
+        call_id = SlicedId("-" * 16_000)
+        self.assertIsNone(self.parents.find_parent(call_id))
+        self.assertLessEqual(call_id.copied, len(call_id))
+
     def test_the_unanswered_calls_of_a_call_are_counted(self):
         self.parents.begin("c1", "order")
         self.assertEqual([1, 2], [self.parents.begin_nested("c1") for _ in range(2)])
