Answer a call that ended in the same moment as one behind it

In the last sixth of a stop, an answer that waits for its turn breaks off the calls before it. If the answer to one of these had been read together with it, as after a time in which the process did not run, but was handled later, its caller got 502 in place of the answer that its upstream had given.

Calls are now broken off only once the sockets have been read and what was read is handled. The new test failed before: 502 and 200, in place of two 200.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -23,7 +23,7 @@
 from sequoiaspoke.core.mesh.outcome import Request, find_header
 from sequoiaspoke.endedinput import EndedInput, caller_end
 from sequoiaspoke.errors import BadRequestError
-from sequoiaspoke.polling import PolledTimer
+from sequoiaspoke.polling import PolledCall, PolledTimer
 from sequoiaspoke.requesttarget import split_absolute
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
@@ -528,7 +528,9 @@
         if exchange in self.pending:
             exchange.answer_bytes = len(exchange.answer.body)
             self.server.memory.reserve(exchange.answer_bytes)
-            self.break_off_before_answers()
+            if self.pending[0].read_at <= self.server.may_break_off:
+                # Answers to the calls before it may have been read as well.
+                PolledCall(self.break_off_before_answers)
 
     def break_off_before_answers(self) -> None:
         """Break off the calls that finished answers wait for, if that is allowed.
--- a/sequoiaspoke/tests/test_callerserver_turns.py
+++ b/sequoiaspoke/tests/test_callerserver_turns.py
@@ -1,5 +1,7 @@
 """Tests of pipelined requests at a node that stops."""
 
+import asyncio
+
 from sequoiaspoke.core.mesh.outcome import Answer
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
@@ -153,6 +155,27 @@
 
         self.play(scenario)
 
+    def test_a_call_that_has_ended_as_well_is_answered(self):
+        # It was broken off if both answers were read together, the later one first.
+        async def scenario(reader, writer):
+            ends = {}
+
+            async def handle(request):
+                ends[request.target] = asyncio.get_running_loop().create_future()
+                return await ends[request.target]
+
+            self.server.handle = handle
+            writer.write(SLOW + QUICK)
+            await self.until(lambda: len(ends) == 2)
+            self.server.closing = True
+            self.server.send_finished(clock.now())
+            for target in ("/quick", "/slow"):
+                ends[target].set_result(Answer(200, (), target.encode()))
+            seen = await reader.read()
+            self.assertEqual(seen.count(b"HTTP/1.1 200"), 2, seen)
+
+        self.play(scenario)
+
     def test_a_call_goes_on_for_which_no_answer_waits(self):
         async def scenario(reader, writer):
             await self.send(writer, SLOW + SLOW, 2)
