Run no request behind the last answer of a connection of a node

A node that stops told callers with "Connection: close" that a connection ends, and went on serving what was pipelined on it. A request behind such an answer counts as not read, and callers send it again whatever its kind: an order could run twice.

The server now leaves requests unread that come behind an answer with that header. The connection stays open for a while, as a reset could overtake the answers before them.

--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -59,14 +59,19 @@
     def __init__(self, connection: HTTP1Connection) -> None:
         self.connection = connection
         self.started = False
-        self.close_after = False
+        self.close_after = self.closes = False
         self.refusal_headers: dict[str, str] = {}
 
-    async def write_head(self, status: int, headers: HTTPHeaders, first: bytes) -> None:
-        """Write the status, the headers and the first chunk of the body, if any."""
+    def begin(self, headers: HTTPHeaders) -> None:
+        """Tell the caller whether its connection ends with this answer."""
         self.started = True
-        if self.close_after:
+        self.closes = self.close_after
+        if self.closes:
             headers["Connection"] = "close"
+
+    async def write_head(self, status: int, headers: HTTPHeaders, first: bytes) -> None:
+        """Write the status, the headers and the first chunk of the body, if any."""
+        self.begin(headers)
         reason = responses.get(status, "Unknown")
         await self.connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, reason), headers, first or None
@@ -86,10 +91,8 @@
 
     def write_complete(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Write a complete response of known length."""
-        self.started = True
+        self.begin(headers)
         headers["Content-Length"] = str(len(body))
-        if self.close_after:
-            headers["Connection"] = "close"
         reason = responses.get(status, "Unknown")
         self.connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, reason), headers, body
@@ -214,7 +217,9 @@
         request_conn: HTTP1Connection,
     ) -> HTTPMessageDelegate:
         """Return the reader of a new request; called by Tornado."""
+        before = self.readers.get(server_conn)
         reader = self.readers[server_conn] = CallReader(self, request_conn)
+        reader.behind_last = before is not None and before.ends_connection
         return reader
 
     def on_close(self, server_conn: object) -> None:
@@ -274,6 +279,8 @@
     ----------
     waiting : bool
         Whether the head of the request has not been read yet.
+    behind_last : bool
+        Whether the answer before has told the caller that the connection is closed.
     idle_timer : PolledTimer
         Closes the connection unless the head of the request is read before.
     """
@@ -282,6 +289,7 @@
         self.server = server
         self.connection = connection
         self.waiting = True
+        self.behind_last = False
         self.idle_timer = silence.call_after(server.keepalive, connection.close)
         self.body: BodyPipe | None = None
         self.call: IncomingCall | None = None
@@ -289,6 +297,12 @@
         if server.closes_idle:
             self.wait_for_request()
 
+    @property
+    def ends_connection(self) -> bool:
+        """Return whether no request behind this one is served."""
+        unserved = self.call is None and not self.waiting
+        return unserved or (self.call is not None and self.call.writer.closes)
+
     def wait_for_request(self) -> None:
         """Close the connection of a draining server unless a request arrives soon."""
         self.idle_timer.cancel()
@@ -313,6 +327,11 @@
         if self.server.input_ended or self.connection.stream.closed():
             self.connection.close()
             return
+        if self.behind_last:
+            # It is sent again. A reset could overtake the answers before it.
+            keepalive = self.server.keepalive
+            self.idle_timer = silence.call_after(keepalive, self.connection.close)
+            return
         normalize_expectation(start_line, headers)
         writer = Writer(self.connection)
         writer.close_after = self.server.draining
