--- a/sequoiaspoke/tests/test_callerserver_turns.py
+++ b/sequoiaspoke/tests/test_callerserver_turns.py
@@ -1,5 +1,7 @@
 """Tests of pipelined requests at a node that stops."""
 
+import asyncio
+
 from sequoiaspoke.core.mesh.outcome import Answer
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
@@ -11,6 +13,7 @@
     b"POST /upload HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
     b"Expect: 100-continue\r\n\r\nbo"
 )
+MALFORMED = b"GET / HTTP/1.1\r\nHost x\r\n\r\n"
 CLOSE = b"Connection: close"
 
 
@@ -152,6 +155,27 @@
 
         self.play(scenario)
 
+    def test_a_call_that_has_ended_as_well_is_answered(self):
+        # It was broken off if both answers were read together, the later one first.
+        async def scenario(reader, writer):
+            ends = {}
+
+            async def handle(request):
+                ends[request.target] = asyncio.get_running_loop().create_future()
+                return await ends[request.target]
+
+            self.server.handle = handle
+            writer.write(SLOW + QUICK)
+            await self.until(lambda: len(ends) == 2)
+            self.server.closing = True
+            self.server.send_finished(clock.now())
+            for target in ("/quick", "/slow"):
+                ends[target].set_result(Answer(200, (), target.encode()))
+            seen = await reader.read()
+            self.assertEqual(seen.count(b"HTTP/1.1 200"), 2, seen)
+
+        self.play(scenario)
+
     def test_a_call_goes_on_for_which_no_answer_waits(self):
         async def scenario(reader, writer):
             await self.send(writer, SLOW + SLOW, 2)
@@ -163,6 +187,22 @@
 
         self.play(scenario)
 
+    def test_a_call_goes_on_if_only_a_refusal_waits_for_it(self):
+        # A request that was not passed on is not lost.
+        async def scenario(reader, writer):
+            await self.send(writer, SLOW, 1)
+            writer.write(MALFORMED)
+            (connection,) = self.server.connections
+            await self.until(lambda: len(connection.pending) == 2)
+            self.server.closing = True
+            self.server.send_finished(clock.now())
+            self.handler.gate.set()
+            seen = await reader.read()
+            self.assertTrue(seen.startswith(b"HTTP/1.1 200"), seen)
+            self.assertIn(b"HTTP/1.1 400", seen)
+
+        self.play(scenario)
+
     def test_a_call_that_came_late_is_not_broken_off(self):
         # It was taken because it ends in time.
         async def scenario(reader, writer):
