Bound the connections that the calls of one call are expected to need

Callers can send ids that extend that of a call of their own, and thereby have the kernel accept hundreds of connections in advance for a node that stops.

--- a/sequoiaspoke/core/mesh/parents.py
+++ b/sequoiaspoke/core/mesh/parents.py
@@ -17,6 +17,9 @@
 # Answers after which a kind of call that has made no calls is taken for one that makes
 # none.
 ANSWERS_TO_KNOW = 20
+# Calls that one call is expected to make at once, at most: callers can send ids that
+# look like those of an upstream.
+MAX_AT_ONCE = 8
 
 
 class RunningParents:
@@ -99,7 +102,8 @@
 
     def record_nested(self, kind: Hashable, at_once: int = 1) -> None:
         """Record how many unanswered calls a call of a kind has made."""
-        self.at_once[kind] = max(at_once, self.at_once.get(kind, 0))
+        most = max(at_once, self.at_once.get(kind, 0))
+        self.at_once[kind] = min(MAX_AT_ONCE, most)
 
     def calls_at_once(self, kind: Hashable) -> int:
         """Return how many calls a call of a kind may make at once."""
--- a/sequoiaspoke/tests/test_mesh_parents.py
+++ b/sequoiaspoke/tests/test_mesh_parents.py
@@ -4,6 +4,7 @@
 
 from sequoiaspoke.core.mesh.parents import (
     ANSWERS_TO_KNOW,
+    MAX_AT_ONCE,
     CallingKinds,
     RunningParents,
 )
@@ -86,3 +87,8 @@
         for at_once in (1, 3, 2):
             self.kinds.record_nested("view", at_once)
         self.assertEqual(self.kinds.calls_at_once("view"), 3)
+
+    def test_no_caller_makes_a_kind_need_many_connections(self):
+        # Ids of callers may look like those of an upstream.
+        self.kinds.record_nested("view", 500)
+        self.assertEqual(self.kinds.calls_at_once("view"), MAX_AT_ONCE)
