--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -23,7 +23,7 @@
 from sequoiaspoke.core.mesh.outcome import Request, find_header
 from sequoiaspoke.endedinput import EndedInput, caller_end
 from sequoiaspoke.errors import BadRequestError
-from sequoiaspoke.polling import PolledTimer
+from sequoiaspoke.polling import PolledCall, PolledTimer
 from sequoiaspoke.requesttarget import split_absolute
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.bodypolicy import ReadAllBodies
@@ -108,6 +108,11 @@
         self.answer: Answer | None = None
         self.answer_bytes = 0
 
+    @property
+    def finished(self) -> bool:
+        """Return whether the request was served, and its answer waits for its turn."""
+        return self.answer is not None and self.task is not None
+
 
 class CallerConnection(Connection, asyncio.BufferedProtocol):
     """The connection of a caller.
@@ -549,12 +554,17 @@
         if exchange in self.pending:
             exchange.answer_bytes = len(exchange.answer.body)
             self.server.memory.reserve(exchange.answer_bytes)
-            self.break_off_before_answers()
+            if self.pending[0].read_at <= self.server.may_break_off:
+                # Answers to the calls before it may have been read as well.
+                PolledCall(self.break_off_before_answers)
 
     def break_off_before_answers(self) -> None:
-        """Break off the calls that finished answers wait for, if that is allowed."""
-        answered = [n for n, each in enumerate(self.pending) if each.answer is not None]
-        for exchange in islice(self.pending, max(answered, default=0)):
+        """Break off the calls that finished answers wait for, if that is allowed.
+
+        Refusals of requests that were not read to their end may wait.
+        """
+        finished = [n for n, each in enumerate(self.pending) if each.finished]
+        for exchange in islice(self.pending, max(finished, default=0)):
             if exchange.answer is not None or exchange.task is None:
                 continue
             if exchange.read_at > self.server.may_break_off:
