Hold a body that arrives in small chunks as its bytes

What callers saw: a process that was killed for its memory took all their calls with it.

Cause: the chunks of a body were kept in a list until the last one had come, and the memory account counted their bytes. A chunk of two bytes is an object of 35 bytes and a place in the list.

Change: a body grows in one bytearray.

SmallChunkTests failed before.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -189,7 +189,7 @@
         self.method = self.target = b""
         self.asks_upgrade = False
         self.headers: list[tuple[str, str]] = []
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.body_size = 0
         self.head_size = self.framing_size = self.framing_run = 0
         self.chunk_body_bytes = 0
@@ -432,7 +432,7 @@
         if self.body_size > self.limits.body_bytes:
             self.refuse(413, "body")
         elif self.reserve_body():
-            self.body.append(data)
+            self.body += data
         else:
             refusal = self.server.policy.refuse_for_memory(self.request(b""))
             self.refuse_with(refusal)
@@ -453,7 +453,7 @@
         """Drop the bytes received so far and release what was reserved."""
         self.server.memory.release(self.reserved)
         self.reserved = 0
-        self.body.clear()
+        self.body = bytearray()
         self.headers = []
 
     def request(self, body: bytes) -> Request:
@@ -477,8 +477,8 @@
         self.boundary_in_chunk = True
         self.framing_size = 0
         keep_alive = self.parser.should_keep_alive()
-        request = self.request(b"".join(self.body))
-        self.body.clear()
+        request = self.request(bytes(self.body))
+        self.body = bytearray()
         exchange = Exchange(
             keep_alive,
             head_only=request.method == "HEAD",
--- a/sequoiaspoke/tests/test_callerserver_heads.py
+++ b/sequoiaspoke/tests/test_callerserver_heads.py
@@ -1,5 +1,7 @@
 """Tests of the memory that heads, chunks and trailers of callers take."""
 
+import sys
+
 from sequoiaspoke.core.mesh.model import CallerLimits
 from sequoiaspoke.sidecar.callerserver import PARSE_BYTES, CallerConnection
 from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
@@ -52,3 +54,20 @@
             self.assertIn(b" 400 ", await reader.readuntil(b"\r\n"))
 
         self.play(scenario)
+
+
+class SmallChunkTests(HeadTestCase):
+    def test_a_body_takes_as_much_memory_as_it_has_bytes(self):
+        # Each chunk was an object of its own until the last one had come.
+        size = 100_000
+
+        async def scenario(reader, writer, connection):
+            connection.data_received(CHUNKED + size * b"1\r\nx\r\n")
+            self.assertEqual(len(connection.body), size)
+            self.assertTrue(sys.getsizeof(connection.body) < 2 * size)
+            self.handler.gate.set()
+            connection.data_received(b"0\r\n\r\n")
+            seen = await reader.readuntil(size * b"x")
+            self.assertIn(b" 200 ", seen)
+
+        self.play(scenario)
