Count heads of callers in the memory account, by what they take

What callers saw: a process that was killed for its memory took all their calls with it.

Cause: the account counted bodies and answers, by their bytes. A header line of six bytes is held as a tuple and two strings, some 170 bytes more, and heads that wait for their end, those of calls in progress and of up to 64 pipelined requests were counted nowhere. Each connection was bounded, their number is not.

Change: a head is reserved by what it takes, from its first line to the end of its call. A small head always has room. Without room, requests that take too long to arrive make it, the earliest first: heads that have not ended, and bodies slower than half a Mbit/s after the time for a head. Otherwise the request is refused with 503 as not run. No more requests of a connection are parsed while those before them hold 256 KB; what was read of them waits as bytes. The readiness address uses the same account.

HeadMemoryTests is new.

--- a/sequoiaspoke/core/mesh/memory.py
+++ b/sequoiaspoke/core/mesh/memory.py
@@ -15,6 +15,9 @@
 # Bytes of the largest body that is never refused for want of memory. Calls without
 # uploads are smaller, and hundreds of them fit into a share of the bound.
 SMALL_BODY = 16 << 10
+# Bytes that a header takes beside its text: a tuple, two strings and their places in
+# the lists of headers. Most of the memory of a head of short lines is this.
+HEADER_BYTES = 200
 
 
 def memory_limit(memory_mb: float) -> int:
@@ -30,6 +33,11 @@
     return min(MAX_LIMIT, int(MEMORY_SHARE * memory_mb * (1 << 20)))
 
 
+def header_size(name: str | bytes, value: str | bytes) -> int:
+    """Return the bytes that a header takes in memory."""
+    return len(name) + len(value) + HEADER_BYTES
+
+
 class MemoryAccount:
     """Counts the bytes that all parts of a node hold.
 
@@ -53,9 +61,13 @@
         self.unread = self.passing = 0
         self.wanted = 0
 
+    def fits(self, size: int) -> bool:
+        """Return whether bytes could be reserved."""
+        return self.held + size <= self.limit
+
     def try_reserve(self, size: int) -> bool:
         """Reserve bytes if they fit; return whether they did."""
-        if self.held + size > self.limit:
+        if not self.fits(size):
             return False
         self.held += size
         return True
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -149,7 +149,9 @@
             self.status,
             self.home.crash_guard.release,
         )
-        self.health = CallerServer(pages.handle, self.log_unexpected_error)
+        self.health = CallerServer(
+            pages.handle, self.log_unexpected_error, memory=self.memory
+        )
         self.follower = Follower(store, self.state, self.duty, rng)
         self.shutdown = Shutdown(
             self.callers, self.links, self.entry, self.home, self.log
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -18,7 +18,7 @@
 
 import httptools
 
-from sequoiaspoke.core.mesh.memory import SMALL_BODY, MemoryAccount
+from sequoiaspoke.core.mesh.memory import SMALL_BODY, MemoryAccount, header_size
 from sequoiaspoke.core.mesh.model import CallerLimits
 from sequoiaspoke.core.mesh.outcome import Request, find_header
 from sequoiaspoke.endedinput import EndedInput, caller_end
@@ -51,8 +51,11 @@
 # Bytes that are read from a connection, and given to the parser, at a time. What a
 # limit refuses was parsed up to one such piece beyond it.
 RECEIVE_BYTES, PARSE_BYTES = 32 << 10, 8 << 10
-# Calls of one connection that may be unanswered before reading from it pauses.
-MAX_PIPELINED = 64
+# Calls of one connection that may be unanswered before reading from it pauses, and
+# bytes that their requests may take in memory.
+MAX_PIPELINED, MAX_PIPELINED_BYTES = 64, 256 << 10
+# Bytes a second below which a body arrives too slowly to keep its place in memory.
+MIN_BODY_RATE = 64 << 10
 # Share of the memory account that unread answers may exceed its limit by. Otherwise, an
 # account full of request bodies would end the connections of callers that read as fast
 # as their links allow.
@@ -127,8 +130,14 @@
         Whether further data from the caller is ignored.
     ended_input : EndedInput or None
         Set once the caller has ended its input before its calls were answered.
+    held_by_calls : int
+        Bytes reserved for the requests of unanswered calls.
+    rest : bytes
+        Received bytes that are parsed once earlier requests have been answered.
     head_size : int
         Bytes of the incomplete head so far.
+    head_memory : int
+        Bytes that the lines of the head take in memory so far.
     chunk_body_bytes : int
         Bytes of bodies in the data now parsed.
     boundary_in_chunk : bool
@@ -141,7 +150,7 @@
     asks_upgrade : bool
         Whether the head asks for an upgrade, and is parsed again without that header.
     reserved : int
-        Bytes reserved for the body that is arriving.
+        Bytes reserved for the request that is arriving.
     continue_due : bool
         Whether `100 Continue` is to be sent after the answers before it.
     written, acknowledged : int
@@ -162,6 +171,8 @@
         self.reading_paused = False
         self.parser: httptools.HttpRequestParser | None
         self.parser = httptools.HttpRequestParser(self)
+        self.rest = b""
+        self.held_by_calls = 0
         self.last_active = self.read_at = clock.now()
         self.written = self.acknowledged = 0
         self.input_ended = False
@@ -191,7 +202,8 @@
         self.headers: list[tuple[str, str]] = []
         self.body = bytearray()
         self.body_size = 0
-        self.head_size = self.framing_size = self.framing_run = 0
+        self.head_size = self.head_memory = 0
+        self.framing_size = self.framing_run = 0
         self.chunk_body_bytes = 0
         self.boundary_in_chunk = False
         self.request_started: float | None = None
@@ -214,11 +226,19 @@
         """
         self.last_active = self.server.last_input_at = clock.now()
         self.parse(data)
-        if (
+
+    @property
+    def must_wait(self) -> bool:
+        """Return whether no more requests are parsed until calls have been answered."""
+        fits = self.server.memory.fits(0)
+        return bool(self.pending) and (
             len(self.pending) >= MAX_PIPELINED
-            and not self.reading_paused
-            and not self.closed
-        ):
+            or self.held_by_calls > (MAX_PIPELINED_BYTES if fits else SMALL_BODY)
+        )
+
+    def pause_reading(self) -> None:
+        """Read no more for now."""
+        if not (self.reading_paused or self.closed):
             self.reading_paused = True
             self.transport.pause_reading()
 
@@ -233,8 +253,7 @@
         if self.closed or not self.pending:
             return False
         self.end_input()
-        self.request_started = None
-        self.continue_due = False
+        self.end_request()
         self.ended_input = EndedInput(self.socket, len(self.pending), self.caller_left)
         if not self.pending[0].takes_interim:
             self.ended_input.give_time()
@@ -261,7 +280,8 @@
         self.server.connections.discard(self)
         if self.ended_input is not None:
             self.ended_input.stop()
-        self.drop_body()
+        self.drop_request()
+        self.end_request()
         for exchange in self.pending:
             self.server.memory.release(exchange.answer_bytes)
             if exchange.task is not None:
@@ -269,7 +289,9 @@
         self.pending.clear()
 
     def parse(self, data: bytes) -> None:
-        """Parse data piece by piece, until the input ends."""
+        """Parse data piece by piece, up to a request that has to wait."""
+        if self.rest:
+            data, self.rest = self.rest + data, b""
         for start in range(0, len(data), PARSE_BYTES):
             if self.closed:
                 return
@@ -277,9 +299,15 @@
                 self.parser = None
                 self.discard(data[start:])
                 return
+            if self.must_wait:
+                self.rest = data[start:]
+                self.pause_reading()
+                return
             self.parse_piece(data[start : start + PARSE_BYTES])
         if self.input_ended:
             self.parser = None
+        elif len(self.pending) >= MAX_PIPELINED:
+            self.pause_reading()
 
     def parse_piece(self, data: bytes) -> None:
         """Feed data to the parser, and check the size of what is no body."""
@@ -292,6 +320,7 @@
         else:
             if self.request_started is not None and not self.head_complete:
                 self.check_head_size(data)
+                self.reserve_or_refuse()
             elif not self.boundary_in_chunk:
                 self.check_framing(len(data) - self.chunk_body_bytes)
 
@@ -350,16 +379,19 @@
         self.reset_request()
         self.boundary_in_chunk = True
         self.request_started = clock.now()
+        self.server.arriving[self] = None
 
     def on_url(self, data: bytes) -> None:
         """Append to the request target."""
         self.target += data
+        self.head_memory += len(data)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are dropped, as RFC 9110, section 6.5.1, allows."""
         if self.head_complete or self.input_ended:
             return
         self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        self.head_memory += header_size(name, value)
 
     def on_headers_complete(self) -> None:
         """Complete the head; refuse the body or let the caller send it."""
@@ -371,6 +403,8 @@
         if self.asks_upgrade:
             return
         self.head_complete = True
+        if not self.reserve_or_refuse():
+            return
         if self.pending and self.server.ends_connections:
             self.leave_unread()
             return
@@ -394,7 +428,7 @@
         closes the connection the request counts as not read, and is sent again.
         """
         self.server.policy.call_unread(self.request(b""))
-        self.request_started = None
+        self.end_request()
         self.end_input()
 
     def use_origin_form(self) -> bool:
@@ -418,7 +452,7 @@
         if refusal is not None:
             self.refuse_with(refusal)
         elif self.server.memory.try_reserve(size):
-            self.reserved = size
+            self.reserved += size
         else:
             self.refuse_with(self.server.policy.refuse_for_memory(head))
 
@@ -431,31 +465,60 @@
         self.continue_due = False
         if self.body_size > self.limits.body_bytes:
             self.refuse(413, "body")
-        elif self.reserve_body():
+        elif self.reserve_or_refuse():
             self.body += data
-        else:
-            refusal = self.server.policy.refuse_for_memory(self.request(b""))
-            self.refuse_with(refusal)
 
-    def reserve_body(self) -> bool:
-        """Reserve the bytes received so far; return whether they fit."""
-        missing = self.body_size - self.reserved
+    def reserve_or_refuse(self) -> bool:
+        """Reserve memory for what has arrived; refuse the request without room for it.
+
+        Return whether it fits. A small request always does.
+        """
+        if self.input_ended:
+            return False
+        head = self.head_memory
+        if not self.head_complete:
+            # The parser holds the last line until it is complete.
+            head += self.head_size
+        missing = head + self.body_size - self.reserved
         if missing <= 0:
             return True
-        if self.body_size <= SMALL_BODY:
-            self.server.memory.reserve(missing)
-        elif not self.server.memory.try_reserve(missing):
+        fits = self.server.make_room(missing, self)
+        if not fits and max(head, self.body_size) > SMALL_BODY:
+            self.refuse_for_memory()
             return False
-        self.reserved = self.body_size
+        self.server.memory.reserve(missing)
+        self.reserved += missing
         return True
 
-    def drop_body(self) -> None:
-        """Drop the bytes received so far and release what was reserved."""
+    def refuse_for_memory(self) -> None:
+        """Refuse the request that is arriving, as there is no room for it."""
+        refusal = self.server.policy.refuse_for_memory(self.request(b""))
+        self.refuse_with(refusal)
+
+    def outstays(self, now: float) -> bool:
+        """Return whether the request takes too long to keep its place in memory.
+
+        Heads are sent at once, and a body that belongs to a call arrives steadily.
+        """
+        if not self.head_complete:
+            return True
+        assert self.request_started is not None
+        allowed = self.limits.header_timeout + self.body_size / MIN_BODY_RATE
+        return now - self.request_started > allowed
+
+    def drop_request(self) -> None:
+        """Drop what has arrived of a request and release what was reserved."""
         self.server.memory.release(self.reserved)
         self.reserved = 0
         self.body = bytearray()
         self.headers = []
 
+    def end_request(self) -> None:
+        """Note that no request is arriving any more."""
+        self.request_started = None
+        self.continue_due = False
+        self.server.arriving.pop(self, None)
+
     def request(self, body: bytes) -> Request:
         """Return the request whose head is complete."""
         assert self.request_started is not None
@@ -478,18 +541,18 @@
         self.framing_size = 0
         keep_alive = self.parser.should_keep_alive()
         request = self.request(bytes(self.body))
-        self.body = bytearray()
+        self.body, self.headers = bytearray(), []
         exchange = Exchange(
             keep_alive,
             head_only=request.method == "HEAD",
             takes_interim=self.parser.get_http_version() != "1.0",
         )
         self.pending.append(exchange)
-        self.request_started = None
-        self.continue_due = False
+        self.end_request()
         if not keep_alive:
             self.input_ended = True
         reserved, self.reserved = self.reserved, 0
+        self.held_by_calls += reserved
         exchange.task = asyncio.ensure_future(self.serve(exchange, request))
         # In a callback, because a task cancelled before its start runs no code at all.
         exchange.task.add_done_callback(
@@ -509,9 +572,8 @@
         exchange = Exchange(keep_alive=False)
         exchange.answer = answer
         self.pending.append(exchange)
-        self.drop_body()
-        self.request_started = None
-        self.continue_due = False
+        self.drop_request()
+        self.end_request()
         self.input_ended = True
         self.flush()
 
@@ -535,6 +597,7 @@
     ) -> None:
         """Release the body of a request; answer it if its task has not done so."""
         self.server.memory.release(reserved)
+        self.held_by_calls -= reserved
         error = None if task.cancelled() else task.exception()
         if error is not None:
             self.server.on_crash(error)
@@ -583,14 +646,15 @@
                 self.write(part)
             if close:
                 self.input_ended = True
-                self.drop_body()
+                self.drop_request()
+                self.end_request()
                 self.half_close()
                 return
         if self.continue_due and not self.pending:
             # Sent before the earlier answers, it would be taken for part of them.
             self.continue_due = False
             self.write(CONTINUE)
-        if len(self.pending) < MAX_PIPELINED:
+        if not self.must_wait:
             self.resume_reading()
 
     def encode(self, exchange: Exchange, close: bool) -> tuple[bytes, ...]:
@@ -606,8 +670,11 @@
 
     def resume_reading(self) -> None:
         """Read on if that was paused."""
-        if self.reading_paused and not self.closed:
-            self.reading_paused = False
+        if not self.reading_paused or self.closed:
+            return
+        self.reading_paused = False
+        self.parse(b"")
+        if not (self.reading_paused or self.closed):
             self.transport.resume_reading()
 
     def write(self, data: bytes) -> None:
@@ -665,7 +732,8 @@
         if self.input_ended:
             return
         self.input_ended = True
-        self.drop_body()
+        self.rest = b""
+        self.drop_request()
         if self.pending:
             self.pending[-1].keep_alive = False
         else:
@@ -771,6 +839,8 @@
         Counts request bodies and unread answers.
     slow_callers : set of CallerConnection
         Connections with unread answers.
+    arriving : dict of CallerConnection
+        Connections on which part of a request has arrived, the earliest first.
     buffer : memoryview
         Where the event loop puts what it reads.
     policy : BodyPolicy
@@ -806,6 +876,7 @@
         self.policy: BodyPolicy = ReadAllBodies()
         self.connections: set[CallerConnection] = set()
         self.slow_callers: set[CallerConnection] = set()
+        self.arriving: dict[CallerConnection, None] = {}
         self.buffer = memoryview(bytearray(RECEIVE_BYTES))
         self.closing = False
         self.last_input_at = self.last_request_at = float("-inf")
@@ -827,6 +898,32 @@
 
     # Memory.
 
+    def make_room(self, size: int, receiver: CallerConnection) -> bool:
+        """Refuse requests that take too long to arrive; return whether bytes fit then.
+
+        The earliest is first. None is refused if all of them leave too little room.
+
+        Parameters
+        ----------
+        receiver : CallerConnection
+            Connection of the request that needs room.
+        """
+        if self.memory.fits(size):
+            return True
+        now = clock.now()
+        dropped = [
+            each
+            for each in self.arriving
+            if each is not receiver and each.outstays(now)
+        ]
+        if not self.memory.fits(size - sum(each.reserved for each in dropped)):
+            return False
+        for connection in dropped:
+            if self.memory.fits(size):
+                break
+            connection.refuse_for_memory()
+        return True
+
     def unread_changed(self, connection: CallerConnection, change: int) -> None:
         """Record that the unread bytes of a connection have changed."""
         if connection.unread:
--- a/sequoiaspoke/tests/test_callerserver_heads.py
+++ b/sequoiaspoke/tests/test_callerserver_heads.py
@@ -1,5 +1,6 @@
 """Tests of the memory that heads, chunks and trailers of callers take."""
 
+import asyncio
 import sys
 
 from sequoiaspoke.core.mesh.model import CallerLimits
@@ -71,3 +72,98 @@
             self.assertIn(b" 200 ", seen)
 
         self.play(scenario)
+
+
+class HeadMemoryTests(HeadTestCase):
+    """Heads of short lines, which take many times their bytes."""
+
+    REQUEST = START + 2500 * LINE + b"\r\n"
+    SMALL = START + b"\r\n"
+    # A request and a half.
+    limit = 800_000
+
+    async def open(self, data=b""):
+        """Return the ends of a new connection that has brought data."""
+        count = len(self.server.connections)
+        ends = await asyncio.open_connection(*self.address)
+        ends[1].write(data)
+        await self.until(lambda: len(self.server.connections) > count)
+        return ends
+
+    def test_a_head_is_counted_by_what_it_takes_until_its_call_has_ended(self):
+        # Only bodies were counted, whatever their requests took.
+        async def scenario(reader, writer, connection):
+            writer.write(self.REQUEST)
+            await self.until(lambda: self.handler.begun)
+            self.assertTrue(self.memory.held > 20 * len(self.REQUEST))
+            self.handler.gate.set()
+            self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+            await self.until(lambda: not self.memory.held)
+
+        self.play(scenario)
+
+    def test_a_large_head_without_room_is_refused(self):
+        async def scenario(reader, writer, connection):
+            writer.write(self.REQUEST)
+            await self.until(lambda: self.handler.begun)
+            late, late_writer = await self.open(self.REQUEST)
+            seen = await late.read()
+            late_writer.close()
+            self.assertTrue(seen.startswith(b"HTTP/1.1 503"), seen)
+            self.assertIn(b"Retry-After", seen)
+            self.assertEqual(len(self.handler.begun), 1)
+
+        self.play(scenario)
+
+    def test_a_small_head_always_has_room(self):
+        async def scenario(reader, writer, connection):
+            self.memory.reserve(2 * self.limit)
+            self.handler.gate.set()
+            writer.write(self.SMALL)
+            self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+
+        self.play(scenario)
+
+    def test_the_head_that_takes_longest_makes_room(self):
+        # Heads that did not end kept others out.
+        async def scenario(reader, writer, connection):
+            half = self.REQUEST[: len(self.REQUEST) // 2]
+            first, first_writer = await self.open(half)
+            await self.until(lambda: self.memory.held)
+            second, second_writer = await self.open(half)
+            self.handler.gate.set()
+            writer.write(self.REQUEST)
+            self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+            self.assertTrue((await first.read()).startswith(b"HTTP/1.1 503"))
+            self.assertFalse(second.at_eof())
+            first_writer.close()
+            second_writer.close()
+
+        self.play(scenario)
+
+    def test_requests_behind_large_ones_wait_unread(self):
+        # Each of them was parsed and held as it came.
+        async def scenario(reader, writer, connection):
+            self.memory.limit = 100 * self.limit
+            writer.write(10 * self.REQUEST)
+            await self.until(lambda: connection.reading_paused)
+            self.assertEqual(len(connection.pending), 1)
+            self.handler.gate.set()
+            for _ in range(10):
+                self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+            await self.until(lambda: not self.memory.held)
+
+        self.play(scenario)
+
+    def test_all_memory_is_released_when_connections_end(self):
+        async def scenario(reader, writer, connection):
+            ends = [await self.open(self.REQUEST[:5000]) for _ in range(3)]
+            ends.append(await self.open(self.REQUEST))
+            await self.until(lambda: self.handler.begun)
+            for _, each in ends:
+                each.transport.abort()
+            await self.until(lambda: len(self.server.connections) == 1)
+            await self.until(lambda: not self.memory.held)
+            self.assertEqual(self.server.arriving, {})
+
+        self.play(scenario)
