Keep the connections of a sidecar within its descriptors

What callers saw: while other clients held connections open, new ones got no answer, and nothing in the log said that the process had no descriptors left.

Cause: connections were accepted as long as there were descriptors. Connections to the upstream, to other nodes and to the store need some as well, and a new caller had to wait until the idle timeout ended another connection. The readiness address had no timeouts at all.

Change: callers get half of the descriptors, the readiness address and links without a hello a small share each. Beyond it a connection without calls is closed: one that has brought no request before others, then the one that was silent for longest. Events connections-limited tell the number. The readiness address checks its timeouts.

SurplusTests and UnknownLinkTests are new.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -19,6 +19,7 @@
 from sequoiaspoke.sidecar.answerlog import AnswerLog
 from sequoiaspoke.sidecar.callerserver import CallerServer
 from sequoiaspoke.sidecar.crashgossip import CrashGossip
+from sequoiaspoke.sidecar.descriptors import available_descriptors, limit_connections
 from sequoiaspoke.sidecar.entry import Entry
 from sequoiaspoke.sidecar.follower import Follower
 from sequoiaspoke.sidecar.frames import TcpDialer
@@ -152,6 +153,7 @@
         self.health = CallerServer(
             pages.handle, self.log_unexpected_error, memory=self.memory
         )
+        self.limit_connections()
         self.follower = Follower(store, self.state, self.duty, rng)
         self.shutdown = Shutdown(
             self.callers, self.links, self.entry, self.home, self.log
@@ -166,6 +168,21 @@
         self.applied_state = (0, 0, 0, 0)
         self.readers_logged: tuple[str, ...] = ()
 
+    def limit_connections(self) -> None:
+        """Limit the connections that this node accepts to its descriptors."""
+        limits = limit_connections(available_descriptors(self.settings.descriptors))
+        for name, server, limit in (
+            ("callers", self.callers, limits.callers),
+            ("health", self.health, limits.health),
+            ("links", self.links, limits.unknown_links),
+        ):
+            server.max_connections = limit
+            server.on_limited = partial(self.log_limited, name, limit)
+
+    def log_limited(self, port: str, limit: int, closed: int) -> None:
+        """Log that connections were closed, as there were too many."""
+        self.log.event("connections-limited", port=port, limit=limit, closed=closed)
+
     def log_unexpected_error(self, error: BaseException) -> None:
         """Log an unhandled exception."""
         self.log.event("crash", error=repr(error))
@@ -360,6 +377,8 @@
         if now - self.callers_ticked_at > CALLERS_TICK_SECONDS:
             self.callers_ticked_at = now
             self.callers.tick(now)
+            self.health.tick(now)
+            self.links.report_limited()
         self.shutdown.tick(now)
 
     def reload_settings(self) -> None:
@@ -381,6 +400,7 @@
             )
         self.settings = settings
         self.memory.limit = memory_limit(settings.memory_mb)
+        self.limit_connections()
         self.home.admission.transfers.set_link_mbps(settings.link_mbps)
         self.entry.service = settings.service
         self.entry.attempts.regions = settings.regions
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -185,6 +185,7 @@
         host, *_ = self.transport.get_extra_info("peername") or ("",)
         self.nested = host == self.server.upstream_host
         self.server.connections.add(self)
+        self.server.close_surplus()
         # The transport then tells as soon as it has to buffer bytes.
         self.transport.set_write_buffer_limits(0)
         if self.server.input_ended:
@@ -896,6 +897,25 @@
         self.last_input_at = clock.now()
         return CallerConnection(self)
 
+    def close_surplus(self) -> None:
+        """Close a connection without calls if there are more than the limit.
+
+        Those that have not brought a request yet are first, and then the one that was
+        silent for longest. Callers expect that an idle connection may be closed.
+        """
+        if len(self.connections) <= self.max_connections:
+            return
+        worst = min(
+            (each for each in self.connections if not (each.pending or each.unread)),
+            key=lambda each: (bool(each.written), each.last_active),
+            default=None,
+        )
+        if worst is not None:
+            self.closed_beyond_limit += 1
+            worst.close()
+            # Its descriptor is free in the next iteration of the event loop.
+            self.connections.discard(worst)
+
     # Memory.
 
     def make_room(self, size: int, receiver: CallerConnection) -> bool:
@@ -972,6 +992,7 @@
 
     def tick(self, now: float) -> None:
         """Check the timeouts of all connections."""
+        self.report_limited()
         self.observe_reading(now)
         self.close_stopped_callers(now)
         for connection in list(self.connections):
--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -19,6 +19,7 @@
     "reload-failed": "the new settings are invalid; the old ones stay in force",
     "pause": "this VM was paused",
     "stall": "the process did not run for a while although its VM was not paused",
+    "connections-limited": "connections were closed, as there were too many",
     "crash": "an unexpected error; the operation in which it occurred has failed",
     "config": "a version of the configuration came into force",
     "item-refused": "an item of the store is invalid; the last valid one stays",
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -42,6 +42,8 @@
     ----------
     features : LinkFeatures
         Features of the other node, as it told in its hello.
+    refused : bool
+        Whether it was closed, as there were too many.
     """
 
     def __init__(self, stream: FrameStream, server: LinkServer) -> None:
@@ -53,7 +55,7 @@
         # Seconds by which the other node's clock is ahead of this one's.
         self.clock_offset = 0.0
         self.sent_outcomes = SentOutcomes()
-        self.ended = False
+        self.ended = self.refused = False
 
     def handle_frame(self, frame: wire.Frame) -> None:
         """Handle one frame from the other node."""
@@ -228,6 +230,7 @@
         """Handle the frames of a link until it ends."""
         link = AcceptedLink(stream, self)
         self.links.append(link)
+        self.close_surplus()
         reason = await link.stream.read(link.handle_frame)
         self.links.remove(link)
         link.end()
@@ -235,6 +238,14 @@
         if reason not in ("closed", "closed-here"):
             self.log.event("link-broken", peer=link.peer, reason=reason)
 
+    def close_surplus(self) -> None:
+        """Close the earliest link of too many whose nodes are not known yet."""
+        unknown = [x for x in self.links if x.peer is None and not x.refused]
+        if len(unknown) > self.max_connections:
+            self.closed_beyond_limit += 1
+            unknown[0].refused = True
+            unknown[0].stream.close()
+
     def announce_leaving(self) -> None:
         """Tell every connected entry that this home takes no new calls."""
         for link in self.links:
--- a/sequoiaspoke/sidecar/metrics.py
+++ b/sequoiaspoke/sidecar/metrics.py
@@ -44,7 +44,7 @@
     "reads_store": "1 if this node reads the store, for others or for itself",
     "subscribers": "nodes that this one tells of changes",
     "links": "links to other nodes that stand",
-    "memory_held": "bytes held for request bodies and unread answers",
+    "memory_held": "bytes held for requests and unread answers",
     "loop_delay_seconds": "how much too late the last look at the clock came",
     "store_reads": "reads of the store so far",
     "upstream_connects": "connections opened to the upstream so far",
--- a/sequoiaspoke/sidecar/settings.py
+++ b/sequoiaspoke/sidecar/settings.py
@@ -43,6 +43,8 @@
         Rate of this VM's network link in Mbit/s, 0 if unknown.
     memory_mb : float
         Memory of this VM in MB, 0 if unknown.
+    descriptors : float
+        Descriptors that the platform lets the process open, 0 if unknown.
     regions : dict of str to str
         Region of each availability zone.
     """
@@ -62,6 +64,7 @@
     act_within: float = 2.0
     link_mbps: float = 0.0
     memory_mb: float = 0.0
+    descriptors: float = 0.0
     repeats: RetryLimits = field(default_factory=RetryLimits)
     cold: ColdLimits = field(default_factory=ColdLimits)
     regions: dict[str, str] = field(default_factory=dict)
@@ -76,6 +79,7 @@
         "leave_after",
         "drain",
         "break_off_after",
+        "descriptors",
         "link_mbps",
         "memory_mb",
         "repeats",
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -16,12 +16,13 @@
 import termios
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 from sequoiaspoke.listening import BACKLOG, accept_waiting
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 
 @dataclass(frozen=True)
@@ -191,10 +192,27 @@
             self.count_unread()
 
 
+def ignore_limited(closed: int) -> None:
+    """Do nothing; the default until somebody wants to know."""
+
+
 class ConnectionServer(ABC):
-    """Accepts connections on one or more addresses."""
+    """Accepts connections on one or more addresses.
+
+    Attributes
+    ----------
+    max_connections : float
+        Open connections beyond which the least useful ones are closed.
+    closed_beyond_limit : int
+        Connections that were closed for that since the last report.
+    on_limited : callable
+        Called with their number now and then.
+    """
 
     def __init__(self) -> None:
+        self.max_connections = inf
+        self.closed_beyond_limit = 0
+        self.on_limited: Callable[[int], None] = ignore_limited
         self.listeners: list[socket.socket] = []
         self.accept_tasks: list[asyncio.Task[None]] = []
         self.servers: list[asyncio.AbstractServer] = []
@@ -247,6 +265,12 @@
             # The peer has left already.
             sock.close()
 
+    def report_limited(self) -> None:
+        """Report the connections that were closed as there were too many."""
+        if self.closed_beyond_limit:
+            self.on_limited(self.closed_beyond_limit)
+            self.closed_beyond_limit = 0
+
     def stop(self) -> None:
         """Accept no more connections; open ones are not closed."""
         for task in self.accept_tasks:
--- /dev/null
+++ b/sequoiaspoke/tests/test_connections_limited.py
@@ -0,0 +1,122 @@
+"""Tests of the connections that a sidecar keeps open."""
+
+import asyncio
+import resource
+from types import SimpleNamespace
+
+from testtools import TestCase
+
+from sequoiaspoke.sidecar import descriptors
+from sequoiaspoke.sidecar.descriptors import available_descriptors, limit_connections
+from sequoiaspoke.sidecar.linkserver import AcceptedLink, LinkServer
+from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
+
+REQUEST = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class DescriptorTests(TestCase):
+    def available(self, soft, platform):
+        self.patch(resource, "getrlimit", lambda kind: (soft, soft))
+        return available_descriptors(platform)
+
+    def test_the_smaller_limit_holds(self):
+        self.assertEqual(self.available(300, 4100), 300)
+        self.assertEqual(self.available(10_000, 4100), 3900)
+        self.assertEqual(self.available(300, 0), 300)
+
+    def test_a_process_without_a_limit_has_a_large_one(self):
+        unlimited = self.available(resource.RLIM_INFINITY, 0)
+        self.assertEqual(unlimited, descriptors.UNLIMITED)
+
+    def test_callers_leave_descriptors_for_links_and_the_upstream(self):
+        limits = limit_connections(300)
+        self.assertEqual((limits.callers, limits.health), (150, 18))
+        self.assertEqual(limit_connections(3900).health, descriptors.MAX_SMALL)
+
+
+class SurplusTests(CallerServerTestCase):
+    """A server that keeps three connections of callers open."""
+
+    async def open(self, data=b""):
+        """Return the ends of a new connection that has brought data."""
+        known = set(self.server.connections)
+        ends = await asyncio.open_connection(*self.address)
+        await self.until(lambda: self.server.connections - known)
+        if data:
+            begun = len(self.handler.begun)
+            ends[1].write(data)
+            await self.until(lambda: len(self.handler.begun) > begun)
+        return ends
+
+    def play(self, scenario):
+        async def limited(reader, writer):
+            await self.until(lambda: self.server.connections)
+            self.server.max_connections = 3
+            self.reports = []
+            self.server.on_limited = self.reports.append
+            await scenario(reader, writer)
+
+        super().play(limited)
+
+    async def closed(self, reader):
+        return not await reader.read()
+
+    def test_the_one_that_is_silent_for_longest_is_closed(self):
+        # New callers waited until others had timed out.
+        async def scenario(reader, writer):
+            others = [await self.open() for _ in range(3)]
+            self.assertTrue(await self.closed(reader))
+            self.handler.gate.set()
+            others[0][1].write(REQUEST)
+            self.assertIn(b" 200 ", await others[0][0].readuntil(b"/a"))
+            self.server.tick(0.0)
+            self.server.tick(0.0)
+            self.assertEqual(self.reports, [1])
+            for _, each in others:
+                each.close()
+
+        self.play(scenario)
+
+    def test_one_that_has_brought_a_request_is_kept_before_silent_ones(self):
+        async def scenario(reader, writer):
+            self.handler.gate.set()
+            writer.write(REQUEST)
+            await reader.readuntil(b"/a")
+            others = [await self.open() for _ in range(3)]
+            self.assertTrue(await self.closed(others[0][0]))
+            writer.write(REQUEST)
+            self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+            for _, each in others:
+                each.close()
+
+        self.play(scenario)
+
+    def test_one_with_a_call_is_never_closed(self):
+        async def scenario(reader, writer):
+            writer.write(REQUEST)
+            others = [await self.open(REQUEST) for _ in range(2)]
+            await self.until(lambda: len(self.handler.begun) == 3)
+            late, late_writer = await asyncio.open_connection(*self.address)
+            self.assertTrue(await self.closed(late))
+            self.handler.gate.set()
+            for each, _ in ((reader, writer), *others):
+                self.assertIn(b" 200 ", await each.readuntil(b"/a"))
+            for _, each in (*others, (late, late_writer)):
+                each.close()
+
+        self.play(scenario)
+
+
+class UnknownLinkTests(TestCase):
+    def test_the_earliest_link_without_a_hello_is_closed(self):
+        # Connections that say nothing took all descriptors.
+        closed = []
+        server = LinkServer(None, None, 1, None)
+        server.max_connections = 2
+        for number in range(4):
+            stream = SimpleNamespace(close=lambda number=number: closed.append(number))
+            link = AcceptedLink(stream, server)
+            link.peer = ("10.0.0.1", 1) if number == 1 else None
+            server.links.append(link)
+            server.close_surplus()
+        self.assertEqual((closed, server.closed_beyond_limit), ([0], 1))
--- a/sequoiaspoke/tests/test_sidecar_reload.py
+++ b/sequoiaspoke/tests/test_sidecar_reload.py
@@ -25,6 +25,7 @@
     act_within=1.0,
     link_mbps=5.0,
     memory_mb=64.0,
+    descriptors=4100.0,
     repeats=RetryLimits(0.1, 1.0, 5.0),
     cold=ColdLimits(2.0, 3.0),
     regions={"akaki": "south"},
