Count the heads of other nodes' calls in the memory account of their home

Cause: a home counted only the bodies of remote calls. A decoded head takes up to 200 bytes a line beside its text, so legal heads of very many short lines that several entries sent to one home filled its memory without being counted. If such a call was asked for again on a new link, its second copy was kept as well, in the callback of the outcome.

Change: a home reserves what the target and the headers of a remote call take in memory, and a body that comes with it, from its acceptance until its end. A head of more than 16 KB that does not fit is refused at once as not run (`memory-refused`, with its Retry-After), and the entry asks another home. The callback keeps the route and rank of the call only. Calls of the node's own entry are counted where they arrive, as before.

Three tests of bodies count the heads now.

--- a/sequoiaspoke/core/mesh/outcome.py
+++ b/sequoiaspoke/core/mesh/outcome.py
@@ -7,6 +7,8 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.mesh.memory import header_size
+
 if TYPE_CHECKING:
     from sequoiaspoke.core.mesh.crashes import Crash
 
@@ -50,6 +52,11 @@
         """Return the value of a header, empty if missing."""
         return find_header(self.headers, name)
 
+    @cached_property
+    def head_memory(self) -> int:
+        """Return the bytes that the target and the headers take in memory."""
+        return len(self.target) + sum(header_size(*pair) for pair in self.headers)
+
     @cached_property
     def fingerprint(self) -> str:
         """Return a hash that is equal for repetitions of a request.
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -23,7 +23,7 @@
 from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.leaving import LeavingUpstreams
 from sequoiaspoke.core.mesh.ledger import Ledger
-from sequoiaspoke.core.mesh.memory import MemoryAccount
+from sequoiaspoke.core.mesh.memory import SMALL_BODY, MemoryAccount
 from sequoiaspoke.core.mesh.outcome import (
     RESET_AT_ONCE,
     UPSTREAM_CRASHED,
@@ -34,6 +34,7 @@
 from sequoiaspoke.core.mesh.parents import CallingKinds, RunningParents
 from sequoiaspoke.core.mesh.slots import CANCEL_SECONDS
 from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.bodypolicy import MEMORY_REFUSED, MEMORY_RETRY_AFTER
 from sequoiaspoke.sidecar.crashdetector import CrashDetector, SentCall
 from sequoiaspoke.sidecar.crashguard import CrashGuard
 from sequoiaspoke.sidecar.healthmonitor import HealthMonitor
@@ -95,6 +96,9 @@
         Current incarnation of the upstream, as last published by the platform.
     last_load : Load or None
         Load that the upstream reported with the last outcome, for the log.
+    memory : MemoryAccount
+        Memory of the node. The requests of its own callers are counted where they
+        arrive.
     call_id_header : str
         Header with the id of a call; empty if nested calls are not recognized by ids.
     previous_incarnation : Incarnation or None
@@ -142,8 +146,8 @@
         self.leaving_upstreams = LeavingUpstreams(directory.is_leaving)
         self.counts: Counter[str] = Counter()
         self.overdue_timer = OverdueTimer(self.admission, self.dispatch)
-        memory = MemoryAccount() if memory is None else memory
-        self.bodies = IncomingBodies(self.admission, self.counts, self, memory)
+        self.memory = MemoryAccount() if memory is None else memory
+        self.bodies = IncomingBodies(self.admission, self.counts, self, self.memory)
 
     def submit(
         self,
@@ -199,7 +203,11 @@
             on_outcome(NotRun(refused.reason, refused.retry_after))
             return
         self.ledger.begin(key, None if call.idempotent else call.deadline)
-        self.calls[key] = ActiveCall(call, on_outcome)
+        reserved = 0
+        if call.remote:
+            reserved = call.request.head_memory + len(call.request.body)
+            self.memory.reserve(reserved)
+        self.calls[key] = ActiveCall(call, on_outcome, reserved=reserved)
         self.upstream_bytes.add(key, len(call.request.body))
         if refused is not None:
             self.refuse(refused)
@@ -295,7 +303,27 @@
                 RefusalReason.LEDGER_FULL,
                 min(max(seconds, MIN_RETRY_AFTER), LEDGER_RETRY_AFTER),
             )
-        return None
+        return self.memory_refusal(call)
+
+    def memory_refusal(self, call: HomeCall) -> NotRun | None:
+        """Return the refusal of a call whose head does not fit, None if it does.
+
+        A small head always fits.
+        """
+        size = call.request.head_memory
+        if not call.remote or size <= SMALL_BODY or self.memory.fits(size):
+            return None
+        self.counts[MEMORY_REFUSED] += 1
+        self.log.call(
+            "home-refused",
+            call.request,
+            reason=MEMORY_REFUSED,
+            instance=call.incarnation.instance,
+            size=size,
+            held=self.memory.held,
+            limit=self.memory.limit,
+        )
+        return NotRun(MEMORY_REFUSED, MEMORY_RETRY_AFTER)
 
     def outlasting_refusal(self, call: HomeCall, queued: bool = False) -> NotRun | None:
         """Return the refusal of a call that may outlast this node, None without one.
@@ -564,6 +592,7 @@
         self.parents.end(running.call.request.header(self.call_id_header))
         self.admission.suspects.discard(key)
         self.bodies.drop(key)
+        self.memory.release(running.reserved)
         self.upstream_bytes.end(key, answered=False)
         size = len(outcome.body) if isinstance(outcome, Answer) else 0
         self.ledger.finish(key, outcome, size, clock.now())
--- a/sequoiaspoke/sidecar/homecall.py
+++ b/sequoiaspoke/sidecar/homecall.py
@@ -61,6 +61,9 @@
         When it was sent to the upstream; minus infinity if it was not.
     stop_reason : str
         Reason of its outcome if its task is cancelled.
+    reserved : int
+        Bytes reserved for the request until the call ends, without a body that
+        follows in parts.
     """
 
     call: HomeCall
@@ -69,6 +72,7 @@
     cancelled: bool = False
     sent_at: float = -inf
     stop_reason: str = "cancelled"
+    reserved: int = 0
 
     @property
     def sent(self) -> bool:
--- a/sequoiaspoke/sidecar/linkserver.py
+++ b/sequoiaspoke/sidecar/linkserver.py
@@ -31,7 +31,6 @@
     from sequoiaspoke.sidecar.frames import FrameStream
     from sequoiaspoke.sidecar.gossip import Gossip
     from sequoiaspoke.sidecar.home import Home
-    from sequoiaspoke.sidecar.homecall import HomeCall
     from sequoiaspoke.sidecar.logs import EventLog
 
 
@@ -125,15 +124,15 @@
         if not self.features & LinkFeatures.LAST_RESORT:
             # This entry would not come back after a refusal.
             home_call = replace(home_call, last_resort=True)
+        # Not the call itself: if it comes again, that is another copy.
+        kind = (home_call.route, home_call.rank)
         self.server.unread.asked_again(key)
         home.submit(
             key,
             home_call,
-            lambda outcome: self.send_outcome(number, home_call, outcome),
+            lambda outcome: self.send_outcome(number, kind, outcome),
             None if size is None else AnnouncedBody(size, self),
         )
-        if size is None and key in home.calls:
-            home.bodies.hold(key, len(home_call.request.body))
 
     def handle_withdraw(self, message: wire.Withdraw) -> None:
         """Have the home take a call back; raise MessageError."""
@@ -141,9 +140,9 @@
         number = message.number
         key = (self.peer, number)
         running = self.server.home.calls.get(key)
-        call = None if running is None else running.call
+        kind = None if running is None else (running.call.route, running.call.rank)
         self.server.home.withdraw(
-            key, lambda outcome: self.send_outcome(number, call, outcome)
+            key, lambda outcome: self.send_outcome(number, kind, outcome)
         )
 
     def handle_part(self, message: wire.BodyPart) -> None:
@@ -158,11 +157,16 @@
         self.stream.send(wire.Frame(fetch=wire.Fetch(number, offset, upto)))
 
     def send_outcome(
-        self, number: int, call: HomeCall | None, outcome: Outcome
+        self, number: int, kind: tuple[str, int] | None, outcome: Outcome
     ) -> None:
-        """Send the outcome of a call, with a load report for its route if known."""
-        kind = () if call is None else (call.route, call.rank)
-        load_report = self.server.home.load_report(*kind)
+        """Send the outcome of a call, with a load report for its route if known.
+
+        Parameters
+        ----------
+        kind : tuple of str and int, or None
+            Route and rank of the call, None if not known.
+        """
+        load_report = self.server.home.load_report(*(kind or ()))
         self.stream.send(pack_outcome(number, outcome, load_report))
         if self.server.home.stopping:
             self.keep_until_read(number)
--- a/sequoiaspoke/tests/bodysim.py
+++ b/sequoiaspoke/tests/bodysim.py
@@ -143,11 +143,11 @@
                 entry.tick(self.now())
             await asyncio.sleep(TICK)
 
-    def send(self, name, size, entry=0, seconds=3.0):
+    def send(self, name, size, entry=0, seconds=3.0, headers=(("Host", "x"),)):
         """Send a call from an entry; return the pending call."""
         until = self.now() + seconds
         call = HomeCall(
-            Request("POST", name, (("Host", "x"),), body_of(name, size)),
+            Request("POST", name, headers, body_of(name, size)),
             ENDPOINT.incarnation,
             "up",
             2,
--- a/sequoiaspoke/tests/test_bodies.py
+++ b/sequoiaspoke/tests/test_bodies.py
@@ -6,6 +6,7 @@
 
 from testtools import TestCase
 
+from sequoiaspoke.core.mesh.memory import header_size
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
 from sequoiaspoke.core.mesh.transfers import PART_BYTES
 from sequoiaspoke.errors import MessageError
@@ -18,6 +19,8 @@
 from sequoiaspoke.wire.gen.meshlink import ttypes as wire
 
 SIZE = 100 << 10
+# Bytes that the head of a call takes in memory.
+HEAD = len("/1") + header_size("Host", "x")
 
 
 class BodiesCase(TestCase):
@@ -257,7 +260,7 @@
             call.deadline = call.on_time = until
             call.rank, call.idempotent, call.born = 2, False, 0
             link.handle_frame(wire.Frame(call=call))
-            self.assertEqual(world.memory.held, SIZE)
+            self.assertEqual(world.memory.held, len("/1") + SIZE)
             await world.until(lambda: not world.home.calls)
             self.assertEqual(world.upstream.runs, [("/1", body)])
             sent = [each.args[0] for each in stream.send.call_args_list]
@@ -288,7 +291,7 @@
             for number in range(2):
                 world.send(f"/{number}", SIZE, entry=number)
             await world.arrived("/0")
-            self.assertEqual(world.memory.held, SIZE)
+            self.assertEqual(world.memory.held, 2 * HEAD + SIZE)
             await world.until(lambda: len(world.outcomes) == 2)
             self.assertEqual(len(world.upstream.runs), 2)
             self.assertEqual(world.memory.held, 0)
@@ -310,7 +313,7 @@
         async def scenario(world):
             world.send("/1", PART_BYTES)
             await world.until(lambda: world.upstream.runs)
-            self.assertEqual(world.memory.held, PART_BYTES)
+            self.assertEqual(world.memory.held, HEAD + PART_BYTES)
             await world.until(lambda: world.outcomes)
             self.assertEqual(world.memory.held, 0)
 
