Count large heads of the answers that a home keeps

Cause: a home keeps answers for ten seconds, in case their calls are asked for again, up to 2 MB of bodies.

Change: what the headers of an answer take in memory beyond 4 KB counts as its body does. Usual answers are kept as long as before.

The test of them failed on the code before, where all 20 were kept.

--- a/sequoiaspoke/core/mesh/outcome.py
+++ b/sequoiaspoke/core/mesh/outcome.py
@@ -25,6 +25,8 @@
 # Bytes of a fingerprint; a collision among a million requests has a chance of 1 in
 # 10^7.
 FINGERPRINT_BYTES = 8
+# Bytes that the headers of an answer usually take at most.
+USUAL_HEADERS = 4 << 10
 # Names and values of headers, in order.
 Headers = tuple[tuple[str, str], ...]
 
@@ -55,7 +57,7 @@
     @cached_property
     def head_memory(self) -> int:
         """Return the bytes that the target and the headers take in memory."""
-        return len(self.target) + sum(header_size(*pair) for pair in self.headers)
+        return len(self.target) + headers_size(self.headers)
 
     @cached_property
     def fingerprint(self) -> str:
@@ -86,6 +88,11 @@
     body: bytes
     seconds: float = 0.0
 
+    @property
+    def memory(self) -> int:
+        """Return the bytes that the body, and headers beyond the usual, take."""
+        return len(self.body) + max(0, headers_size(self.headers) - USUAL_HEADERS)
+
 
 @dataclass(frozen=True)
 class NotRun:
@@ -121,6 +128,11 @@
 Outcome = Answer | NotRun | Unknown
 
 
+def headers_size(headers: Headers) -> int:
+    """Return the bytes that headers take in memory."""
+    return sum(header_size(*pair) for pair in headers)
+
+
 def find_header(headers: Headers, name: str) -> str:
     """Return the first value of a header, given its name in lower case."""
     for key, value in headers:
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -594,7 +594,7 @@
         self.bodies.drop(key)
         self.memory.release(running.reserved)
         self.upstream_bytes.end(key, answered=False)
-        size = len(outcome.body) if isinstance(outcome, Answer) else 0
+        size = outcome.memory if isinstance(outcome, Answer) else 0
         self.ledger.finish(key, outcome, size, clock.now())
         self.counts[type(outcome).__name__] += 1
         if not isinstance(outcome, Answer):
--- a/sequoiaspoke/tests/test_heads_memory.py
+++ b/sequoiaspoke/tests/test_heads_memory.py
@@ -1,4 +1,4 @@
-"""Tests of the memory that a home holds for the heads of other nodes' calls."""
+"""Tests of the memory that a home holds for the heads of calls and answers."""
 
 import asyncio
 import gc
@@ -6,12 +6,18 @@
 
 from testtools import TestCase
 
+from sequoiaspoke.core.mesh.directory import Directory
+from sequoiaspoke.core.mesh.ledger import MAX_ANSWER_BYTES
 from sequoiaspoke.core.mesh.memory import SMALL_BODY, header_size
-from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
+from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.bodypolicy import MEMORY_REFUSED, MEMORY_RETRY_AFTER
+from sequoiaspoke.sidecar.home import Home
 from sequoiaspoke.sidecar.homecall import HomeCall
+from sequoiaspoke.sidecar.logs import EventLog
 from sequoiaspoke.tests.bodysim import ENDPOINT, play_bodies
 from sequoiaspoke.tests.meshsim import MeshWorld, play_world, run_virtual
+from sequoiaspoke.tests.test_sidecar_home import BlockingUpstream
 
 LINES = 2500 * (("ab", "c"),)
 # Bytes that a head of these lines takes in memory, with a target of two bytes.
@@ -277,3 +283,45 @@
             nodes = world.nodes.values()
             refused += sum(node.home.counts[MEMORY_REFUSED] for node in nodes)
         self.assertTrue(refused > 0)
+
+
+class KeptAnswerTests(TestCase):
+    """Answers that a home keeps in case their calls are asked for again."""
+
+    def play(self, headers, count):
+        """Have calls answered; return the ledger afterwards."""
+
+        async def run():
+            async def call(request, instance, deadline, idempotent, on_send):
+                on_send()
+                return Answer(200, headers, b"")
+
+            log = EventLog("x-request-id")
+            log.allowed = lambda kind: False
+            upstream = BlockingUpstream()
+            upstream.call = call
+            home = Home(upstream, Directory(), log)
+            request, until = Request("POST", "/1", (), b""), clock.now() + 9
+            for number in range(count):
+                order = HomeCall(
+                    request, ENDPOINT.incarnation, "r", 2, False, until, until
+                )
+                home.submit(number, order, lambda outcome: None)
+                while home.calls:
+                    await asyncio.sleep(0)
+            return home.ledger
+
+        return asyncio.run(run())
+
+    def test_those_with_very_many_headers_are_dropped_beyond_the_limit(self):
+        # Only bodies were counted, and a hundred such heads took 160 MB.
+        size = 10_000 * header_size("ab", "c")
+        ledger = self.play(10_000 * (("ab", "c"),), 20)
+        kept = [each for each in ledger.calls.values() if each.outcome is not None]
+        self.assertEqual(len(kept), MAX_ANSWER_BYTES // size)
+        self.assertEqual(len(ledger.calls), 20)
+
+    def test_those_with_usual_heads_are_kept(self):
+        headers = (("Content-Type", "text/plain"), ("Content-Length", "0"))
+        ledger = self.play(headers, 2000)
+        self.assertTrue(all(each.outcome for each in ledger.calls.values()))
