Limit the connections that a node accepts to its descriptors

Callers saw no answer: with more silent connections than a node may have descriptors, a call on a fresh connection waited until the crowd had left.

The node accepted every connection and kept each for the idle time (75 s, an hour on the operators' port). Once its descriptors were used up it could neither accept a connection nor open one to its upstream.

The ports for callers, other nodes' calls and operators now keep a share of the descriptors each, taken from RLIMIT_NOFILE. Beyond it one connection without a call is closed for each new one, first those that have not brought a request, then the one that was idle for longest. New connections may always take an eighth of the limit from idle ones, or callers that stay after one answered call would keep all others out. Links were bounded already, by `connections` of `[spread]`; witnesses use datagrams. The division of descriptors moves from the sidecar to a shared module.

--- a/sequoiaspoke/sidecar/descriptors.py
+++ b/sequoiaspoke/descriptors.py
@@ -13,6 +13,8 @@
 # Share of the descriptors for the connections of callers. The rest is for links, the
 # upstream, the store and files.
 CALLERS_SHARE = 0.5
+# Share for the connections on which other nodes bring calls.
+NODES_SHARE = 0.25
 # Share for links whose nodes have not said who they are, and for connections to the
 # health address; bound of each.
 SMALL_SHARE, MAX_SMALL = 1 / 16, 64
@@ -28,13 +30,15 @@
 
     Attributes
     ----------
-    callers, health : int
-        Connections of callers, and to the health address.
+    callers, nodes, health : int
+        Connections of callers, of other nodes that bring calls, and to the health
+        address.
     unknown_links : int
         Links from nodes that have not said who they are.
     """
 
     callers: int
+    nodes: int
     health: int
     unknown_links: int
 
@@ -57,4 +61,7 @@
 def limit_connections(descriptors: int) -> ConnectionLimits:
     """Return the limits for a process that may have some descriptors open."""
     small = max(1, min(MAX_SMALL, int(SMALL_SHARE * descriptors)))
-    return ConnectionLimits(max(1, int(CALLERS_SHARE * descriptors)), small, small)
+    callers, nodes = (
+        max(1, int(share * descriptors)) for share in (CALLERS_SHARE, NODES_SHARE)
+    )
+    return ConnectionLimits(callers, nodes, small, small)
--- a/sequoiaspoke/node/admin.py
+++ b/sequoiaspoke/node/admin.py
@@ -5,12 +5,18 @@
 import json
 from typing import TYPE_CHECKING, Any
 
-from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPMessageDelegate
 from tornado.web import Application, RequestHandler
 
 from sequoiaspoke.core.snapshot import codec
+from sequoiaspoke.node.openconnections import LimitedHTTPServer
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from tornado.http1connection import HTTP1Connection
+    from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
+
     from sequoiaspoke.node.app import Node
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -90,10 +96,52 @@
         self.write_json({"live": True})
 
 
-def admin_server(node: Node) -> HTTPServer:
+class PageReader(HTTPMessageDelegate):
+    """Reader of a request for a page, which tells when its head has been read."""
+
+    def __init__(
+        self,
+        server: AdminHTTPServer,
+        connection: HTTP1Connection,
+        reader: HTTPMessageDelegate,
+    ) -> None:
+        self.server = server
+        self.connection = connection
+        self.reader = reader
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        """Begin the request; called by Tornado."""
+        self.server.connections.begin_call(self.connection.stream)
+        return self.reader.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Pass a chunk of the body on; called by Tornado."""
+        return self.reader.data_received(chunk)
+
+    def finish(self) -> None:
+        """Pass the end of the request on; called by Tornado."""
+        self.reader.finish()
+
+    def on_connection_close(self) -> None:
+        """Pass the end of the connection on; called by Tornado."""
+        self.reader.on_connection_close()
+
+
+class AdminHTTPServer(LimitedHTTPServer):
+    """HTTP server of the admin pages."""
+
+    def start_request(self, server_conn: Any, request_conn: Any) -> HTTPMessageDelegate:
+        """Return the reader of the next request; called by Tornado."""
+        reader = super().start_request(server_conn, request_conn)
+        return PageReader(self, request_conn, reader)
+
+
+def admin_server(node: Node) -> AdminHTTPServer:
     """Build the server of the admin pages."""
     context = {"node": node}
-    return HTTPServer(
+    return AdminHTTPServer(
         Application(
             [
                 ("/metrics", MetricsPage, context),
--- a/sequoiaspoke/node/app.py
+++ b/sequoiaspoke/node/app.py
@@ -12,6 +12,7 @@
 from loguru import logger as log
 
 from sequoiaspoke import __version__
+from sequoiaspoke.descriptors import available_descriptors, limit_connections
 from sequoiaspoke.listening import BACKLOG, bind, open_when_free
 from sequoiaspoke.node import silence
 from sequoiaspoke.node.admin import admin_server
@@ -57,10 +58,25 @@
         self.mesh = CallServer(handler, settings.limits)
         self.metrics = Metrics()
         self.admin = admin_server(self)
+        self.limit_connections()
         self.ports: dict[str, int] = {}
         self.started_at = time.time()
         self.draining = False
 
+    def limit_connections(self) -> None:
+        """Limit the connections that this node accepts to its descriptors.
+
+        Links of other nodes are limited by `connections` of `[spread]`.
+        """
+        limits = limit_connections(available_descriptors(platform_limit=0))
+        for name, server, limit in (
+            ("call", self.callers.server, limits.callers),
+            ("mesh", self.mesh.server, limits.nodes),
+            ("admin", self.admin, limits.health),
+        ):
+            server.name = name
+            server.connections.limit = limit
+
     @property
     def ready(self) -> bool:
         """Return whether the node can serve callers."""
--- a/sequoiaspoke/node/callerstream.py
+++ b/sequoiaspoke/node/callerstream.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING, Any
 
-from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
 from sequoiaspoke.endedinput import EndedInput
 from sequoiaspoke.listening import accept_waiting
+from sequoiaspoke.node.openconnections import LimitedHTTPServer
 
 if TYPE_CHECKING:
     import socket
@@ -115,7 +115,7 @@
             super()._maybe_add_error_listener()
 
 
-class CallerHTTPServer(HTTPServer):
+class CallerHTTPServer(LimitedHTTPServer):
     """HTTP server that answers callers who have ended their input.
 
     Attributes
--- a/sequoiaspoke/node/server.py
+++ b/sequoiaspoke/node/server.py
@@ -322,6 +322,7 @@
         """Start the handler once the request's head is read; called by Tornado."""
         assert isinstance(start_line, RequestStartLine)
         self.waiting = False
+        self.server.server.connections.begin_call(self.connection.stream)
         self.idle_timer.cancel()
         # Tornado still passes on what it had read of a connection that has ended.
         if self.server.input_ended or self.connection.stream.closed():
--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -12,6 +12,7 @@
 from sequoiaspoke.core.mesh.answerroom import AnswerRoom
 from sequoiaspoke.core.mesh.memory import MemoryAccount, memory_limit
 from sequoiaspoke.core.mesh.reading import DEFAULT_ACT_SECONDS, ReadingDuty
+from sequoiaspoke.descriptors import available_descriptors, limit_connections
 from sequoiaspoke.errors import SettingsError
 from sequoiaspoke.listening import listen_on_all, open_when_free
 from sequoiaspoke.polling import PolledCall
@@ -19,7 +20,6 @@
 from sequoiaspoke.sidecar.answerlog import AnswerLog
 from sequoiaspoke.sidecar.callerserver import CallerServer
 from sequoiaspoke.sidecar.crashgossip import CrashGossip
-from sequoiaspoke.sidecar.descriptors import available_descriptors, limit_connections
 from sequoiaspoke.sidecar.entry import Entry
 from sequoiaspoke.sidecar.follower import Follower
 from sequoiaspoke.sidecar.frames import TcpDialer
--- a/sequoiaspoke/tests/test_node_crowds.py
+++ b/sequoiaspoke/tests/test_node_crowds.py
@@ -171,3 +171,12 @@
 
     def test_operators_that_send_nothing(self):
         self.play_silent(ADMIN_PORT)
+
+    def test_callers_that_stay_after_a_call(self):
+        self.play_silent(CALL_PORT, head(b"", target=PATH))
+
+    def test_nodes_that_send_nothing(self):
+        self.play_silent(MESH_PORT)
+
+    def test_links_that_send_nothing(self):
+        self.play_silent(PEER_PORT)
