Run the tests of crowds apart from all others

They look at the peak memory and the descriptors of a process, and each makes hundreds of connections. make test runs them after the others, one at a time.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 PYTHON ?= python3
 RUN = $(VENV)/bin/python -m
 WORKERS ?= auto
+# Tests of memory and descriptors, which run one at a time and apart from others.
+CROWDS = sequoiaspoke/tests/test_node_crowds.py platform/tests/test_platform_crowds.py
 
 .PHONY: demo test lint format golden property soak property-idempotency mesh-property thrift docs reference dist dist-check
 
@@ -15,7 +17,8 @@
 	$(RUN) sequoiaspoke demo
 
 test: $(VENV)/.ready
-	$(RUN) pytest -n $(WORKERS)
+	$(RUN) pytest -n $(WORKERS) $(CROWDS:%=--ignore=%)
+	$(RUN) pytest -n 1 $(CROWDS)
 
 property: $(VENV)/.ready
 	SPREAD_EXAMPLES=2000 $(RUN) pytest -n $(WORKERS) sequoiaspoke/tests/test_spread_property.py
--- a/sequoiaspoke/tests/test_connections_limited.py
+++ b/sequoiaspoke/tests/test_connections_limited.py
@@ -6,8 +6,8 @@
 
 from testtools import TestCase
 
-from sequoiaspoke.sidecar import descriptors
-from sequoiaspoke.sidecar.descriptors import available_descriptors, limit_connections
+from sequoiaspoke import descriptors
+from sequoiaspoke.descriptors import available_descriptors, limit_connections
 from sequoiaspoke.sidecar.linkserver import AcceptedLink, LinkServer
 from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
 
