Tell homes what an entry has measured of a call's route

Callers were answered 502 while an upstream worked on their calls: a home that had been restarted seconds before stopped again.

Cause: a stopping home takes a call of another node if it ends in time by what the home has measured. A new one knows little: it took calls that its entry knew to be longer, and refused calls that its entry knew to be short.

Change: each call carries the longest duration of its route that its entry knows of, and for how long the entry has measured the route, in optional fields. A stopping home uses the larger of these and its own.

--- a/sequoiaspoke/core/mesh/durations.py
+++ b/sequoiaspoke/core/mesh/durations.py
@@ -90,6 +90,45 @@
         self.current = max(self.current, seconds)
 
 
+@dataclass(frozen=True)
+class MeasuredRoute:
+    """What was measured of the calls of a route.
+
+    Attributes
+    ----------
+    longest : float
+        Longest duration in seconds.
+    seconds : float
+        Seconds for which calls were measured.
+    """
+
+    longest: float = 0.0
+    seconds: float = 0.0
+
+
+# Of a route that no call was measured of.
+UNMEASURED = MeasuredRoute()
+
+
+class MeasuredRoutes:
+    """Longest measured durations of calls, by route."""
+
+    def __init__(self) -> None:
+        self.seen: dict[str, LongestSeen] = {}
+
+    def record(self, route: str, seconds: float, now: float) -> None:
+        """Record the duration of a call that has ended."""
+        seen = self.seen.setdefault(route, LongestSeen(now - seconds, now))
+        seen.record(seconds, now)
+
+    def of(self, route: str, now: float) -> MeasuredRoute:
+        """Return what was measured of a route."""
+        seen = self.seen.get(route)
+        if seen is None:
+            return UNMEASURED
+        return MeasuredRoute(seen.seconds, now - seen.since)
+
+
 class Durations:
     """Running calls and measured durations of one upstream, by route.
 
@@ -102,7 +141,7 @@
         by route.
     overall : float
         Mean seconds of all calls at the usual pace.
-    longest_seen : dict of str to LongestSeen
+    measured : MeasuredRoutes
         Longest measured durations, by route.
     """
 
@@ -110,7 +149,7 @@
         self.pace = Pace()
         self.mean: dict[str, tuple[float, int, float]] = {}
         self.overall = INITIAL_ESTIMATE
-        self.longest_seen: dict[str, LongestSeen] = {}
+        self.measured = MeasuredRoutes()
         self.running: dict[object, tuple[str, float]] = {}
         self.running_by_route: defaultdict[str, RunningCalls] = defaultdict(
             RunningCalls
@@ -130,8 +169,7 @@
         self.running_by_route[route].add(-1, begun)
         if not answered:
             return
-        seen = self.longest_seen.setdefault(route, LongestSeen(begun, now))
-        seen.record(now - begun, now)
+        self.measured.record(route, now - begun, now)
         seconds = (now - begun) / self.pace.between_answers(now)
         mean, count, _ = self.mean.get(route, (seconds, 0, now))
         weight = max(NEWEST_WEIGHT, 1 / (count + 1))
@@ -141,7 +179,7 @@
     def reset(self) -> None:
         """Discard all measurements, but keep the running calls."""
         self.mean.clear()
-        self.longest_seen.clear()
+        self.measured.seen.clear()
         self.overall = INITIAL_ESTIMATE
         self.pace.forget()
 
@@ -158,17 +196,16 @@
 
         Of calls that take longer, none may have ended yet.
         """
-        seen = self.longest_seen.get(route)
-        return 0.0 if seen is None else now - seen.since
+        return self.measured.of(route, now).seconds
 
     def longest(self, route: str, now: float) -> float:
         """Return the seconds within which a call of a route ends by all that is known.
 
         A route without measurements is assumed to be as long as the longest other one.
         """
-        seen = self.longest_seen.get(route)
+        seen = self.measured.seen.get(route)
         if seen is None:
-            known = (each.seconds for each in self.longest_seen.values())
+            known = (each.seconds for each in self.measured.seen.values())
             longest = max(known, default=0.0)
         else:
             longest = seen.seconds
--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -11,6 +11,7 @@
 from sequoiaspoke.core.mesh.admission import RefusalReason, queue_rank
 from sequoiaspoke.core.mesh.asking import FEW_UPSTREAMS, Asking, Choices, SlotRequests
 from sequoiaspoke.core.mesh.balancer import Balancer
+from sequoiaspoke.core.mesh.durations import MeasuredRoutes
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Unknown
 from sequoiaspoke.core.mesh.retrybudget import RetryBudgets
 from sequoiaspoke.core.mesh.sample import Sampler
@@ -47,6 +48,8 @@
         Failed attempts, hedges, refusals, failures and slot requests so far, by reason.
     regions : dict of str to str
         Region of each availability zone.
+    measured : MeasuredRoutes
+        Durations of answered calls, which homes that started later are told.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         self.deadlines = Deadlines()
         self.balancer = Balancer(peers.identity.zone)
         self.sampler = Sampler(peers.rng)
+        self.measured = MeasuredRoutes()
         self.asking = Asking(self.balancer, self.sampler)
         self.budgets = RetryBudgets(retry_limits)
         self.reasons: Counter[str] = Counter()
@@ -309,6 +313,7 @@
             attempt.max_wait,
             large_body=progress.route.large_bodies,
             last_resort=progress.last_resort,
+            measured=self.measured.of(progress.route.name, clock.now()),
         )
         if endpoint.host == self.peers.identity.host:
             self.run_locally(attempt, call)
@@ -410,6 +415,7 @@
     ) -> None:
         """Update the statistics of an upstream with the outcome of an attempt."""
         if isinstance(outcome, Answer):
+            self.measured.record(progress.route.name, outcome.seconds, now)
             if outcome.status in RETRYABLE_STATUSES:
                 self.balancer.record_failure(incarnation, now)
             else:
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -349,8 +349,10 @@
     def longest(self, call: HomeCall, now: float) -> float:
         """Return the seconds that a call is assumed to take at most."""
         left, durations = call.deadline - now, self.admission.durations
-        longest = durations.longest(call.route, now)
-        if call.remote and durations.measured_for(call.route, now) < left:
+        told = call.measured
+        longest = max(durations.longest(call.route, now), told.longest)
+        measured_for = max(durations.measured_for(call.route, now), told.seconds)
+        if call.remote and measured_for < left:
             longest = max(longest, UNMEASURED_SHARE * left)
         return min(longest, left)
 
--- a/sequoiaspoke/sidecar/homecall.py
+++ b/sequoiaspoke/sidecar/homecall.py
@@ -6,6 +6,8 @@
 from math import inf
 from typing import TYPE_CHECKING
 
+from sequoiaspoke.core.mesh.durations import UNMEASURED, MeasuredRoute
+
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Callable
@@ -34,6 +36,8 @@
         the call may outlast it.
     remote : bool
         Whether another node has sent it.
+    measured : MeasuredRoute
+        What the node that has sent it has measured of its route.
     """
 
     request: Request
@@ -47,6 +51,7 @@
     large_body: bool = False
     last_resort: bool = False
     remote: bool = False
+    measured: MeasuredRoute = UNMEASURED
 
 
 @dataclass
--- a/sequoiaspoke/sidecar/wirecalls.py
+++ b/sequoiaspoke/sidecar/wirecalls.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.balancer import LoadReport
+from sequoiaspoke.core.mesh.durations import MeasuredRoute
 from sequoiaspoke.core.mesh.model import Incarnation
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
 from sequoiaspoke.errors import MessageError
@@ -67,6 +68,8 @@
         idempotent=call.idempotent,
         max_wait=None if isinf(call.max_wait) else call.max_wait,
         last_resort=call.last_resort or None,
+        longest_seen=pack_seconds(call.measured.longest),
+        measured_for=pack_seconds(call.measured.seconds),
     )
     return wire.Frame(call=message)
 
@@ -96,9 +99,24 @@
         message.body_size is not None,
         bool(message.last_resort),
         remote=True,
+        measured=MeasuredRoute(
+            unpack_seconds(message.longest_seen), unpack_seconds(message.measured_for)
+        ),
     )
 
 
+def pack_seconds(seconds: float) -> float | None:
+    """Return a measured time as it is told, None if there is none."""
+    return min(seconds, MAX_SECONDS_LEFT) if seconds > 0 else None
+
+
+def unpack_seconds(seconds: float | None) -> float:
+    """Return a measured time that was told, 0 if it is none or out of range."""
+    if seconds is None or not 0 <= seconds <= MAX_SECONDS_LEFT:
+        return 0.0
+    return seconds
+
+
 def body_size(message: wire.Call) -> int | None:
     """Return the size of a body that follows in parts, or None; raise MessageError."""
     size = message.body_size
--- a/sequoiaspoke/tests/test_fuzz_links.py
+++ b/sequoiaspoke/tests/test_fuzz_links.py
@@ -19,6 +19,7 @@
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.settings.schema import NodeSettings, Settings
 from sequoiaspoke.sidecar import frames
+from sequoiaspoke.sidecar.wirecalls import MAX_SECONDS_LEFT, unpack_call
 from sequoiaspoke.tests.bodysim import play_bodies
 from sequoiaspoke.tests.test_fuzz import FUZZ
 from sequoiaspoke.wire.codec import decode_message, encode_message
@@ -143,6 +144,8 @@
     born=INTS,
     body_size=INTS,
     max_wait=FLOATS,
+    longest_seen=FLOATS,
+    measured_for=FLOATS,
 )
 VALID_CALLS = st.builds(
     partial(wire.Call, method="POST", target="/", deadline=5.0, on_time=5.0),
@@ -154,6 +157,8 @@
     idempotent=st.booleans(),
     body_size=st.sampled_from([1, PART_BYTES, 3 * PART_BYTES]),
     max_wait=st.none() | st.just(0.0),
+    longest_seen=FLOATS,
+    measured_for=FLOATS,
 )
 FRAMES = st.one_of(
     st.builds(wire.Frame, call=VALID_CALLS),
@@ -207,6 +212,20 @@
         with contextlib.suppress(MessageError):
             frames.decode(bytes(payload))
 
+    @FUZZ
+    @given(FLOATS, FLOATS)
+    def test_what_is_told_of_a_route_is_bounded(self, longest, seconds):
+        # A home would compare its times with it.
+        call = wire.Call(
+            1, "i-1", "up", "POST", "/", [], deadline=5.0, on_time=5.0, rank=0
+        )
+        call.longest_seen, call.measured_for = longest, seconds
+        received = frames.decode(frame_payload(wire.Frame(call=call)))
+        measured = unpack_call(received.call).measured
+        for told, found in ((longest, measured.longest), (seconds, measured.seconds)):
+            in_range = told is not None and 0 <= told <= MAX_SECONDS_LEFT
+            self.assertEqual(found, told if in_range else 0.0)
+
     @FUZZ
     @given(st.lists(FRAMES, max_size=12))
     def test_both_ends_of_a_link_take_any_sequence(self, sequence):
--- a/sequoiaspoke/tests/test_mesh_core.py
+++ b/sequoiaspoke/tests/test_mesh_core.py
@@ -14,7 +14,14 @@
 )
 from sequoiaspoke.core.mesh.balancer import Balancer, LoadReport
 from sequoiaspoke.core.mesh.directory import Directory
-from sequoiaspoke.core.mesh.durations import LONGEST_WINDOW, STALE_SECONDS, Durations
+from sequoiaspoke.core.mesh.durations import (
+    LONGEST_WINDOW,
+    STALE_SECONDS,
+    UNMEASURED,
+    Durations,
+    MeasuredRoute,
+    MeasuredRoutes,
+)
 from sequoiaspoke.core.mesh.lapses import LAPSE_GRACE
 from sequoiaspoke.core.mesh.ledger import MAX_ANSWER_BYTES, RETENTION_SECONDS, Ledger
 from sequoiaspoke.core.mesh.model import (
@@ -253,6 +260,14 @@
         call("a", 0.1, 1001.0 + LONGEST_WINDOW)
         self.assertTrue(durations.longest("a", 1001.0 + LONGEST_WINDOW) < 1.0)
 
+    def test_what_was_measured_of_a_route_is_told(self):
+        routes = MeasuredRoutes()
+        self.assertEqual(routes.of("a", 10.0), UNMEASURED)
+        for seconds, now in ((1.0, 10.0), (3.0, 12.0), (2.0, 14.0)):
+            routes.record("a", seconds, now)
+        self.assertEqual(routes.of("a", 15.0), MeasuredRoute(3.0, 6.0))
+        self.assertEqual(routes.of("b", 15.0), UNMEASURED)
+
     def test_a_slowdown_shows_before_the_first_late_answer(self):
         durations = Durations()
         durations.begin(1, "a", 0.0)
--- a/sequoiaspoke/tests/test_sidecar_stopping.py
+++ b/sequoiaspoke/tests/test_sidecar_stopping.py
@@ -11,6 +11,7 @@
 
 from sequoiaspoke.core.mesh.admission import RefusalReason
 from sequoiaspoke.core.mesh.balancer import LoadReport
+from sequoiaspoke.core.mesh.durations import UNMEASURED, MeasuredRoute
 from sequoiaspoke.core.mesh.model import MeshConfig, Service
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
 from sequoiaspoke.core.mesh.parents import ANSWERS_TO_KNOW
@@ -417,6 +418,7 @@
         features=SUPPORTED,
         slots=9,
         running=0,
+        measured=UNMEASURED,
     ):
         """Return the outcome, if any, of a call and whether its upstream got it.
 
@@ -445,6 +447,7 @@
             until,
             until,
             last_resort=last_resort,
+            measured=measured,
         )
         for number in range(running):
             home.submit(number, call, outcomes.append)
@@ -556,6 +559,28 @@
                 )
                 self.assertEqual(found, expected)
 
+    def test_what_its_entry_has_measured_counts_at_a_new_home(self):
+        # A home knew of short calls only, took a long one and broke it off, or refused
+        # all of a route whose calls are short.
+        refusal = NotRun(RefusalReason.LEAVING, DRAIN + RESTART_SECONDS)
+        for left, measured, expected in (
+            (9.0, UNMEASURED, ([], True)),
+            (9.0, MeasuredRoute(5.9, 1.0), ([refusal], False)),
+            (9.0, MeasuredRoute(5.9, 60.0), ([refusal], False)),
+            (12.0, MeasuredRoute(2.0, 1.0), ([refusal], False)),
+            (12.0, MeasuredRoute(2.0, 60.0), ([], True)),
+        ):
+            found = self.play(partial(self.submit, left=left, measured=measured))
+            self.assertEqual(found, expected, measured)
+
+    def test_a_home_that_has_measured_more_goes_by_that(self):
+        async def scenario():
+            self.measure(40 * [0.05] + [5.5] + 40 * [0.05])
+            return await self.submit(left=9.0, measured=MeasuredRoute(0.1, 60.0))
+
+        refusal = NotRun(RefusalReason.LEAVING, DRAIN + RESTART_SECONDS)
+        self.assertEqual(self.play(scenario), ([refusal], False))
+
     def test_a_route_is_unmeasured_until_its_long_calls_may_have_ended(self):
         # Only its short calls had ended seconds after the start of the home, and a long
         # one was cut off.
--- a/sequoiaspoke/wire/gen/meshlink/ttypes.py
+++ b/sequoiaspoke/wire/gen/meshlink/ttypes.py
@@ -278,6 +278,8 @@
      - body_size
      - max_wait
      - last_resort
+     - longest_seen
+     - measured_for
 
     """
 
@@ -297,10 +299,12 @@
         'body_size',
         'max_wait',
         'last_resort',
+        'longest_seen',
+        'measured_for',
     )
 
 
-    def __init__(self, number=None, instance=None, route=None, method=None, target=None, headers=None, body=None, deadline=None, on_time=None, rank=None, idempotent=None, born=None, body_size=None, max_wait=None, last_resort=None,):
+    def __init__(self, number=None, instance=None, route=None, method=None, target=None, headers=None, body=None, deadline=None, on_time=None, rank=None, idempotent=None, born=None, body_size=None, max_wait=None, last_resort=None, longest_seen=None, measured_for=None,):
         self.number = number
         self.instance = instance
         self.route = route
@@ -316,6 +320,8 @@
         self.body_size = body_size
         self.max_wait = max_wait
         self.last_resort = last_resort
+        self.longest_seen = longest_seen
+        self.measured_for = measured_for
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -406,6 +412,16 @@
                     self.last_resort = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.DOUBLE:
+                    self.longest_seen = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.DOUBLE:
+                    self.measured_for = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -479,6 +495,14 @@
             oprot.writeFieldBegin('last_resort', TType.BOOL, 15)
             oprot.writeBool(self.last_resort)
             oprot.writeFieldEnd()
+        if self.longest_seen is not None:
+            oprot.writeFieldBegin('longest_seen', TType.DOUBLE, 16)
+            oprot.writeDouble(self.longest_seen)
+            oprot.writeFieldEnd()
+        if self.measured_for is not None:
+            oprot.writeFieldBegin('measured_for', TType.DOUBLE, 17)
+            oprot.writeDouble(self.measured_for)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3814,6 +3838,8 @@
     (13, TType.I32, 'body_size', None, None, ),  # 13
     (14, TType.DOUBLE, 'max_wait', None, None, ),  # 14
     (15, TType.BOOL, 'last_resort', None, None, ),  # 15
+    (16, TType.DOUBLE, 'longest_seen', None, None, ),  # 16
+    (17, TType.DOUBLE, 'measured_for', None, None, ),  # 17
 )
 all_structs.append(Fetch)
 Fetch.thrift_spec = (
--- a/sequoiaspoke/wire/meshlink.thrift
+++ b/sequoiaspoke/wire/meshlink.thrift
@@ -50,6 +50,10 @@
   // Whether no other home takes the call; a home that stops runs it then although the
   // call may outlast it.
   15: optional bool last_resort,
+  // Longest duration of an answered call of the route that the sender knows of, and the
+  // seconds since the first of them began. Absent if it knows of none.
+  16: optional double longest_seen,
+  17: optional double measured_for,
 }
 
 // The home has the body of a call up to `offset` and requests the bytes up to `upto`.
