Join the body of an answer as it comes

Callers of a node whose upstream answers in very small chunks would lose all calls in progress, as the process exceeded the memory of its machine.

Cause: each chunk was held as an object until the answer was complete. The memory account counted the bytes of the body, but a chunk of two bytes takes 35 and a place in a list.

The body is written to a buffer as it comes, whose value is handed over without a copy.

--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -14,6 +14,7 @@
 import asyncio
 from collections import deque
 from functools import partial
+from io import BytesIO
 from typing import TYPE_CHECKING
 
 import httptools
@@ -165,8 +166,7 @@
         """Reset the state of the answer that is parsed."""
         self.status = 0
         self.headers: list[tuple[str, str]] = []
-        self.body: list[bytes] = []
-        self.body_size = 0
+        self.body = BytesIO()
         self.until_close = False
 
     def received(self, data: bytes) -> None:
@@ -257,7 +257,6 @@
 
     def on_body(self, data: bytes) -> None:
         """Append to the body unless it is too large."""
-        self.body_size += len(data)
         self.body_bytes += len(data)
         if self.closed:
             return
@@ -266,7 +265,7 @@
         elif not self.has_room():
             self.reject("answer-without-room")
         else:
-            self.body.append(data)
+            self.body.write(data)
 
     def has_room(self) -> bool:
         """Return whether the body so far has room, or waits for it as a whole."""
@@ -295,8 +294,9 @@
                 self.reject("answer-without-id")
             return
         self.read_keep_alive(headers)
-        body = b"".join(self.body)
-        self.body.clear()
+        # Not a copy, unlike the value of a bytearray.
+        body = self.body.getvalue()
+        self.body = BytesIO()
         self.pending.set_result(Answer(self.status, headers, body))
 
     def source(self, headers: Headers) -> AnswerSource:
--- a/sequoiaspoke/tests/test_endless_answers.py
+++ b/sequoiaspoke/tests/test_endless_answers.py
@@ -1,6 +1,7 @@
 """Tests of upstreams that send bytes without end, or more than a node can hold."""
 
 import asyncio
+import tracemalloc
 from contextlib import asynccontextmanager, suppress
 from functools import partial
 from types import SimpleNamespace
@@ -16,8 +17,13 @@
 from sequoiaspoke.core.mesh.memory import MemoryAccount
 from sequoiaspoke.core.mesh.outcome import Request
 from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.frames import FRAME_LIMIT, HEADER, TcpFrameStream
-from sequoiaspoke.sidecar.httpclient import MAX_ANSWER_BYTES, MAX_HEAD_BYTES
+from sequoiaspoke.sidecar.httpclient import (
+    MAX_ANSWER_BYTES,
+    MAX_HEAD_BYTES,
+    ClientConnection,
+)
 from sequoiaspoke.sidecar.names import HeaderNames
 from sequoiaspoke.sidecar.upstream import MAX_HEALTH_BYTES, Upstream
 from sequoiaspoke.tests.test_meshlink import LinkWorld
@@ -196,6 +202,33 @@
         self.assertEqual(len(self.play(answer("c", body)).body), MAX_ANSWER_BYTES)
 
 
+class AnswerMemoryTests(TestCase):
+    """What a process holds for the part of an answer that has come."""
+
+    def held(self, data):
+        """Return the bytes that a connection holds after some bytes of an answer."""
+
+        async def run():
+            connection = ClientConnection("x-request-id", Deadlines())
+            connection.pending = asyncio.get_running_loop().create_future()
+            tracemalloc.start()
+            try:
+                connection.received(data)
+                return tracemalloc.get_traced_memory()[0]
+            finally:
+                tracemalloc.stop()
+
+        return asyncio.run(run())
+
+    def test_small_chunks_take_no_more_than_their_body(self):
+        # An object was held for each chunk, over twenty bytes for one of the body.
+        count = 50_000
+        for chunk in (b"1\r\nz\r\n", b"2\r\nzz\r\n"):
+            held = self.held(CHUNKED + count * chunk)
+            size = count * chunk.count(b"z")
+            self.assertTrue(size <= held < 1.5 * size, held / size)
+
+
 class AnswerRoomTests(TestCase):
     def room(self, limit=10 << 20):
         self.admitted = []
