Count the head of an answer as what it takes in memory

Callers of a node whose upstream answers with legal heads of very many short lines would lose all calls in progress, as the process exceeded the memory of its machine.

Cause: heads of answers were in no account. A line of six bytes takes a tuple and two strings, so that 60 KB take 2 MB. A read was parsed whole before its limit was checked, trailers were allowed 8 bytes for each byte of the body, and idle and closed connections kept the last head, the latter until the garbage collector ran, as parser and connection refer to each other.

The parser is fed in pieces of 8 KB. The head is counted with its answer by header_size, and fails as answer-without-room without room, which is no promise that the call has not run. One of over 64 KB in memory does not wait for the room of its body, as such heads could fill it. Not more than 64 KB besides a body may follow each other. A head is dropped once it is handed over, refused, or its connection has ended.

Three new tests fail on the code before: most bytes of a head far over the limit, heads without room, large heads before their bodies.

--- a/sequoiaspoke/core/mesh/answerroom.py
+++ b/sequoiaspoke/core/mesh/answerroom.py
@@ -6,7 +6,7 @@
 all slots at once, exceed that of a VM. So a large answer is read only once all of it
 has room, in the order in which the answers began; until then it stays in the kernel's
 buffers. Answers of unknown length cannot wait, as none of them might ever become
-complete.
+complete. A head cannot wait either, and counts as what it takes in memory.
 
 One large answer is read however full the memory account is: it may be full of the
 bodies of requests that are held until they are answered. If it is full of answers that
--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -19,6 +19,7 @@
 
 import httptools
 
+from sequoiaspoke.core.mesh.memory import header_size
 from sequoiaspoke.core.mesh.outcome import (
     CONNECTION_LOST,
     TIMED_OUT,
@@ -50,8 +51,17 @@
 # Outcome of a call whose answer is larger.
 TOO_LARGE = "answer-too-large"
 # Bytes accepted besides bodies, of the head, of interim answers and of chunk lines,
-# beyond FRAMING_PER_BYTE.
+# beyond FRAMING_PER_BYTE. No more of them may follow each other.
 MAX_HEAD_BYTES = 64 << 10
+# Bytes that are given to the parser at a time. What a limit refuses was parsed up to
+# one such piece beyond it.
+PARSE_BYTES = 8 << 10
+# Outcomes of calls whose answers have more bytes besides the body, and have no room in
+# memory.
+HEAD_TOO_LARGE, WITHOUT_ROOM = "answer-head-too-large", "answer-without-room"
+# Bytes in memory of the largest head whose body may wait for room. Larger heads that
+# waited could fill the room that their bodies need.
+MAX_WAITING_HEAD = 64 << 10
 # Seconds for which an idle connection is reused if the server's Keep-Alive header names
 # no timeout, and the margin taken off a timeout for clock error and transit.
 IDLE_SECONDS, IDLE_MARGIN = 3.0, 1.0
@@ -124,8 +134,12 @@
         Memory for its answers, None if that is not limited beyond their size.
     max_body : int
         Bytes of the largest accepted body of the call under way.
-    bytes_received, body_bytes : int
-        Bytes of all kinds, and of bodies, that have come since the last request.
+    framing_bytes, body_bytes : int
+        Bytes besides bodies, and of bodies, that have come since the last request.
+    framing_run : int
+        Those besides bodies since the last byte of a body.
+    head_memory : int
+        Bytes that the head of the answer now parsed takes in memory so far.
     recent_calls : deque of int
         Hashes of the ids of the last calls; their size is not limited.
     number : int
@@ -143,7 +157,7 @@
         self.call_header = call_header
         self.room: AnswerRoom | None = None
         self.max_body = MAX_ANSWER_BYTES
-        self.bytes_received = self.body_bytes = 0
+        self.reset_counts()
         self.deadlines = deadlines
         self.pending: asyncio.Future[Answer | Unknown] | None = None
         self.call_id = ""
@@ -160,14 +174,23 @@
         self.last_used = clock.now()
         self.idle_seconds = IDLE_SECONDS
         self.reset_answer()
+        self.parser: httptools.HttpResponseParser | None
         self.parser = httptools.HttpResponseParser(self)
 
+    def reset_counts(self) -> None:
+        """Count what comes from here on."""
+        self.framing_bytes = self.framing_run = self.body_bytes = 0
+
     def reset_answer(self) -> None:
         """Reset the state of the answer that is parsed."""
-        self.status = 0
+        self.status = self.head_memory = 0
+        self.until_close = False
+        self.drop_answer()
+
+    def drop_answer(self) -> None:
+        """Drop what has come of the answer, or was handed over."""
         self.headers: list[tuple[str, str]] = []
         self.body = BytesIO()
-        self.until_close = False
 
     def received(self, data: bytes) -> None:
         """Parse data from the server; close on data while no call is under way."""
@@ -176,22 +199,39 @@
             return
         if self.silence:
             self.last_received = clock.now()
-        self.bytes_received += len(data)
+        pieces = memoryview(data)
+        for start in range(0, len(data), PARSE_BYTES):
+            self.parse_piece(pieces[start : start + PARSE_BYTES])
+            if self.closed:
+                return
+
+    def parse_piece(self, data: memoryview) -> None:
+        """Feed data to the parser, and check the size of what is no body."""
+        body_before = self.body_bytes
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             # No request asks for an upgrade, so that none may be granted.
             self.reject("answer-malformed")
             return
-        framing = self.bytes_received - self.body_bytes
-        if framing > MAX_HEAD_BYTES + FRAMING_PER_BYTE * self.body_bytes:
-            self.reject("answer-head-too-large")
+        body = self.body_bytes - body_before
+        framing = len(data) - body
+        self.framing_bytes += framing
+        self.framing_run = 0 if body else self.framing_run + framing
+        total = MAX_HEAD_BYTES + FRAMING_PER_BYTE * self.body_bytes
+        if self.framing_bytes > total or self.framing_run > MAX_HEAD_BYTES:
+            self.reject(HEAD_TOO_LARGE)
+        elif not self.has_room():
+            self.reject(WITHOUT_ROOM)
 
     def lost(self, error: Exception | None, closed_locally: bool) -> None:  # noqa: ARG002
         """End the call under way, as the connection has ended."""
         if self.until_close and error is None:
             self.complete()
         self.fail(CONNECTION_LOST)
+        self.drop_answer()
+        # It refers to this connection, and holds an incomplete line.
+        self.parser = None
 
     def fail(self, reason: str) -> None:
         """End the call under way with an unknown outcome."""
@@ -211,6 +251,9 @@
         """
         self.fail(reason)
         self.close()
+        self.drop_answer()
+        if self.room is not None:
+            self.room.release(self)
 
     # Called by the parser.
 
@@ -222,7 +265,10 @@
         self.reset_answer()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
+        """Add a header, unless nobody waits for it."""
+        if not self.awaited:
+            return
+        self.head_memory += header_size(name, value)
         self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -236,6 +282,9 @@
         )
         self.until_close = not has_length and not bodiless
         self.not_reusable |= self.until_close
+        if not self.has_room():
+            self.reject(WITHOUT_ROOM)
+            return
         length = find_header(headers, "content-length")
         if length.isdecimal() and not bodiless:
             self.expect_body(int(length))
@@ -247,7 +296,11 @@
         elif self.room is not None and self.awaited:
             if not self.room.possible(size):
                 self.reject(TOO_LARGE)
-            elif not self.room.request(self, size, self.resume_reading):
+            elif self.room.request(self, size, self.resume_reading):
+                return
+            elif self.head_memory > MAX_WAITING_HEAD:
+                self.reject(WITHOUT_ROOM)
+            else:
                 self.transport.pause_reading()
 
     def resume_reading(self) -> None:
@@ -258,20 +311,20 @@
     def on_body(self, data: bytes) -> None:
         """Append to the body unless it is too large."""
         self.body_bytes += len(data)
-        if self.closed:
+        if not self.awaited:
             return
         if self.body_bytes > self.max_body:
             self.reject(TOO_LARGE)
         elif not self.has_room():
-            self.reject("answer-without-room")
+            self.reject(WITHOUT_ROOM)
         else:
             self.body.write(data)
 
     def has_room(self) -> bool:
-        """Return whether the body so far has room, or waits for it as a whole."""
-        if self.room is None or self in self.room.waiting:
+        """Return whether the answer so far has room, or waits for it as a whole."""
+        if self.room is None or not self.awaited or self in self.room.waiting:
             return True
-        return self.room.extend(self, self.body_bytes)
+        return self.room.extend(self, self.head_memory + self.body_bytes)
 
     def on_message_complete(self) -> None:
         """Complete an answer unless its status is informational (1xx)."""
@@ -296,7 +349,7 @@
         self.read_keep_alive(headers)
         # Not a copy, unlike the value of a bytearray.
         body = self.body.getvalue()
-        self.body = BytesIO()
+        self.drop_answer()
         self.pending.set_result(Answer(self.status, headers, body))
 
     def source(self, headers: Headers) -> AnswerSource:
@@ -343,7 +396,7 @@
             self.recent_calls.append(hash(call_id))
         self.head_only = head
         self.max_body = max_body
-        self.bytes_received = self.body_bytes = 0
+        self.reset_counts()
         self.answer_started = False
         self.last_received = float("-inf")
         self.silence = silence
--- a/sequoiaspoke/tests/test_endless_answers.py
+++ b/sequoiaspoke/tests/test_endless_answers.py
@@ -1,6 +1,7 @@
 """Tests of upstreams that send bytes without end, or more than a node can hold."""
 
 import asyncio
+import gc
 import tracemalloc
 from contextlib import asynccontextmanager, suppress
 from functools import partial
@@ -14,18 +15,21 @@
     SMALL_ANSWER,
     AnswerRoom,
 )
-from sequoiaspoke.core.mesh.memory import MemoryAccount
-from sequoiaspoke.core.mesh.outcome import Request
+from sequoiaspoke.core.mesh.memory import MemoryAccount, header_size
+from sequoiaspoke.core.mesh.outcome import TIMED_OUT, Answer, Request, Unknown
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.deadlines import Deadlines
 from sequoiaspoke.sidecar.frames import FRAME_LIMIT, HEADER, TcpFrameStream
 from sequoiaspoke.sidecar.httpclient import (
     MAX_ANSWER_BYTES,
     MAX_HEAD_BYTES,
+    PARSE_BYTES,
+    WITHOUT_ROOM,
     ClientConnection,
 )
 from sequoiaspoke.sidecar.names import HeaderNames
 from sequoiaspoke.sidecar.upstream import MAX_HEALTH_BYTES, Upstream
+from sequoiaspoke.tests.crowds import SHORT_LINE, filled
 from sequoiaspoke.tests.test_meshlink import LinkWorld
 from sequoiaspoke.tests.test_sidecar_upstream import STAMP, answer
 
@@ -52,6 +56,10 @@
     "a body with a length": (
         HEAD + b"Content-Length: 999999999999\r\n\r\n", b"y" * 1000, "body", 0,
     ),
+    "trailers behind a large body": (
+        CHUNKED + b"100000\r\n" + b"y" * (1 << 20) + b"\r\n0\r\n",
+        b"X-More: " + b"y" * 1000 + b"\r\n", "head", 0,
+    ),
     "header lines of an answer to another call": (
         answer("b") + HEAD, b"X-More: " + b"y" * 1000 + b"\r\n", "head", 0,
     ),
@@ -197,6 +205,13 @@
         self.assertTrue(len(text) < MAX_HEAD_BYTES)
         self.assertEqual(self.play(text).body, b"ok")
 
+    def test_a_head_of_as_many_lines_as_it_can_have_is_accepted(self):
+        size = MAX_HEAD_BYTES - 4096
+        text = HEAD + filled(SHORT_LINE, size) + b"Content-Length: 2\r\n\r\nok"
+        outcome = self.play(text)
+        self.assertEqual(outcome.body, b"ok")
+        self.assertEqual(outcome.headers.count(("ab", "c")), size // len(SHORT_LINE))
+
     def test_the_largest_answer_is_accepted(self):
         body = "z" * MAX_ANSWER_BYTES
         self.assertEqual(len(self.play(answer("c", body)).body), MAX_ANSWER_BYTES)
@@ -206,15 +221,18 @@
     """What a process holds for the part of an answer that has come."""
 
     def held(self, data):
-        """Return the bytes that a connection holds after some bytes of an answer."""
+        """Return the bytes that a connection holds after some data, and at most."""
 
         async def run():
             connection = ClientConnection("x-request-id", Deadlines())
+            connection.transport = SimpleNamespace(abort=lambda: None)
             connection.pending = asyncio.get_running_loop().create_future()
             tracemalloc.start()
             try:
                 connection.received(data)
-                return tracemalloc.get_traced_memory()[0]
+                # The interpreter keeps 2,000 freed tuples until then.
+                gc.collect()
+                return tracemalloc.get_traced_memory()
             finally:
                 tracemalloc.stop()
 
@@ -224,10 +242,77 @@
         # An object was held for each chunk, over twenty bytes for one of the body.
         count = 50_000
         for chunk in (b"1\r\nz\r\n", b"2\r\nzz\r\n"):
-            held = self.held(CHUNKED + count * chunk)
+            held, _ = self.held(CHUNKED + count * chunk)
             size = count * chunk.count(b"z")
             self.assertTrue(size <= held < 1.5 * size, held / size)
 
+    def test_a_head_far_over_the_limit_is_not_parsed(self):
+        # All lines of one read were kept, whatever their number.
+        lines = HEAD + filled(SHORT_LINE, 10 * MAX_HEAD_BYTES)
+        held, most = self.held(lines)
+        parsed = (MAX_HEAD_BYTES + PARSE_BYTES) // len(SHORT_LINE)
+        self.assertTrue(most < parsed * header_size("ab", "c"), most)
+        self.assertTrue(held < MAX_HEAD_BYTES, held)
+
+
+class HeadRoomTests(TestCase):
+    """Heads that take much more memory than bytes."""
+
+    LINES = HEAD + filled(SHORT_LINE, MAX_HEAD_BYTES // 2)
+    CALLS = 30
+
+    def play(self, text, limit=4 << 20, used=0):
+        """Return the reasons of calls, the most that was held, and what is left."""
+
+        async def run():
+            memory = MemoryAccount(limit)
+            room = AnswerRoom(memory)
+            memory.reserve(used)
+            most, change_held = [], room.change_held
+
+            def record(change):
+                change_held(change)
+                most.append(room.held)
+
+            room.change_held = record
+            request = Request("GET", "/a", (("X-Request-Id", "c"),), b"")
+            serve = partial(serve_text, text)
+            async with asyncio.timeout(WAIT), serving(serve) as port:
+                upstream = Upstream("127.0.0.1", port, HeaderNames(), room)
+                calls = (
+                    upstream.call(request, "i", clock.now() + 2.0, False, lambda: None)
+                    for _ in range(self.CALLS)
+                )
+                outcomes = await asyncio.gather(*calls)
+                upstream.close_idle_connections()
+            kinds = {(type(x), getattr(x, "reason", "")) for x in outcomes}
+            return kinds, max(most), memory.held - used, len(room.waiting)
+
+        return asyncio.run(run())
+
+    def test_a_head_without_room_fails_as_one_that_may_have_run(self):
+        # Heads of legal size on all slots took several times the memory of a VM.
+        for limit in (4 << 20, 1 << 30):
+            kinds, most, held, waiting = self.play(self.LINES, limit)
+            self.assertIn((Unknown, WITHOUT_ROOM), kinds)
+            self.assertEqual({Unknown}, {kind for kind, _ in kinds})
+            self.assertEqual((held, waiting), (0, 0))
+            # What comes with the last piece is held before it is refused.
+            self.assertTrue(most <= MAX_HELD_BYTES + self.CALLS * SMALL_ANSWER, most)
+
+    def test_large_heads_do_not_wait_in_the_room_that_their_bodies_need(self):
+        length = b"Content-Length: %d\r\n\r\n" % (1 << 20)
+        text = self.LINES + length + b"y" * (1 << 20)
+        kinds, _, held, waiting = self.play(text)
+        self.assertIn((Unknown, WITHOUT_ROOM), kinds)
+        self.assertIn((Answer, ""), kinds)
+        self.assertNotIn((Unknown, TIMED_OUT), kinds)
+        self.assertEqual((held, waiting), (0, 0))
+
+    def test_answers_with_small_heads_wait_as_before(self):
+        kinds, _, held, _ = self.play(answer("c", "z" * (1 << 20)))
+        self.assertEqual((kinds, held), ({(Answer, "")}, 0))
+
 
 class AnswerRoomTests(TestCase):
     def room(self, limit=10 << 20):
