Serve new callers beside others that stay idle

What callers saw: no answer on a new connection while other callers kept as many idle connections open as the node keeps.

Cause: of the connections without calls, one that had brought no request was closed first. Where all others had brought one, that was the newest.

Change: new connections are closed first only if they are more than an eighth of the limit; otherwise the one that was silent for longest is closed.

A deterministic test is in test_connections_limited.py.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -54,6 +54,9 @@
 # Calls of one connection that may be unanswered before reading from it pauses, and
 # bytes that their requests may take in memory.
 MAX_PIPELINED, MAX_PIPELINED_BYTES = 64, 256 << 10
+# Share of the connections that those without a request may have before they are closed
+# to make room for others.
+NEW_SHARE = 1 / 8
 # Bytes a second below which a body arrives too slowly to keep its place in memory.
 MIN_BODY_RATE = 64 << 10
 # Share of the memory account that unread answers may exceed its limit by. Otherwise, an
@@ -900,15 +903,17 @@
     def close_surplus(self) -> None:
         """Close a connection without calls if there are more than the limit.
 
-        Those that have not brought a request yet are first, and then the one that was
-        silent for longest. Callers expect that an idle connection may be closed.
+        It is the one that was silent for longest, as callers expect that an idle
+        connection may be closed. If there are many that have brought no request yet, it
+        is one of these; a few are kept, as their callers may be about to send one.
         """
         if len(self.connections) <= self.max_connections:
             return
+        idle = [x for x in self.connections if not (x.pending or x.unread)]
+        new = [each for each in idle if not each.written]
+        many = len(new) > NEW_SHARE * self.max_connections
         worst = min(
-            (each for each in self.connections if not (each.pending or each.unread)),
-            key=lambda each: (bool(each.written), each.last_active),
-            default=None,
+            new if many else idle, key=lambda each: each.last_active, default=None
         )
         if worst is not None:
             self.closed_beyond_limit += 1
--- a/sequoiaspoke/tests/test_connections_limited.py
+++ b/sequoiaspoke/tests/test_connections_limited.py
@@ -77,6 +77,22 @@
 
         self.play(scenario)
 
+    def test_a_new_caller_is_served_beside_others_that_stay_idle(self):
+        # The newest connection was closed, as it had brought no request.
+        async def scenario(reader, writer):
+            self.server.max_connections = 8
+            self.handler.gate.set()
+            writer.write(REQUEST)
+            await reader.readuntil(b"/a")
+            others = [await self.open(REQUEST) for _ in range(7)]
+            late = await self.open(REQUEST)
+            self.assertIn(b" 200 ", await late[0].readuntil(b"/a"))
+            self.assertTrue(await self.closed(reader))
+            for _, each in (*others, late):
+                each.close()
+
+        self.play(scenario)
+
     def test_one_that_has_brought_a_request_is_kept_before_silent_ones(self):
         async def scenario(reader, writer):
             self.handler.gate.set()
