Know of calls that still run how long others may take

Callers of homes that had run for seconds were answered 502 while an upstream worked on their calls: the entry and all homes of the service had started seconds before and stopped beside one another.

Cause: a route that was measured for less than the call's time was assumed to take half of what was left of it, although calls of the route were running for longer than all that had ended.

Change: the longest call of a route is at least as long as its first running one has run.

--- a/sequoiaspoke/core/mesh/durations.py
+++ b/sequoiaspoke/core/mesh/durations.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from sequoiaspoke.core.mesh.pace import Pace
 
@@ -43,17 +43,33 @@
 
     Attributes
     ----------
+    starts : dict of object to float
+        When each of them began, by ticket, in this order.
     began : float
-        Sum of the times at which they began.
+        Sum of these times.
     """
 
-    count: int = 0
+    starts: dict[object, float] = field(default_factory=dict)
     began: float = 0.0
 
-    def add(self, count: int, began: float) -> None:
-        """Add calls that began at a time, or remove them if the count is negative."""
-        self.count += count
-        self.began = self.began + count * began if self.count else 0.0
+    @property
+    def count(self) -> int:
+        """Return their number."""
+        return len(self.starts)
+
+    def add(self, ticket: object, began: float) -> None:
+        """Add a call that begins."""
+        self.starts[ticket] = began
+        self.began += began
+
+    def remove(self, ticket: object) -> None:
+        """Remove a call that has ended."""
+        began = self.starts.pop(ticket)
+        self.began = self.began - began if self.starts else 0.0
+
+    def longest(self, now: float) -> float:
+        """Return for how many seconds the first of them has run."""
+        return now - next(iter(self.starts.values()), now)
 
 
 @dataclass
@@ -135,7 +151,8 @@
     Attributes
     ----------
     running_by_route : dict of str to RunningCalls
-        Their sums, as hundreds of calls may run and each answer carries an estimate.
+        The same by route, with sums, as hundreds of calls may run and each answer
+        carries an estimate.
     mean : dict of str to tuple
         Mean seconds at the usual pace, number of measurements and time of the last one,
         by route.
@@ -158,7 +175,7 @@
     def begin(self, ticket: object, route: str, now: float) -> None:
         """Record the start of a call."""
         self.running[ticket] = (route, now)
-        self.running_by_route[route].add(1, now)
+        self.running_by_route[route].add(ticket, now)
 
     def end(self, ticket: object, answered: bool, now: float) -> None:
         """Record the end of a call, and its duration if it was answered.
@@ -166,7 +183,7 @@
         The pace reported with the answer must have been recorded before.
         """
         route, begun = self.running.pop(ticket)
-        self.running_by_route[route].add(-1, begun)
+        self.running_by_route[route].remove(ticket)
         if not answered:
             return
         self.measured.record(route, now - begun, now)
@@ -202,6 +219,7 @@
         """Return the seconds within which a call of a route ends by all that is known.
 
         A route without measurements is assumed to be as long as the longest other one.
+        Calls that still run tell that others may take as long.
         """
         seen = self.measured.seen.get(route)
         if seen is None:
@@ -209,7 +227,11 @@
             longest = max(known, default=0.0)
         else:
             longest = seen.seconds
-        return max(longest, LONGEST_CALL_FACTOR * self.expected(route, now))
+        return max(
+            longest,
+            self.running_by_route[route].longest(now),
+            LONGEST_CALL_FACTOR * self.expected(route, now),
+        )
 
     def expected_overall(self, now: float) -> float:
         """Return the expected duration of a call of any route in seconds."""
--- a/sequoiaspoke/tests/test_mesh_core.py
+++ b/sequoiaspoke/tests/test_mesh_core.py
@@ -268,6 +268,22 @@
         self.assertEqual(routes.of("a", 15.0), MeasuredRoute(3.0, 6.0))
         self.assertEqual(routes.of("b", 15.0), UNMEASURED)
 
+    def test_a_call_that_still_runs_tells_how_long_others_may_take(self):
+        # Only short ones had ended. A stopping home took more of the long ones, and its
+        # exit broke them off.
+        durations = Durations()
+        for ticket in ("first", "second"):
+            durations.begin(ticket, "a", 10.0)
+        for number in range(50):
+            durations.begin(number, "a", 10.5)
+            durations.end(number, True, 10.6)
+        self.assertEqual(durations.longest("a", 13.0), 3.0)
+        durations.end("first", False, 13.0)
+        self.assertEqual(durations.longest("a", 14.0), 4.0)
+        # Nothing is known of one that was broken off.
+        durations.end("second", False, 14.0)
+        self.assertTrue(durations.longest("a", 14.0) < 1.0)
+
     def test_a_slowdown_shows_before_the_first_late_answer(self):
         durations = Durations()
         durations.begin(1, "a", 0.0)
--- a/sequoiaspoke/tests/test_mesh_rolls.py
+++ b/sequoiaspoke/tests/test_mesh_rolls.py
@@ -52,6 +52,9 @@
     ),
     "timeouts": {"order": 5.0, "read": 15.0},
 }
+# The same with a long call now and then.
+SELDOM_LONG = 7 * (("order", 0.05),) + (("order", 4.2),)
+SELDOM_LONG += 5 * (("read", 0.1),) + (("read", 4.6),)
 # Seconds from the first signal to that of the entry, and to the home's departure.
 AHEAD = (2.0, 2.5, 3.0, 3.5, 4.0)
 LEAVES_AFTER = SETTINGS.leave_after
@@ -75,6 +78,8 @@
         Routes and work of the calls.
     timeouts : dict of str to float
         Timeouts of the routes in seconds.
+    before : float
+        Seconds from the start of the nodes to the entry's signal.
     restarted : float
         Seconds before the first signal at which the homes that stop are killed and
         start again, 0 if they don't.
@@ -89,6 +94,7 @@
     timeouts: dict[str, float] = field(
         default_factory=lambda: {"order": 8.0, "read": 8.0}
     )
+    before: float = BEFORE
     restarted: float = 0.0
 
     @property
@@ -195,7 +201,7 @@
             self.nodes[host] = RolledNode(self, host, self.zone_of(host))
         self.rolled = hosts[1 : 1 + roll.stopping]
         self.entry = self.nodes["h0"].entry
-        self.signal_at = self.now() + BEFORE
+        self.signal_at = self.now() + roll.before
 
     def route(self, name):
         return replace(super().route(name), timeout=self.roll.timeouts[name])
@@ -223,7 +229,7 @@
     async def stop_homes(self):
         """Stop the homes in turn."""
         roll = self.roll
-        await asyncio.sleep(BEFORE - roll.ahead - roll.restarted)
+        await asyncio.sleep(roll.before - roll.ahead - roll.restarted)
         if roll.restarted:
             for host in self.rolled:
                 self.nodes[host].kill()
@@ -251,7 +257,7 @@
         """Make calls while the homes and then the entry stop."""
         calls = asyncio.ensure_future(self.make_calls())
         stops = asyncio.ensure_future(self.stop_homes())
-        await asyncio.sleep(BEFORE)
+        await asyncio.sleep(self.roll.before)
         if self.roll.entry_stops:
             self.entry.stop(plan_stop(SETTINGS, self.now(), 0.0))
         await asyncio.gather(calls, stops)
@@ -357,6 +363,46 @@
             self.assertTrue(reply.seconds < POLL, reply)
 
 
+class NewHomeTests(RollCase):
+    """Homes that started seconds before they stop."""
+
+    # Seconds from the start of the homes to the entry's signal.
+    before = 6.0
+
+    def assert_kept(self, stopping, staying, ahead, **options):
+        """Check that no call of some rolls is lost."""
+        rolls = [
+            Roll(each, True, stopping, staying, before=self.before, **options)
+            for each in ahead
+        ]
+        self.assertEqual({}, self.lost(rolls))
+
+    def test_the_first_long_calls_are_not_cut_off(self):
+        # They take more than half of their timeout, and none as long has ended.
+        self.assert_kept(1, 0, AHEAD)
+        self.assert_kept(2, 0, AHEAD, calls=tuple(reversed(ORDERS + READS)))
+
+    def test_the_first_long_calls_that_wait_for_a_slot_are_not_cut_off(self):
+        # They were assumed to take half of what was left after the wait, and were
+        # answered 502 while an upstream worked on them.
+        for stopping, staying in ((1, 1), (2, 0), (2, 1)):
+            self.assert_kept(stopping, staying, AHEAD, slots=FEW)
+
+    def test_a_long_call_now_and_then_is_not_cut_off(self):
+        # It takes more than half of its timeout, and none as long has ended.
+        self.assert_kept(1, 0, AHEAD, calls=SELDOM_LONG)
+
+    def test_first_calls_that_are_seldom_long_are_not_cut_off(self):
+        # The entry stops as well, so that little of their long timeout was left, and
+        # half of that was assumed.
+        self.assert_kept(2, 0, AHEAD, **MOSTLY_SHORT)
+
+    def test_the_longest_calls_that_wait_for_a_slot_are_not_cut_off(self):
+        # They take more than half of their timeout, and none as long has ended.
+        calls = tuple(reversed(ORDERS + READS))
+        self.assert_kept(2, 1, AHEAD, slots=FEW, calls=calls)
+
+
 class RestartedHomeTests(RollCase):
     """Homes that were started again seconds before they stop; the entry is older."""
 
