--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -12,6 +12,7 @@
 from sequoiaspoke.core.mesh.answerroom import AnswerRoom
 from sequoiaspoke.core.mesh.memory import MemoryAccount, memory_limit
 from sequoiaspoke.core.mesh.reading import DEFAULT_ACT_SECONDS, ReadingDuty
+from sequoiaspoke.descriptors import available_descriptors, limit_connections
 from sequoiaspoke.errors import SettingsError
 from sequoiaspoke.listening import listen_on_all, open_when_free
 from sequoiaspoke.polling import PolledCall
@@ -149,7 +150,10 @@
             self.status,
             self.home.crash_guard.release,
         )
-        self.health = CallerServer(pages.handle, self.log_unexpected_error)
+        self.health = CallerServer(
+            pages.handle, self.log_unexpected_error, memory=self.memory
+        )
+        self.limit_connections()
         self.follower = Follower(store, self.state, self.duty, rng)
         self.shutdown = Shutdown(
             self.callers, self.links, self.entry, self.home, self.log
@@ -164,6 +168,21 @@
         self.applied_state = (0, 0, 0, 0)
         self.readers_logged: tuple[str, ...] = ()
 
+    def limit_connections(self) -> None:
+        """Limit the connections that this node accepts to its descriptors."""
+        limits = limit_connections(available_descriptors(self.settings.descriptors))
+        for name, server, limit in (
+            ("callers", self.callers, limits.callers),
+            ("health", self.health, limits.health),
+            ("links", self.links, limits.unknown_links),
+        ):
+            server.max_connections = limit
+            server.on_limited = partial(self.log_limited, name, limit)
+
+    def log_limited(self, port: str, limit: int, closed: int) -> None:
+        """Log that connections were closed, as there were too many."""
+        self.log.event("connections-limited", port=port, limit=limit, closed=closed)
+
     def log_unexpected_error(self, error: BaseException) -> None:
         """Log an unhandled exception."""
         self.log.event("crash", error=repr(error))
@@ -358,6 +377,8 @@
         if now - self.callers_ticked_at > CALLERS_TICK_SECONDS:
             self.callers_ticked_at = now
             self.callers.tick(now)
+            self.health.tick(now)
+            self.links.report_limited()
         self.shutdown.tick(now)
 
     def reload_settings(self) -> None:
@@ -379,6 +400,7 @@
             )
         self.settings = settings
         self.memory.limit = memory_limit(settings.memory_mb)
+        self.limit_connections()
         self.home.admission.transfers.set_link_mbps(settings.link_mbps)
         self.entry.service = settings.service
         self.entry.attempts.regions = settings.regions
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -18,7 +18,7 @@
 
 import httptools
 
-from sequoiaspoke.core.mesh.memory import SMALL_BODY, MemoryAccount
+from sequoiaspoke.core.mesh.memory import SMALL_BODY, MemoryAccount, header_size
 from sequoiaspoke.core.mesh.model import CallerLimits
 from sequoiaspoke.core.mesh.outcome import Request, find_header
 from sequoiaspoke.endedinput import EndedInput, caller_end
@@ -48,8 +48,14 @@
     from sequoiaspoke.sidecar.bodypolicy import BodyPolicy
 
 HEAD_END = b"\r\n\r\n"
-# Calls of one connection that may be unanswered before reading from it pauses.
-MAX_PIPELINED = 64
+# Bytes that are read from a connection, and given to the parser, at a time. What a
+# limit refuses was parsed up to one such piece beyond it.
+RECEIVE_BYTES, PARSE_BYTES = 32 << 10, 8 << 10
+# Calls of one connection that may be unanswered before reading from it pauses, and
+# bytes that their requests may take in memory.
+MAX_PIPELINED, MAX_PIPELINED_BYTES = 64, 256 << 10
+# Bytes a second below which a body arrives too slowly to keep its place in memory.
+MIN_BODY_RATE = 64 << 10
 # Share of the memory account that unread answers may exceed its limit by. Otherwise, an
 # account full of request bodies would end the connections of callers that read as fast
 # as their links allow.
@@ -111,7 +117,7 @@
         return self.answer is not None and self.task is not None
 
 
-class CallerConnection(Connection):
+class CallerConnection(Connection, asyncio.BufferedProtocol):
     """The connection of a caller.
 
     Attributes
@@ -124,20 +130,27 @@
         Whether further data from the caller is ignored.
     ended_input : EndedInput or None
         Set once the caller has ended its input before its calls were answered.
+    held_by_calls : int
+        Bytes reserved for the requests of unanswered calls.
+    rest : bytes
+        Received bytes that are parsed once earlier requests have been answered.
     head_size : int
         Bytes of the incomplete head so far.
+    head_memory : int
+        Bytes that the lines of the head take in memory so far.
     chunk_body_bytes : int
         Bytes of bodies in the data now parsed.
     boundary_in_chunk : bool
         Whether a request began or ended in the data now parsed.
-    framing_size : int
-        Bytes besides the body that came after the head, or before one.
+    framing_size, framing_run : int
+        Bytes besides the body that came after the head, or before one, and those of
+        them since the last byte of the body.
     discarded : int
         Bytes that came after the last request.
     asks_upgrade : bool
         Whether the head asks for an upgrade, and is parsed again without that header.
     reserved : int
-        Bytes reserved for the body that is arriving.
+        Bytes reserved for the request that is arriving.
     continue_due : bool
         Whether `100 Continue` is to be sent after the answers before it.
     written, acknowledged : int
@@ -156,7 +169,10 @@
         self.limits = server.limits()
         self.pending: deque[Exchange] = deque()
         self.reading_paused = False
+        self.parser: httptools.HttpRequestParser | None
         self.parser = httptools.HttpRequestParser(self)
+        self.rest = b""
+        self.held_by_calls = 0
         self.last_active = self.read_at = clock.now()
         self.written = self.acknowledged = 0
         self.input_ended = False
@@ -169,6 +185,7 @@
         host, *_ = self.transport.get_extra_info("peername") or ("",)
         self.nested = host == self.server.upstream_host
         self.server.connections.add(self)
+        self.server.close_surplus()
         # The transport then tells as soon as it has to buffer bytes.
         self.transport.set_write_buffer_limits(0)
         if self.server.input_ended:
@@ -184,15 +201,24 @@
         self.method = self.target = b""
         self.asks_upgrade = False
         self.headers: list[tuple[str, str]] = []
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.body_size = 0
-        self.head_size = self.framing_size = 0
+        self.head_size = self.head_memory = 0
+        self.framing_size = self.framing_run = 0
         self.chunk_body_bytes = 0
         self.boundary_in_chunk = False
         self.request_started: float | None = None
         self.head_complete = False
         self.continue_due = False
 
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
+        """Return where the event loop puts what it reads next."""
+        return self.server.buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Handle the bytes that were read."""
+        self.data_received(bytes(self.server.buffer[:size]))
+
     def received(self, data: bytes) -> None:
         """Parse data from the caller.
 
@@ -200,15 +226,20 @@
         detected, and without it the call would run on with nobody to answer.
         """
         self.last_active = self.server.last_input_at = clock.now()
-        if self.input_ended:
-            self.discard(data)
-            return
         self.parse(data)
-        if (
+
+    @property
+    def must_wait(self) -> bool:
+        """Return whether no more requests are parsed until calls have been answered."""
+        fits = self.server.memory.fits(0)
+        return bool(self.pending) and (
             len(self.pending) >= MAX_PIPELINED
-            and not self.reading_paused
-            and not self.closed
-        ):
+            or self.held_by_calls > (MAX_PIPELINED_BYTES if fits else SMALL_BODY)
+        )
+
+    def pause_reading(self) -> None:
+        """Read no more for now."""
+        if not (self.reading_paused or self.closed):
             self.reading_paused = True
             self.transport.pause_reading()
 
@@ -223,8 +254,7 @@
         if self.closed or not self.pending:
             return False
         self.end_input()
-        self.request_started = None
-        self.continue_due = False
+        self.end_request()
         self.ended_input = EndedInput(self.socket, len(self.pending), self.caller_left)
         if not self.pending[0].takes_interim:
             self.ended_input.give_time()
@@ -251,7 +281,8 @@
         self.server.connections.discard(self)
         if self.ended_input is not None:
             self.ended_input.stop()
-        self.drop_body()
+        self.drop_request()
+        self.end_request()
         for exchange in self.pending:
             self.server.memory.release(exchange.answer_bytes)
             if exchange.task is not None:
@@ -259,6 +290,27 @@
         self.pending.clear()
 
     def parse(self, data: bytes) -> None:
+        """Parse data piece by piece, up to a request that has to wait."""
+        if self.rest:
+            data, self.rest = self.rest + data, b""
+        for start in range(0, len(data), PARSE_BYTES):
+            if self.closed:
+                return
+            if self.input_ended:
+                self.parser = None
+                self.discard(data[start:])
+                return
+            if self.must_wait:
+                self.rest = data[start:]
+                self.pause_reading()
+                return
+            self.parse_piece(data[start : start + PARSE_BYTES])
+        if self.input_ended:
+            self.parser = None
+        elif len(self.pending) >= MAX_PIPELINED:
+            self.pause_reading()
+
+    def parse_piece(self, data: bytes) -> None:
         """Feed data to the parser, and check the size of what is no body."""
         self.chunk_body_bytes = 0
         self.boundary_in_chunk = False
@@ -269,6 +321,7 @@
         else:
             if self.request_started is not None and not self.head_complete:
                 self.check_head_size(data)
+                self.reserve_or_refuse()
             elif not self.boundary_in_chunk:
                 self.check_framing(len(data) - self.chunk_body_bytes)
 
@@ -312,8 +365,10 @@
     def check_framing(self, size: int) -> None:
         """Refuse a request with too much besides its body, such as trailers."""
         self.framing_size += size
-        limit = self.limits.header_bytes + FRAMING_PER_BYTE * self.body_size
-        if self.framing_size > limit:
+        self.framing_run = 0 if self.chunk_body_bytes else self.framing_run + size
+        limit = self.limits.header_bytes
+        total = limit + FRAMING_PER_BYTE * self.body_size
+        if self.framing_size > total or self.framing_run > limit:
             self.refuse(400, "request without end")
 
     # Called by the parser.
@@ -325,16 +380,19 @@
         self.reset_request()
         self.boundary_in_chunk = True
         self.request_started = clock.now()
+        self.server.arriving[self] = None
 
     def on_url(self, data: bytes) -> None:
         """Append to the request target."""
         self.target += data
+        self.head_memory += len(data)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are dropped, as RFC 9110, section 6.5.1, allows."""
-        if self.head_complete:
+        if self.head_complete or self.input_ended:
             return
         self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        self.head_memory += header_size(name, value)
 
     def on_headers_complete(self) -> None:
         """Complete the head; refuse the body or let the caller send it."""
@@ -346,6 +404,8 @@
         if self.asks_upgrade:
             return
         self.head_complete = True
+        if not self.reserve_or_refuse():
+            return
         if self.pending and self.server.ends_connections:
             self.leave_unread()
             return
@@ -369,7 +429,7 @@
         closes the connection the request counts as not read, and is sent again.
         """
         self.server.policy.call_unread(self.request(b""))
-        self.request_started = None
+        self.end_request()
         self.end_input()
 
     def use_origin_form(self) -> bool:
@@ -393,7 +453,7 @@
         if refusal is not None:
             self.refuse_with(refusal)
         elif self.server.memory.try_reserve(size):
-            self.reserved = size
+            self.reserved += size
         else:
             self.refuse_with(self.server.policy.refuse_for_memory(head))
 
@@ -406,29 +466,59 @@
         self.continue_due = False
         if self.body_size > self.limits.body_bytes:
             self.refuse(413, "body")
-        elif self.reserve_body():
-            self.body.append(data)
-        else:
-            refusal = self.server.policy.refuse_for_memory(self.request(b""))
-            self.refuse_with(refusal)
+        elif self.reserve_or_refuse():
+            self.body += data
+
+    def reserve_or_refuse(self) -> bool:
+        """Reserve memory for what has arrived; refuse the request without room for it.
 
-    def reserve_body(self) -> bool:
-        """Reserve the bytes received so far; return whether they fit."""
-        missing = self.body_size - self.reserved
+        Return whether it fits. A small request always does.
+        """
+        if self.input_ended:
+            return False
+        head = self.head_memory
+        if not self.head_complete:
+            # The parser holds the last line until it is complete.
+            head += self.head_size
+        missing = head + self.body_size - self.reserved
         if missing <= 0:
             return True
-        if self.body_size <= SMALL_BODY:
-            self.server.memory.reserve(missing)
-        elif not self.server.memory.try_reserve(missing):
+        fits = self.server.make_room(missing, self)
+        if not fits and max(head, self.body_size) > SMALL_BODY:
+            self.refuse_for_memory()
             return False
-        self.reserved = self.body_size
+        self.server.memory.reserve(missing)
+        self.reserved += missing
         return True
 
-    def drop_body(self) -> None:
-        """Drop the bytes received so far and release what was reserved."""
+    def refuse_for_memory(self) -> None:
+        """Refuse the request that is arriving, as there is no room for it."""
+        refusal = self.server.policy.refuse_for_memory(self.request(b""))
+        self.refuse_with(refusal)
+
+    def outstays(self, now: float) -> bool:
+        """Return whether the request takes too long to keep its place in memory.
+
+        Heads are sent at once, and a body that belongs to a call arrives steadily.
+        """
+        if not self.head_complete:
+            return True
+        assert self.request_started is not None
+        allowed = self.limits.header_timeout + self.body_size / MIN_BODY_RATE
+        return now - self.request_started > allowed
+
+    def drop_request(self) -> None:
+        """Drop what has arrived of a request and release what was reserved."""
         self.server.memory.release(self.reserved)
         self.reserved = 0
-        self.body.clear()
+        self.body = bytearray()
+        self.headers = []
+
+    def end_request(self) -> None:
+        """Note that no request is arriving any more."""
+        self.request_started = None
+        self.continue_due = False
+        self.server.arriving.pop(self, None)
 
     def request(self, body: bytes) -> Request:
         """Return the request whose head is complete."""
@@ -451,19 +541,19 @@
         self.boundary_in_chunk = True
         self.framing_size = 0
         keep_alive = self.parser.should_keep_alive()
-        request = self.request(b"".join(self.body))
-        self.body.clear()
+        request = self.request(bytes(self.body))
+        self.body, self.headers = bytearray(), []
         exchange = Exchange(
             keep_alive,
             head_only=request.method == "HEAD",
             takes_interim=self.parser.get_http_version() != "1.0",
         )
         self.pending.append(exchange)
-        self.request_started = None
-        self.continue_due = False
+        self.end_request()
         if not keep_alive:
             self.input_ended = True
         reserved, self.reserved = self.reserved, 0
+        self.held_by_calls += reserved
         exchange.task = asyncio.ensure_future(self.serve(exchange, request))
         # In a callback, because a task cancelled before its start runs no code at all.
         exchange.task.add_done_callback(
@@ -483,9 +573,8 @@
         exchange = Exchange(keep_alive=False)
         exchange.answer = answer
         self.pending.append(exchange)
-        self.drop_body()
-        self.request_started = None
-        self.continue_due = False
+        self.drop_request()
+        self.end_request()
         self.input_ended = True
         self.flush()
 
@@ -509,6 +598,7 @@
     ) -> None:
         """Release the body of a request; answer it if its task has not done so."""
         self.server.memory.release(reserved)
+        self.held_by_calls -= reserved
         error = None if task.cancelled() else task.exception()
         if error is not None:
             self.server.on_crash(error)
@@ -557,14 +647,15 @@
                 self.write(part)
             if close:
                 self.input_ended = True
-                self.drop_body()
+                self.drop_request()
+                self.end_request()
                 self.half_close()
                 return
         if self.continue_due and not self.pending:
             # Sent before the earlier answers, it would be taken for part of them.
             self.continue_due = False
             self.write(CONTINUE)
-        if len(self.pending) < MAX_PIPELINED:
+        if not self.must_wait:
             self.resume_reading()
 
     def encode(self, exchange: Exchange, close: bool) -> tuple[bytes, ...]:
@@ -580,8 +671,11 @@
 
     def resume_reading(self) -> None:
         """Read on if that was paused."""
-        if self.reading_paused and not self.closed:
-            self.reading_paused = False
+        if not self.reading_paused or self.closed:
+            return
+        self.reading_paused = False
+        self.parse(b"")
+        if not (self.reading_paused or self.closed):
             self.transport.resume_reading()
 
     def write(self, data: bytes) -> None:
@@ -639,7 +733,8 @@
         if self.input_ended:
             return
         self.input_ended = True
-        self.drop_body()
+        self.rest = b""
+        self.drop_request()
         if self.pending:
             self.pending[-1].keep_alive = False
         else:
@@ -745,6 +840,10 @@
         Counts request bodies and unread answers.
     slow_callers : set of CallerConnection
         Connections with unread answers.
+    arriving : dict of CallerConnection
+        Connections on which part of a request has arrived, the earliest first.
+    buffer : memoryview
+        Where the event loop puts what it reads.
     policy : BodyPolicy
         Answers requests whose bodies are not read.
     last_input_at : float
@@ -778,6 +877,8 @@
         self.policy: BodyPolicy = ReadAllBodies()
         self.connections: set[CallerConnection] = set()
         self.slow_callers: set[CallerConnection] = set()
+        self.arriving: dict[CallerConnection, None] = {}
+        self.buffer = memoryview(bytearray(RECEIVE_BYTES))
         self.closing = False
         self.last_input_at = self.last_request_at = float("-inf")
         self.may_break_off = float("-inf")
@@ -796,8 +897,53 @@
         self.last_input_at = clock.now()
         return CallerConnection(self)
 
+    def close_surplus(self) -> None:
+        """Close a connection without calls if there are more than the limit.
+
+        Those that have not brought a request yet are first, and then the one that was
+        silent for longest. Callers expect that an idle connection may be closed.
+        """
+        if len(self.connections) <= self.max_connections:
+            return
+        worst = min(
+            (each for each in self.connections if not (each.pending or each.unread)),
+            key=lambda each: (bool(each.written), each.last_active),
+            default=None,
+        )
+        if worst is not None:
+            self.closed_beyond_limit += 1
+            worst.close()
+            # Its descriptor is free in the next iteration of the event loop.
+            self.connections.discard(worst)
+
     # Memory.
 
+    def make_room(self, size: int, receiver: CallerConnection) -> bool:
+        """Refuse requests that take too long to arrive; return whether bytes fit then.
+
+        The earliest is first. None is refused if all of them leave too little room.
+
+        Parameters
+        ----------
+        receiver : CallerConnection
+            Connection of the request that needs room.
+        """
+        if self.memory.fits(size):
+            return True
+        now = clock.now()
+        dropped = [
+            each
+            for each in self.arriving
+            if each is not receiver and each.outstays(now)
+        ]
+        if not self.memory.fits(size - sum(each.reserved for each in dropped)):
+            return False
+        for connection in dropped:
+            if self.memory.fits(size):
+                break
+            connection.refuse_for_memory()
+        return True
+
     def unread_changed(self, connection: CallerConnection, change: int) -> None:
         """Record that the unread bytes of a connection have changed."""
         if connection.unread:
@@ -846,6 +992,7 @@
 
     def tick(self, now: float) -> None:
         """Check the timeouts of all connections."""
+        self.report_limited()
         self.observe_reading(now)
         self.close_stopped_callers(now)
         for connection in list(self.connections):
--- a/sequoiaspoke/sidecar/homecall.py
+++ b/sequoiaspoke/sidecar/homecall.py
@@ -66,6 +66,9 @@
         When it was sent to the upstream; minus infinity if it was not.
     stop_reason : str
         Reason of its outcome if its task is cancelled.
+    reserved : int
+        Bytes reserved for the request until the call ends, without a body that
+        follows in parts.
     """
 
     call: HomeCall
@@ -74,6 +77,7 @@
     cancelled: bool = False
     sent_at: float = -inf
     stop_reason: str = "cancelled"
+    reserved: int = 0
 
     @property
     def sent(self) -> bool:
