Count the heads of answers that wait for their turn

An answer that waits for those before it on its connection counted by its body only, while a legal head of an upstream may take 2 MB, and 64 of them may wait.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -619,7 +619,8 @@
         exchange.answer = answer
         self.flush()
         if exchange in self.pending:
-            exchange.answer_bytes = len(exchange.answer.body)
+            head = sum(header_size(*pair) for pair in answer.headers)
+            exchange.answer_bytes = head + len(answer.body)
             self.server.memory.reserve(exchange.answer_bytes)
             if self.pending[0].read_at <= self.server.may_break_off:
                 # Answers to the calls before it may have been read as well.
--- a/sequoiaspoke/tests/test_callerserver_memory.py
+++ b/sequoiaspoke/tests/test_callerserver_memory.py
@@ -9,6 +9,7 @@
 
 from sequoiaspoke.core.mesh.memory import (
     DEFAULT_LIMIT,
+    HEADER_BYTES,
     MAX_LIMIT,
     SMALL_BODY,
     MemoryAccount,
@@ -269,13 +270,17 @@
         self.closed.append(unread)
 
 
+# Bytes in memory of the header of an answer.
+HEAD = 2 + HEADER_BYTES
+
+
 class UnreadAnswersTests(TestCase):
     """Answers of 1000 bytes and a head to callers that do not read them."""
 
     def play(self, limit, scenario):
         async def handle(request):
             await self.gate.wait()
-            return Answer(200, (), b"x" * 1000)
+            return Answer(200, (("a", "b"),), b"x" * 1000)
 
         async def run():
             self.gate = asyncio.Event()
@@ -386,7 +391,7 @@
             self.gate.set()
             await self.call(connection)
             self.assertEqual(len(connection.pending), 2)
-            self.assertEqual(self.memory.held - connection.held_by_calls, 1000)
+            self.assertEqual(self.memory.held - connection.held_by_calls, 1000 + HEAD)
             connection.close()
             await self.settle()
             self.assertEqual(self.memory.held, 0)
