Let announced bodies take the room of requests that take too long

Requests that take too long to arrive made room for heads and for chunked bodies, but a body with a Content-Length was refused at once when the account was full. Callers that announced large bodies and sent a byte now and then kept all other uploads out for as long as they liked: no timeout ends them.

An announced body now asks for room as the others do. The new test failed before.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -452,7 +452,8 @@
         refusal = self.server.policy.early_refusal(head)
         if refusal is not None:
             self.refuse_with(refusal)
-        elif self.server.memory.try_reserve(size):
+        elif self.server.make_room(size, self):
+            self.server.memory.reserve(size)
             self.reserved += size
         else:
             self.refuse_with(self.server.policy.refuse_for_memory(head))
--- a/sequoiaspoke/tests/test_callerserver_memory.py
+++ b/sequoiaspoke/tests/test_callerserver_memory.py
@@ -91,6 +91,19 @@
 
         self.play(scenario)
 
+    def test_bodies_that_take_too_long_make_room_for_an_announced_one(self):
+        # Two callers that sent a byte now and then kept all other uploads out.
+        async def scenario(reader, writer):
+            await self.fill()
+            for connection in self.server.arriving:
+                connection.request_started -= 2 * connection.limits.header_timeout
+            self.handler.gate.set()
+            writer.write(head(BODY) + b"x" * BODY)
+            self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\n"))
+            await self.assert_all_released()
+
+        self.play(scenario)
+
     def test_the_refusal_replaces_continue(self):
         # Told to continue, the caller would send the body over its narrow link.
         async def scenario(reader, writer):
