Read a connection on when its large request has ended

Reading pauses while the requests of a connection's unanswered calls take more than 256 KB. It went on only when the next answer was sent, before the memory of that call was released, so that requests behind a large one also waited for small slow calls beside it. Callers give up what is not read within a second.

Reading now goes on with the end of the call that held the memory. The new test failed before, for a large request before and behind a slow one.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -603,7 +603,11 @@
         error = None if task.cancelled() else task.exception()
         if error is not None:
             self.server.on_crash(error)
-        if exchange.answer is not None or self.closed:
+        if self.closed:
+            return
+        if exchange.answer is not None:
+            if not self.must_wait:
+                self.resume_reading()
             return
         self.server.policy.call_cut(request)
         if exchange.started:
--- a/sequoiaspoke/tests/test_callerserver_heads.py
+++ b/sequoiaspoke/tests/test_callerserver_heads.py
@@ -4,6 +4,7 @@
 import sys
 
 from sequoiaspoke.core.mesh.model import CallerLimits
+from sequoiaspoke.core.mesh.outcome import Answer
 from sequoiaspoke.sidecar.callerserver import PARSE_BYTES, CallerConnection
 from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
 
@@ -155,6 +156,34 @@
 
         self.play(scenario)
 
+    def test_requests_are_read_on_when_the_large_one_has_ended(self):
+        # They waited for the answer of a small call that was still in progress.
+        async def scenario(reader, writer, connection):
+            gates = {"/a": asyncio.Event(), "/slow": asyncio.Event()}
+            begun = []
+
+            async def handle(request):
+                begun.append(request.target)
+                await gates[request.target].wait()
+                return Answer(200, (), b"")
+
+            self.server.handle = handle
+            slow = START.replace(b"/a", b"/slow") + b"\r\n"
+            for first in (slow + self.REQUEST, self.REQUEST + slow):
+                begun.clear()
+                writer.write(first)
+                await self.until(lambda: len(begun) == 2)
+                writer.write(slow)
+                await self.until(lambda: connection.reading_paused)
+                gates["/a"].set()
+                await self.until(lambda: len(begun) == 3)
+                gates["/slow"].set()
+                await self.until(lambda: not connection.pending)
+                gates["/a"].clear()
+                gates["/slow"].clear()
+
+        self.play(scenario)
+
     def test_all_memory_is_released_when_connections_end(self):
         async def scenario(reader, writer, connection):
             ends = [await self.open(self.REQUEST[:5000]) for _ in range(3)]
