Search for room only for requests that are refused without it

While memory was short, each chunk of a small body searched all connections with arriving requests for some that make room, although a small request is taken in any case. 2,000 chunks of one byte, 12 KB, blocked the event loop for 1.37 s beside 1,950 such connections (a trial without processes).

Only requests of more than 16 KB search now. The new test failed before.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -484,8 +484,8 @@
         missing = head + self.body_size - self.reserved
         if missing <= 0:
             return True
-        fits = self.server.make_room(missing, self)
-        if not fits and max(head, self.body_size) > SMALL_BODY:
+        large = max(head, self.body_size) > SMALL_BODY
+        if large and not self.server.make_room(missing, self):
             self.refuse_for_memory()
             return False
         self.server.memory.reserve(missing)
--- a/sequoiaspoke/tests/test_callerserver_heads.py
+++ b/sequoiaspoke/tests/test_callerserver_heads.py
@@ -184,6 +184,28 @@
 
         self.play(scenario)
 
+    def test_small_chunks_do_not_search_all_connections_for_room(self):
+        # Each chunk did while memory was short, and the event loop stood still.
+        searched = []
+
+        def outstays(connection, now):
+            searched.append(connection)
+            return False
+
+        async def scenario(reader, writer, connection):
+            ends = [await self.open(CHUNKED) for _ in range(5)]
+            await self.until(lambda: len(self.server.arriving) == 5)
+            self.memory.reserve(2 * self.limit)
+            self.handler.gate.set()
+            connection.data_received(CHUNKED + 1000 * b"1\r\nx\r\n" + b"0\r\n\r\n")
+            self.assertIn(b" 200 ", await reader.readuntil(1000 * b"x"))
+            for _, each in ends:
+                each.close()
+
+        self.patch(CallerConnection, "outstays", outstays)
+        self.play(scenario)
+        self.assertEqual(searched, [])
+
     def test_all_memory_is_released_when_connections_end(self):
         async def scenario(reader, writer, connection):
             ends = [await self.open(self.REQUEST[:5000]) for _ in range(3)]
