Close idle connections before a new one that few others wait with

Beyond its limit a sidecar closed a connection without a request before any that had brought one. Where all others were kept after an answer, that was always the new one: as many idle callers as the limit kept every new caller out until they timed out, or for ever with a request now and then.

New connections go first only while they are more than an eighth of the limit, as at a node that is no sidecar. The new test failed before.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -75,6 +75,9 @@
 # Seconds after its opening in which a connection without a request stays open although
 # the server accepts no more. Its caller may be about to send one.
 FIRST_REQUEST_SECONDS = 1.0
+# Share of the connections that new ones may take from idle ones. Without it, callers
+# that stay idle after a request would keep all others out.
+NEW_SHARE = 1 / 8
 # Reason of the answer to a call whose task has ended without one, and its Retry-After
 # in seconds if the call was not started: the time for this process to restart.
 CUT, CUT_RETRY_AFTER = "cut", 1.0
@@ -905,14 +908,20 @@
     def close_surplus(self) -> None:
         """Close a connection without calls if there are more than the limit.
 
-        Those that have not brought a request yet are first, and then the one that was
-        silent for longest. Callers expect that an idle connection may be closed.
+        Those that have not brought a request yet are first while they are many, and
+        else the one that was silent for longest. Callers expect that an idle connection
+        may be closed.
         """
         if len(self.connections) <= self.max_connections:
             return
+        silent = [
+            each for each in self.connections if not (each.pending or each.unread)
+        ]
+        new = sum(not each.written for each in silent)
+        many_new = new > max(1, NEW_SHARE * self.max_connections)
         worst = min(
-            (each for each in self.connections if not (each.pending or each.unread)),
-            key=lambda each: (bool(each.written), each.last_active),
+            silent,
+            key=lambda each: (bool(each.written) == many_new, each.last_active),
             default=None,
         )
         if worst is not None:
--- a/sequoiaspoke/tests/test_connections_limited.py
+++ b/sequoiaspoke/tests/test_connections_limited.py
@@ -91,6 +91,23 @@
 
         self.play(scenario)
 
+    def test_idle_ones_do_not_keep_new_callers_out(self):
+        # Each new connection was closed at once, until others had timed out.
+        async def scenario(reader, writer):
+            self.handler.gate.set()
+            ends = [(reader, writer), *[await self.open() for _ in range(2)]]
+            for each, each_writer in ends:
+                each_writer.write(REQUEST)
+                await each.readuntil(b"/a")
+            late, late_writer = await asyncio.open_connection(*self.address)
+            late_writer.write(REQUEST)
+            self.assertIn(b" 200 ", await late.readuntil(b"/a"))
+            self.assertTrue(await self.closed(reader))
+            for _, each in (*ends, (late, late_writer)):
+                each.close()
+
+        self.play(scenario)
+
     def test_one_with_a_call_is_never_closed(self):
         async def scenario(reader, writer):
             writer.write(REQUEST)
