Close no idle connection of a sidecar whose request has arrived

Beyond the limit of connections the one that was silent for longest was closed although its next request may have waited in the kernel: it was reset, and the caller could not know whether the request had run. A node that is no sidecar spares such connections already. The new test failed before.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -910,7 +910,7 @@
 
         Those that have not brought a request yet are first while they are many, and
         else the one that was silent for longest. Callers expect that an idle connection
-        may be closed.
+        may be closed, but not one whose request has arrived.
         """
         if len(self.connections) <= self.max_connections:
             return
@@ -919,11 +919,10 @@
         ]
         new = sum(not each.written for each in silent)
         many_new = new > max(1, NEW_SHARE * self.max_connections)
-        worst = min(
-            silent,
-            key=lambda each: (bool(each.written) == many_new, each.last_active),
-            default=None,
-        )
+        silent.sort(key=lambda each: (bool(each.written) == many_new, each.last_active))
+        without_request = (each for each in silent if not each.waiting_bytes())
+        newest = max(silent, key=lambda each: each.last_active, default=None)
+        worst = next(without_request, newest)
         if worst is not None:
             self.closed_beyond_limit += 1
             worst.close()
--- a/sequoiaspoke/tests/test_connections_limited.py
+++ b/sequoiaspoke/tests/test_connections_limited.py
@@ -9,7 +9,7 @@
 from sequoiaspoke import descriptors
 from sequoiaspoke.descriptors import available_descriptors, limit_connections
 from sequoiaspoke.sidecar.linkserver import AcceptedLink, LinkServer
-from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
+from sequoiaspoke.tests.test_callerserver import CallerServerTestCase, send_at_once
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -108,6 +108,23 @@
 
         self.play(scenario)
 
+    def test_one_whose_request_has_arrived_is_not_closed(self):
+        # It was reset, and its caller could not know whether the request had run.
+        async def scenario(reader, writer):
+            self.handler.gate.set()
+            ends = [(reader, writer), await self.open()]
+            for each, each_writer in ends:
+                each_writer.write(REQUEST)
+                await each.readuntil(b"/a")
+            self.server.max_connections = 1
+            send_at_once(writer, REQUEST)
+            self.server.close_surplus()
+            self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+            self.assertTrue(await self.closed(ends[1][0]))
+            ends[1][1].close()
+
+        self.play(scenario)
+
     def test_one_with_a_call_is_never_closed(self):
         async def scenario(reader, writer):
             writer.write(REQUEST)
