Search the connections of a sidecar once for several that are closed

Each connection accepted beyond the limit searched all others for the one to close.

The new test failed before.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -78,6 +78,8 @@
 # Share of the connections that new ones may take from idle ones. Without it, callers
 # that stay idle after a request would keep all others out.
 NEW_SHARE = 1 / 8
+# Share of the connections that are found to be the next to close in one search.
+SURPLUS_SHARE = 1 / 32
 # Reason of the answer to a call whose task has ended without one, and its Retry-After
 # in seconds if the call was not started: the time for this process to restart.
 CUT, CUT_RETRY_AFTER = "cut", 1.0
@@ -199,6 +201,12 @@
         """Return whether part of a request has arrived that is still to be served."""
         return self.request_started is not None and not self.input_ended
 
+    @property
+    def may_be_surplus(self) -> bool:
+        """Return whether the connection may be closed as there are too many."""
+        busy = self.closed or self.pending or self.unread
+        return not (busy or self.waiting_bytes())
+
     def reset_request(self) -> None:
         """Reset the state of the request that is parsed."""
         self.method = self.target = b""
@@ -846,6 +854,8 @@
         Address from which the upstream beside this node calls, empty if unknown.
     memory : MemoryAccount
         Counts request bodies and unread answers.
+    surplus : deque of CallerConnection and float
+        Those that are closed next, and when they were active last.
     slow_callers : set of CallerConnection
         Connections with unread answers.
     arriving : dict of CallerConnection
@@ -884,6 +894,7 @@
         self.memory = MemoryAccount() if memory is None else memory
         self.policy: BodyPolicy = ReadAllBodies()
         self.connections: set[CallerConnection] = set()
+        self.surplus: deque[tuple[CallerConnection, float]] = deque()
         self.slow_callers: set[CallerConnection] = set()
         self.arriving: dict[CallerConnection, None] = {}
         self.buffer = memoryview(bytearray(RECEIVE_BYTES))
@@ -914,21 +925,36 @@
         """
         if len(self.connections) <= self.max_connections:
             return
-        silent = [
-            each for each in self.connections if not (each.pending or each.unread)
-        ]
-        new = sum(not each.written for each in silent)
-        many_new = new > max(1, NEW_SHARE * self.max_connections)
-        silent.sort(key=lambda each: (bool(each.written) == many_new, each.last_active))
-        without_request = (each for each in silent if not each.waiting_bytes())
-        newest = max(silent, key=lambda each: each.last_active, default=None)
-        worst = next(without_request, newest)
+        worst = self.next_surplus()
         if worst is not None:
             self.closed_beyond_limit += 1
             worst.close()
             # Its descriptor is free in the next iteration of the event loop.
             self.connections.discard(worst)
 
+    def next_surplus(self) -> CallerConnection | None:
+        """Return the connection to close next, None if all have calls."""
+        while self.surplus:
+            connection, last_active = self.surplus.popleft()
+            if connection.last_active == last_active and connection.may_be_surplus:
+                return connection
+        self.surplus.extend((each, each.last_active) for each in self.find_surplus())
+        return self.surplus.popleft()[0] if self.surplus else None
+
+    def find_surplus(self) -> list[CallerConnection]:
+        """Return the connections to close next, the first one first.
+
+        There are several, as all connections are searched for them.
+        """
+        silent = [x for x in self.connections if not (x.pending or x.unread)]
+        new = sum(not each.written for each in silent)
+        many_new = new > max(1, NEW_SHARE * self.max_connections)
+        silent.sort(key=lambda each: (bool(each.written) == many_new, each.last_active))
+        count = max(1, int(SURPLUS_SHARE * self.max_connections))
+        surplus = (each for each in silent if each.may_be_surplus)
+        newest = sorted(silent, key=lambda each: each.last_active)[-1:]
+        return list(islice(surplus, count)) or newest
+
     # Memory.
 
     def make_room(self, size: int, receiver: CallerConnection) -> bool:
--- a/sequoiaspoke/tests/test_connections_limited.py
+++ b/sequoiaspoke/tests/test_connections_limited.py
@@ -2,14 +2,20 @@
 
 import asyncio
 import resource
+import socket
 from types import SimpleNamespace
 
 from testtools import TestCase
 
 from sequoiaspoke import descriptors
 from sequoiaspoke.descriptors import available_descriptors, limit_connections
+from sequoiaspoke.sidecar.callerserver import CallerConnection, CallerServer
 from sequoiaspoke.sidecar.linkserver import AcceptedLink, LinkServer
-from sequoiaspoke.tests.test_callerserver import CallerServerTestCase, send_at_once
+from sequoiaspoke.tests.test_callerserver import (
+    CallerServerTestCase,
+    FakeTransport,
+    send_at_once,
+)
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -141,6 +147,45 @@
         self.play(scenario)
 
 
+class CountingSet(set):
+    """A set that counts how often it is searched."""
+
+    searches = 0
+
+    def __iter__(self):
+        self.searches += 1
+        return super().__iter__()
+
+
+class SearchTests(TestCase):
+    def test_not_all_connections_are_searched_for_each_that_is_closed(self):
+        # A crowd that opened connections kept the event loop busy with that alone.
+        server = CallerServer(None, None)
+        server.connections = CountingSet()
+        server.max_connections = 200
+        pairs = [socket.socketpair() for _ in range(300)]
+        for sock, _ in pairs:
+            connection = CallerConnection(server)
+            connection.transport = ClosingTransport(sock)
+            connection.opened()
+        self.assertEqual(server.closed_beyond_limit, 100)
+        self.assertEqual(
+            [x.fileno() < 0 for x, _ in pairs], 100 * [True] + 200 * [False]
+        )
+        self.assertTrue(server.connections.searches <= 50)
+        for pair in pairs:
+            for each in pair:
+                each.close()
+
+
+class ClosingTransport(FakeTransport):
+    def get_write_buffer_size(self):
+        return 0
+
+    def abort(self):
+        self.sock.close()
+
+
 class UnknownLinkTests(TestCase):
     def test_the_earliest_link_without_a_hello_is_closed(self):
         # Connections that say nothing took all descriptors.
