Begin no more calls of one read than a connection may pipeline

The limit of 64 unanswered calls of a connection was checked between the pieces of 8 KB that the parser is given, and each of them holds some 290 requests of a few bytes. All of these were begun at once: 292 of 500 that came in one read (a trial without processes).

A piece now ends after as many heads as may still be served, 16 at least. The new test failed before.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -54,6 +54,8 @@
 # Calls of one connection that may be unanswered before reading from it pauses, and
 # bytes that their requests may take in memory.
 MAX_PIPELINED, MAX_PIPELINED_BYTES = 64, 256 << 10
+# Heads that a piece may have at least; a body may have bytes that look like their ends.
+MIN_HEADS = 16
 # Bytes a second below which a body arrives too slowly to keep its place in memory.
 MIN_BODY_RATE = 64 << 10
 # Share of the memory account that unread answers may exceed its limit by. Otherwise, an
@@ -304,7 +306,8 @@
         """Parse data piece by piece, up to a request that has to wait."""
         if self.rest:
             data, self.rest = self.rest + data, b""
-        for start in range(0, len(data), PARSE_BYTES):
+        start = 0
+        while start < len(data):
             if self.closed:
                 return
             if self.input_ended:
@@ -315,12 +318,20 @@
                 self.rest = data[start:]
                 self.pause_reading()
                 return
-            self.parse_piece(data[start : start + PARSE_BYTES])
+            piece = self.cut(data[start : start + PARSE_BYTES])
+            start += len(piece)
+            self.parse_piece(piece)
         if self.input_ended:
             self.parser = None
         elif len(self.pending) >= MAX_PIPELINED:
             self.pause_reading()
 
+    def cut(self, data: bytes) -> bytes:
+        """Return the start of data with no more heads than may be served next."""
+        heads = max(MIN_HEADS, MAX_PIPELINED - len(self.pending))
+        parts = data.split(HEAD_END, heads)
+        return data[: -len(parts[-1])] if len(parts) > heads and parts[-1] else data
+
     def parse_piece(self, data: bytes) -> None:
         """Feed data to the parser, and check the size of what is no body."""
         self.chunk_body_bytes = 0
--- a/sequoiaspoke/tests/test_callerserver_heads.py
+++ b/sequoiaspoke/tests/test_callerserver_heads.py
@@ -5,7 +5,12 @@
 
 from sequoiaspoke.core.mesh.model import CallerLimits
 from sequoiaspoke.core.mesh.outcome import Answer
-from sequoiaspoke.sidecar.callerserver import PARSE_BYTES, CallerConnection
+from sequoiaspoke.sidecar.callerserver import (
+    MAX_PIPELINED,
+    MIN_HEADS,
+    PARSE_BYTES,
+    CallerConnection,
+)
 from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
 
 LINE = b"ab:c\r\n"
@@ -156,6 +161,18 @@
 
         self.play(scenario)
 
+    def test_one_read_brings_no_more_calls_than_may_be_pipelined(self):
+        # All requests of a read were begun: some 290 of a few bytes.
+        async def scenario(reader, writer, connection):
+            connection.data_received(500 * self.SMALL)
+            self.assertTrue(len(connection.pending) <= MAX_PIPELINED + MIN_HEADS)
+            self.handler.gate.set()
+            for _ in range(500):
+                self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+            await self.until(lambda: not self.memory.held)
+
+        self.play(scenario)
+
     def test_requests_are_read_on_when_the_large_one_has_ended(self):
         # They waited for the answer of a small call that was still in progress.
         async def scenario(reader, writer, connection):
