Begin only as many pipelined calls as memory is left for

A call takes some 8 KB beside its request, in no account: 300 connections with 64 requests of 40 bytes each took a sidecar of 100 MB to 135 MB. No ordinary call was answered meanwhile, nor within 30 s after the crowd had left, as the connections were not read and their calls went on.

While the calls in progress have no room beside what is held, each connection has two of them at most and is read no further. The new test of the server failed before, with 640 calls begun where 184 may be.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -54,6 +54,9 @@
 # Calls of one connection that may be unanswered before reading from it pauses, and
 # bytes that their requests may take in memory.
 MAX_PIPELINED, MAX_PIPELINED_BYTES = 64, 256 << 10
+# Bytes that a call takes in memory beside its request, and calls of one connection that
+# may be unanswered while there is no room for all that are in progress.
+CALL_BYTES, MAX_CROWDED = 8 << 10, 2
 # Heads that a piece may have at least; a body may have bytes that look like their ends.
 MIN_HEADS = 16
 # Bytes a second below which a body arrives too slowly to keep its place in memory.
@@ -241,13 +244,17 @@
         self.last_active = self.server.last_input_at = clock.now()
         self.parse(data)
 
+    @property
+    def max_pending(self) -> int:
+        """Return how many calls of the connection may be unanswered."""
+        return MAX_CROWDED if self.server.crowded else MAX_PIPELINED
+
     @property
     def must_wait(self) -> bool:
         """Return whether no more requests are parsed until calls have been answered."""
-        fits = self.server.memory.fits(0)
+        size = SMALL_BODY if self.server.crowded else MAX_PIPELINED_BYTES
         return bool(self.pending) and (
-            len(self.pending) >= MAX_PIPELINED
-            or self.held_by_calls > (MAX_PIPELINED_BYTES if fits else SMALL_BODY)
+            len(self.pending) >= self.max_pending or self.held_by_calls > size
         )
 
     def pause_reading(self) -> None:
@@ -328,7 +335,8 @@
 
     def cut(self, data: bytes) -> bytes:
         """Return the start of data with no more heads than may be served next."""
-        heads = max(MIN_HEADS, MAX_PIPELINED - len(self.pending))
+        most = self.max_pending
+        heads = max(min(MIN_HEADS, most), most - len(self.pending))
         parts = data.split(HEAD_END, heads)
         return data[: -len(parts[-1])] if len(parts) > heads and parts[-1] else data
 
@@ -577,6 +585,7 @@
             self.input_ended = True
         reserved, self.reserved = self.reserved, 0
         self.held_by_calls += reserved
+        self.server.calls += 1
         exchange.task = asyncio.ensure_future(self.serve(exchange, request))
         # In a callback, because a task cancelled before its start runs no code at all.
         exchange.task.add_done_callback(
@@ -621,6 +630,7 @@
     ) -> None:
         """Release the body of a request; answer it if its task has not done so."""
         self.server.memory.release(reserved)
+        self.server.calls -= 1
         self.held_by_calls -= reserved
         error = None if task.cancelled() else task.exception()
         if error is not None:
@@ -879,8 +889,8 @@
         When the last connection was accepted or data read; minus infinity before.
     last_request_at : float
         When the last request was complete; minus infinity before the first one.
-    requests : int
-        Complete requests so far.
+    requests, calls : int
+        Complete requests so far, and those in progress.
     may_break_off : float
         Calls read by this time are broken off if finished answers wait for them.
     accepting : bool
@@ -912,7 +922,7 @@
         self.closing = False
         self.last_input_at = self.last_request_at = float("-inf")
         self.may_break_off = float("-inf")
-        self.requests = 0
+        self.requests = self.calls = 0
         self.accepting = True
         self.ends_connections = False
         self.input_ended = False
@@ -968,6 +978,11 @@
 
     # Memory.
 
+    @property
+    def crowded(self) -> bool:
+        """Return whether there is no room for what the calls in progress take."""
+        return not self.memory.fits(CALL_BYTES * self.calls)
+
     def make_room(self, size: int, receiver: CallerConnection) -> bool:
         """Refuse requests that take too long to arrive; return whether bytes fit then.
 
--- a/sequoiaspoke/tests/test_callerserver_heads.py
+++ b/sequoiaspoke/tests/test_callerserver_heads.py
@@ -6,6 +6,8 @@
 from sequoiaspoke.core.mesh.model import CallerLimits
 from sequoiaspoke.core.mesh.outcome import Answer
 from sequoiaspoke.sidecar.callerserver import (
+    CALL_BYTES,
+    MAX_CROWDED,
     MAX_PIPELINED,
     MIN_HEADS,
     PARSE_BYTES,
@@ -173,6 +175,31 @@
 
         self.play(scenario)
 
+    def test_a_crowd_does_not_pipeline_more_calls_than_memory_is_left_for(self):
+        # Calls took memory beside their requests, and each connection might have 64.
+        count, requests = 10, 64
+
+        async def scenario(reader, writer, connection):
+            self.memory.limit = 100 * CALL_BYTES
+            ends = [(reader, writer)]
+            ends += [await self.open() for _ in range(count - 1)]
+            for _, each in ends:
+                each.write(requests * self.SMALL)
+            connections = self.server.connections
+            await self.until(lambda: all(each.pending for each in connections))
+            await self.until(lambda: all(each.reading_paused for each in connections))
+            most = 100 + requests + count * MAX_CROWDED
+            self.assertTrue(len(self.handler.begun) <= most, len(self.handler.begun))
+            self.handler.gate.set()
+            for each, _ in ends:
+                for _ in range(requests):
+                    self.assertIn(b" 200 ", await each.readuntil(b"/a"))
+            await self.until(lambda: not self.server.calls)
+            for _, each in ends[1:]:
+                each.close()
+
+        self.play(scenario)
+
     def test_requests_are_read_on_when_the_large_one_has_ended(self):
         # They waited for the answer of a small call that was still in progress.
         async def scenario(reader, writer, connection):
--- a/sequoiaspoke/tests/test_callerserver_random.py
+++ b/sequoiaspoke/tests/test_callerserver_random.py
@@ -112,7 +112,7 @@
             memory = self.memory
             self.assertEqual((memory.held, memory.unread), (0, 0))
             self.assertEqual(self.server.arriving, {})
-            self.assertEqual(self.server.slow_callers, set())
+            self.assertEqual((self.server.slow_callers, self.server.calls), (set(), 0))
 
         for seed in range(10):
             with self.subTest(seed=seed):
