Give a head that was not read all its time afterwards

Reading pauses in the middle of a head while large requests of its connection are unanswered, and no timeout runs meanwhile. With the last answer the time of the whole pause counted: unless the rest had been read by the next check of the timeouts, the request was refused with 408.

Time now counts from when reading went on, for heads and for bodies that may have to make room. The new test failed before.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -166,6 +166,8 @@
     written, acknowledged : int
         Bytes sent to the caller, and those that its kernel had taken when they were
         counted last.
+    resumed_at : float
+        When reading went on after a pause, or the connection was opened.
     read_at : float
         When the caller was found to have read, or bytes began to wait for it.
     """
@@ -183,7 +185,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.rest = b""
         self.held_by_calls = 0
-        self.last_active = self.read_at = clock.now()
+        self.last_active = self.read_at = self.resumed_at = clock.now()
         self.written = self.acknowledged = 0
         self.input_ended = False
         self.ended_input: EndedInput | None = None
@@ -536,7 +538,7 @@
             return True
         assert self.request_started is not None
         allowed = self.limits.header_timeout + self.body_size / MIN_BODY_RATE
-        return now - self.request_started > allowed
+        return now - max(self.request_started, self.resumed_at) > allowed
 
     def drop_request(self) -> None:
         """Drop what has arrived of a request and release what was reserved."""
@@ -711,6 +713,7 @@
         if not self.reading_paused or self.closed:
             return
         self.reading_paused = False
+        self.resumed_at = clock.now()
         self.parse(b"")
         if not (self.reading_paused or self.closed):
             self.transport.resume_reading()
@@ -856,7 +859,8 @@
         if self.pending or self.closed:
             return
         if self.request_started is not None and not self.head_complete:
-            if now - self.request_started > self.limits.header_timeout:
+            since = max(self.request_started, self.resumed_at)
+            if now - since > self.limits.header_timeout:
                 self.refuse(408, "headers took too long")
         elif self.stalled(now) and not self.waiting_bytes():
             self.close()
--- a/sequoiaspoke/tests/test_callerserver_heads.py
+++ b/sequoiaspoke/tests/test_callerserver_heads.py
@@ -5,6 +5,7 @@
 
 from sequoiaspoke.core.mesh.model import CallerLimits
 from sequoiaspoke.core.mesh.outcome import Answer
+from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.callerserver import (
     CALL_BYTES,
     MAX_CROWDED,
@@ -200,6 +201,23 @@
 
         self.play(scenario)
 
+    def test_a_head_that_was_not_read_has_all_its_time_afterwards(self):
+        # It was refused with 408 although its server had stopped reading it.
+        async def scenario(reader, writer, connection):
+            head = self.SMALL[:-2] + 2000 * LINE
+            connection.data_received(self.REQUEST + head[:100])
+            connection.data_received(head[100:2000])
+            self.assertTrue(connection.reading_paused)
+            connection.request_started -= 2 * connection.limits.header_timeout
+            self.handler.gate.set()
+            self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+            self.assertFalse(connection.reading_paused)
+            connection.tick(clock.now())
+            connection.data_received(head[2000:] + b"\r\n")
+            self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+
+        self.play(scenario)
+
     def test_requests_are_read_on_when_the_large_one_has_ended(self):
         # They waited for the answer of a small call that was still in progress.
         async def scenario(reader, writer, connection):
