--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -167,7 +167,7 @@
         Bytes sent to the caller, and those that its kernel had taken when they were
         counted last.
     resumed_at : float
-        When reading went on after a pause, or the connection was opened.
+        When reading went on after a pause; minus infinity before.
     read_at : float
         When the caller was found to have read, or bytes began to wait for it.
     """
@@ -185,7 +185,8 @@
         self.parser = httptools.HttpRequestParser(self)
         self.rest = b""
         self.held_by_calls = 0
-        self.last_active = self.read_at = self.resumed_at = clock.now()
+        self.last_active = self.read_at = clock.now()
+        self.resumed_at = float("-inf")
         self.written = self.acknowledged = 0
         self.input_ended = False
         self.ended_input: EndedInput | None = None
