--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -54,9 +54,11 @@
 # Calls of one connection that may be unanswered before reading from it pauses, and
 # bytes that their requests may take in memory.
 MAX_PIPELINED, MAX_PIPELINED_BYTES = 64, 256 << 10
-# Share of the connections that those without a request may have before they are closed
-# to make room for others.
-NEW_SHARE = 1 / 8
+# Bytes that a call takes in memory beside its request, and calls of one connection that
+# may be unanswered while there is no room for all that are in progress.
+CALL_BYTES, MAX_CROWDED = 8 << 10, 2
+# Heads that a piece may have at least; a body may have bytes that look like their ends.
+MIN_HEADS = 16
 # Bytes a second below which a body arrives too slowly to keep its place in memory.
 MIN_BODY_RATE = 64 << 10
 # Share of the memory account that unread answers may exceed its limit by. Otherwise, an
@@ -78,6 +80,11 @@
 # Seconds after its opening in which a connection without a request stays open although
 # the server accepts no more. Its caller may be about to send one.
 FIRST_REQUEST_SECONDS = 1.0
+# Share of the connections that new ones may take from idle ones. Without it, callers
+# that stay idle after a request would keep all others out.
+NEW_SHARE = 1 / 8
+# Share of the connections that are found to be the next to close in one search.
+SURPLUS_SHARE = 1 / 32
 # Reason of the answer to a call whose task has ended without one, and its Retry-After
 # in seconds if the call was not started: the time for this process to restart.
 CUT, CUT_RETRY_AFTER = "cut", 1.0
@@ -159,6 +166,8 @@
     written, acknowledged : int
         Bytes sent to the caller, and those that its kernel had taken when they were
         counted last.
+    resumed_at : float
+        When reading went on after a pause; minus infinity before.
     read_at : float
         When the caller was found to have read, or bytes began to wait for it.
     """
@@ -177,6 +186,7 @@
         self.rest = b""
         self.held_by_calls = 0
         self.last_active = self.read_at = clock.now()
+        self.resumed_at = float("-inf")
         self.written = self.acknowledged = 0
         self.input_ended = False
         self.ended_input: EndedInput | None = None
@@ -199,6 +209,12 @@
         """Return whether part of a request has arrived that is still to be served."""
         return self.request_started is not None and not self.input_ended
 
+    @property
+    def may_be_surplus(self) -> bool:
+        """Return whether the connection may be closed as there are too many."""
+        busy = self.closed or self.pending or self.unread
+        return not (busy or self.waiting_bytes())
+
     def reset_request(self) -> None:
         """Reset the state of the request that is parsed."""
         self.method = self.target = b""
@@ -231,13 +247,17 @@
         self.last_active = self.server.last_input_at = clock.now()
         self.parse(data)
 
+    @property
+    def max_pending(self) -> int:
+        """Return how many calls of the connection may be unanswered."""
+        return MAX_CROWDED if self.server.crowded else MAX_PIPELINED
+
     @property
     def must_wait(self) -> bool:
         """Return whether no more requests are parsed until calls have been answered."""
-        fits = self.server.memory.fits(0)
+        size = SMALL_BODY if self.server.crowded else MAX_PIPELINED_BYTES
         return bool(self.pending) and (
-            len(self.pending) >= MAX_PIPELINED
-            or self.held_by_calls > (MAX_PIPELINED_BYTES if fits else SMALL_BODY)
+            len(self.pending) >= self.max_pending or self.held_by_calls > size
         )
 
     def pause_reading(self) -> None:
@@ -296,7 +316,8 @@
         """Parse data piece by piece, up to a request that has to wait."""
         if self.rest:
             data, self.rest = self.rest + data, b""
-        for start in range(0, len(data), PARSE_BYTES):
+        start = 0
+        while start < len(data):
             if self.closed:
                 return
             if self.input_ended:
@@ -307,12 +328,21 @@
                 self.rest = data[start:]
                 self.pause_reading()
                 return
-            self.parse_piece(data[start : start + PARSE_BYTES])
+            piece = self.cut(data[start : start + PARSE_BYTES])
+            start += len(piece)
+            self.parse_piece(piece)
         if self.input_ended:
             self.parser = None
         elif len(self.pending) >= MAX_PIPELINED:
             self.pause_reading()
 
+    def cut(self, data: bytes) -> bytes:
+        """Return the start of data with no more heads than may be served next."""
+        most = self.max_pending
+        heads = max(min(MIN_HEADS, most), most - len(self.pending))
+        parts = data.split(HEAD_END, heads)
+        return data[: -len(parts[-1])] if len(parts) > heads and parts[-1] else data
+
     def parse_piece(self, data: bytes) -> None:
         """Feed data to the parser, and check the size of what is no body."""
         self.chunk_body_bytes = 0
@@ -455,7 +485,8 @@
         refusal = self.server.policy.early_refusal(head)
         if refusal is not None:
             self.refuse_with(refusal)
-        elif self.server.memory.try_reserve(size):
+        elif self.server.make_room(size, self):
+            self.server.memory.reserve(size)
             self.reserved += size
         else:
             self.refuse_with(self.server.policy.refuse_for_memory(head))
@@ -486,8 +517,8 @@
         missing = head + self.body_size - self.reserved
         if missing <= 0:
             return True
-        fits = self.server.make_room(missing, self)
-        if not fits and max(head, self.body_size) > SMALL_BODY:
+        large = max(head, self.body_size) > SMALL_BODY
+        if large and not self.server.make_room(missing, self):
             self.refuse_for_memory()
             return False
         self.server.memory.reserve(missing)
@@ -508,7 +539,7 @@
             return True
         assert self.request_started is not None
         allowed = self.limits.header_timeout + self.body_size / MIN_BODY_RATE
-        return now - self.request_started > allowed
+        return now - max(self.request_started, self.resumed_at) > allowed
 
     def drop_request(self) -> None:
         """Drop what has arrived of a request and release what was reserved."""
@@ -557,6 +588,7 @@
             self.input_ended = True
         reserved, self.reserved = self.reserved, 0
         self.held_by_calls += reserved
+        self.server.calls += 1
         exchange.task = asyncio.ensure_future(self.serve(exchange, request))
         # In a callback, because a task cancelled before its start runs no code at all.
         exchange.task.add_done_callback(
@@ -601,11 +633,16 @@
     ) -> None:
         """Release the body of a request; answer it if its task has not done so."""
         self.server.memory.release(reserved)
+        self.server.calls -= 1
         self.held_by_calls -= reserved
         error = None if task.cancelled() else task.exception()
         if error is not None:
             self.server.on_crash(error)
-        if exchange.answer is not None or self.closed:
+        if self.closed:
+            return
+        if exchange.answer is not None:
+            if not self.must_wait:
+                self.resume_reading()
             return
         self.server.policy.call_cut(request)
         if exchange.started:
@@ -678,6 +715,7 @@
         if not self.reading_paused or self.closed:
             return
         self.reading_paused = False
+        self.resumed_at = clock.now()
         self.parse(b"")
         if not (self.reading_paused or self.closed):
             self.transport.resume_reading()
@@ -823,7 +861,8 @@
         if self.pending or self.closed:
             return
         if self.request_started is not None and not self.head_complete:
-            if now - self.request_started > self.limits.header_timeout:
+            since = max(self.request_started, self.resumed_at)
+            if now - since > self.limits.header_timeout:
                 self.refuse(408, "headers took too long")
         elif self.stalled(now) and not self.waiting_bytes():
             self.close()
@@ -842,6 +881,8 @@
         Address from which the upstream beside this node calls, empty if unknown.
     memory : MemoryAccount
         Counts request bodies and unread answers.
+    surplus : deque of CallerConnection and float
+        Those that are closed next, and when they were active last.
     slow_callers : set of CallerConnection
         Connections with unread answers.
     arriving : dict of CallerConnection
@@ -854,8 +895,8 @@
         When the last connection was accepted or data read; minus infinity before.
     last_request_at : float
         When the last request was complete; minus infinity before the first one.
-    requests : int
-        Complete requests so far.
+    requests, calls : int
+        Complete requests so far, and those in progress.
     may_break_off : float
         Calls read by this time are broken off if finished answers wait for them.
     accepting : bool
@@ -880,13 +921,14 @@
         self.memory = MemoryAccount() if memory is None else memory
         self.policy: BodyPolicy = ReadAllBodies()
         self.connections: set[CallerConnection] = set()
+        self.surplus: deque[tuple[CallerConnection, float]] = deque()
         self.slow_callers: set[CallerConnection] = set()
         self.arriving: dict[CallerConnection, None] = {}
         self.buffer = memoryview(bytearray(RECEIVE_BYTES))
         self.closing = False
         self.last_input_at = self.last_request_at = float("-inf")
         self.may_break_off = float("-inf")
-        self.requests = 0
+        self.requests = self.calls = 0
         self.accepting = True
         self.ends_connections = False
         self.input_ended = False
@@ -904,26 +946,49 @@
     def close_surplus(self) -> None:
         """Close a connection without calls if there are more than the limit.
 
-        It is the one that was silent for longest, as callers expect that an idle
-        connection may be closed. If there are many that have brought no request yet, it
-        is one of these; a few are kept, as their callers may be about to send one.
+        Those that have not brought a request yet are first while they are many, and
+        else the one that was silent for longest. Callers expect that an idle connection
+        may be closed, but not one whose request has arrived.
         """
         if len(self.connections) <= self.max_connections:
             return
-        idle = [x for x in self.connections if not (x.pending or x.unread)]
-        new = [each for each in idle if not each.written]
-        many = len(new) > NEW_SHARE * self.max_connections
-        worst = min(
-            new if many else idle, key=lambda each: each.last_active, default=None
-        )
+        worst = self.next_surplus()
         if worst is not None:
             self.closed_beyond_limit += 1
             worst.close()
             # Its descriptor is free in the next iteration of the event loop.
             self.connections.discard(worst)
 
+    def next_surplus(self) -> CallerConnection | None:
+        """Return the connection to close next, None if all have calls."""
+        while self.surplus:
+            connection, last_active = self.surplus.popleft()
+            if connection.last_active == last_active and connection.may_be_surplus:
+                return connection
+        self.surplus.extend((each, each.last_active) for each in self.find_surplus())
+        return self.surplus.popleft()[0] if self.surplus else None
+
+    def find_surplus(self) -> list[CallerConnection]:
+        """Return the connections to close next, the first one first.
+
+        There are several, as all connections are searched for them.
+        """
+        silent = [x for x in self.connections if not (x.pending or x.unread)]
+        new = sum(not each.written for each in silent)
+        many_new = new > max(1, NEW_SHARE * self.max_connections)
+        silent.sort(key=lambda each: (bool(each.written) == many_new, each.last_active))
+        count = max(1, int(SURPLUS_SHARE * self.max_connections))
+        surplus = (each for each in silent if each.may_be_surplus)
+        newest = sorted(silent, key=lambda each: each.last_active)[-1:]
+        return list(islice(surplus, count)) or newest
+
     # Memory.
 
+    @property
+    def crowded(self) -> bool:
+        """Return whether there is no room for what the calls in progress take."""
+        return not self.memory.fits(CALL_BYTES * self.calls)
+
     def make_room(self, size: int, receiver: CallerConnection) -> bool:
         """Refuse requests that take too long to arrive; return whether bytes fit then.
 
--- a/sequoiaspoke/tests/test_callerserver_heads.py
+++ b/sequoiaspoke/tests/test_callerserver_heads.py
@@ -4,7 +4,16 @@
 import sys
 
 from sequoiaspoke.core.mesh.model import CallerLimits
-from sequoiaspoke.sidecar.callerserver import PARSE_BYTES, CallerConnection
+from sequoiaspoke.core.mesh.outcome import Answer
+from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.callerserver import (
+    CALL_BYTES,
+    MAX_CROWDED,
+    MAX_PIPELINED,
+    MIN_HEADS,
+    PARSE_BYTES,
+    CallerConnection,
+)
 from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
 
 LINE = b"ab:c\r\n"
@@ -155,6 +164,110 @@
 
         self.play(scenario)
 
+    def test_one_read_brings_no_more_calls_than_may_be_pipelined(self):
+        # All requests of a read were begun: some 290 of a few bytes.
+        async def scenario(reader, writer, connection):
+            connection.data_received(500 * self.SMALL)
+            self.assertTrue(len(connection.pending) <= MAX_PIPELINED + MIN_HEADS)
+            self.handler.gate.set()
+            for _ in range(500):
+                self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+            await self.until(lambda: not self.memory.held)
+
+        self.play(scenario)
+
+    def test_a_crowd_does_not_pipeline_more_calls_than_memory_is_left_for(self):
+        # Calls took memory beside their requests, and each connection might have 64.
+        count, requests = 10, 64
+
+        async def scenario(reader, writer, connection):
+            self.memory.limit = 100 * CALL_BYTES
+            ends = [(reader, writer)]
+            ends += [await self.open() for _ in range(count - 1)]
+            for _, each in ends:
+                each.write(requests * self.SMALL)
+            connections = self.server.connections
+            await self.until(lambda: all(each.pending for each in connections))
+            await self.until(lambda: all(each.reading_paused for each in connections))
+            most = 100 + requests + count * MAX_CROWDED
+            self.assertTrue(len(self.handler.begun) <= most, len(self.handler.begun))
+            self.handler.gate.set()
+            for each, _ in ends:
+                for _ in range(requests):
+                    self.assertIn(b" 200 ", await each.readuntil(b"/a"))
+            await self.until(lambda: not self.server.calls)
+            for _, each in ends[1:]:
+                each.close()
+
+        self.play(scenario)
+
+    def test_a_head_that_was_not_read_has_all_its_time_afterwards(self):
+        # It was refused with 408 although its server had stopped reading it.
+        async def scenario(reader, writer, connection):
+            head = self.SMALL[:-2] + 2000 * LINE
+            connection.data_received(self.REQUEST + head[:100])
+            connection.data_received(head[100:2000])
+            self.assertTrue(connection.reading_paused)
+            connection.request_started -= 2 * connection.limits.header_timeout
+            self.handler.gate.set()
+            self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+            self.assertFalse(connection.reading_paused)
+            connection.tick(clock.now())
+            connection.data_received(head[2000:] + b"\r\n")
+            self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+
+        self.play(scenario)
+
+    def test_requests_are_read_on_when_the_large_one_has_ended(self):
+        # They waited for the answer of a small call that was still in progress.
+        async def scenario(reader, writer, connection):
+            gates = {"/a": asyncio.Event(), "/slow": asyncio.Event()}
+            begun = []
+
+            async def handle(request):
+                begun.append(request.target)
+                await gates[request.target].wait()
+                return Answer(200, (), b"")
+
+            self.server.handle = handle
+            slow = START.replace(b"/a", b"/slow") + b"\r\n"
+            for first in (slow + self.REQUEST, self.REQUEST + slow):
+                begun.clear()
+                writer.write(first)
+                await self.until(lambda: len(begun) == 2)
+                writer.write(slow)
+                await self.until(lambda: connection.reading_paused)
+                gates["/a"].set()
+                await self.until(lambda: len(begun) == 3)
+                gates["/slow"].set()
+                await self.until(lambda: not connection.pending)
+                gates["/a"].clear()
+                gates["/slow"].clear()
+
+        self.play(scenario)
+
+    def test_small_chunks_do_not_search_all_connections_for_room(self):
+        # Each chunk did while memory was short, and the event loop stood still.
+        searched = []
+
+        def outstays(connection, now):
+            searched.append(connection)
+            return False
+
+        async def scenario(reader, writer, connection):
+            ends = [await self.open(CHUNKED) for _ in range(5)]
+            await self.until(lambda: len(self.server.arriving) == 5)
+            self.memory.reserve(2 * self.limit)
+            self.handler.gate.set()
+            connection.data_received(CHUNKED + 1000 * b"1\r\nx\r\n" + b"0\r\n\r\n")
+            self.assertIn(b" 200 ", await reader.readuntil(1000 * b"x"))
+            for _, each in ends:
+                each.close()
+
+        self.patch(CallerConnection, "outstays", outstays)
+        self.play(scenario)
+        self.assertEqual(searched, [])
+
     def test_all_memory_is_released_when_connections_end(self):
         async def scenario(reader, writer, connection):
             ends = [await self.open(self.REQUEST[:5000]) for _ in range(3)]
--- a/sequoiaspoke/tests/test_connections_limited.py
+++ b/sequoiaspoke/tests/test_connections_limited.py
@@ -2,14 +2,20 @@
 
 import asyncio
 import resource
+import socket
 from types import SimpleNamespace
 
 from testtools import TestCase
 
 from sequoiaspoke import descriptors
 from sequoiaspoke.descriptors import available_descriptors, limit_connections
+from sequoiaspoke.sidecar.callerserver import CallerConnection, CallerServer
 from sequoiaspoke.sidecar.linkserver import AcceptedLink, LinkServer
-from sequoiaspoke.tests.test_callerserver import CallerServerTestCase
+from sequoiaspoke.tests.test_callerserver import (
+    CallerServerTestCase,
+    FakeTransport,
+    send_at_once,
+)
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -107,6 +113,40 @@
 
         self.play(scenario)
 
+    def test_idle_ones_do_not_keep_new_callers_out(self):
+        # Each new connection was closed at once, until others had timed out.
+        async def scenario(reader, writer):
+            self.handler.gate.set()
+            ends = [(reader, writer), *[await self.open() for _ in range(2)]]
+            for each, each_writer in ends:
+                each_writer.write(REQUEST)
+                await each.readuntil(b"/a")
+            late, late_writer = await asyncio.open_connection(*self.address)
+            late_writer.write(REQUEST)
+            self.assertIn(b" 200 ", await late.readuntil(b"/a"))
+            self.assertTrue(await self.closed(reader))
+            for _, each in (*ends, (late, late_writer)):
+                each.close()
+
+        self.play(scenario)
+
+    def test_one_whose_request_has_arrived_is_not_closed(self):
+        # It was reset, and its caller could not know whether the request had run.
+        async def scenario(reader, writer):
+            self.handler.gate.set()
+            ends = [(reader, writer), await self.open()]
+            for each, each_writer in ends:
+                each_writer.write(REQUEST)
+                await each.readuntil(b"/a")
+            self.server.max_connections = 1
+            send_at_once(writer, REQUEST)
+            self.server.close_surplus()
+            self.assertIn(b" 200 ", await reader.readuntil(b"/a"))
+            self.assertTrue(await self.closed(ends[1][0]))
+            ends[1][1].close()
+
+        self.play(scenario)
+
     def test_one_with_a_call_is_never_closed(self):
         async def scenario(reader, writer):
             writer.write(REQUEST)
@@ -123,6 +163,45 @@
         self.play(scenario)
 
 
+class CountingSet(set):
+    """A set that counts how often it is searched."""
+
+    searches = 0
+
+    def __iter__(self):
+        self.searches += 1
+        return super().__iter__()
+
+
+class SearchTests(TestCase):
+    def test_not_all_connections_are_searched_for_each_that_is_closed(self):
+        # A crowd that opened connections kept the event loop busy with that alone.
+        server = CallerServer(None, None)
+        server.connections = CountingSet()
+        server.max_connections = 200
+        pairs = [socket.socketpair() for _ in range(300)]
+        for sock, _ in pairs:
+            connection = CallerConnection(server)
+            connection.transport = ClosingTransport(sock)
+            connection.opened()
+        self.assertEqual(server.closed_beyond_limit, 100)
+        self.assertEqual(
+            [x.fileno() < 0 for x, _ in pairs], 100 * [True] + 200 * [False]
+        )
+        self.assertTrue(server.connections.searches <= 50)
+        for pair in pairs:
+            for each in pair:
+                each.close()
+
+
+class ClosingTransport(FakeTransport):
+    def get_write_buffer_size(self):
+        return 0
+
+    def abort(self):
+        self.sock.close()
+
+
 class UnknownLinkTests(TestCase):
     def test_the_earliest_link_without_a_hello_is_closed(self):
         # Connections that say nothing took all descriptors.
