Keep a bounded number of idle connections to an upstream

What callers saw: no answer on a new connection while others sent requests without ids.

Cause: a call without an id never reuses a connection, as a late answer could be taken for its own. Each such call opened one and left it idle for three seconds, until no descriptors were left.

Change: the earliest of more than 64 idle connections is closed.

IdleConnectionTests is new.

--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -46,6 +46,9 @@
 # Seconds before the deadline of a call by which connecting ends, so that its caller is
 # told in time that it has not run. A call with little time waits for half of it.
 REPORT_SECONDS = 0.06
+# Idle connections that are kept. A call without an id never reuses one, so that callers
+# which send none would have them take all descriptors.
+MAX_IDLE = 64
 # Bytes of the largest accepted body of an answer to a health check.
 MAX_HEALTH_BYTES = 64 << 10
 # Weight of the newest call in the moving average of call times.
@@ -267,6 +270,8 @@
             connection.close()
             return
         self.idle.append(connection)
+        if len(self.idle) > MAX_IDLE:
+            self.idle.pop(0).close()
 
     def close_idle_connections(self) -> None:
         """Close the idle connections."""
--- a/sequoiaspoke/tests/test_sidecar_upstream.py
+++ b/sequoiaspoke/tests/test_sidecar_upstream.py
@@ -3,13 +3,14 @@
 import asyncio
 import socket
 import struct
+from types import SimpleNamespace
 
 from testtools import TestCase
 
 from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
 from sequoiaspoke.sidecar import clock, httpclient
 from sequoiaspoke.sidecar.names import HeaderNames
-from sequoiaspoke.sidecar.upstream import Upstream
+from sequoiaspoke.sidecar.upstream import MAX_IDLE, Upstream
 
 TIMEOUT = 20.0  # seconds; only a failing test takes so long
 STAMP = "X-Upstream-Stamp: s\r\n"
@@ -255,3 +256,18 @@
             return await upstream.call(request, "i", clock.now() + 5, True, self.fail)
 
         self.assertEqual(asyncio.run(run()), NotRun("upstream-unreachable"))
+
+
+class IdleConnectionTests(TestCase):
+    def test_only_some_are_kept(self):
+        # Each call without an id opens a connection, and left it idle for seconds.
+        closed = []
+        upstream = Upstream("127.0.0.1", 1, HeaderNames())
+        for number in range(MAX_IDLE + 2):
+            connection = SimpleNamespace(
+                not_reusable=False,
+                closed=False,
+                close=lambda number=number: closed.append(number),
+            )
+            upstream.release(connection)
+        self.assertEqual((len(upstream.idle), closed), (MAX_IDLE, [0, 1]))
