--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import select
 import socket
 import time
@@ -51,12 +52,18 @@
         """Do nothing."""
 
 
-def free_address():
-    """Return an address on which nothing listens."""
-    (listening,) = bind_sockets(0, "127.0.0.1")
-    address = listening.getsockname()[:2]
-    listening.close()
-    return address
+def free_addresses(count):
+    """Return different addresses on which nothing listens.
+
+    Their host is that of this process alone, as other tests that run at the same time
+    could take a port that was just found free.
+    """
+    host = f"127.{1 + os.getpid() % 250}.255.1"
+    sockets = [bind_sockets(0, host)[0] for _ in range(count)]
+    addresses = [each.getsockname()[:2] for each in sockets]
+    for each in sockets:
+        each.close()
+    return addresses
 
 
 class ExitTestCase(TestCase):
@@ -77,7 +84,7 @@
         """Run a sidecar and, beside it, the scenario, and end it as a process ends."""
 
         async def main():
-            addresses = [free_address() for _ in range(5)]
+            addresses = free_addresses(5)
             settings = SidecarSettings(
                 "n",
                 "fleet",
--- a/sequoiaspoke/tests/test_sidecar_listening.py
+++ b/sequoiaspoke/tests/test_sidecar_listening.py
@@ -15,7 +15,7 @@
 from sequoiaspoke.sidecar.app import PAUSE_SECONDS, Sidecar
 from sequoiaspoke.sidecar.settings import SidecarSettings
 from sequoiaspoke.tests.test_sidecar_entry import NoItems
-from sequoiaspoke.tests.test_sidecar_exit import WAIT, IdleStore, free_address
+from sequoiaspoke.tests.test_sidecar_exit import WAIT, IdleStore, free_addresses
 
 # Positions of the addresses in the settings that the node listens on.
 LISTENED = (1, 2, 3)
@@ -42,7 +42,7 @@
         """Run a sidecar with the address at a position taken, and a scenario."""
 
         async def main():
-            self.addresses = [free_address() for _ in range(5)]
+            self.addresses = free_addresses(5)
             self.taken = socket.create_server(self.addresses[position])
             self.addCleanup(self.taken.close)
             settings = SidecarSettings("n", "fleet", "akaki", *self.addresses)
