--- a/sequoiaspoke/tests/test_sidecar_exit.py
+++ b/sequoiaspoke/tests/test_sidecar_exit.py
@@ -305,20 +305,8 @@
         self.assertTrue(seen.endswith(b"served"))
 
 
-class LateCallerTests(LateCallerTestCase):
-    # Connections that wait to be accepted.
-    WAITING = 20
-
-    def test_connections_are_refused_after_callers_had_time_to_leave(self):
-        # They were accepted until just before the exit, and lost if the process was
-        # killed before it ran again.
-        async def scenario():
-            await self.begin()
-            await self.ticked()
-            with self.assertRaises(ConnectionRefusedError):
-                self.connect_late()
-
-        self.play_stop(scenario)
+class LateConnections:
+    """What holds of late connections, whatever keeps the listener open."""
 
     def test_idle_connections_are_closed_after_callers_had_time_to_leave(self):
         # A request that was sent on one late was lost with the process.
@@ -332,7 +320,7 @@
         self.play_stop(scenario)
 
     def test_requests_that_came_while_the_process_was_held_are_answered(self):
-        # The listener is closed in the first moment in which the process runs again.
+        # Connections are closed in the first moment in which the process runs again.
         async def scenario():
             self.idle = await self.connect()
             await self.begin()
@@ -344,6 +332,22 @@
 
         self.play_stop(scenario, lambda: (self.idle, self.late))
 
+
+class LateCallerTests(LateConnections, LateCallerTestCase):
+    # Connections that wait to be accepted.
+    WAITING = 20
+
+    def test_connections_are_refused_after_callers_had_time_to_leave(self):
+        # They were accepted until just before the exit, and lost if the process was
+        # killed before it ran again.
+        async def scenario():
+            await self.begin()
+            await self.ticked()
+            with self.assertRaises(ConnectionRefusedError):
+                self.connect_late()
+
+        self.play_stop(scenario)
+
     def test_the_listener_is_closed_while_data_comes_all_the_time(self):
         # It was kept open until three turns of the event loop had brought no data.
         async def scenario():
@@ -413,7 +417,7 @@
         self.play_stop(scenario)
 
 
-class CallingUpstreamTests(LateCallerTestCase):
+class CallingUpstreamTests(LateConnections, LateCallerTestCase):
     """The upstream beside the node, which makes calls, runs a call as well."""
 
     # Callers that connect while the process does not run, and how many of them the
@@ -482,30 +486,6 @@
 
         self.play_stop(scenario)
 
-    def test_idle_connections_are_closed_after_callers_had_time_to_leave(self):
-        # A request that was sent on one late was lost with the process.
-        async def scenario():
-            self.idle = await self.connect()
-            await self.begin()
-            await self.ticked()
-            self.idle.setblocking(False)
-            self.assertEqual(self.idle.recv(1), b"")
-
-        self.play_stop(scenario)
-
-    def test_requests_that_came_while_the_process_was_held_are_answered(self):
-        # Idle connections are closed in the first moment in which it runs again.
-        async def scenario():
-            self.idle = await self.connect()
-            await self.begin()
-            self.late = self.connect_late()
-            for caller in (self.idle, self.late):
-                caller.sendall(REQUEST % (b"read", 2))
-            time.sleep(HOLD)
-            await self.until(lambda: len(self.sent) == 3)
-
-        self.play_stop(scenario, lambda: (self.idle, self.late))
-
     def test_a_request_behind_a_call_is_not_passed_on(self):
         # Its answer waited for that of the call, and was lost with the process.
         async def scenario():
