--- a/sequoiaspoke/tests/test_sidecar_polling.py
+++ b/sequoiaspoke/tests/test_sidecar_polling.py
@@ -101,7 +101,7 @@
     async def call_at(self, listener):
         """Call an upstream that answers while the process is held."""
         node, loop = self.sidecar, asyncio.get_running_loop()
-        endpoint = replace(ENDPOINT, host="127.0.0.1")
+        endpoint = replace(ENDPOINT, host=node.settings.links[0])
         node.state.directory.put(endpoint, 2, clock.now())
         del node.entry.attempts.send_to_home, node.entry.attempts.usable
         self.caller = await self.connect()
