Keep the start of a running call in one place

Durations kept it by ticket, and the running calls of each route kept it again since they tell the longest one. The start is now with its route only. No behaviour changes; the tests of durations, rolls and bodies pass unchanged.

--- a/sequoiaspoke/core/mesh/durations.py
+++ b/sequoiaspoke/core/mesh/durations.py
@@ -62,10 +62,11 @@
         self.starts[ticket] = began
         self.began += began
 
-    def remove(self, ticket: object) -> None:
-        """Remove a call that has ended."""
+    def remove(self, ticket: object) -> float:
+        """Remove a call that has ended; return when it began."""
         began = self.starts.pop(ticket)
         self.began = self.began - began if self.starts else 0.0
+        return began
 
     def longest(self, now: float) -> float:
         """Return for how many seconds the first of them has run."""
@@ -150,9 +151,11 @@
 
     Attributes
     ----------
+    running : dict of object to str
+        Routes of the running calls, by ticket.
     running_by_route : dict of str to RunningCalls
-        The same by route, with sums, as hundreds of calls may run and each answer
-        carries an estimate.
+        When they began, with sums, as hundreds of calls may run and each answer carries
+        an estimate.
     mean : dict of str to tuple
         Mean seconds at the usual pace, number of measurements and time of the last one,
         by route.
@@ -167,14 +170,14 @@
         self.mean: dict[str, tuple[float, int, float]] = {}
         self.overall = INITIAL_ESTIMATE
         self.measured = MeasuredRoutes()
-        self.running: dict[object, tuple[str, float]] = {}
+        self.running: dict[object, str] = {}
         self.running_by_route: defaultdict[str, RunningCalls] = defaultdict(
             RunningCalls
         )
 
     def begin(self, ticket: object, route: str, now: float) -> None:
         """Record the start of a call."""
-        self.running[ticket] = (route, now)
+        self.running[ticket] = route
         self.running_by_route[route].add(ticket, now)
 
     def end(self, ticket: object, answered: bool, now: float) -> None:
@@ -182,8 +185,8 @@
 
         The pace reported with the answer must have been recorded before.
         """
-        route, begun = self.running.pop(ticket)
-        self.running_by_route[route].remove(ticket)
+        route = self.running.pop(ticket)
+        begun = self.running_by_route[route].remove(ticket)
         if not answered:
             return
         self.measured.record(route, now - begun, now)
