Share what callers, upstreams and the product's node had twice

The piece size of the parsers, the share of new connections, the bytes that wait in the kernel for a socket, the memory of headers and the refusal for want of memory each stood in two places. They are in httptext.py, descriptors.py, socketqueues.py, outcome.py and CallerConnection.refuse_for_memory now. A piece of data is split at heads only if it has more of them than may be served, and the newest connection is searched only if no other may be closed.

--- a/sequoiaspoke/descriptors.py
+++ b/sequoiaspoke/descriptors.py
@@ -18,6 +18,9 @@
 # Share for links whose nodes have not said who they are, and for connections to the
 # health address; bound of each.
 SMALL_SHARE, MAX_SMALL = 1 / 16, 64
+# Share of the kept connections that new ones may take from idle ones. Without it,
+# callers that stay idle after a request would keep all others out.
+NEW_SHARE = 1 / 8
 # Descriptors of the platform's limit that are reserved for files.
 RESERVED_FOR_FILES = 200
 # Descriptors where nothing limits them.
--- a/sequoiaspoke/node/openconnections.py
+++ b/sequoiaspoke/node/openconnections.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
-import termios
 from itertools import chain
 from math import inf
 from typing import TYPE_CHECKING, Any
@@ -12,16 +10,15 @@
 from loguru import logger as log
 from tornado.httpserver import HTTPServer
 
+from sequoiaspoke.descriptors import NEW_SHARE
+from sequoiaspoke.socketqueues import count_waiting_bytes
+
 if TYPE_CHECKING:
     from tornado.httputil import HTTPMessageDelegate
     from tornado.iostream import IOStream
 
 # Seconds in which at most one line tells of closed connections.
 REPORT_SECONDS = 1.0
-# Share of the limit that new connections may take from idle ones. Without it, callers
-# that stay idle after a request would keep all others out.
-NEW_SHARE = 1 / 8
-INT_SIZE = 4
 
 
 class OpenConnections:
@@ -90,9 +87,7 @@
 
 def has_bytes(stream: IOStream) -> bool:
     """Return whether bytes have arrived that have not been read from the socket."""
-    if stream.closed():
-        return False
-    return any(fcntl.ioctl(stream.fileno(), termios.FIONREAD, bytes(INT_SIZE)))
+    return not stream.closed() and count_waiting_bytes(stream.fileno()) > 0
 
 
 class LimitedHTTPServer(HTTPServer):
--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -20,7 +20,8 @@
 
 from sequoiaspoke.core.mesh.memory import SMALL_BODY, MemoryAccount, header_size
 from sequoiaspoke.core.mesh.model import CallerLimits
-from sequoiaspoke.core.mesh.outcome import Request, find_header
+from sequoiaspoke.core.mesh.outcome import Request, find_header, headers_size
+from sequoiaspoke.descriptors import NEW_SHARE
 from sequoiaspoke.endedinput import EndedInput, caller_end
 from sequoiaspoke.errors import BadRequestError
 from sequoiaspoke.polling import PolledCall, PolledTimer
@@ -30,6 +31,7 @@
 from sequoiaspoke.sidecar.httptext import (
     CONTINUE,
     FRAMING_PER_BYTE,
+    PARSE_BYTES,
     encode_answer,
     local_answer,
 )
@@ -48,9 +50,8 @@
     from sequoiaspoke.sidecar.bodypolicy import BodyPolicy
 
 HEAD_END = b"\r\n\r\n"
-# Bytes that are read from a connection, and given to the parser, at a time. What a
-# limit refuses was parsed up to one such piece beyond it.
-RECEIVE_BYTES, PARSE_BYTES = 32 << 10, 8 << 10
+# Bytes that are read from a connection at a time.
+RECEIVE_BYTES = 32 << 10
 # Calls of one connection that may be unanswered before reading from it pauses, and
 # bytes that their requests may take in memory.
 MAX_PIPELINED, MAX_PIPELINED_BYTES = 64, 256 << 10
@@ -80,9 +81,6 @@
 # Seconds after its opening in which a connection without a request stays open although
 # the server accepts no more. Its caller may be about to send one.
 FIRST_REQUEST_SECONDS = 1.0
-# Share of the connections that new ones may take from idle ones. Without it, callers
-# that stay idle after a request would keep all others out.
-NEW_SHARE = 1 / 8
 # Share of the connections that are found to be the next to close in one search.
 SURPLUS_SHARE = 1 / 32
 # Reason of the answer to a call whose task has ended without one, and its Retry-After
@@ -340,8 +338,10 @@
         """Return the start of data with no more heads than may be served next."""
         most = self.max_pending
         heads = max(min(MIN_HEADS, most), most - len(self.pending))
+        if data.count(HEAD_END) < heads:
+            return data
         parts = data.split(HEAD_END, heads)
-        return data[: -len(parts[-1])] if len(parts) > heads and parts[-1] else data
+        return data[: -len(parts[-1])] if parts[-1] else data
 
     def parse_piece(self, data: bytes) -> None:
         """Feed data to the parser, and check the size of what is no body."""
@@ -489,7 +489,7 @@
             self.server.memory.reserve(size)
             self.reserved += size
         else:
-            self.refuse_with(self.server.policy.refuse_for_memory(head))
+            self.refuse_for_memory()
 
     def on_body(self, data: bytes) -> None:
         """Append to the body; refuse one that is too large."""
@@ -656,8 +656,7 @@
         exchange.answer = answer
         self.flush()
         if exchange in self.pending:
-            head = sum(header_size(*pair) for pair in answer.headers)
-            exchange.answer_bytes = head + len(answer.body)
+            exchange.answer_bytes = headers_size(answer.headers) + len(answer.body)
             self.server.memory.reserve(exchange.answer_bytes)
             if self.pending[0].read_at <= self.server.may_break_off:
                 # Answers to the calls before it may have been read as well.
@@ -978,9 +977,10 @@
         many_new = new > max(1, NEW_SHARE * self.max_connections)
         silent.sort(key=lambda each: (bool(each.written) == many_new, each.last_active))
         count = max(1, int(SURPLUS_SHARE * self.max_connections))
-        surplus = (each for each in silent if each.may_be_surplus)
-        newest = sorted(silent, key=lambda each: each.last_active)[-1:]
-        return list(islice(surplus, count)) or newest
+        surplus = list(islice((x for x in silent if x.may_be_surplus), count))
+        if surplus or not silent:
+            return surplus
+        return [max(silent, key=lambda each: each.last_active)]
 
     # Memory.
 
--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -30,7 +30,11 @@
 from sequoiaspoke.polling import PolledCall, PolledTimeout
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.answerlog import AnswerSource
-from sequoiaspoke.sidecar.httptext import BODILESS_STATUSES, FRAMING_PER_BYTE
+from sequoiaspoke.sidecar.httptext import (
+    BODILESS_STATUSES,
+    FRAMING_PER_BYTE,
+    PARSE_BYTES,
+)
 from sequoiaspoke.sidecar.sockets import (
     USER_TIMEOUT_MS,
     Connection,
@@ -53,9 +57,6 @@
 # Bytes accepted besides bodies, of the head, of interim answers and of chunk lines,
 # beyond FRAMING_PER_BYTE. No more of them may follow each other.
 MAX_HEAD_BYTES = 64 << 10
-# Bytes that are given to the parser at a time. What a limit refuses was parsed up to
-# one such piece beyond it.
-PARSE_BYTES = 8 << 10
 # Outcomes of calls whose answers have more bytes besides the body, and have no room in
 # memory.
 HEAD_TOO_LARGE, WITHOUT_ROOM = "answer-head-too-large", "answer-without-room"
--- a/sequoiaspoke/sidecar/httptext.py
+++ b/sequoiaspoke/sidecar/httptext.py
@@ -29,6 +29,9 @@
 # Bytes accepted of a message besides head and body for each byte of the body, as it may
 # be sent in chunks of a byte.
 FRAMING_PER_BYTE = 8
+# Bytes that are given to a parser at a time. What a limit refuses was parsed up to one
+# such piece beyond it.
+PARSE_BYTES = 8 << 10
 # Statuses of answers without a body.
 BODILESS_STATUSES = frozenset({204, 304})
 # Bytes of the largest body that is copied to be sent together with its head.
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -10,16 +10,14 @@
 
 import asyncio
 import contextlib
-import fcntl
 import socket
-import sys
-import termios
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from math import inf
 from typing import TYPE_CHECKING, Any
 
 from sequoiaspoke.listening import BACKLOG, accept_waiting
+from sequoiaspoke.socketqueues import count_unacknowledged_bytes, count_waiting_bytes
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -51,8 +49,6 @@
 PATIENT_PROBES = KeepAlive(probes=5)
 # Milliseconds within which a peer that reads at once must acknowledge what it is sent.
 USER_TIMEOUT_MS = 2000
-# Bytes of the answer to `FIONREAD` and `TIOCOUTQ`, a C int.
-INT_SIZE = 4
 
 
 class Connection(asyncio.BaseProtocol, ABC):
@@ -297,23 +293,3 @@
     buffer may be full, although the peer answers the probes that are sent meanwhile.
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
-
-
-def count_waiting_bytes(descriptor: int) -> int:
-    """Return how many received bytes of a socket wait in the kernel."""
-    return count_bytes(descriptor, termios.FIONREAD)
-
-
-def count_unacknowledged_bytes(descriptor: int) -> int:
-    """Return how many bytes of a socket its peer's kernel has not acknowledged."""
-    return count_bytes(descriptor, termios.TIOCOUTQ)
-
-
-def count_bytes(descriptor: int, request: int) -> int:
-    """Return the bytes of a socket's queue; 0 where the kernel does not tell."""
-    try:
-        answer = fcntl.ioctl(descriptor, request, INT_SIZE * b"\0")
-    except (OSError, ValueError):
-        # The transport has closed the socket already, and its descriptor is -1.
-        return 0
-    return int.from_bytes(answer, sys.byteorder)
