Log which parts of a node hold its memory

Cause: with `memory_held` alone, a node that grows beyond its machine's memory does not show whether the memory account is ignored, or the bytes are where nobody counts them: frames that are put together, the buffer towards the upstream, copies of a body.

Change: `memory-high`, at most four lines a second while more than half of the account is held: what is held for calls, bodies in parts and unread answers, the bytes of incomplete frames and those not sent to the upstream yet, and the resident size. Gauges `upstream_unsent` and `resident_bytes`.

--- a/sequoiaspoke/sidecar/app.py
+++ b/sequoiaspoke/sidecar/app.py
@@ -27,6 +27,7 @@
 from sequoiaspoke.sidecar.home import Home
 from sequoiaspoke.sidecar.linkserver import LinkServer
 from sequoiaspoke.sidecar.logs import EventLog
+from sequoiaspoke.sidecar.memorylog import MemoryLog
 from sequoiaspoke.sidecar.metrics import SidecarMetrics
 from sequoiaspoke.sidecar.peers import Peers
 from sequoiaspoke.sidecar.pending import LinkIdentity
@@ -158,6 +159,9 @@
         self.shutdown = Shutdown(
             self.callers, self.links, self.entry, self.home, self.log
         )
+        self.memory_log = MemoryLog(
+            self.memory, self.home, self.links, self.peers, self.log
+        )
         self.ended = False
         self.ticked_at = clock.now()
         # When the timer of the next tick fired; infinite if it has not.
@@ -379,6 +383,7 @@
             self.callers.tick(now)
             self.health.tick(now)
             self.links.report_limited()
+        self.memory_log.tick(now)
         self.shutdown.tick(now)
 
     def reload_settings(self) -> None:
--- a/sequoiaspoke/sidecar/events.py
+++ b/sequoiaspoke/sidecar/events.py
@@ -70,5 +70,6 @@
     "no-route": "a call was answered 404: the version in force has no route for it",
     "home-refused": "the home, the node beside the upstream, refused a call",
     "home-failed": "a call ended at its home without an answer of the upstream",
+    "memory-high": "much of the memory account is held; by whom, and the resident size",
     "lines-left-out": "lines suppressed in the previous second, beyond the limit",
 }
--- a/sequoiaspoke/sidecar/frames.py
+++ b/sequoiaspoke/sidecar/frames.py
@@ -94,6 +94,10 @@
         """Take all that has arrived but was not read as old; nothing by default."""
         self.reads_old = False
 
+    def buffered_bytes(self) -> int:
+        """Return how many bytes of incomplete frames have arrived; none by default."""
+        return 0
+
     def unsent_bytes(self) -> int:
         """Return how many bytes are buffered for the peer; none by default."""
         return 0
@@ -185,6 +189,10 @@
         finally:
             self.close()
 
+    def buffered_bytes(self) -> int:
+        """Return how many bytes of incomplete frames have arrived."""
+        return self.buffered
+
     def received(self, data: bytes) -> None:
         """Buffer bytes from the peer, and pass on the frames they complete."""
         self.reads_old = len(data) <= self.old_bytes
--- a/sequoiaspoke/sidecar/metrics.py
+++ b/sequoiaspoke/sidecar/metrics.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.sidecar import clock
+from sequoiaspoke.sidecar.memorylog import resident_bytes
 
 if TYPE_CHECKING:
     from sequoiaspoke.core.mesh.ratelimit import RateLimit
@@ -45,6 +46,8 @@
     "subscribers": "nodes that this one tells of changes",
     "links": "links to other nodes that stand",
     "memory_held": "bytes held for requests and unread answers",
+    "upstream_unsent": "bytes of running calls that the upstream has not read",
+    "resident_bytes": "resident memory of the process, 0 if not known",
     "loop_delay_seconds": "how much too late the last look at the clock came",
     "store_reads": "reads of the store so far",
     "upstream_connects": "connections opened to the upstream so far",
@@ -107,6 +110,8 @@
             "subscribers": lambda: len(node.spread.subscribers),
             "links": lambda: sum(x.established for x in node.peers.links.values()),
             "memory_held": lambda: node.memory.held,
+            "upstream_unsent": node.upstream.unsent_bytes,
+            "resident_bytes": resident_bytes,
             "loop_delay_seconds": lambda: node.loop_delay,
             "store_reads": lambda: node.follower.store.request_count,
             "upstream_connects": lambda: node.upstream.connects,
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -75,6 +75,8 @@
         Memory for its answers, None if that is not limited beyond their size.
     idle : list of ClientConnection
         Connections that may be reused, the last used at the end.
+    busy : set of ClientConnection
+        Connections on which calls run.
     connects, opened : int
         Number of attempts to connect so far, and of connections that were opened.
     report : UpstreamReport or None
@@ -100,6 +102,7 @@
         self.names = names
         self.deadlines = Deadlines()
         self.idle: list[ClientConnection] = []
+        self.busy: set[ClientConnection] = set()
         self.connects = self.opened = 0
         self.report: UpstreamReport | None = None
         self.average_seconds = 0.0
@@ -147,9 +150,13 @@
             return NotRun("connection-closed")
         started_at = clock.now()
         on_send()
-        outcome = await connection.exchange(
-            text, call_id, request.method == "HEAD", deadline
-        )
+        self.busy.add(connection)
+        try:
+            outcome = await connection.exchange(
+                text, call_id, request.method == "HEAD", deadline
+            )
+        finally:
+            self.busy.discard(connection)
         self.release(connection)
         seconds = clock.now() - started_at
         if isinstance(outcome, Unknown):
@@ -273,6 +280,10 @@
         if len(self.idle) > MAX_IDLE:
             self.idle.pop(0).close()
 
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of running calls wait in this process."""
+        return sum(connection.unsent_bytes() for connection in self.busy)
+
     def close_idle_connections(self) -> None:
         """Close the idle connections."""
         for connection in self.idle:
