Have a home receive large bodies of any route only once they fit

Cause: a home checked only the head of a call from another node against its memory account. The body came in the frame of the call and was reserved whether it fitted or not, for six calls a slot and from any number of entries, each of which has a bound of its own. Bodies of routes with large bodies were announced and requested as far as they fit; those of other routes were not.

Change: - An entry announces each body above 16 KB, whatever its route, and the home requests it once it has room. The home needs no new feature for that. - BodyRoom keeps the order of the queue: a large body is no longer overtaken by smaller ones until its deadline. A quarter of the account is for bodies of other nodes, and one body always has room, so that nodes whose own callers fill their accounts do not wait for each other. - A body that never fits, and a call that gets no room in time at the expected duration of calls, are refused at once. Whole bodies of nodes of the previous build are refused if they do not fit.

test_a_body_that_never_fits_does_not_delay_a_smaller_one replaces a test that expected the body above the account to wait until it was refused as no-time: it is refused before the other call ends, which is stricter.

--- a/sequoiaspoke/core/mesh/transfers.py
+++ b/sequoiaspoke/core/mesh/transfers.py
@@ -85,6 +85,8 @@
         Whether its credit was returned and no part has arrived since.
     unlinked_since : float or None
         When its link ended, None while it has one.
+    room_wait : float
+        Seconds until it has room in memory, as expected when it was announced.
     """
 
     size: int
@@ -95,6 +97,7 @@
     active_at: float = 0.0
     stalled: bool = False
     unlinked_since: float | None = None
+    room_wait: float = 0.0
     meter: RateMeter = field(default_factory=RateMeter)
 
     @property
@@ -153,9 +156,11 @@
 
     # Bodies.
 
-    def announce(self, ticket: object, route: str, rank: int, size: int) -> None:
+    def announce(
+        self, ticket: object, route: str, rank: int, size: int, room_wait: float = 0.0
+    ) -> None:
         """Add a body that its entry has announced."""
-        self.transfers[ticket] = Transfer(size, rank)
+        self.transfers[ticket] = Transfer(size, rank, room_wait=room_wait)
         mean = self.mean_sizes.get(route, size)
         self.mean_sizes[route] = mean + NEWEST_SIZE_WEIGHT * (size - mean)
 
@@ -322,19 +327,22 @@
         0 for a call without an announced body.
         """
         transfer = self.transfers.get(ticket)
-        return 0.0 if transfer is None else self.seconds_for_rank(transfer.rank)
+        if transfer is None:
+            return 0.0
+        return max(transfer.room_wait, self.seconds_for_rank(transfer.rank))
 
     def wait_ahead(self, ticket: object) -> float:
-        """Return the seconds until the link is free for a newly announced body.
+        """Return the seconds until a newly announced body may be sent.
 
-        Less than the window is the wait of any frame and counts as none.
+        The link has to be free for it, and it needs room in memory. Less than the
+        window is the wait of any frame and counts as none.
         """
         transfer = self.transfers.get(ticket)
         if transfer is None:
             return 0.0
         ahead = self.bytes_ahead(transfer.rank) - transfer.remaining
         seconds = self.seconds_for(ahead)
-        return seconds if seconds > WINDOW_SECONDS else 0.0
+        return max(transfer.room_wait, seconds if seconds > WINDOW_SECONDS else 0.0)
 
     def seconds_for_rank(self, rank: int, size: float = 0.0) -> float:
         """Return the seconds until the bodies up to a rank and more bytes are here."""
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -178,7 +178,7 @@
             else:
                 on_outcome(known.outcome or Unknown("answer-forgotten"))
             return
-        refusal = self.find_refusal(call)
+        refusal = self.find_refusal(call) or self.memory_refusal(call, body)
         if refusal is not None:
             on_outcome(refusal)
             return
@@ -194,7 +194,7 @@
         if self.suspected(call):
             self.admission.suspects.add(key)
         if body is not None:
-            self.bodies.announce(key, call.route, call.rank, body)
+            self.bodies.announce(key, call.route, call.rank, body, now)
         refused = self.admission.arrive(arrival, now)
         if refused is not None and refused.arrival is arrival:
             self.admission.suspects.discard(key)
@@ -303,15 +303,22 @@
                 RefusalReason.LEDGER_FULL,
                 min(max(seconds, MIN_RETRY_AFTER), LEDGER_RETRY_AFTER),
             )
-        return self.memory_refusal(call)
+        return None
 
-    def memory_refusal(self, call: HomeCall) -> NotRun | None:
-        """Return the refusal of a call whose head does not fit, None if it does.
+    def memory_refusal(
+        self, call: HomeCall, body: AnnouncedBody | None
+    ) -> NotRun | None:
+        """Return the refusal of a call that has no room in memory, None if it has.
 
-        A small head always fits.
+        A small head and a small body always have. A body that follows in parts is
+        refused only if it never has; otherwise it is requested once it has.
         """
-        size = call.request.head_memory
-        if not call.remote or size <= SMALL_BODY or self.memory.fits(size):
+        request = call.request
+        size = request.head_memory + len(request.body)
+        small = max(request.head_memory, len(request.body)) <= SMALL_BODY
+        if body is not None and not self.bodies.room.possible(body.size):
+            size += body.size
+        elif not call.remote or small or self.memory.fits(size):
             return None
         self.counts[MEMORY_REFUSED] += 1
         self.log.call(
--- a/sequoiaspoke/sidecar/homecall.py
+++ b/sequoiaspoke/sidecar/homecall.py
@@ -30,7 +30,8 @@
     max_wait : float
         Seconds that the call may wait for a slot; beyond them it is refused as busy.
     large_body : bool
-        Whether the body is sent in parts, and only once the home requests it.
+        Whether the body is sent in parts even if it is small. A large one always is,
+        and only once the home requests it.
     last_resort : bool
         Whether no other home takes the call, so that one that stops runs it although
         the call may outlast it.
--- a/sequoiaspoke/sidecar/linkclient.py
+++ b/sequoiaspoke/sidecar/linkclient.py
@@ -14,6 +14,7 @@
 
 from sequoiaspoke.core.mesh.admission import RefusalReason
 from sequoiaspoke.core.mesh.balancer import LoadReport
+from sequoiaspoke.core.mesh.memory import SMALL_BODY
 from sequoiaspoke.core.mesh.outcome import TIMED_OUT, NotRun, Unknown
 from sequoiaspoke.core.mesh.transfers import PART_BYTES
 from sequoiaspoke.polling import PolledTimeout
@@ -235,8 +236,9 @@
             self.send_withdraw(pending)
             return
         call = pending.call
-        parts = call.large_body and bool(self.features & LinkFeatures.PARTS)
-        if parts and len(call.request.body) > PART_BYTES:
+        largest_whole = PART_BYTES if call.large_body else SMALL_BODY
+        parts = bool(self.features & LinkFeatures.PARTS)
+        if parts and len(call.request.body) > largest_whole:
             pending.body = pending.body or OutgoingBody(call.request.body)
             pending.body.announced()
         pending.home_incarnation = self.incarnation
--- a/sequoiaspoke/sidecar/memorylog.py
+++ b/sequoiaspoke/sidecar/memorylog.py
@@ -62,7 +62,7 @@
             limit=memory.limit,
             unread=memory.unread,
             calls=sum(each.reserved for each in self.home.calls.values()),
-            bodies=sum(self.home.bodies.reserved.values()),
+            bodies=self.home.bodies.room.held,
             frames=sum(each.buffered_bytes() for each in self.streams()),
             unsent=self.home.upstream.unsent_bytes(),
             resident=resident_bytes(),
--- a/sequoiaspoke/sidecar/transfers.py
+++ b/sequoiaspoke/sidecar/transfers.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.admission import RefusalReason, Refused
+from sequoiaspoke.core.mesh.bodyroom import BodyRoom
 from sequoiaspoke.core.mesh.transfers import PART_BYTES
 from sequoiaspoke.errors import MessageError
 
@@ -62,10 +63,8 @@
         The current links of the incomplete bodies.
     complete : set of Hashable
         Calls with complete bodies, until they end.
-    memory : MemoryAccount
-        Memory of the node, shared with its other parts.
-    reserved : dict of Hashable to int
-        Bytes reserved for the bodies of calls that have not ended.
+    room : BodyRoom
+        Memory for them, in the account of the node.
     """
 
     def __init__(
@@ -82,23 +81,27 @@
         self.bodies: dict[Hashable, bytearray] = {}
         self.sources: dict[Hashable, BodySource] = {}
         self.complete: set[Hashable] = set()
-        self.memory = memory
-        self.reserved: dict[Hashable, int] = {}
+        self.room = BodyRoom(memory)
 
     def announce(
-        self, key: Hashable, route: str, rank: int, body: AnnouncedBody
+        self, key: Hashable, route: str, rank: int, body: AnnouncedBody, now: float
     ) -> None:
         """Add the announced body of a new call."""
-        self.transfers.announce(key, route, rank, body.size)
+        wait = self.room_wait(body.size, route, rank, now)
+        self.transfers.announce(key, route, rank, body.size, wait)
         self.admission.incomplete.add(key)
         self.bodies[key] = bytearray()
         self.sources[key] = body.source
 
-    def hold(self, key: Hashable, size: int) -> None:
-        """Count the memory of a body, once and until its call ends."""
-        if key not in self.reserved:
-            self.memory.reserve(size)
-            self.reserved[key] = size
+    def room_wait(self, size: int, route: str, rank: int, now: float) -> float:
+        """Return the seconds until a new body has room in memory."""
+        ahead = sum(
+            each.size
+            for key, each in self.transfers.transfers.items()
+            if each.rank <= rank and key not in self.room.reserved
+        )
+        seconds = self.admission.durations.expected(route, now)
+        return self.room.wait(size, ahead, seconds)
 
     def resume(self, key: Hashable, body: AnnouncedBody, now: float) -> None:
         """Continue a body whose entry announced it again, unless it is complete."""
@@ -134,7 +137,7 @@
         Its credit and its memory are free for the next `request`.
         """
         self.complete.discard(key)
-        self.memory.release(self.reserved.pop(key, 0))
+        self.room.release(key)
         if not self.transfers.drop(key):
             return False
         del self.bodies[key], self.sources[key]
@@ -162,27 +165,17 @@
         waiting.sort(key=lambda arrival: admission.sort_key(arrival, now))
         complete = sum(key in admission.queue for key in self.complete)
         most = admission.slots + 1 - complete
-        order = self.fitting([each.ticket for each in waiting])
+        linked = (x.ticket for x in waiting if self.transfers.linked(x.ticket))
+        order = self.room.fitting((key, self.size(key)) for key in linked)
         for grant in self.transfers.grant(order, most, now):
-            self.hold(grant.ticket, self.transfers.transfers[grant.ticket].size)
+            # If several were requested that do not fit together, none of them would
+            # become complete.
+            self.room.reserve(grant.ticket, self.size(grant.ticket))
             self.sources[grant.ticket].fetch(grant.ticket, grant.offset, grant.upto)
 
-    def fitting(self, order: list[Hashable]) -> list[Hashable]:
-        """Return the bodies that have memory, or fit beside those before them.
-
-        Memory is reserved for a whole body when it is first requested: if several were
-        requested that do not fit together, none of them would become complete.
-        """
-        free = self.memory.limit - self.memory.held
-        fitting = []
-        for key in order:
-            size = self.transfers.transfers[key].size
-            if key in self.reserved:
-                fitting.append(key)
-            elif size <= free:
-                free -= size
-                fitting.append(key)
-        return fitting
+    def size(self, key: Hashable) -> int:
+        """Return the size of an incomplete body."""
+        return self.transfers.transfers[key].size
 
     def tick(self, now: float) -> None:
         """Return unused credit, and refuse calls whose bodies cannot come in time."""
