Hold the body of a call once in memory

Cause: a large body was joined with its head, and both were held until the answer; what the socket did not take at once was copied to the buffer of the transport; and a body that became complete, at the node of its caller or at its home, was copied once more.

Change: head and body are written one after the other, the body in pieces of 64 KB as the upstream reads; bodies are collected in a BytesIO, whose value is not a copy. What is not written yet counts as unsent: a connection that was answered before is not used again.

--- a/sequoiaspoke/sidecar/callerserver.py
+++ b/sequoiaspoke/sidecar/callerserver.py
@@ -13,6 +13,7 @@
 from collections import deque
 from errno import errorcode
 from functools import partial
+from io import BytesIO
 from itertools import islice
 from typing import TYPE_CHECKING
 
@@ -218,7 +219,7 @@
         self.method = self.target = b""
         self.asks_upgrade = False
         self.headers: list[tuple[str, str]] = []
-        self.body = bytearray()
+        self.body = BytesIO()
         self.body_size = 0
         self.head_size = self.head_memory = 0
         self.framing_size = self.framing_run = 0
@@ -501,7 +502,7 @@
         if self.body_size > self.limits.body_bytes:
             self.refuse(413, "body")
         elif self.reserve_or_refuse():
-            self.body += data
+            self.body.write(data)
 
     def reserve_or_refuse(self) -> bool:
         """Reserve memory for what has arrived; refuse the request without room for it.
@@ -545,7 +546,7 @@
         """Drop what has arrived of a request and release what was reserved."""
         self.server.memory.release(self.reserved)
         self.reserved = 0
-        self.body = bytearray()
+        self.body = BytesIO()
         self.headers = []
 
     def end_request(self) -> None:
@@ -575,8 +576,9 @@
         self.boundary_in_chunk = True
         self.framing_size = 0
         keep_alive = self.parser.should_keep_alive()
-        request = self.request(bytes(self.body))
-        self.body, self.headers = bytearray(), []
+        # Not a copy, unlike the value of a bytearray.
+        request = self.request(self.body.getvalue())
+        self.body, self.headers = BytesIO(), []
         exchange = Exchange(
             keep_alive,
             head_only=request.method == "HEAD",
--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -76,6 +76,9 @@
 # Largest request in bytes that fits into the receive buffer of a server, whether it is
 # read at once or not.
 MAX_BUFFERED_REQUEST = 4096
+# Bytes of a large body that are given to the transport at a time. What it cannot send
+# at once it copies.
+WRITE_BYTES = 64 << 10
 # Seconds past its deadline by which an answer that keeps arriving has to be complete.
 MAX_EXTENSION_SECONDS = 10.0
 
@@ -135,6 +138,8 @@
         Memory for its answers, None if that is not limited beyond their size.
     max_body : int
         Bytes of the largest accepted body of the call under way.
+    unwritten : memoryview
+        Rest of the body of the last request that the transport does not have yet.
     framing_bytes, body_bytes : int
         Bytes besides bodies, and of bodies, that have come since the last request.
     framing_run : int
@@ -158,6 +163,7 @@
         self.call_header = call_header
         self.room: AnswerRoom | None = None
         self.max_body = MAX_ANSWER_BYTES
+        self.unwritten = memoryview(b"")
         self.reset_counts()
         self.deadlines = deadlines
         self.pending: asyncio.Future[Answer | Unknown] | None = None
@@ -231,6 +237,7 @@
             self.complete()
         self.fail(CONNECTION_LOST)
         self.drop_answer()
+        self.drop_body()
         # It refers to this connection, and holds an incomplete line.
         self.parser = None
 
@@ -377,6 +384,7 @@
         deadline: float,
         silence: float = 0.0,
         max_body: int = MAX_ANSWER_BYTES,
+        body: bytes = b"",
     ) -> Answer | Unknown:
         """Send a request and return its outcome by the deadline.
 
@@ -390,6 +398,8 @@
             by the deadline times out; 0 if it has to be complete by then.
         max_body : int
             Bytes of the largest accepted body.
+        body : bytes
+            Body to send after `text`, as the server reads it.
         """
         self.call_id = call_id
         self.exchanges += 1
@@ -404,8 +414,10 @@
         self.latest = deadline + MAX_EXTENSION_SECONDS
         self.pending = asyncio.get_running_loop().create_future()
         self.timer = self.deadlines.call_at(deadline, self.timed_out)
-        self.expect_slow_reading(len(text) > MAX_BUFFERED_REQUEST)
+        self.expect_slow_reading(len(text) + len(body) > MAX_BUFFERED_REQUEST)
         self.write(text)
+        self.unwritten = memoryview(body)
+        self.write_body()
         if self.closed:
             self.fail(CONNECTION_LOST)
         try:
@@ -421,9 +433,32 @@
             # Answered before the request was sent completely: the server would read
             # the rest as a request.
             self.not_reusable = True
+        self.drop_body()
         self.last_used = clock.now()
         return outcome
 
+    def write_body(self) -> None:
+        """Write as much of the body as the transport sends soon."""
+        while self.unwritten and not (self.writing_paused or self.closing):
+            piece, self.unwritten = (
+                self.unwritten[:WRITE_BYTES],
+                self.unwritten[WRITE_BYTES:],
+            )
+            self.write(piece)
+
+    def resume_writing(self) -> None:
+        """Write the next part of the body."""
+        super().resume_writing()
+        self.write_body()
+
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of the request the server has not been sent."""
+        return 0 if self.closed else len(self.unwritten) + super().unsent_bytes()
+
+    def drop_body(self) -> None:
+        """Write no more of the body."""
+        self.unwritten = memoryview(b"")
+
     def release_room(self) -> None:
         """Release the room of the answer, once it was passed on if others wait."""
         if self.room is None:
@@ -470,4 +505,5 @@
     def close(self) -> None:
         """Close the connection; the server drops the call that runs on it."""
         self.not_reusable = True
+        self.drop_body()
         super().close()
--- a/sequoiaspoke/sidecar/httptext.py
+++ b/sequoiaspoke/sidecar/httptext.py
@@ -56,8 +56,10 @@
     return tuple(pair for pair in headers if pair[0].lower() not in dropped)
 
 
-def encode_request(request: Request, extra: Headers) -> bytes:
-    """Return the bytes of a request.
+def encode_request(request: Request, extra: Headers) -> tuple[bytes, bytes]:
+    """Return the head of a request, with its body if that is small, and the rest.
+
+    Joined with the head, a large body would be in memory twice while its call runs.
 
     Parameters
     ----------
@@ -69,8 +71,10 @@
     lines += [f"{name}: {value}" for name, value in extra]
     if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         lines.append(f"Content-Length: {len(request.body)}")
-    head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("latin-1") + request.body
+    head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    if len(request.body) > MAX_JOINED_BYTES:
+        return head, request.body
+    return head + request.body, b""
 
 
 def encode_answer(
--- a/sequoiaspoke/sidecar/sockets.py
+++ b/sequoiaspoke/sidecar/sockets.py
@@ -133,7 +133,7 @@
         """Return whether bytes written from now on would be dropped."""
         return self.closed or self.transport.is_closing()
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | memoryview) -> None:
         """Send bytes, unless the connection is closed."""
         if not self.closed:
             assert self.transport is not None
--- a/sequoiaspoke/sidecar/transfers.py
+++ b/sequoiaspoke/sidecar/transfers.py
@@ -5,6 +5,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
+from io import BytesIO
 from typing import TYPE_CHECKING
 
 from sequoiaspoke.core.mesh.admission import RefusalReason, Refused
@@ -57,7 +58,7 @@
 
     Attributes
     ----------
-    bodies : dict of Hashable to bytearray
+    bodies : dict of Hashable to BytesIO
         Received bytes of the incomplete bodies.
     sources : dict of Hashable to BodySource
         The current links of the incomplete bodies.
@@ -78,7 +79,7 @@
         self.transfers = admission.transfers
         self.counts = counts
         self.receiver = receiver
-        self.bodies: dict[Hashable, bytearray] = {}
+        self.bodies: dict[Hashable, BytesIO] = {}
         self.sources: dict[Hashable, BodySource] = {}
         self.complete: set[Hashable] = set()
         self.room = BodyRoom(memory)
@@ -90,7 +91,7 @@
         wait = self.room_wait(body.size, route, rank, now)
         self.transfers.announce(key, route, rank, body.size, wait)
         self.admission.incomplete.add(key)
-        self.bodies[key] = bytearray()
+        self.bodies[key] = BytesIO()
         self.sources[key] = body.source
 
     def room_wait(self, size: int, route: str, rank: int, now: float) -> float:
@@ -120,9 +121,10 @@
         if self.sources.get(key) is not source:
             return
         complete = self.transfers.receive(key, offset, len(data), now)
-        self.bodies[key] += data
+        self.bodies[key].write(data)
         if complete:
-            body = bytes(self.bodies.pop(key))
+            # Not a copy, unlike the value of a bytearray.
+            body = self.bodies.pop(key).getvalue()
             del self.sources[key]
             self.admission.incomplete.discard(key)
             self.complete.add(key)
--- a/sequoiaspoke/sidecar/upstream.py
+++ b/sequoiaspoke/sidecar/upstream.py
@@ -144,7 +144,7 @@
             (self.names.time_left, str(int(remaining * 1000))),
             (self.names.instance, instance),
         )
-        text = encode_request(request, extra)
+        text, body = encode_request(request, extra)
         if connection.closing:
             # Nothing has been written on it, and nothing would be sent any more.
             return NotRun("connection-closed")
@@ -153,7 +153,7 @@
         self.busy.add(connection)
         try:
             outcome = await connection.exchange(
-                text, call_id, request.method == "HEAD", deadline
+                text, call_id, request.method == "HEAD", deadline, body=body
             )
         finally:
             self.busy.discard(connection)
--- a/sequoiaspoke/tests/test_absolute_targets.py
+++ b/sequoiaspoke/tests/test_absolute_targets.py
@@ -81,7 +81,7 @@
         route = Route("fleet", "x.example", "/fleet/", True, 5.0, 1.0, 1, 2, split)
         table = RouteTable(MeshConfig(1, (route,), {}))
         self.assertIs(table.match(request.header("host"), request.target), route)
-        line = encode_request(request, ()).partition(b"\r\n")[0]
+        line = encode_request(request, ())[0].partition(b"\r\n")[0]
         self.assertEqual(line, b"GET /fleet/1?a=%2F HTTP/1.1")
 
     def test_a_target_in_origin_form_is_unchanged(self):
