Count large frames that have not arrived whole, and bound them

Cause: a frame was put together from what had arrived up to 70 MB, for each link on its own, in no account. The buffer it came in was kept beside the frame and what was decoded.

Change: on links that other nodes have opened, the bytes of a frame above 1 MB count in the memory account as they arrive, and a link whose frame has no room is closed, as `link-broken reason="frame without room"`. Its entry opens another one and sends its calls again. Bodies come in parts from nodes of this build; only those of the previous one send frames as large. Smaller frames, with what nodes tell each other of the platform, always have room.

--- a/sequoiaspoke/sidecar/frames.py
+++ b/sequoiaspoke/sidecar/frames.py
@@ -25,6 +25,10 @@
 FRAME_LIMIT = 70 << 20
 # Bytes of the largest first frame, in which a node introduces itself.
 FIRST_FRAME_LIMIT = 64 << 10
+# Bytes of the largest frame that always has room in memory. What nodes tell each other
+# of the platform is smaller. Larger frames are calls and answers, of which those with
+# large bodies come from nodes that do not send these in parts.
+LARGE_FRAME = 1 << 20
 # Bytes buffered for a peer that does not read; beyond that the link is closed.
 UNSENT_LIMIT = 16 << 20
 
@@ -139,7 +143,10 @@
     Attributes
     ----------
     room : AnswerRoom or None
-        Counts the bytes that the peer has not read, None if they are not counted.
+        Counts the bytes that the peer has not read, and those of large frames that have
+        not arrived whole; None if they are not counted.
+    counted : int
+        Bytes of an incomplete frame that are counted.
     old_bytes : int
         Bytes left to read of those that had arrived at the last `note_arrived`.
     """
@@ -150,7 +157,7 @@
         super().__init__()
         self.room = room
         self.chunks: list[bytes] = []
-        self.buffered = self.old_bytes = 0
+        self.buffered = self.old_bytes = self.counted = 0
         self.bytes_needed = HEADER.size
         self.on_frame: Callable[[wire.Frame], None] | None = None
         self.reason = ""
@@ -200,7 +207,26 @@
         self.chunks.append(data)
         self.buffered += len(data)
         if self.buffered >= self.bytes_needed and self.on_frame is not None:
+            self.count_incomplete(0)
             self.parse()
+        if self.bytes_needed > LARGE_FRAME and not self.closed:
+            self.check_room()
+
+    def check_room(self) -> None:
+        """Count what has arrived of a large frame; close the link if it has no room."""
+        if self.room is None:
+            return
+        if self.room.memory.fits(self.buffered - self.counted):
+            self.count_incomplete(self.buffered)
+        else:
+            self.reason = "frame without room"
+            self.close()
+
+    def count_incomplete(self, size: int) -> None:
+        """Count so many bytes of an incomplete frame."""
+        if self.room is not None and size != self.counted:
+            self.room.memory.reserve(size - self.counted)
+            self.counted = size
 
     def parse(self) -> None:
         """Pass on the complete frames; close the link at an invalid one."""
@@ -222,6 +248,9 @@
                     break
                 payload = buffer[start + HEADER.size : end]
                 start = end
+                if len(payload) > LARGE_FRAME:
+                    # Not kept beside the frame and what is decoded from it.
+                    buffer, start = buffer[end:], 0
                 frame = decode(payload)
                 del payload
                 self.on_frame(frame)
@@ -233,6 +262,9 @@
 
     def lost(self, error: Exception | None, closed_locally: bool) -> None:  # noqa: ARG002
         """Let `read` return why the link has ended."""
+        self.chunks.clear()
+        self.buffered = 0
+        self.count_incomplete(0)
         if not self.ended.done():
             ended = "closed-here" if closed_locally else "closed"
             self.ended.set_result(self.reason or ended)
