Release the request of a call with its final answer

Entries of large bodies that homes refused held up to three times their memory account.

Cause: the attempts of a race refer to each other, and only those of the last race were taken apart: each earlier attempt kept the request until the next run of the garbage collector. A call that timed out kept it as well, by the traceback of an exception that the race held.

Change: the attempts that have ended are taken apart before the next one is made, and a race that ends at the deadline has no result in place of an exception.

Measured: test_a_request_is_released_with_its_call fails before, with one request left of a call refused by three homes, and two of one that timed out.

--- a/sequoiaspoke/sidecar/attempts.py
+++ b/sequoiaspoke/sidecar/attempts.py
@@ -231,6 +231,7 @@
         if progress.expired:
             # The deadline passed between two attempts.
             raise TimeoutError
+        progress.discard()
         race = progress.race = Race()
         self.start(progress, endpoint, race, progress.max_wait)
         hedge_timer = None
@@ -241,11 +242,14 @@
                 now + delay, partial(self.hedge, progress, race)
             )
         try:
-            return await race.result
+            result = await race.result
         finally:
             if hedge_timer is not None:
                 hedge_timer.cancel()
             race.cancel()
+        if result is None:
+            raise TimeoutError
+        return result
 
     def may_hedge(self, progress: Progress) -> bool:
         """Return whether a call may run at two upstreams at once."""
--- a/sequoiaspoke/sidecar/race.py
+++ b/sequoiaspoke/sidecar/race.py
@@ -171,10 +171,10 @@
         return [each for each in attempts if not each.finished]
 
     def discard(self) -> None:
-        """Drop the attempts of a call that has its final answer.
+        """Drop the attempts that have ended, before the next one or the final answer.
 
-        They refer to each other, and large answers would stay in memory until the next
-        run of the garbage collector.
+        They refer to each other: the request and large answers would stay in memory
+        until the next run of the garbage collector.
         """
         if self.race is not None:
             self.race.attempts.clear()
@@ -272,11 +272,17 @@
     The first answer that needs no retry is the result. Without one, the result is the
     outcome that is most certain to have run, so that a refusal of one attempt does not
     hide that another may have run.
+
+    Attributes
+    ----------
+    result : asyncio.Future
+        The endpoint and the outcome, None at the deadline. An exception in its place
+        would keep the request in memory, as it refers to the frames that it passed.
     """
 
     def __init__(self) -> None:
         self.attempts: list[Attempt] = []
-        self.result: asyncio.Future[tuple[Endpoint, Outcome]] = (
+        self.result: asyncio.Future[tuple[Endpoint, Outcome] | None] = (
             asyncio.get_running_loop().create_future()
         )
 
@@ -302,14 +308,14 @@
             attempt.withdraw()
 
     def time_out(self) -> None:
-        """Set TimeoutError as the result unless all attempts have ended.
+        """End the race without a result unless all attempts have ended.
 
         Those that have certainly not run end by this with an outcome that tells so.
         """
         for attempt in self.attempts:
             attempt.withdraw_unsent()
         if not self.result.done():
-            self.result.set_exception(TimeoutError())
+            self.result.set_result(None)
 
     def cancel(self) -> None:
         """Cancel the attempts still under way."""
--- a/sequoiaspoke/tests/test_released_answers.py
+++ b/sequoiaspoke/tests/test_released_answers.py
@@ -6,7 +6,7 @@
 
 from testtools import TestCase
 
-from sequoiaspoke.core.mesh.outcome import Answer
+from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request
 from sequoiaspoke.sidecar.pending import PendingCall
 from sequoiaspoke.tests.test_sidecar_entry import LOST, make_entry, request
 
@@ -43,6 +43,27 @@
             script.clear()
             self.assertIsNone(made())
 
+    def test_a_request_is_released_with_its_call(self):
+        # Each attempt but the last kept its request. A node that tried large bodies at
+        # several homes held three times its memory account.
+        async def run(script, name, left):
+            entry = make_entry(script)
+            answer = await entry.handle(request(name, left))
+            for _ in range(3):
+                await asyncio.sleep(0)
+            kept = [x for x in gc.get_objects() if isinstance(x, Request)]
+            return answer.status, len(kept)
+
+        refused = NotRun("overloaded", 0.2)
+        for outcomes, name, left, status in (
+            ((refused, refused, refused), "order", 4000, 503),
+            ((refused, refused, LOST), "order", 4000, 502),
+            ((LOST, LOST), "read", 4000, 502),
+            ((None,), "order", 100, 504),
+        ):
+            script = dict(zip("abc", outcomes, strict=False))
+            self.assertEqual(asyncio.run(run(script, name, left)), (status, 0))
+
     def test_a_call_to_another_node_is_released_with_its_outcome(self):
         for end in (lambda pending: pending.resolve(LOST), PendingCall.drop):
             waiting = Waiting()
