Serve calls whose bodies have room late but before their deadlines

Cause: the wait for memory counted as that for a slot, also where calls that would miss their objective are refused beyond one for each slot.

Change: the wait for memory refuses a call only if it cannot end by its deadline, and a slot request. Load reports contain it, so that entries choose homes with room.

Measured: test_calls_that_get_memory_late_but_in_time_are_served and test_a_home_without_room_tells_entries_how_long_that_lasts fail before.

--- a/sequoiaspoke/core/mesh/admission.py
+++ b/sequoiaspoke/core/mesh/admission.py
@@ -250,14 +250,17 @@
             return self.refuse_full(arrival, now)
         wait = max(self.queue_wait(arrival, now), self.suspect_wait(arrival, now))
         wait = max(wait, self.transfers.wait_ahead(arrival.ticket))
-        if wait > arrival.max_wait:
-            return Refused(arrival, RefusalReason.BUSY, max(wait, MIN_RETRY_AFTER))
+        room_wait = self.transfers.room_wait(arrival.ticket)
+        if max(wait, room_wait) > arrival.max_wait:
+            seconds = max(wait, room_wait, MIN_RETRY_AFTER)
+            return Refused(arrival, RefusalReason.BUSY, seconds)
         wait = max(wait, self.transfers.wait(arrival.ticket))
         ahead = sum(count for _, count in self.queue.ahead(arrival.rank))
         limited = self.rate_limit.wait(ahead, now) > 0
-        if now + wait + self.min_time_left(arrival, now) > arrival.deadline:
+        start = now + max(wait, room_wait)
+        if start + self.min_time_left(arrival, now) > arrival.deadline:
             reason = RefusalReason.RATE_LIMITED if limited else RefusalReason.NO_TIME
-            return Refused(arrival, reason, self.return_after(reason, wait, now))
+            return Refused(arrival, reason, self.return_after(reason, start - now, now))
         # A single queued call is enough to use up a rate limit.
         enough = 1 if limited else self.slots
         late = ahead >= enough and self.would_be_late(arrival, now + wait)
--- a/sequoiaspoke/core/mesh/transfers.py
+++ b/sequoiaspoke/core/mesh/transfers.py
@@ -327,22 +327,24 @@
         0 for a call without an announced body.
         """
         transfer = self.transfers.get(ticket)
-        if transfer is None:
-            return 0.0
-        return max(transfer.room_wait, self.seconds_for_rank(transfer.rank))
+        return 0.0 if transfer is None else self.seconds_for_rank(transfer.rank)
+
+    def room_wait(self, ticket: object) -> float:
+        """Return the seconds until a newly announced body has room in memory."""
+        transfer = self.transfers.get(ticket)
+        return 0.0 if transfer is None else transfer.room_wait
 
     def wait_ahead(self, ticket: object) -> float:
-        """Return the seconds until a newly announced body may be sent.
+        """Return the seconds until the link is free for a newly announced body.
 
-        The link has to be free for it, and it needs room in memory. Less than the
-        window is the wait of any frame and counts as none.
+        Less than the window is the wait of any frame and counts as none.
         """
         transfer = self.transfers.get(ticket)
         if transfer is None:
             return 0.0
         ahead = self.bytes_ahead(transfer.rank) - transfer.remaining
         seconds = self.seconds_for(ahead)
-        return max(transfer.room_wait, seconds if seconds > WINDOW_SECONDS else 0.0)
+        return seconds if seconds > WINDOW_SECONDS else 0.0
 
     def seconds_for_rank(self, rank: int, size: float = 0.0) -> float:
         """Return the seconds until the bodies up to a rank and more bytes are here."""
--- a/sequoiaspoke/sidecar/home.py
+++ b/sequoiaspoke/sidecar/home.py
@@ -666,7 +666,7 @@
             durations.expected(route, now),
             max(
                 self.admission.wait_for_rank(rank, now),
-                self.admission.transfers.route_wait(route, rank),
+                self.bodies.route_wait(route, rank, now),
             ),
         )
 
--- a/sequoiaspoke/sidecar/transfers.py
+++ b/sequoiaspoke/sidecar/transfers.py
@@ -104,6 +104,19 @@
         seconds = self.admission.durations.expected(route, now)
         return self.room.wait(size, ahead, seconds)
 
+    def route_wait(self, route: str, rank: int, now: float) -> float:
+        """Return the seconds until a body of a route's mean size would be complete.
+
+        0 for a route of which no body was announced.
+        """
+        size = self.transfers.mean_sizes.get(route)
+        if size is None:
+            return 0.0
+        return max(
+            self.transfers.route_wait(route, rank),
+            self.room_wait(int(size), route, rank, now),
+        )
+
     def resume(self, key: Hashable, body: AnnouncedBody, now: float) -> None:
         """Continue a body whose entry announced it again, unless it is complete."""
         if key in self.bodies:
--- a/sequoiaspoke/tests/bodysim.py
+++ b/sequoiaspoke/tests/bodysim.py
@@ -153,16 +153,18 @@
         headers=(("Host", "x"),),
         idempotent=False,
         large_body=True,
+        objective=None,
     ):
         """Send a call from an entry; return the pending call."""
         until = self.now() + seconds
+        on_time = until if objective is None else self.now() + objective
         call = HomeCall(
             Request("POST", name, headers, body_of(name, size)),
             ENDPOINT.incarnation,
             "up",
             2,
             idempotent,
-            until,
+            on_time,
             until,
             large_body=large_body,
         )
--- a/sequoiaspoke/tests/test_bodies_memory.py
+++ b/sequoiaspoke/tests/test_bodies_memory.py
@@ -143,6 +143,37 @@
 
         self.play(scenario, bodies=1)
 
+    def test_calls_that_get_memory_late_but_in_time_are_served(self):
+        # Those beyond a slot each were refused, as they would miss their objective.
+        async def scenario(world):
+            world.upstream.seconds = 1.0
+            self.send(world, "/warm")
+            await world.until(lambda: world.outcomes)
+            names = [f"/{number}" for number in range(12)]
+            for name in names:
+                self.send(world, name, seconds=9.0, objective=3.0)
+            await self.until_ended(world, 13)
+            for name in names:
+                self.assertIsInstance(world.outcomes[name], Answer)
+
+        self.play(scenario, slots=4, bodies=2)
+
+    def test_a_home_without_room_tells_entries_how_long_that_lasts(self):
+        # They went on sending bodies to it beside others that had room.
+        async def scenario(world):
+            world.upstream.seconds = 1.0
+            self.send(world, "/1")
+            await world.until(lambda: world.outcomes)
+            self.assertTrue(world.home.load_report("up", 2).wait < 0.2)
+            for number in range(2, 6):
+                self.send(world, f"/{number}", seconds=9.0)
+            await world.until(lambda: len(world.home.calls) == 4)
+            self.assertTrue(world.home.load_report("up", 2).wait > 3.0)
+            self.assertEqual(world.home.load_report("other", 2).wait, 0.0)
+            await self.until_ended(world, 5)
+
+        self.play(scenario, bodies=1)
+
     def test_a_whole_body_of_an_old_node_is_refused_without_room(self):
         # Nodes of the previous build send bodies with their calls.
         self.patch(linkserver, "SUPPORTED", LinkFeatures(0))
