Free the room of bodies that their entries do not send

An entry that announces bodies and sends nothing of them kept the memory account of a home until the deadlines of its calls; large bodies of all others waited for it.

Cause: the memory of a body is reserved from its first request to the end of its call.

Change: while another body waits for room, one of which nothing has come for a second after it was requested is refused as body-expired, and has not run.

Measured: test_it_does_not_keep_the_room_that_others_wait_for fails before: the calls of the silent entry were still held when the others had ended.

--- a/sequoiaspoke/core/mesh/transfers.py
+++ b/sequoiaspoke/core/mesh/transfers.py
@@ -30,6 +30,9 @@
 # Seconds without a link after which an incomplete body is dropped. An entry that lives
 # has opened another link by then, or given up.
 UNLINKED_SECONDS = 1.0
+# Seconds without a requested part after which a body gives up its room in memory to
+# others that wait for it.
+SILENT_SECONDS = 1.0
 # Half-life of a measured rate, in seconds of receiving.
 RATE_HALF_LIFE = 0.5
 # Seconds of receiving below which a measured rate is not used: the first part comes a
@@ -83,6 +86,9 @@
         When the last part arrived, or when the body was given credit after that.
     stalled : bool
         Whether its credit was returned and no part has arrived since.
+    silent_since : float or None
+        When the last part arrived, or the first was requested after that; None if none
+        is requested.
     unlinked_since : float or None
         When its link ended, None while it has one.
     room_wait : float
@@ -96,6 +102,7 @@
     link_limit: int = 0
     active_at: float = 0.0
     stalled: bool = False
+    silent_since: float | None = None
     unlinked_since: float | None = None
     room_wait: float = 0.0
     meter: RateMeter = field(default_factory=RateMeter)
@@ -202,6 +209,7 @@
         transfer.received += size
         transfer.requested = max(transfer.requested, transfer.received)
         transfer.stalled = False
+        transfer.silent_since = now if transfer.credit else None
         if transfer.remaining:
             return False
         del self.transfers[ticket]
@@ -279,6 +287,8 @@
             return None
         if not transfer.credit:
             transfer.active_at = now
+        if transfer.silent_since is None:
+            transfer.silent_since = now
         upto = transfer.requested + more
         transfer.link_limit = max(transfer.link_limit, upto)
         return Grant(ticket, transfer.received, upto)
@@ -303,6 +313,15 @@
             and now - each.unlinked_since >= UNLINKED_SECONDS
         ]
 
+    def silent(self, now: float) -> list[object]:
+        """Return the bodies whose entries have sent nothing for too long."""
+        return [
+            ticket
+            for ticket, each in self.transfers.items()
+            if each.silent_since is not None
+            and now - each.silent_since >= SILENT_SECONDS
+        ]
+
     # Estimates.
 
     def seconds_for(self, size: float) -> float:
--- a/sequoiaspoke/sidecar/transfers.py
+++ b/sequoiaspoke/sidecar/transfers.py
@@ -197,7 +197,11 @@
         if not self.bodies:
             return
         self.transfers.return_stalled(now)
-        for key in self.transfers.abandoned(now):
+        expired = self.transfers.abandoned(now)
+        if any(key not in self.room.reserved for key in self.bodies):
+            silent = self.transfers.silent(now)
+            expired += [key for key in silent if key in self.room.reserved]
+        for key in dict.fromkeys(expired):
             arrival = self.admission.queue[key]
             refused = Refused(arrival, RefusalReason.BODY_EXPIRED, 0.0)
             self.receiver.refuse_queued(refused)
--- a/sequoiaspoke/tests/test_bodies_memory.py
+++ b/sequoiaspoke/tests/test_bodies_memory.py
@@ -107,6 +107,42 @@
         self.play(scenario)
 
 
+class SilentEntryTests(BodyMemoryCase):
+    """An entry that announces bodies and does not send them."""
+
+    def play_silent(self, others):
+        """Return when the other calls have ended, and the outcomes of the silent."""
+        ended = []
+
+        async def scenario(world):
+            world.entries[0].handle_fetch = lambda message: None
+            for number in range(3):
+                self.send(world, f"/silent/{number}", seconds=9.0)
+            await world.until(lambda: world.memory.held > 2 * SIZE)
+            begin = world.now()
+            names = [f"/{entry}" for entry in range(1, 1 + others)]
+            for entry, name in enumerate(names, start=1):
+                self.send(world, name, entry=entry, seconds=9.0)
+            await world.until(lambda: all(x in world.outcomes for x in names))
+            for name in names:
+                self.assertIsInstance(world.outcomes[name], Answer)
+            await asyncio.sleep(2.0 - (world.now() - begin))
+            silent = {x for x in world.outcomes if x.startswith("/silent")}
+            ended.append({world.outcomes[name].reason for name in silent})
+            await world.until(lambda: len(world.outcomes) == 3 + others)
+            self.assertEqual(world.memory.held, 0)
+
+        self.play(scenario)
+        return ended[0]
+
+    def test_it_does_not_keep_the_room_that_others_wait_for(self):
+        # It held the memory account until the deadlines of its calls.
+        self.assertEqual(self.play_silent(others=3), {"body-expired"})
+
+    def test_its_calls_wait_while_nobody_else_needs_the_room(self):
+        self.assertEqual(self.play_silent(others=0), set())
+
+
 class IdempotentBurstTests(BurstTests):
     idempotent = True
 
