Fail a call at once whose answer has a status that is none of HTTP

What callers saw: 504 at their deadlines where an upstream had answered 000 or 099, or 600 to 999 without the headers of an answer; with them, 600 to 999 were passed on.

Cause: each status under 200 counted as informational, and the parser gives 0 for 000. A status above 599 was not looked at. The product's node passed those on too, and waited for another answer behind a 101.

Change: a status outside of 100 to 599 ends the call at its first line with the reason answer-status-invalid, and closes the connection (RFC 9110, section 15: to be treated as a 5xx; a gateway answers 502). An answer of a home with such a status fails only its call.

--- a/sequoiaspoke/core/mesh/outcome.py
+++ b/sequoiaspoke/core/mesh/outcome.py
@@ -20,6 +20,10 @@
 RESET_AT_ONCE = "reset-at-once"
 # Reason: the upstream crashed while it ran the call.
 UPSTREAM_CRASHED = "upstream-crashed"
+# Reason: the status of the answer is none of HTTP.
+INVALID_STATUS = "answer-status-invalid"
+# Statuses of HTTP, and those of them that end a call (RFC 9110, section 15).
+STATUSES, FINAL_STATUSES = range(100, 600), range(200, 600)
 # Statuses by which a caller is told that its call has not run and will not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Bytes of a fingerprint; a collision among a million requests has a chance of 1 in
--- a/sequoiaspoke/errors.py
+++ b/sequoiaspoke/errors.py
@@ -252,6 +252,12 @@
     code = "answer-truncated"
 
 
+class InvalidStatusError(OutcomeUnknownError):
+    """The status of the answer is none of HTTP, or upgrades without being asked."""
+
+    code = "answer-status-invalid"
+
+
 class BadRequestError(NotRunError):
     """The request breaks HTTP or a limit of the node."""
 
--- a/sequoiaspoke/node/client.py
+++ b/sequoiaspoke/node/client.py
@@ -18,12 +18,14 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from sequoiaspoke.core.mesh.outcome import FINAL_STATUSES
 from sequoiaspoke.errors import (
     CallError,
     ConnectError,
     ConnectionLostError,
     DeadlineNotRunError,
     DeadlineUnknownError,
+    InvalidStatusError,
     TruncatedAnswerError,
 )
 from sequoiaspoke.node import silence
@@ -37,6 +39,9 @@
     from sequoiaspoke.node.pipe import ReplayableBody
     from sequoiaspoke.settings.schema import LimitSettings
 
+# Statuses of answers that precede the final one, and the one of them that ends HTTP on
+# the connection; no request asks for it.
+INFORMATIONAL, UPGRADE = range(100, 200), 101
 NO_BODY_STATUSES = frozenset({204, 304})
 # Part of the keep-alive limit for which an idle connection is reused. Close to the
 # limit the server may close it just as the next call is sent, and a call that never
@@ -76,7 +81,10 @@
     ) -> None:
         """Store the status and headers; called by Tornado."""
         assert isinstance(start_line, ResponseStartLine)
-        if start_line.code < 200:
+        if start_line.code in INFORMATIONAL and start_line.code != UPGRADE:
+            return
+        if start_line.code not in FINAL_STATUSES:
+            self.fail(InvalidStatusError(f"status {start_line.code}"))
             return
         self.status, self.reason = start_line.code, start_line.reason
         self.headers = headers
--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -22,6 +22,8 @@
 from sequoiaspoke.core.mesh.memory import header_size
 from sequoiaspoke.core.mesh.outcome import (
     CONNECTION_LOST,
+    INVALID_STATUS,
+    STATUSES,
     TIMED_OUT,
     Answer,
     Unknown,
@@ -272,6 +274,17 @@
             self.not_reusable = True
         self.reset_answer()
 
+    def on_status(self, reason: bytes) -> None:  # noqa: ARG002
+        """Check the status as soon as the first line is known."""
+        self.check_status()
+
+    def check_status(self) -> bool:
+        """Return whether the status is one of HTTP; reject the answer if it is not."""
+        valid = self.parser.get_status_code() in STATUSES
+        if not valid:
+            self.reject(INVALID_STATUS)
+        return valid
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, unless nobody waits for it."""
         if not self.awaited:
@@ -281,6 +294,8 @@
 
     def on_headers_complete(self) -> None:
         """Complete the head; find out how the end of the body is marked."""
+        if not self.check_status():
+            return
         self.status = self.parser.get_status_code()
         headers = tuple(self.headers)
         encoding = find_header(headers, "transfer-encoding").lower()
--- a/sequoiaspoke/sidecar/wirecalls.py
+++ b/sequoiaspoke/sidecar/wirecalls.py
@@ -8,7 +8,14 @@
 from sequoiaspoke.core.mesh.balancer import LoadReport
 from sequoiaspoke.core.mesh.durations import MeasuredRoute
 from sequoiaspoke.core.mesh.model import Incarnation
-from sequoiaspoke.core.mesh.outcome import Answer, NotRun, Request, Unknown
+from sequoiaspoke.core.mesh.outcome import (
+    FINAL_STATUSES,
+    INVALID_STATUS,
+    Answer,
+    NotRun,
+    Request,
+    Unknown,
+)
 from sequoiaspoke.errors import MessageError
 from sequoiaspoke.sidecar import clock
 from sequoiaspoke.sidecar.crashwire import pack_crash, unpack_crash
@@ -174,13 +181,17 @@
         require(message, "number", "status", "headers", "seconds")
         if not MIN_STATUS <= message.status <= MAX_STATUS:
             raise MessageError(f"answer with the status {message.status}")
+        load_report = unpack_load_report(message.news)
+        if message.status not in FINAL_STATUSES:
+            # A home of a previous build passes on whatever its upstream answers.
+            return message.number, Unknown(INVALID_STATUS), load_report
         answer = Answer(
             message.status,
             unflatten_headers(message.headers),
             message.body or b"",
             message.seconds,
         )
-        return message.number, answer, unpack_load_report(message.news)
+        return message.number, answer, load_report
     if frame.not_run is not None:
         refusal = frame.not_run
         require(refusal, "number", "reason", "retry_after")
