Start the silence of a body anew on another link

A body that is resumed after its link has ended counted the time without a link as time in which its entry was silent, and could lose its room to others at once.

Found by reading; the tests of bodies pass (no test of its own: the link of an entry is opened again within the second after which such a body is dropped).

--- a/sequoiaspoke/core/mesh/transfers.py
+++ b/sequoiaspoke/core/mesh/transfers.py
@@ -188,7 +188,7 @@
             raise MessageError(f"body announced with {transfer.size}, now {size} bytes")
         transfer.return_credit()
         transfer.link_limit = transfer.received
-        transfer.unlinked_since = None
+        transfer.unlinked_since = transfer.silent_since = None
         transfer.stalled = False
 
     def receive(self, ticket: object, offset: int, size: int, now: float) -> bool:
