Estimate when a body is complete from longer measurements only

What callers saw: nothing so far; found by the new test of a burst. Uploads were refused like this before.

Cause: the rate of the link was used from 20 ms of receiving on. As a burst begins, its nodes are busy with the first bodies, and the rate of these milliseconds was extrapolated to the 40 MB that were announced.

Change: estimates of when a body is complete use the measured rate after a quarter of a second of receiving, and that of the settings before. Credit is granted as before.

Measured: test_the_slow_start_of_a_burst_refuses_no_body_that_can_arrive fails before.

--- a/sequoiaspoke/core/mesh/transfers.py
+++ b/sequoiaspoke/core/mesh/transfers.py
@@ -38,6 +38,9 @@
 # Seconds of receiving below which a measured rate is not used: the first part comes a
 # round trip after its request.
 MIN_MEASURED_SECONDS = 0.02
+# The same for estimates of when a body is complete. As a burst begins, its nodes are
+# busy and the first parts come slowly; calls with much time left would be refused.
+MIN_ESTIMATE_SECONDS = 0.25
 # Credit of one body, as a multiple of what its entry sends in WINDOW_SECONDS. An entry
 # with a narrower link than the home's leaves the rest of the window to the next body.
 CREDIT_PER_RATE = 2.0
@@ -326,7 +329,9 @@
 
     def seconds_for(self, size: float) -> float:
         """Return the seconds in which the link receives bytes, 0 if not known."""
-        return size / self.rate if self.rate else 0.0
+        measured = self.meter.seconds >= MIN_ESTIMATE_SECONDS
+        rate = self.rate if measured else self.link_rate
+        return size / rate if rate else 0.0
 
     def seconds_left(self, ticket: object) -> float:
         """Return the seconds in which the link receives the rest of one body."""
--- a/sequoiaspoke/tests/test_transfers.py
+++ b/sequoiaspoke/tests/test_transfers.py
@@ -199,6 +199,22 @@
         )
         self.assertIsNone(self.arrive("b", 300 * KB, deadline=0.6))
 
+    def test_the_slow_start_of_a_burst_refuses_no_body_that_can_arrive(self):
+        # Nodes that are busy as a burst begins bring the first parts late. Bodies with
+        # seconds left were refused by a rate of tens of milliseconds.
+        self.transfers.set_link_mbps(1000.0)
+        self.announce("first", size=400 * KB)
+        self.grant()
+        for number in range(4):
+            self.receive("first", 0.02 * (number + 1))
+            self.grant(0.02 * (number + 1))
+        self.assertIsNone(self.arrive("a", 1600 * KB, now=0.08))
+        for number in range(4, 16):
+            self.receive("first", 0.02 * (number + 1))
+            self.grant(0.02 * (number + 1))
+        # By now the link is known to be slow.
+        self.assertEqual(self.arrive("b", 1600 * KB, now=0.32), RefusalReason.NO_TIME)
+
     def test_busy_counts_the_bodies_ahead_and_not_the_own(self):
         # A slot request with a body would otherwise be refused everywhere.
         self.assertIsNone(self.arrive("a", 100 * KB, max_wait=0.0))
