End the answer to a HEAD request with its head

Cause: the parser of the client is not told of the method and waits for the body that Content-Length or Transfer-Encoding announces, or for the end of the connection.

Change: the head of an answer to the HEAD under way ends the call, and the connection is not used again.

--- a/sequoiaspoke/sidecar/httpclient.py
+++ b/sequoiaspoke/sidecar/httpclient.py
@@ -308,10 +308,24 @@
         if not self.has_room():
             self.reject(WITHOUT_ROOM)
             return
+        if self.ends_with_head(headers):
+            # The parser waits for the body that the head announces.
+            self.not_reusable = True
+            self.complete()
+            return
         length = find_header(headers, "content-length")
         if length.isdecimal() and not bodiless:
             self.expect_body(int(length))
 
+    def ends_with_head(self, headers: Headers) -> bool:
+        """Return whether this is the answer to the HEAD request under way.
+
+        A late one to an earlier call has its body.
+        """
+        if not self.head_only or self.status < 200:
+            return False
+        return find_header(headers, self.call_header) in ("", self.call_id)
+
     def expect_body(self, size: int) -> None:
         """Wait until a body of known size has room; reject one that never has."""
         if self.body_bytes + size > self.max_body:
