Say in one condition when a body waits for room

Reading the change as a newcomer would: the flag for a body that waits was computed from itself. The behaviour is the same; the tests of bodies pass.

--- a/sequoiaspoke/core/mesh/bodyroom.py
+++ b/sequoiaspoke/core/mesh/bodyroom.py
@@ -63,14 +63,13 @@
         free, alone, blocked = self.available - self.held, not self.reserved, False
         fitting = []
         for key, size in bodies:
-            if key in self.reserved:
-                fitting.append(key)
-                continue
-            blocked = blocked or not (size <= free or alone)
-            if not blocked:
+            if key not in self.reserved:
+                if blocked or (size > free and not alone):
+                    blocked = True
+                    continue
                 free -= size
                 alone = False
-                fitting.append(key)
+            fitting.append(key)
         return fitting
 
     def reserve(self, key: Hashable, size: int) -> None:
