Name the tests of ended bodies by what they do, and correct two records

Cause: test_an_upstream_that_restarts interrupts tasks and test_a_home_that_stops cancels calls at a home that leaves; the docstring of play_silent told of another result.

Change: names, a docstring, and the two burst classes side by side; assertions as they were.

--- a/sequoiaspoke/tests/test_bodies_memory.py
+++ b/sequoiaspoke/tests/test_bodies_memory.py
@@ -107,11 +107,15 @@
         self.play(scenario)
 
 
+class IdempotentBurstTests(BurstTests):
+    idempotent = True
+
+
 class SilentEntryTests(BodyMemoryCase):
     """An entry that announces bodies and does not send them."""
 
     def play_silent(self, others):
-        """Return when the other calls have ended, and the outcomes of the silent."""
+        """Return the reasons of its calls that have ended two seconds later."""
         ended = []
 
         async def scenario(world):
@@ -143,10 +147,6 @@
         self.assertEqual(self.play_silent(others=0), set())
 
 
-class IdempotentBurstTests(BurstTests):
-    idempotent = True
-
-
 class RefusalTests(BodyMemoryCase):
     def test_a_body_above_the_account_is_refused_at_once(self):
         # It waited for its deadline.
@@ -285,7 +285,7 @@
 
         self.play_end(end, seconds=1.2)
 
-    def test_an_upstream_that_restarts(self):
+    def test_interrupted(self):
         async def end(world):
             for running in list(world.home.calls.values()):
                 if running.task is not None:
@@ -294,7 +294,7 @@
 
         self.play_end(end)
 
-    def test_a_home_that_stops(self):
+    def test_cancelled_at_a_home_that_leaves(self):
         async def end(world):
             world.home.leaving = True
             for arrival in list(world.home.admission.queue.values()):
